Shared types, platform interfaces, stand-ins, peer protocol and state of a data centre

Cause: an empty repository; the parts that are built in parallel need common types. Conclusion: the packages can be built side by side against these types.

--- /dev/null
+++ b/errkind/errkind.go
@@ -0,0 +1,132 @@
+// Package errkind holds the closed list of error kinds and the table from kind
+// to answer.
+package errkind
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/samber/oops"
+)
+
+// Kind is one entry of the closed list of error kinds.
+type Kind string
+
+// RunState tells a caller whether its request has run.
+type RunState string
+
+// The run states of an answer.
+const (
+	NotRun     RunState = "not_run"      // nothing downstream has a record of the request
+	MayHaveRun RunState = "may_have_run" // the request reached an upstream and its outcome is not known
+	Ran        RunState = "ran"
+)
+
+// The error kinds.
+const (
+	BadRequest        Kind = "bad_request"
+	BodyTooLarge      Kind = "body_too_large"
+	UnknownWorkspace  Kind = "unknown_workspace"
+	UnknownService    Kind = "unknown_service"
+	RateLimited       Kind = "rate_limited"
+	QueueFull         Kind = "queue_full"
+	DeadlineExceeded  Kind = "deadline_exceeded"
+	DuplicateRequest  Kind = "duplicate_request"
+	NeverRunnable     Kind = "never_runnable"
+	NoCapacity        Kind = "no_capacity"
+	StaleManifest     Kind = "stale_manifest"
+	StoreUnavailable  Kind = "store_unavailable"
+	OwnerUnavailable  Kind = "owner_unavailable"
+	ShuttingDown      Kind = "shutting_down"
+	Cancelled         Kind = "cancelled"
+	UpstreamRefused   Kind = "upstream_refused"
+	UpstreamFailed    Kind = "upstream_failed"
+	UpstreamUncertain Kind = "upstream_uncertain"
+	AnswerTooLarge    Kind = "answer_too_large"
+	AnswerInvalid     Kind = "answer_invalid"
+	JobUnknown        Kind = "job_unknown"
+	ManifestInvalid   Kind = "manifest_invalid"
+	ManifestConflict  Kind = "manifest_conflict"
+	StaleToken        Kind = "stale_token"
+	Internal          Kind = "internal"
+)
+
+// Answer is the row of the table for a kind.
+type Answer struct {
+	Status    int      // HTTP status
+	RunState  RunState // state of the request that got the error
+	RetrySafe bool     // the caller may send the same request id again
+	Meaning   string
+}
+
+var answers = map[Kind]Answer{
+	BadRequest:        {http.StatusBadRequest, NotRun, false, "a field of the request breaks a rule, which the message names"},
+	BodyTooLarge:      {http.StatusRequestEntityTooLarge, NotRun, false, "the body is larger than the service allows"},
+	UnknownWorkspace:  {http.StatusForbidden, NotRun, false, "the manifest in force has no such workspace"},
+	UnknownService:    {http.StatusNotFound, NotRun, false, "the manifest in force has no such service"},
+	RateLimited:       {http.StatusTooManyRequests, NotRun, true, "the workspace is above its request rate"},
+	QueueFull:         {http.StatusTooManyRequests, NotRun, true, "the workspace's queue is full"},
+	DeadlineExceeded:  {http.StatusGatewayTimeout, NotRun, true, "the deadline passed, or could not be met, before dispatch"},
+	DuplicateRequest:  {http.StatusConflict, MayHaveRun, false, "the request id was used before; the first request may have run"},
+	NeverRunnable:     {http.StatusUnprocessableEntity, NotRun, false, "no data centre could ever run the shape; the message names the limit"},
+	NoCapacity:        {http.StatusServiceUnavailable, NotRun, true, "no slot became free in time"},
+	StaleManifest:     {http.StatusServiceUnavailable, NotRun, true, "the instance cannot show that its manifest is current"},
+	StoreUnavailable:  {http.StatusServiceUnavailable, NotRun, true, "the platform's store does not answer and the request needs it"},
+	OwnerUnavailable:  {http.StatusServiceUnavailable, NotRun, true, "no owner of a suitable data centre answers"},
+	ShuttingDown:      {http.StatusServiceUnavailable, NotRun, true, "the instance is stopping"},
+	Cancelled:         {http.StatusRequestTimeout, NotRun, true, "the request was cancelled before dispatch"},
+	UpstreamRefused:   {http.StatusServiceUnavailable, NotRun, true, "every worker that was tried refused the request before starting it"},
+	UpstreamFailed:    {http.StatusBadGateway, Ran, false, "the request ran and failed"},
+	UpstreamUncertain: {http.StatusBadGateway, MayHaveRun, false, "the worker was reached and its answer was lost"},
+	AnswerTooLarge:    {http.StatusBadGateway, Ran, false, "the answer is larger than the service allows"},
+	AnswerInvalid:     {http.StatusBadGateway, MayHaveRun, false, "the answer was truncated or belongs to another attempt"},
+	JobUnknown:        {http.StatusNotFound, NotRun, true, "no record of the job exists"},
+	ManifestInvalid:   {http.StatusUnprocessableEntity, NotRun, false, "the manifest breaks a rule, which the message names"},
+	ManifestConflict:  {http.StatusConflict, NotRun, false, "another commit came first; the message says what it changed"},
+	StaleToken:        {http.StatusConflict, NotRun, true, "a newer owner of the data centre exists"},
+	Internal:          {http.StatusInternalServerError, MayHaveRun, false, "a fault in the system itself"},
+}
+
+// Kinds returns the whole list.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(answers))
+	for k := range answers {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// AnswerOf returns the table's row for k.
+func AnswerOf(k Kind) Answer {
+	if a, ok := answers[k]; ok {
+		return a
+	}
+	return answers[Internal]
+}
+
+// New returns an error of kind k with a formatted message.
+func New(k Kind, format string, args ...any) error {
+	return oops.Code(string(k)).Errorf(format, args...)
+}
+
+// Wrap returns err with kind k and a formatted message, or nil when err is nil.
+func Wrap(k Kind, err error, format string, args ...any) error {
+	return oops.Code(string(k)).Wrapf(err, format, args...)
+}
+
+// Of returns the kind of err: the outermost kind in its chain, or Internal.
+func Of(err error) Kind {
+	for err != nil {
+		var o oops.OopsError
+		if !errors.As(err, &o) {
+			return Internal
+		}
+		if code, ok := o.Code().(string); ok && code != "" {
+			if _, known := answers[Kind(code)]; known {
+				return Kind(code)
+			}
+		}
+		err = o.Unwrap()
+	}
+	return Internal
+}
--- /dev/null
+++ b/standin/http.go
@@ -0,0 +1,147 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// maxBody bounds the bodies that the stand-ins read: a value of the store in base64.
+const maxBody = 4 << 20
+
+// route decodes a JSON body, calls f and encodes its answer. An unanswered call closes
+// the connection.
+func route[In, Out any](mux *http.ServeMux, path string, f func(context.Context, In) (Out, error)) {
+	mux.HandleFunc("POST /v1/"+path, func(rw http.ResponseWriter, req *http.Request) {
+		var in In
+		if err := json.NewDecoder(http.MaxBytesReader(rw, req.Body, maxBody)).Decode(&in); err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out, err := f(req.Context(), in)
+		if errors.Is(err, errNoAnswer) || errors.Is(err, errWorkerSilent) {
+			panic(http.ErrAbortHandler)
+		}
+		writeReply(rw, out, err)
+	})
+}
+
+func writeReply(rw http.ResponseWriter, out any, err error) {
+	rw.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		rw.WriteHeader(http.StatusConflict)
+		out = platform.ErrorReply{Code: platform.ErrorCode(err), Message: err.Error()}
+	}
+	// An error here means that the caller is gone.
+	_ = json.NewEncoder(rw).Encode(out)
+}
+
+type none struct{}
+
+// PlatformHandler serves the store and the list over HTTP/JSON.
+func PlatformHandler(s *Store, l *List) http.Handler {
+	mux := http.NewServeMux()
+	route(mux, "store/get", func(ctx context.Context, b platform.GetBody) (platform.KV, error) { return s.Get(ctx, b.Key) })
+	route(mux, "store/list", func(ctx context.Context, b platform.ListBody) ([]platform.KV, error) {
+		return s.List(ctx, b.Prefix, b.After, b.Limit)
+	})
+	route(mux, "store/swap", func(ctx context.Context, b platform.SwapBody) (platform.KV, error) {
+		rev, err := s.CompareAndSwap(ctx, b.Key, b.Expect, b.Value, b.Lease)
+		return platform.KV{Key: b.Key, Revision: rev}, err
+	})
+	route(mux, "store/delete", func(ctx context.Context, b platform.SwapBody) (none, error) {
+		return none{}, s.Delete(ctx, b.Key, b.Expect)
+	})
+	route(mux, "store/watch", func(ctx context.Context, b platform.WatchBody) (platform.WatchReply, error) {
+		kvs, rev, err := s.Watch(ctx, b.Prefix, b.After, time.Duration(b.WaitMillis)*time.Millisecond)
+		return platform.WatchReply{Entries: kvs, Revision: rev}, err
+	})
+	route(mux, "store/lease/grant", func(ctx context.Context, b platform.LeaseBody) (platform.LeaseBody, error) {
+		id, err := s.GrantLease(ctx, time.Duration(b.TTLMillis)*time.Millisecond)
+		return platform.LeaseBody{ID: id}, err
+	})
+	route(mux, "store/lease/renew", func(ctx context.Context, b platform.LeaseBody) (none, error) {
+		return none{}, s.RenewLease(ctx, b.ID)
+	})
+	route(mux, "store/lease/revoke", func(ctx context.Context, b platform.LeaseBody) (none, error) {
+		return none{}, s.RevokeLease(ctx, b.ID)
+	})
+	route(mux, "list/instances", func(ctx context.Context, _ none) ([]structs.Instance, error) { return l.Instances(ctx) })
+	route(mux, "list/workers", func(ctx context.Context, _ none) ([]structs.Worker, error) { return l.Workers(ctx) })
+	return mux
+}
+
+// WorkerHandler serves the worker's control interface and the run protocol.
+func WorkerHandler(w *Worker) http.Handler {
+	mux := http.NewServeMux()
+	routeNone(mux, "task/reserve", w.Reserve)
+	routeNone(mux, "task/start", w.Start)
+	route(mux, "task/renew", w.Renew)
+	routeNone(mux, "task/release", w.Release)
+	routeNone(mux, "task/checkpoint", w.Checkpoint)
+	routeNone(mux, "task/throttle", w.Throttle)
+	routeNone(mux, "task/stop", w.Stop)
+	route(mux, "task/status", func(ctx context.Context, r platform.TaskRequest) (platform.WorkerStatus, error) {
+		return w.Status(ctx, r.Token)
+	})
+	mux.HandleFunc("POST /v1/run", w.serveRun)
+	return mux
+}
+
+func routeNone[In any](mux *http.ServeMux, path string, f func(context.Context, In) error) {
+	route(mux, path, func(ctx context.Context, in In) (none, error) { return none{}, f(ctx, in) })
+}
+
+// serveRun runs a short request and plays the faults of its answer.
+func (w *Worker) serveRun(rw http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(rw, req.Body, maxBody))
+	if err != nil {
+		return
+	}
+	h := req.Header
+	attempt := h.Get(platform.HeaderAttempt)
+	token, _ := strconv.ParseUint(h.Get(platform.HeaderToken), 10, 64)
+	rw.Header().Set(platform.HeaderAttempt, attempt)
+	if err := w.admitRun(token); err != nil {
+		if errors.Is(err, errWorkerSilent) {
+			panic(http.ErrAbortHandler)
+		}
+		writeReply(rw, nil, err)
+		return
+	}
+	answer, err := w.execute(h.Get(platform.HeaderWorkspace), h.Get(platform.HeaderRequest), body)
+	w.mu.Lock()
+	f := w.faults
+	w.mu.Unlock()
+	if f.Late > 0 {
+		if sleep(req.Context(), f.Late) != nil {
+			return
+		}
+	}
+	if f.CloseAfterRead {
+		panic(http.ErrAbortHandler)
+	}
+	if f.CrossAnswers {
+		rw.Header().Set(platform.HeaderAttempt, attempt+"-other")
+	}
+	if err != nil {
+		writeReply(rw, nil, err)
+		return
+	}
+	rw.Header().Set(platform.HeaderHash, platform.BodyHash(answer))
+	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if f.Truncate {
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = rw.Write(answer)
+	if f.Truncate {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/standin/run.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+)
+
+func compareTaskID(a, b platform.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Task, b.Task))
+}
+
+// admitRun takes a slot for a short request, or returns why not.
+func (w *Worker) admitRun(token uint64) error {
+	if err := w.begin(); err != nil {
+		return err
+	}
+	defer w.mu.Unlock()
+	if err := w.checkToken(token); err != nil {
+		w.refusals++
+		return err
+	}
+	if w.leaving {
+		return platform.ErrLeaving
+	}
+	if w.used().Slots+w.slots >= w.info.Capacity.Slots {
+		w.refusals++
+		return platform.ErrNoRoom
+	}
+	w.slots++
+	w.maxSlots = max(w.maxSlots, w.slots)
+	return nil
+}
+
+// execute runs an admitted short request and gives its slot back.
+func (w *Worker) execute(workspace, requestID string, body []byte) ([]byte, error) {
+	w.mu.Lock()
+	w.runs[workspace+"/"+requestID]++
+	run, fail := w.runTime, w.faults.FailAll
+	w.mu.Unlock()
+	if run > 0 && !fail {
+		time.Sleep(run)
+	}
+	w.mu.Lock()
+	w.slots--
+	w.mu.Unlock()
+	if fail {
+		return nil, platform.ErrTaskFailed
+	}
+	return append([]byte("done:"), body...), nil
+}
+
+// Upstream calls stand-in workers directly, without sockets. It implements
+// platform.Upstream for the workers by address.
+type Upstream map[string]*Worker
+
+// Run implements platform.Upstream.
+func (u Upstream) Run(ctx context.Context, address string, r platform.RunRequest) (platform.RunReply, error) {
+	w := u[address]
+	if w == nil {
+		return platform.RunReply{}, errkind.New(errkind.UpstreamRefused, "worker %s: no connection", address)
+	}
+	if err := w.admitRun(r.Token); err != nil {
+		if platform.NotSent(err) {
+			return platform.RunReply{}, errkind.Wrap(errkind.UpstreamRefused, err, "worker %s", address)
+		}
+		return platform.RunReply{}, errkind.Wrap(errkind.UpstreamUncertain, err, "worker %s", address)
+	}
+	answer, err := w.execute(r.Workspace, r.RequestID, r.Body)
+	if err != nil {
+		return platform.RunReply{}, errkind.Wrap(errkind.UpstreamFailed, err, "worker %s", address)
+	}
+	w.mu.Lock()
+	f := w.faults
+	w.mu.Unlock()
+	if f.Late > 0 {
+		if err := sleep(ctx, f.Late); err != nil {
+			return platform.RunReply{}, errkind.Wrap(errkind.UpstreamUncertain, err, "worker %s", address)
+		}
+	}
+	if f.CloseAfterRead {
+		return platform.RunReply{}, errkind.New(errkind.UpstreamUncertain, "worker %s: connection closed", address)
+	}
+	if f.Truncate || f.CrossAnswers {
+		return platform.RunReply{}, errkind.New(errkind.AnswerInvalid, "worker %s: answer does not match", address)
+	}
+	if int64(len(answer)) > r.MaxAnswer {
+		return platform.RunReply{}, errkind.New(errkind.AnswerTooLarge, "worker %s: answer above %d bytes", address, r.MaxAnswer)
+	}
+	return platform.RunReply{Body: answer}, nil
+}
--- /dev/null
+++ b/structs/worker.go
@@ -0,0 +1,37 @@
+package structs
+
+// Worker describes one worker of the platform.
+type Worker struct {
+	ID          string    `json:"id" yaml:"id"`
+	Address     string    `json:"address" yaml:"address"` // IP and port
+	DataCentre  string    `json:"data_centre" yaml:"data_centre"`
+	Rack        int       `json:"rack" yaml:"rack"` // racks with consecutive numbers are neighbours
+	Capacity    Resources `json:"capacity" yaml:"capacity"`
+	Connections int       `json:"connections" yaml:"connections"`
+	Leaving     bool      `json:"leaving" yaml:"leaving"`
+}
+
+// Instance describes one instance of the system, as the platform lists it.
+type Instance struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	PeerAddr   string `json:"peer_addr"`
+	CallerAddr string `json:"caller_addr"`
+	AdminAddr  string `json:"admin_addr"`
+	Leaving    bool   `json:"leaving"`
+}
+
+// SlotGrant allows an instance to use slots of a worker for short requests of one
+// service until it expires. The worker refuses it when Token is below the highest
+// token that it has seen for its data centre.
+type SlotGrant struct {
+	ID         string `json:"id"`
+	Instance   string `json:"instance"`
+	Service    string `json:"service"`
+	Worker     string `json:"worker"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Slots      int    `json:"slots"`
+	Token      uint64 `json:"token"`
+	TTLMillis  int64  `json:"ttl_ms"` // from the moment the holder asked for it
+}
