--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -104,29 +104,37 @@
 	return answers[Internal]
 }
 
+// Error is an error of one kind.
+type Error struct {
+	Kind  Kind
+	cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
 // New returns an error of kind k with a formatted message.
 func New(k Kind, format string, args ...any) error {
-	return oops.Code(string(k)).Errorf(format, args...)
+	return &Error{Kind: k, cause: oops.Code(string(k)).Errorf(format, args...)}
 }
 
 // Wrap returns err with kind k and a formatted message, or nil when err is nil.
 func Wrap(k Kind, err error, format string, args ...any) error {
-	return oops.Code(string(k)).Wrapf(err, format, args...)
+	if err == nil {
+		return nil
+	}
+	return &Error{Kind: k, cause: oops.Code(string(k)).Wrapf(err, format, args...)}
 }
 
-// Of returns the kind of err: the outermost kind in its chain, or Internal.
+// Of returns the kind of err: the outermost kind in its chain, or Internal. oops itself
+// reports the innermost code, which would hide what a filter made of an upstream's error.
 func Of(err error) Kind {
-	for err != nil {
-		var o oops.OopsError
-		if !errors.As(err, &o) {
-			return Internal
-		}
-		if code, ok := o.Code().(string); ok && code != "" {
-			if _, known := answers[Kind(code)]; known {
-				return Kind(code)
-			}
-		}
-		err = o.Unwrap()
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
 	}
 	return Internal
 }
