--- /dev/null
+++ b/standin/fleet.go
@@ -0,0 +1,173 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+const headerTimeout = 5 * time.Second
+
+// Server is one stand-in on its own listener.
+type Server struct {
+	Address string
+	http    *http.Server
+	done    chan struct{}
+}
+
+// Serve starts a handler on the address; port 0 lets the kernel choose.
+func Serve(address string, h http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	s := &Server{
+		Address: l.Addr().String(),
+		http:    &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout},
+		done:    make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		// Serve only returns once Close was called or the listener failed.
+		_ = s.http.Serve(l)
+	}()
+	return s, nil
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	<-s.done
+	return err
+}
+
+// Fleet is a set of workers, each on its own listener.
+type Fleet struct {
+	Workers []*Worker
+	servers []*Server
+}
+
+// StartFleet starts the workers that the manifest's data centres state, on loopback
+// ports chosen by the kernel. A short request takes runTime.
+func StartFleet(m structs.Manifest, runTime time.Duration) (*Fleet, error) {
+	f := &Fleet{}
+	for _, dc := range m.DataCentres {
+		for i := range dc.Fleet.Workers {
+			if err := f.start(workerOf(dc, i), runTime); err != nil {
+				return nil, errors.Join(err, f.Close())
+			}
+		}
+	}
+	return f, nil
+}
+
+// workerOf describes worker i of a data centre.
+func workerOf(dc structs.DataCentre, i int) structs.Worker {
+	return structs.Worker{
+		ID:          fmt.Sprintf("%s-w%03d", dc.Name, i),
+		DataCentre:  dc.Name,
+		Rack:        i / max(dc.Fleet.WorkersPerRack, 1),
+		Capacity:    dc.Fleet.Capacity,
+		Connections: dc.Fleet.Connections,
+	}
+}
+
+func (f *Fleet) start(info structs.Worker, runTime time.Duration) error {
+	w := NewWorker(info, runTime)
+	s, err := Serve("127.0.0.1:0", WorkerHandler(w))
+	if err != nil {
+		return err
+	}
+	w.SetAddress(s.Address)
+	f.Workers = append(f.Workers, w)
+	f.servers = append(f.servers, s)
+	return nil
+}
+
+// Infos describes all workers, as the platform lists them.
+func (f *Fleet) Infos() []structs.Worker {
+	infos := make([]structs.Worker, len(f.Workers))
+	for i, w := range f.Workers {
+		infos[i] = w.Info()
+	}
+	return infos
+}
+
+// Close stops all workers.
+func (f *Fleet) Close() error {
+	var errs []error
+	for _, s := range f.servers {
+		errs = append(errs, s.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// Prober keeps a List's instances by asking their admin listeners whether they are
+// ready, as a platform does: an instance that is not ready is leaving, one that does not
+// answer is not listed.
+type Prober struct {
+	List      *List
+	Instances []structs.Instance
+	Interval  time.Duration
+	client    http.Client
+}
+
+// Run probes until the context ends.
+func (p *Prober) Run(ctx context.Context) {
+	p.client.Timeout = p.Interval
+	t := time.NewTicker(p.Interval)
+	defer t.Stop()
+	for {
+		p.List.SetInstances(p.probe(ctx))
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (p *Prober) probe(ctx context.Context) []structs.Instance {
+	found := make([]*structs.Instance, len(p.Instances))
+	var wg sync.WaitGroup
+	for i, instance := range p.Instances {
+		wg.Go(func() {
+			alive, ready := p.ask(ctx, instance.AdminAddr)
+			instance.Leaving = !ready
+			if alive {
+				found[i] = &instance
+			}
+		})
+	}
+	wg.Wait()
+	var listed []structs.Instance
+	for _, instance := range found {
+		if instance != nil {
+			listed = append(listed, *instance)
+		}
+	}
+	return listed
+}
+
+func (p *Prober) ask(ctx context.Context, admin string) (alive, ready bool) {
+	status := func(path string) int {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+path, nil)
+		if err != nil {
+			return 0
+		}
+		resp, err := p.client.Do(req)
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	alive = status("/healthz") == http.StatusOK
+	return alive, alive && status("/readyz") == http.StatusOK
+}
