--- a/structs/manifest.go
+++ b/structs/manifest.go
@@ -129,6 +129,7 @@
 type Revision struct {
 	Number   uint64   `json:"number"`    // counts commits from 1
 	CommitID string   `json:"commit_id"` // unique to the commit, to resolve a lost answer
+	Recent   []string `json:"recent"`    // commit ids of earlier revisions, newest first, bounded
 	Manifest Manifest `json:"manifest"`
 }
 
