Add the gateway's filter chain and the slot pool

Cause: callers need an entry point that dispatches short requests under slot grants and hands jobs to the owners of data centres. Change: packages gateway and slots, the claim type, the error kind claim_uncertain, and the events SlotsLeased and JobRouted. Tests lease from internal/testlease. Conclusion: a short idempotent request is served end to end over sockets (go test ./gateway).

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -36,6 +36,7 @@
 	NoCapacity        Kind = "no_capacity"
 	StaleManifest     Kind = "stale_manifest"
 	StoreUnavailable  Kind = "store_unavailable"
+	ClaimUncertain    Kind = "claim_uncertain"
 	OwnerUnavailable  Kind = "owner_unavailable"
 	ShuttingDown      Kind = "shutting_down"
 	Cancelled         Kind = "cancelled"
@@ -72,6 +73,7 @@
 	NoCapacity:        {http.StatusServiceUnavailable, NotRun, true, "no slot became free in time"},
 	StaleManifest:     {http.StatusServiceUnavailable, NotRun, true, "the instance cannot show that its manifest is current"},
 	StoreUnavailable:  {http.StatusServiceUnavailable, NotRun, true, "the platform's store does not answer and the request needs it"},
+	ClaimUncertain:    {http.StatusServiceUnavailable, MayHaveRun, false, "the store did not confirm whether the request id is claimed"},
 	OwnerUnavailable:  {http.StatusServiceUnavailable, NotRun, true, "no owner of a suitable data centre answers"},
 	ShuttingDown:      {http.StatusServiceUnavailable, NotRun, true, "the instance is stopping"},
 	Cancelled:         {http.StatusRequestTimeout, NotRun, true, "the request was cancelled before dispatch"},
--- a/events/events.go
+++ b/events/events.go
@@ -19,6 +19,8 @@
 	RequestAbandoned   ID = 108
 	ClaimConflict      ID = 109
 	ClaimAnswerLost    ID = 110
+	SlotsLeased        ID = 111
+	JobRouted          ID = 112
 	JobAccepted        ID = 201
 	PlacementDecided   ID = 202
 	JobStarted         ID = 203
@@ -69,6 +71,8 @@
 	RequestAbandoned:   {"RequestAbandoned", "caller went away"},
 	ClaimConflict:      {"ClaimConflict", "claim shard written by another instance"},
 	ClaimAnswerLost:    {"ClaimAnswerLost", "lost answer of a claim write resolved"},
+	SlotsLeased:        {"SlotsLeased", "slots leased"},
+	JobRouted:          {"JobRouted", "job handed to a data centre"},
 	JobAccepted:        {"JobAccepted", "job accepted"},
 	PlacementDecided:   {"PlacementDecided", "placement decided"},
 	JobStarted:         {"JobStarted", "job started"},
@@ -111,6 +115,12 @@
 	return c
 }
 
+// Message returns the text of event id, for calls that check the level themselves.
+func Message(id ID) string { return catalogue[id].Message }
+
+// Field returns the field that carries the number of event id.
+func Field(id ID) zap.Field { return zap.Int("event", int(id)) }
+
 // Info writes event id at level info.
 func Info(log *zap.Logger, id ID, fields ...zap.Field) {
 	if ce := log.Check(zap.InfoLevel, catalogue[id].Message); ce != nil {
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,158 @@
+// Package gateway serves the callers' HTTP/JSON API. Short requests pass a chain of
+// filters and are dispatched to a worker under a slot grant; jobs are handed to the
+// owner of a data centre.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	"github.com/go-kit/kit/transport"
+	httptransport "github.com/go-kit/kit/transport/http"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/claims"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/slots"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// Manifest gives the manifest in force. ok is false until one is known.
+type Manifest interface {
+	Current() (r structs.Revision, ok bool)
+}
+
+// Slots gives slots of workers.
+type Slots interface {
+	// TryAcquire returns nil when no slot is usable now.
+	TryAcquire(w slots.Want) *slots.Slot
+	// Acquire waits for a slot until the context ends.
+	Acquire(ctx context.Context, w slots.Want) (*slots.Slot, error)
+	// SetWaiting tells how many requests of the service wait.
+	SetWaiting(service string, n int)
+}
+
+// Claims claims the ids of non-idempotent requests. An error of a kind with the run
+// state NotRun means that no claim was recorded.
+type Claims interface {
+	Claim(ctx context.Context, workspace, requestID string) (claims.Claim, error)
+	// Release returns nil only when the claim is no longer recorded.
+	Release(ctx context.Context, c claims.Claim) error
+}
+
+// Jobs calls the owner of the data centre that a request names. An error of kind
+// OwnerUnavailable means that the call was not sent; any other error leaves its effect
+// unknown. The owner's own refusals are in the replies.
+type Jobs interface {
+	SubmitJob(ctx context.Context, r *peer.SubmitJobRequest) (*peer.SubmitJobReply, error)
+	CancelJob(ctx context.Context, r *peer.CancelJobRequest) (*peer.CancelJobReply, error)
+	JobStatus(ctx context.Context, r *peer.JobStatusRequest) (*peer.JobStatusReply, error)
+}
+
+// Options configures a Server.
+type Options struct {
+	Instance  string
+	Home      string // data centre of this instance
+	Manifest  Manifest
+	Slots     Slots
+	Claims    Claims
+	Upstream  platform.Upstream
+	Jobs      Jobs
+	Summaries func() []*peer.Summary
+	// Instances returns the number of live instances, which share the workspaces' rates.
+	Instances func() int
+	Log       *zap.Logger
+	Metrics   metrics.Registry
+}
+
+// Server is the callers' API of one instance.
+type Server struct {
+	opts     Options
+	log      *zap.Logger
+	mux      *http.ServeMux
+	limits   limitsCache
+	inflight inflight
+	active   activeIDs
+	explain  ring
+	located  locations
+	counters counters
+	attempts atomic.Uint64
+	prefix   string // of attempt ids
+}
+
+type counters struct {
+	answered, refused, retried, rejected, abandoned, dropped metrics.Counter
+}
+
+// New returns a server that is ready to serve.
+func New(o Options) *Server {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.DefaultRegistry
+	}
+	if o.Instances == nil {
+		o.Instances = func() int { return 1 }
+	}
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("gateway."+name, o.Metrics)
+	}
+	s := &Server{
+		opts: o, log: o.Log, mux: http.NewServeMux(),
+		// The start time keeps attempt ids of a restarted instance apart from earlier ones.
+		prefix: o.Instance + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
+		counters: counters{
+			answered: counter("answered"), refused: counter("refused"), retried: counter("retried"),
+			rejected: counter("answers_rejected"), abandoned: counter("abandoned"), dropped: counter("dropped"),
+		},
+	}
+	s.inflight.init()
+	s.active.init()
+	s.routes()
+	return s
+}
+
+func (s *Server) routes() {
+	filters := endpoint.Chain(
+		s.identify, s.readBody, s.deadline, s.suppressDuplicates, s.feasibility, s.admission, s.dispatch, s.verify,
+	)
+	s.mux.Handle("POST /v1/requests", s.handler(filters(s.run), decodeRequest, encodeRequest))
+	if s.opts.Jobs == nil {
+		return
+	}
+	s.mux.Handle("POST /v1/jobs", s.handler(s.submitJob, s.decodeJob, encodeJobAccepted))
+	s.mux.Handle("GET /v1/jobs/{workspace}/{id}", s.handler(s.jobStatus, decodeJobRef, encodeJSON))
+	s.mux.Handle("DELETE /v1/jobs/{workspace}/{id}", s.handler(s.cancelJob, decodeJobRef, encodeJSON))
+}
+
+// handler serves an endpoint over HTTP and counts it as in flight.
+func (s *Server) handler(e endpoint.Endpoint, dec httptransport.DecodeRequestFunc, enc httptransport.EncodeResponseFunc) http.Handler {
+	h := httptransport.NewServer(e, dec, enc,
+		httptransport.ServerErrorEncoder(s.encodeError),
+		httptransport.ServerErrorHandler(transport.ErrorHandlerFunc(func(context.Context, error) {})),
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.inflight.enter() {
+			s.encodeError(r.Context(), errShuttingDown, w)
+			return
+		}
+		defer s.inflight.leave()
+		r.Body = &boundedBody{ReadCloser: r.Body, writer: w}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Handler returns the callers' API.
+func (s *Server) Handler() http.Handler { return s.mux }
+
+// Drain refuses new requests and waits for those in flight, until the context ends.
+func (s *Server) Drain(ctx context.Context) error {
+	return s.inflight.drain(ctx)
+}
