Add package owner: the single placer of a data centre

Cause: jobs need one placer per data centre that survives its own death, lost answers and withdrawals. Change: owner.Controller with recovery, serial applier, gang start and stop, lease renewal, job records, slot grants and status.

--- /dev/null
+++ b/owner/harness_test.go
@@ -0,0 +1,287 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/scheduler"
+	"github.com/cyclamenyard/cyclamenyard/standin"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+const dcA = "a"
+
+var wholeWorker = structs.Resources{Slots: 8, Processors: 128, MemoryMB: 262144, Accelerators: 8}
+
+// site is a data centre of stand-ins, with the manifest in force.
+type site struct {
+	store   *standin.Store
+	list    *standin.List
+	workers []*standin.Worker
+	byID    map[string]*standin.Worker
+	policy  scheduler.Policy
+
+	mu    sync.Mutex
+	stage structs.Stage
+	rev   uint64
+	gated func(n int)
+	asked int
+}
+
+func newSite(n int) *site {
+	s := &site{store: standin.NewStore(), list: standin.NewList(0), byID: map[string]*standin.Worker{}, policy: scheduler.FirstFit{}, stage: structs.StageOpen, rev: 1}
+	var infos []structs.Worker
+	for i := range n {
+		info := structs.Worker{ID: fmt.Sprintf("w%d", i+1), Address: fmt.Sprintf("w%d", i+1), DataCentre: dcA, Rack: i / 2, Capacity: wholeWorker}
+		w := standin.NewWorker(info, 0)
+		s.workers, s.byID[info.ID], infos = append(s.workers, w), w, append(infos, info)
+	}
+	s.list.SetWorkers(infos)
+	return s
+}
+
+// MayStart implements StartGate for every instance of the site.
+func (s *site) MayStart(string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	if s.gated != nil {
+		s.gated(s.asked)
+	}
+	if !s.stage.AllowsStarts() {
+		return errors.New("stage " + string(s.stage))
+	}
+	return nil
+}
+
+// commit puts a stage in force and tells the instances.
+func (s *site) commit(stage structs.Stage, instances ...*instance) {
+	s.mu.Lock()
+	s.stage = stage
+	s.rev++
+	rev := s.revision()
+	s.mu.Unlock()
+	for _, in := range instances {
+		in.c.Configure(rev, nil)
+	}
+}
+
+func (s *site) revision() structs.Revision {
+	return structs.Revision{Number: s.rev, Manifest: structs.Manifest{DataCentres: []structs.DataCentre{{Name: dcA, Stage: s.stage}}}}
+}
+
+// instance is one owner with its own, separately frozen, connections.
+type instance struct {
+	c      *Controller
+	logs   *observer.ObservedLogs
+	cancel context.CancelFunc
+	done   chan struct{}
+	gate   *gate
+}
+
+// gate blocks an instance's calls while it is frozen, as a paused process would.
+type gate struct {
+	mu   sync.Mutex
+	wait chan struct{}
+}
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.wait == nil {
+		g.wait = make(chan struct{})
+	}
+}
+
+func (g *gate) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.wait != nil {
+		close(g.wait)
+		g.wait = nil
+	}
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	wait := g.wait
+	g.mu.Unlock()
+	if wait != nil {
+		<-wait
+	}
+}
+
+type gatedStore struct {
+	*standin.Store
+	g *gate
+}
+
+func (s gatedStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	s.g.pass()
+	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+}
+
+type gatedWorker struct {
+	*standin.Worker
+	g *gate
+}
+
+func (w gatedWorker) Reserve(ctx context.Context, r platform.ReserveRequest) error {
+	w.g.pass()
+	return w.Worker.Reserve(ctx, r)
+}
+
+func (w gatedWorker) Start(ctx context.Context, r platform.StartRequest) error {
+	w.g.pass()
+	return w.Worker.Start(ctx, r)
+}
+
+func (w gatedWorker) Renew(ctx context.Context, r platform.RenewRequest) (platform.RenewReply, error) {
+	w.g.pass()
+	return w.Worker.Renew(ctx, r)
+}
+
+func (w gatedWorker) Stop(ctx context.Context, r platform.TaskRequest) error {
+	w.g.pass()
+	return w.Worker.Stop(ctx, r)
+}
+
+// run starts an instance on the site.
+func (s *site) run(name string) *instance {
+	core, logs := observer.New(zapcore.InfoLevel)
+	in := &instance{logs: logs, gate: &gate{}, done: make(chan struct{})}
+	in.c = New(Options{
+		Instance: name, Store: gatedStore{s.store, in.gate}, List: s.list, Policy: s.policy, Gate: s,
+		Dial:    func(w structs.Worker) platform.Worker { return gatedWorker{s.byID[w.ID], in.gate} },
+		Log:     zap.New(core),
+		Metrics: metrics.NewRegistry(),
+	})
+	s.mu.Lock()
+	in.c.Configure(s.revision(), nil)
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	in.cancel = cancel
+	go func() {
+		defer close(in.done)
+		in.c.Run(ctx)
+	}()
+	return in
+}
+
+// stop ends an instance gracefully.
+func (in *instance) stop() {
+	in.gate.thaw()
+	in.cancel()
+	<-in.done
+}
+
+// kill ends an instance as the death of its process would.
+func (in *instance) kill() {
+	in.c.cancel()
+	in.gate.thaw()
+	in.c.mu.Lock()
+	owners := in.c.owners
+	in.c.owners = map[string]*DataCentreOwner{}
+	in.c.mu.Unlock()
+	for _, w := range owners {
+		w.halt()
+	}
+	in.stop()
+}
+
+// jobOf describes a gang of tasks that fill a worker each.
+func jobOf(id string, tasks int, run time.Duration) structs.Job {
+	payload, _ := json.Marshal(standin.TaskPayload{RunMillis: run.Milliseconds(), Answer: "answer of " + id})
+	return structs.Job{
+		ID: "x/" + id, Workspace: "x", Service: "s", Shape: structs.Shape{Tasks: tasks, Task: wholeWorker},
+		Declared: run, Submitted: time.Now(), Grace: 2 * time.Second, Payload: payload,
+	}
+}
+
+func (in *instance) submit(j structs.Job) string {
+	raw, _ := json.Marshal(j)
+	r, _ := in.c.SubmitJob(context.Background(), &peer.SubmitJobRequest{DataCentre: dcA, Job: raw})
+	return r.ErrorKind
+}
+
+func (in *instance) cancelJob(id string) string {
+	r, _ := in.c.CancelJob(context.Background(), &peer.CancelJobRequest{DataCentre: dcA, Job: id})
+	return r.ErrorKind
+}
+
+// status returns a job's record, waiting up to wait for its end.
+func (in *instance) status(t require.TestingT, id string, wait time.Duration) structs.JobRecord {
+	r, err := in.c.JobStatus(context.Background(), &peer.JobStatusRequest{DataCentre: dcA, Job: id, WaitMs: wait.Milliseconds()})
+	require.NoError(t, err)
+	require.Empty(t, r.ErrorKind, r.Message)
+	var rec structs.JobRecord
+	require.NoError(t, json.Unmarshal(r.Record, &rec))
+	return rec
+}
+
+// starts returns the task starts of a job on all workers.
+func (s *site) starts(id string) []standin.StartRecord {
+	var list []standin.StartRecord
+	for _, w := range s.workers {
+		for _, r := range w.Starts() {
+			if r.Task.Job == id {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
+// running counts a job's tasks that run now.
+func (s *site) running(id string) int {
+	n := 0
+	for _, r := range s.starts(id) {
+		if r.Until.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// after lets time pass.
+func after(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// Guards against a gang that is not started, renewed beyond its first lease and ended as
+// a whole, and against a job that costs more than four record writes.
+func TestGangRunsToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(3)
+		in := s.run("i1")
+		defer in.stop()
+		in.c.Elected(dcA, 1)
+		after(100 * time.Millisecond)
+		require.Empty(t, in.submit(jobOf("1", 3, 35*time.Second)))
+		require.Equal(t, "duplicate_request", in.submit(jobOf("1", 3, 35*time.Second)))
+		after(30 * time.Second)
+		require.Equal(t, 3, s.running("x/1"))
+		require.Equal(t, structs.PhaseRunning, in.status(t, "x/1", 0).Phase)
+		rec := in.status(t, "x/1", time.Minute)
+		require.Equal(t, structs.OutcomeSucceeded, rec.Outcome)
+		require.Equal(t, "answer of 1", string(rec.Answer))
+		require.Len(t, s.starts("x/1"), 3)
+		after(time.Second)
+		require.Equal(t, 4, s.store.Calls()["swap"])
+	})
+}
--- /dev/null
+++ b/owner/jobs.go
@@ -0,0 +1,321 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/state"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// submit accepts a job: its record is created, which is the duplicate check too.
+func (o *DataCentreOwner) submit(ctx context.Context, spec structs.Job) error {
+	var err error
+	if askErr := o.ask(ctx, func() { err = o.admit(spec) }); askErr != nil || err != nil {
+		return cmpErr(askErr, err)
+	}
+	rec := structs.JobRecord{Job: spec, DataCentre: o.dc, Phase: structs.PhaseAccepted, Token: o.token}
+	rev, err := o.create(ctx, rec)
+	if err != nil {
+		return err
+	}
+	// The record exists: the job is taken over even when its caller has gone.
+	err = o.ask(context.Background(), func() { o.accepted(rec, rev) })
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "job %s is recorded; the next owner runs it", spec.ID)
+	}
+	return nil
+}
+
+func cmpErr(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// admit refuses what cannot be accepted, before anything is recorded.
+func (o *DataCentreOwner) admit(spec structs.Job) error {
+	switch {
+	case o.stopping:
+		return errkind.New(errkind.ShuttingDown, "the owner of %s stands down", o.dc)
+	case o.fenced.Load():
+		return errkind.New(errkind.StaleToken, "data centre %s has a newer owner", o.dc)
+	case !o.ready:
+		return errkind.New(errkind.OwnerUnavailable, "the owner of %s recovers", o.dc)
+	case spec.ID == "" || spec.Shape.Tasks < 1:
+		return errkind.New(errkind.BadRequest, "a job needs an id and at least one task")
+	case o.jobs[spec.ID] != nil:
+		return errkind.New(errkind.DuplicateRequest, "job %s exists", spec.ID)
+	case len(o.d.Jobs) >= maxJobs:
+		return errkind.New(errkind.QueueFull, "data centre %s has %d jobs", o.dc, len(o.d.Jobs))
+	}
+	return nil
+}
+
+// create writes a new record. Reading first shows an outage before anything is sent, so
+// that the refusal "not run" is true, and shows most duplicates without a write.
+func (o *DataCentreOwner) create(ctx context.Context, rec structs.JobRecord) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	id := rec.Job.ID
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return 0, errkind.Wrap(errkind.BadRequest, err, "job %s", id)
+	}
+	if _, err := o.o.Store.Get(ctx, recordKey(id)); err == nil {
+		return 0, errkind.New(errkind.DuplicateRequest, "job %s exists", id)
+	} else if !errors.Is(err, platform.ErrNotFound) {
+		return 0, errkind.Wrap(errkind.StoreUnavailable, err, "job %s", id)
+	}
+	metrics.GetOrRegisterCounter("owner.record_writes", o.o.Metrics).Inc(1)
+	rev, err := o.o.Store.CompareAndSwap(ctx, recordKey(id), 0, value, 0)
+	switch {
+	case err == nil:
+		return rev, nil
+	case errors.Is(err, platform.ErrTooLarge):
+		return 0, errkind.Wrap(errkind.BadRequest, err, "job %s", id)
+	case platform.NotSent(err) && !errors.Is(err, platform.ErrConflict):
+		return 0, errkind.Wrap(errkind.StoreUnavailable, err, "job %s", id)
+	}
+	return o.resolveCreate(ctx, rec, value, err)
+}
+
+// resolveCreate finds out whether a create took effect whose answer was lost. When no
+// record is found, the write may still be under way: a record that says "not run" is
+// created in its place, so that it cannot take effect later.
+func (o *DataCentreOwner) resolveCreate(ctx context.Context, rec structs.JobRecord, value []byte, cause error) (uint64, error) {
+	id := rec.Job.ID
+	tomb := rec
+	tomb.Phase, tomb.Outcome, tomb.Ended = structs.PhaseEnded, structs.OutcomeNotRun, time.Now()
+	tombValue, err := json.Marshal(tomb)
+	if err != nil {
+		return 0, errkind.Wrap(errkind.Internal, err, "job %s", id)
+	}
+	for {
+		kv, err := o.o.Store.Get(ctx, recordKey(id))
+		switch {
+		case err == nil && bytes.Equal(kv.Value, value):
+			o.log.Info("lost answer of a job record resolved", zap.String("job", id))
+			return kv.Revision, nil
+		case err == nil && bytes.Equal(kv.Value, tombValue):
+			return 0, o.withdrawCreate(id, kv.Revision, cause)
+		case err == nil:
+			return 0, errkind.New(errkind.DuplicateRequest, "job %s exists", id)
+		case errors.Is(err, platform.ErrNotFound):
+			if rev, err := o.o.Store.CompareAndSwap(ctx, recordKey(id), 0, tombValue, 0); err == nil {
+				return 0, o.withdrawCreate(id, rev, cause)
+			}
+		}
+		if !sleep(ctx, pollInterval) {
+			// It is not known whether the record exists; a listing finds it if it does.
+			return 0, errkind.Wrap(errkind.Internal, cause, "job %s: the store has not told whether it is recorded", id)
+		}
+	}
+}
+
+// withdrawCreate reports a job as not run, and has its placeholder deleted so that the
+// caller may use the id again.
+func (o *DataCentreOwner) withdrawCreate(id string, rev uint64, cause error) error {
+	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+	defer cancel()
+	if o.o.Store.Delete(ctx, recordKey(id), rev) != nil {
+		o.post(func() { o.expired = append(o.expired, endedRecord{id: id, rev: rev}) })
+	}
+	return errkind.Wrap(errkind.StoreUnavailable, cause, "job %s", id)
+}
+
+// accepted queues a job whose record was created.
+func (o *DataCentreOwner) accepted(rec structs.JobRecord, rev uint64) {
+	id := rec.Job.ID
+	if o.jobs[id] != nil {
+		return // a listing was faster
+	}
+	j := newJob(rec, rev)
+	o.jobs[id] = j
+	o.records.track(id, rev)
+	now := time.Now()
+	events.Info(o.log, events.JobAccepted, zap.String("job", id), zap.String("shape", rec.Job.Shape.String()),
+		zap.Bool("idempotent", rec.Job.Idempotent), zap.Bool("checkpoint", rec.Job.Checkpoint))
+	o.note(j, "accepted", "record created", structs.Action{}, now)
+	o.unpark(j, now)
+}
+
+// cancelJob cancels a job. Only an ended job cannot be cancelled.
+func (o *DataCentreOwner) cancelJob(id string) error {
+	j := o.jobs[id]
+	if j == nil || j.status == jobGone {
+		return errkind.New(errkind.JobUnknown, "no job %s in %s", id, o.dc)
+	}
+	if !j.live() || j.rec.Cancel {
+		return nil
+	}
+	j.rec.Cancel = true
+	now := time.Now()
+	switch j.status {
+	case jobQueued, jobParked:
+		o.end(j, structs.OutcomeCancelled, "cancelled", now)
+	case jobStarting:
+		j.cancelStart()
+	case jobRunning:
+		o.records.put(j.rec)
+		o.stop(j, stopOrder{reason: "cancelled"}, now)
+	}
+	return nil
+}
+
+// jobStatus returns a job's record and a channel that is closed at its end.
+func (o *DataCentreOwner) jobStatus(id string) (rec structs.JobRecord, done chan struct{}, known bool) {
+	j := o.jobs[id]
+	if j == nil || j.status == jobGone {
+		return rec, nil, false
+	}
+	return j.rec, j.done, true
+}
+
+// storedRecord reads the record of a job that is not in memory.
+func (o *DataCentreOwner) storedRecord(ctx context.Context, id string) (structs.JobRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	kv, err := o.o.Store.Get(ctx, recordKey(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return structs.JobRecord{}, errkind.New(errkind.JobUnknown, "no job %s", id)
+	}
+	if err != nil {
+		return structs.JobRecord{}, errkind.Wrap(errkind.StoreUnavailable, err, "job %s", id)
+	}
+	rec, err := decodeRecord(kv)
+	return rec, errkind.Wrap(errkind.Internal, err, "job %s", id)
+}
+
+// transfer hands a queued job to another data centre. The state has dropped the job.
+func (o *DataCentreOwner) transfer(j *job, to string) {
+	j.status = jobLeaving
+	moved := j.rec
+	moved.DataCentre = to
+	wait := o.records.put(moved)
+	o.goRun(func() {
+		var err error
+		select {
+		case err = <-wait:
+		case <-o.ctx.Done():
+			return
+		}
+		o.post(func() { o.transferred(j, to, err) })
+	})
+}
+
+func (o *DataCentreOwner) transferred(j *job, to string, err error) {
+	if j.status != jobLeaving {
+		return // the record was taken, or found in the other data centre
+	}
+	if err != nil {
+		// The write may have taken effect: the next one finds out.
+		o.records.put(j.rec)
+		o.park(j, time.Now().Add(retryDelay), true)
+		return
+	}
+	events.Info(o.log, events.JobTransferred, zap.String("job", j.id()), zap.String("to", to))
+	o.leave(j, o.records.revision(j.id()))
+	if n := o.o.Notifier; n != nil {
+		o.goRun(func() { n.JobTransferred(to, j.id()) })
+	}
+}
+
+// fetch takes over a job that was transferred to this data centre.
+func (o *DataCentreOwner) fetch(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if kv, err := o.o.Store.Get(ctx, recordKey(id)); err == nil {
+		o.post(func() { o.loadNew([]platform.KV{kv}) })
+	}
+}
+
+// evacuate checkpoints and stops everything that still runs.
+func (o *DataCentreOwner) evacuate(now time.Time) {
+	var plan structs.Plan
+	for _, id := range sortedKeys(o.jobs) {
+		j := o.jobs[id]
+		if j.status == jobRunning {
+			plan.Actions = append(plan.Actions, structs.Action{
+				Kind: structs.ActionPreempt, Job: id, Checkpoint: j.rec.Job.Checkpoint, Grace: j.rec.Job.Grace,
+				Reason: "data centre is out",
+			})
+		}
+	}
+	if o.stopping || o.fenced.Load() || len(plan.Actions) == 0 {
+		return
+	}
+	if !o.apply(state.PlanAccepted{Plan: plan, Now: now}) {
+		return
+	}
+	for i := range plan.Actions {
+		o.carryOut(&plan.Actions[i], nil, now)
+	}
+}
+
+// configure puts a manifest revision in force.
+func (o *DataCentreOwner) configure(rev structs.Revision, guarantees []state.Guarantee) {
+	now := time.Now()
+	e := state.Configured{
+		Revision: rev.Number, Guarantees: guarantees, Stage: structs.StageOut, Now: now,
+		Workspaces: rev.Manifest.Workspaces, Services: rev.Manifest.Services,
+	}
+	if dc := rev.Manifest.DataCentre(o.dc); dc != nil {
+		e.Stage, e.DrainBy = dc.Stage, dc.DrainBy
+	}
+	if rev.Number < o.d.Revision || !o.apply(e) {
+		return
+	}
+	if !e.Stage.AllowsStarts() {
+		for _, id := range sortedKeys(o.jobs) {
+			if j := o.jobs[id]; j.status == jobStarting {
+				j.cancelStart()
+			}
+		}
+	}
+	if e.Stage == structs.StageOut {
+		o.evacuate(now)
+	}
+}
+
+// deleteExpired deletes the records of jobs that ended long ago.
+func (o *DataCentreOwner) deleteExpired() {
+	var due []endedRecord
+	_ = o.ask(o.ctx, func() {
+		limit := time.Now().Add(-recordKept)
+		o.expired = slices.DeleteFunc(o.expired, func(e endedRecord) bool {
+			if e.ended.After(limit) {
+				return false
+			}
+			if e.rev == 0 {
+				e.rev = o.records.revision(e.id)
+			}
+			if e.rev == 0 {
+				return false // not written yet
+			}
+			due = append(due, e)
+			return true
+		})
+	})
+	for _, e := range due {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+		err := o.o.Store.Delete(ctx, recordKey(e.id), e.rev)
+		cancel()
+		if err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+			o.records.forget(e.id)
+			continue
+		}
+		o.post(func() { o.expired = append(o.expired, e) })
+	}
+}
--- /dev/null
+++ b/owner/records.go
@@ -0,0 +1,352 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+const (
+	// recordWriters is how many records are written at the same time.
+	recordWriters = 4
+	// backlogRate bounds the writes per second of records that an outage has delayed.
+	backlogRate = 50
+	// probeInterval is the time between two attempts to write during an outage.
+	probeInterval = 500 * time.Millisecond
+)
+
+var errRecordTaken = errors.New("record written by another owner")
+
+// records writes the job records of one data centre. It keeps only the newest state per
+// job. A write is a compare-and-swap on the revision last known.
+type records struct {
+	store   platform.Store
+	dc      string
+	token   uint64
+	metrics metrics.Registry
+	limiter *rate.Limiter
+	// taken is called when another owner has written the record.
+	taken func(id string, kv platform.KV)
+	// delayed is called when an outage begins.
+	delayed func(pending int, err error)
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	ready   []*entry // to be written now
+	backlog []*entry // delayed by an outage
+	down    bool
+	probing bool
+	wake    chan struct{}
+}
+
+// entry is the record of one job.
+type entry struct {
+	id      string
+	rev     uint64
+	want    []byte
+	version int  // of want
+	dirty   bool // want is not in the store
+	queued  bool
+	delayed bool
+	writes  int
+	waiters []waiter
+}
+
+type waiter struct {
+	version int
+	done    chan error
+}
+
+func newRecords(o *Options, limiter *rate.Limiter, dc string, token uint64) *records {
+	return &records{
+		store: o.Store, dc: dc, token: token, metrics: o.Metrics, limiter: limiter,
+		entries: map[string]*entry{}, wake: make(chan struct{}, recordWriters),
+	}
+}
+
+// track takes over a record that was read from the store.
+func (r *records) track(id string, rev uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e == nil {
+		r.entries[id] = &entry{id: id, rev: rev}
+	} else if rev > e.rev {
+		e.rev = rev
+	}
+}
+
+// forget drops a record whose job has left this owner.
+func (r *records) forget(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e != nil {
+		e.dirty = false
+		e.notify(errRecordTaken)
+		delete(r.entries, id)
+	}
+}
+
+// revision returns the revision of a record that is wholly written, or 0.
+func (r *records) revision(id string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e != nil && !e.dirty {
+		return e.rev
+	}
+	return 0
+}
+
+// isDown reports whether the store did not answer the last write.
+func (r *records) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
+// pending returns how many records wait to be written.
+func (r *records) pending() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.entries {
+		if e.dirty {
+			n++
+		}
+	}
+	return n
+}
+
+// put sets the newest state of a job's record. The channel gets the result of the first
+// attempt to write it; a failed write is repeated until it is overtaken.
+func (r *records) put(rec structs.JobRecord) <-chan error {
+	rec.Token = r.token
+	done := make(chan error, 1)
+	value, err := json.Marshal(rec)
+	if err == nil && len(value) > platform.MaxValueBytes {
+		rec.Answer, rec.Reason = nil, "the answer does not fit into the job's record"
+		value, err = json.Marshal(rec)
+	}
+	if err != nil {
+		done <- err
+		return done
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[rec.Job.ID]
+	if e == nil {
+		e = &entry{id: rec.Job.ID}
+		r.entries[e.id] = e
+	}
+	e.want, e.dirty = value, true
+	e.version++
+	if r.down {
+		// The caller must not wait for an outage to end; the write stays pending.
+		done <- errkind.New(errkind.StoreUnavailable, "the store does not answer")
+	} else {
+		e.waiters = append(e.waiters, waiter{e.version, done})
+	}
+	r.enqueue(e)
+	return done
+}
+
+func (r *records) enqueue(e *entry) {
+	if e.queued {
+		return
+	}
+	e.queued = true
+	if e.delayed = r.down; e.delayed {
+		r.backlog = append(r.backlog, e)
+	} else {
+		r.ready = append(r.ready, e)
+	}
+	r.wakeOne()
+}
+
+func (r *records) wakeOne() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// next returns an entry to write, or nil when there is none. During an outage only one
+// entry at a time is tried.
+func (r *records) next() (e *entry, probe bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down && r.probing {
+		return nil, false
+	}
+	if r.down {
+		r.backlog = append(r.backlog, r.ready...)
+		r.ready = nil
+	}
+	switch {
+	case len(r.ready) > 0:
+		e, r.ready = r.ready[0], r.ready[1:]
+	case len(r.backlog) > 0:
+		e, r.backlog = r.backlog[0], r.backlog[1:]
+	default:
+		return nil, false
+	}
+	if r.down {
+		r.probing = true
+	}
+	return e, r.down
+}
+
+// run writes records until the context ends.
+func (r *records) run(ctx context.Context) {
+	for round := uint64(0); ; round++ {
+		e, probe := r.next()
+		if e == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.wake:
+			}
+			continue
+		}
+		if probe && !sleep(ctx, probeInterval+jitter(e.id, round, probeInterval)) {
+			return
+		}
+		if !probe && e.delayed && r.limiter.Wait(ctx) != nil {
+			return
+		}
+		r.write(ctx, e)
+	}
+}
+
+// write writes one entry and queues it again when it changed meanwhile or failed.
+func (r *records) write(ctx context.Context, e *entry) {
+	r.mu.Lock()
+	value, version, expect, dirty := e.want, e.version, e.rev, e.dirty
+	r.mu.Unlock()
+	var rev uint64
+	var err error
+	if dirty {
+		metrics.GetOrRegisterCounter("owner.record_writes", r.metrics).Inc(1)
+		rev, err = r.swap(ctx, e.id, expect, value)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.queued = false
+	var taken *takenError
+	switch {
+	case !dirty:
+	case err == nil:
+		r.written(e, rev, version)
+	case errors.As(err, &taken):
+		e.dirty = false
+		e.rev = taken.kv.Revision
+		e.notify(errRecordTaken)
+		go r.taken(e.id, taken.kv)
+	default:
+		r.failed(e, err)
+	}
+	if dirty && (err == nil || taken != nil) {
+		r.reachable()
+	} else {
+		r.probing = false
+	}
+	if e.dirty {
+		r.enqueue(e)
+	}
+	r.wakeOne()
+}
+
+func (r *records) written(e *entry, rev uint64, version int) {
+	e.rev = rev
+	e.writes++
+	e.delayed = false
+	if e.version == version {
+		e.dirty = false
+	}
+	kept := e.waiters[:0]
+	for _, w := range e.waiters {
+		if w.version <= version {
+			w.done <- nil
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	e.waiters = kept
+}
+
+func (r *records) failed(e *entry, err error) {
+	e.notify(errkind.Wrap(errkind.StoreUnavailable, err, "record of job %s", e.id))
+	if !r.down {
+		r.down = true
+		metrics.GetOrRegisterCounter("owner.record_outages", r.metrics).Inc(1)
+		go r.delayed(len(r.ready)+len(r.backlog)+1, err)
+	}
+}
+
+// reachable ends an outage: every writer goes on with the backlog.
+func (r *records) reachable() {
+	r.down, r.probing = false, false
+	for range recordWriters {
+		r.wakeOne()
+	}
+}
+
+func (e *entry) notify(err error) {
+	for _, w := range e.waiters {
+		w.done <- err
+	}
+	e.waiters = nil
+}
+
+// takenError carries the record that another owner has written.
+type takenError struct{ kv platform.KV }
+
+func (e *takenError) Error() string { return errRecordTaken.Error() }
+
+// swap writes one record. An unknown answer and a conflict are resolved by reading the
+// record back: this owner's own earlier write is recognised by its token.
+func (r *records) swap(ctx context.Context, id string, expect uint64, value []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	for {
+		rev, err := r.store.CompareAndSwap(ctx, recordKey(id), expect, value, 0)
+		if err == nil {
+			return rev, nil
+		}
+		kv, getErr := r.store.Get(ctx, recordKey(id))
+		switch {
+		case errors.Is(getErr, platform.ErrNotFound) && expect != 0 && errors.Is(err, platform.ErrConflict):
+			return 0, &takenError{kv: platform.KV{Key: recordKey(id), Revision: expect}}
+		case getErr != nil:
+			return 0, err
+		case bytes.Equal(kv.Value, value):
+			return kv.Revision, nil
+		case kv.Revision <= expect:
+			return 0, err // the write had no effect, or the read is stale
+		}
+		rec, decodeErr := decodeRecord(kv)
+		if decodeErr != nil || rec.Token != r.token || rec.DataCentre != r.dc {
+			return 0, &takenError{kv: kv}
+		}
+		expect = kv.Revision
+	}
+}
+
+// writesOf returns how often a job's record was written.
+func (r *records) writesOf(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[id]; e != nil {
+		return e.writes
+	}
+	return 0
+}
