Add the claims ledger

Cause: a short non-idempotent request must run at most once, also when it is sent to several instances or repeated after a lost answer. Change: package claims. Claims are collected per shard and written by compare-and-swap; lost answers are resolved by reading back the claim's token; what stays unresolved is reported as claim_uncertain. During an outage a read comes before the next write, so that claims are refused as not run. Conclusion: go test -race -count=5 ./claims passes.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -2,9 +2,93 @@
 // claimed in a shard of the platform's store before its request is dispatched.
 package claims
 
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"time"
+)
+
+const (
+	// Shards is the number of claim shards.
+	Shards = 16
+	// Expiry is how long an id stays claimed.
+	Expiry = 10 * time.Minute
+	// maxEntries bounds a shard's value to 448 KiB of the store's 1 MiB. With Expiry it
+	// allows 437 claims a second over all shards.
+	maxEntries = 16384
+)
+
 // Claim is a claimed request id.
 type Claim struct {
 	Shard     uint32
 	High, Low uint64 // hash of workspace and request id
 	Token     uint64 // unique to this claim
 }
+
+func (c Claim) key() idHash { return idHash{c.High, c.Low} }
+
+// idHash is the hash of a workspace and a request id.
+type idHash [2]uint64
+
+// hashOf returns the hash of a request id. A cryptographic hash keeps one workspace from
+// choosing ids that collide with those of another.
+func hashOf(workspace, requestID string) idHash {
+	buf := make([]byte, 0, 256)
+	buf = append(buf, workspace...)
+	buf = append(buf, 0)
+	buf = append(buf, requestID...)
+	sum := sha256.Sum256(buf)
+	return idHash{binary.BigEndian.Uint64(sum[:8]), binary.BigEndian.Uint64(sum[8:16])}
+}
+
+// record is the claim of one id in a shard.
+type record struct {
+	token   uint64
+	expires uint32 // seconds of Unix time
+}
+
+// A shard's value is a version byte followed by records of 28 bytes in big-endian order:
+// two halves of the id's hash, the token, and the expiry.
+const (
+	valueVersion = 1
+	recordBytes  = 28
+)
+
+var errBadValue = errors.New("claim shard holds a value of another format")
+
+// encode returns the shard's value without expired records, which it deletes.
+func encode(records map[idHash]record, now time.Time) []byte {
+	value := make([]byte, 1, 1+len(records)*recordBytes)
+	value[0] = valueVersion
+	for id, r := range records {
+		if r.expired(now) {
+			delete(records, id)
+			continue
+		}
+		value = binary.BigEndian.AppendUint64(value, id[0])
+		value = binary.BigEndian.AppendUint64(value, id[1])
+		value = binary.BigEndian.AppendUint64(value, r.token)
+		value = binary.BigEndian.AppendUint32(value, r.expires)
+	}
+	return value
+}
+
+func decode(value []byte) (map[idHash]record, error) {
+	if len(value) == 0 {
+		return map[idHash]record{}, nil
+	}
+	if value[0] != valueVersion || (len(value)-1)%recordBytes != 0 {
+		return nil, errBadValue
+	}
+	records := make(map[idHash]record, len(value)/recordBytes)
+	for b := value[1:]; len(b) > 0; b = b[recordBytes:] {
+		id := idHash{binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])}
+		records[id] = record{token: binary.BigEndian.Uint64(b[16:]), expires: binary.BigEndian.Uint32(b[24:])}
+	}
+	return records, nil
+}
+
+func (r record) expired(now time.Time) bool {
+	return int64(r.expires) <= now.Unix()
+}
--- /dev/null
+++ b/claims/ledger_test.go
@@ -0,0 +1,289 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/standin"
+)
+
+func newLedger(name string, store platform.Store, peers Peers) *Ledger {
+	return New(Options{Instance: name, Store: store, Peers: peers, Metrics: metrics.NewRegistry()})
+}
+
+func kindOfClaim(t *testing.T, l *Ledger, id string) errkind.Kind {
+	t.Helper()
+	_, err := l.Claim(t.Context(), "w", id)
+	if err == nil {
+		return ""
+	}
+	return errkind.Of(err)
+}
+
+// lateStore plays a write that arrives after its caller has given up, and an outage
+// that starts with a given write.
+type lateStore struct {
+	*standin.Store
+	mu     sync.Mutex
+	late   int // next writes that arrive late
+	losing bool
+}
+
+func (s *lateStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	s.mu.Lock()
+	late, losing := s.late > 0, s.losing
+	if late {
+		s.late--
+	}
+	s.mu.Unlock()
+	if losing {
+		s.SetFaults(standin.StoreFaults{LoseWrites: 1})
+		_, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+		s.SetFaults(standin.StoreFaults{Down: true})
+		return 0, err
+	}
+	if !late {
+		return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	}
+	go func() {
+		time.Sleep(callTimeout + 5*time.Millisecond)
+		_, _ = s.Store.CompareAndSwap(context.WithoutCancel(ctx), key, expect, value, lease)
+	}()
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// Guards against a claim that is reported as failed, or written twice, because the
+// answer of its write was lost or the write arrived late.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lateStore{Store: standin.NewStore()}
+		l := newLedger("i1", store, nil)
+		store.SetFaults(standin.StoreFaults{LoseWrites: 1})
+		require.Empty(t, kindOfClaim(t, l, "lost"))
+		store.late = 2
+		require.Empty(t, kindOfClaim(t, l, "late"))
+		for _, id := range []string{"lost", "late"} {
+			require.Equal(t, errkind.DuplicateRequest, kindOfClaim(t, l, id))
+			require.Equal(t, errkind.DuplicateRequest, kindOfClaim(t, newLedger("i2", store, nil), id))
+		}
+	})
+}
+
+// Guards against "not run" for an id whose claim may be in the store: the answer of the
+// write is lost and the store stays down.
+func TestUnresolvedWriteIsUncertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lateStore{Store: standin.NewStore(), losing: true}
+		require.Equal(t, errkind.ClaimUncertain, kindOfClaim(t, newLedger("i1", store, nil), "r"))
+		require.Equal(t, errkind.MayHaveRun, errkind.AnswerOf(errkind.ClaimUncertain).RunState)
+		store.SetFaults(standin.StoreFaults{})
+		require.Equal(t, errkind.DuplicateRequest, kindOfClaim(t, newLedger("i2", store.Store, nil), "r"))
+	})
+}
+
+// Guards against claims that are recorded, or uncertain, when the store was down
+// before they were made, and against a call for each of them.
+func TestStoreDownRefusesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		l := newLedger("i1", store, nil)
+		for i := range 64 { // every shard is known before the outage
+			require.Empty(t, kindOfClaim(t, l, fmt.Sprint("before", i)))
+		}
+		store.SetFaults(standin.StoreFaults{Down: true})
+		uncertain := 0
+		for i := range 200 {
+			switch kind := kindOfClaim(t, l, fmt.Sprint("r", i)); kind {
+			case errkind.ClaimUncertain: // the claim whose write finds the outage
+				uncertain++
+			default:
+				require.Equal(t, errkind.StoreUnavailable, kind)
+			}
+		}
+		require.LessOrEqual(t, uncertain, 1)
+		require.Less(t, store.Calls()["get"], 64+2*int(resolveTimeout/retryDelay))
+		store.SetFaults(standin.StoreFaults{})
+		time.Sleep(time.Second)
+		require.Empty(t, kindOfClaim(t, l, "r199"))
+	})
+}
+
+// Guards against a second run after a stale read: the read shows the shard before the
+// first claim.
+func TestStaleRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		first := newLedger("i1", store, nil)
+		require.Empty(t, kindOfClaim(t, first, "r"))
+		require.NoError(t, first.Release(t.Context(), must(first.Claim(t.Context(), "w", "other"))))
+		for i := range 40 {
+			require.Empty(t, kindOfClaim(t, first, fmt.Sprint(i)))
+		}
+		store.SetFaults(standin.StoreFaults{StaleReads: true})
+		for i := range 40 {
+			kind := kindOfClaim(t, newLedger("i2", store, nil), fmt.Sprint(i))
+			require.Contains(t, []errkind.Kind{errkind.DuplicateRequest, errkind.StoreUnavailable}, kind)
+		}
+	})
+}
+
+func must(c Claim, err error) Claim {
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// Guards against two instances that both believe they own a shard and both grant an id.
+func TestOwnersThatDisagree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		ledgers := []*Ledger{newLedger("i1", store, nil), newLedger("i2", store, nil), newLedger("i3", store, nil)}
+		var mu sync.Mutex
+		grantedTo := map[string]int{}
+		var wg sync.WaitGroup
+		for i := range 300 {
+			id := fmt.Sprint("r", i%100)
+			wg.Go(func() {
+				_, err := ledgers[i/100].Claim(t.Context(), "w", id)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					grantedTo[id]++
+				} else if errkind.Of(err) != errkind.DuplicateRequest {
+					t.Errorf("claim %s: %v", id, err)
+				}
+			})
+		}
+		wg.Wait()
+		require.Len(t, grantedTo, 100)
+		for id, n := range grantedTo {
+			require.Equal(t, 1, n, id)
+		}
+	})
+}
+
+// peerOf gives every shard to one ledger and plays faults of the way to it.
+type peerOf struct {
+	peer.DRPCPeerClient
+	owner       *Ledger
+	loseAnswers bool
+	unreachable bool
+}
+
+var errLost = errors.New("answer lost")
+
+func (p *peerOf) ShardOwner(uint32) string { return "owner" }
+
+func (p *peerOf) Client(context.Context, string) (peer.DRPCPeerClient, error) {
+	if p.unreachable {
+		return nil, errLost
+	}
+	return p, nil
+}
+
+func (p *peerOf) Claim(ctx context.Context, r *peer.ClaimRequest) (*peer.ClaimReply, error) {
+	reply, err := p.owner.HandleClaim(ctx, r)
+	if p.loseAnswers {
+		return nil, errLost
+	}
+	return reply, err
+}
+
+func (p *peerOf) Release(ctx context.Context, r *peer.ReleaseRequest) (*peer.ReleaseReply, error) {
+	reply, err := p.owner.HandleRelease(ctx, r)
+	if p.loseAnswers {
+		return nil, errLost
+	}
+	return reply, err
+}
+
+// Guards against a claim that is lost, doubled or falsely "not run" on the way to the
+// shard's owner, and against a released id that stays claimed.
+func TestForwarding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		p := &peerOf{owner: newLedger("owner", store, nil)}
+		l := newLedger("i1", store, p)
+		for _, name := range []string{"reached", "lost", "unreachable"} {
+			p.loseAnswers, p.unreachable = name == "lost", name == "unreachable"
+			c, err := l.Claim(t.Context(), "w", name)
+			require.NoError(t, err, name)
+			require.Equal(t, errkind.DuplicateRequest, kindOfClaim(t, l, name))
+			require.Equal(t, errkind.DuplicateRequest, kindOfClaim(t, p.owner, name))
+			require.NoError(t, l.Release(t.Context(), c))
+			require.Empty(t, kindOfClaim(t, p.owner, name))
+		}
+		p.loseAnswers, p.unreachable = true, false
+		store.SetFaults(standin.StoreFaults{Down: true})
+		require.Equal(t, errkind.ClaimUncertain, kindOfClaim(t, l, "down"), "the owner may write it later")
+	})
+}
+
+// Guards against a claim that blocks its id although its caller gave up before the dispatch.
+func TestAbandonedClaimIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		store.SetFaults(standin.StoreFaults{Slow: 100 * time.Millisecond})
+		l := newLedger("i1", store, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := l.Claim(ctx, "w", "r")
+		require.Equal(t, errkind.ClaimUncertain, errkind.Of(err))
+		time.Sleep(2 * time.Second)
+		require.Empty(t, kindOfClaim(t, l, "r"))
+	})
+}
+
+// Guards against shards that outgrow the store's values, and against ids that stay
+// claimed after the expiry.
+func TestFullShardAndExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		for shard := range Shards {
+			records := map[idHash]record{}
+			for i := range maxEntries {
+				records[idHash{uint64(i), uint64(shard)}] = record{token: 1, expires: uint32(time.Now().Add(Expiry).Unix())}
+			}
+			value := encode(records, time.Now())
+			require.Less(t, len(value), platform.MaxValueBytes)
+			_, err := store.CompareAndSwap(t.Context(), fmt.Sprintf("claim/%d", shard), 0, value, 0)
+			require.NoError(t, err)
+		}
+		l := newLedger("i1", store, nil)
+		require.Equal(t, errkind.StoreUnavailable, kindOfClaim(t, l, "r"))
+		time.Sleep(Expiry)
+		require.Empty(t, kindOfClaim(t, l, "r"))
+		require.Equal(t, errkind.DuplicateRequest, kindOfClaim(t, l, "r"))
+		time.Sleep(Expiry + time.Second)
+		require.Empty(t, kindOfClaim(t, l, "r"))
+	})
+}
+
+// Guards against a write for each claim, which would exceed the store's rate.
+func TestClaimsShareWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		l := newLedger("i1", store, nil)
+		started := time.Now()
+		var wg sync.WaitGroup
+		for i := range 2000 {
+			wg.Go(func() { _, _ = l.Claim(t.Context(), "w", fmt.Sprint(i)) })
+		}
+		wg.Wait()
+		allowed := Shards + int(time.Since(started).Seconds()*fleetWritesPerSec)
+		require.LessOrEqual(t, store.Calls()["swap"], allowed)
+	})
+}
