scheduler: policy with classes, gangs, guarantees and reclaim

Change: Scheduler and Options implement Policy: order by class, share and response ratio; whole gangs within the smallest domain that can hold them; packing of unmet guarantees; claims with victims; reservation with backfill; stages; slot grants.

--- /dev/null
+++ b/scheduler/grants.go
@@ -0,0 +1,211 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cyclamenyard/cyclamenyard/state"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// holder is an entry instance's part of a service's slots.
+type holder struct {
+	instance string
+	wanted   int
+	held     int // without grants that are being revoked
+	grants   []*state.Grant
+}
+
+// readGrants lists the grants and the services in a fixed order.
+func (c *cycle) readGrants() {
+	for _, g := range c.d.Grants {
+		c.grants = append(c.grants, g)
+	}
+	slices.SortFunc(c.grants, func(a, b *state.Grant) int { return cmp.Compare(a.ID, b.ID) })
+	for _, s := range c.d.Services {
+		c.services = append(c.services, s)
+		c.minSlots = c.minSlots || s.MinSlots > 0
+	}
+	slices.SortFunc(c.services, func(a, b structs.Service) int { return cmp.Compare(a.Name, b.Name) })
+	c.holders = map[string][]*holder{}
+	for _, n := range c.d.Demands {
+		c.holders[n.Service] = append(c.holders[n.Service], &holder{instance: n.Instance, wanted: n.Wanted})
+	}
+	for _, g := range c.grants {
+		if h := c.holder(g.Service, g.Instance); h != nil && !g.Revoking {
+			h.held += g.Slots
+			h.grants = append(h.grants, g)
+		}
+	}
+}
+
+func (c *cycle) holder(service, instance string) *holder {
+	for _, h := range c.holders[service] {
+		if h.instance == instance {
+			return h
+		}
+	}
+	return nil
+}
+
+// grantMinimum grants each service its minimum slots before jobs take the room.
+func (c *cycle) grantMinimum() {
+	for i := range c.services {
+		s := &c.services[i]
+		c.grantUpTo(s, s.MinSlots)
+		if held, wanted := c.heldAndWanted(s.Name); held < min(s.MinSlots, wanted) {
+			c.reclaimSlots(s, min(s.MinSlots, wanted)-held)
+		}
+	}
+}
+
+// grantDemands grants the slots that jobs have left, and takes slots back from holders
+// with more than their share while others lack them.
+func (c *cycle) grantDemands() {
+	for i := range c.services {
+		s := &c.services[i]
+		_, wanted := c.heldAndWanted(s.Name)
+		c.grantUpTo(s, wanted)
+		c.rebalance(s)
+	}
+}
+
+func (c *cycle) heldAndWanted(service string) (held, wanted int) {
+	for _, h := range c.holders[service] {
+		held += min(h.held, h.wanted)
+		wanted += h.wanted
+	}
+	return held, wanted
+}
+
+// grantUpTo grants free slots, one at a time to the holder with the fewest, until the
+// service holds limit slots.
+func (c *cycle) grantUpTo(s *structs.Service, limit int) {
+	list := c.holders[s.Name]
+	held, _ := c.heldAndWanted(s.Name)
+	if len(list) == 0 || held >= limit || s.SlotShape.Slots <= 0 {
+		return
+	}
+	given := map[grantKey]int{}
+	var order []grantKey
+	for ; held < limit; held++ {
+		h := poorest(list)
+		if h == nil || c.ramping && !s.SlotShape.Fits(c.ramp) {
+			break
+		}
+		i, ok := c.slotNode(s, h, given)
+		if !ok {
+			break
+		}
+		n := &c.nodes[i]
+		n.free, n.lent = n.free.Sub(s.SlotShape), n.lent.Add(s.SlotShape)
+		c.ramp = c.ramp.Sub(s.SlotShape)
+		c.refresh([]int{i})
+		h.held++
+		key := grantKey{h.instance, i}
+		if given[key]++; given[key] == 1 {
+			order = append(order, key)
+		}
+	}
+	for _, key := range order {
+		c.act(structs.Action{
+			Kind: structs.ActionGrant, Instance: key.instance, Service: s.Name, Worker: c.nodes[key.node].w.ID, Slots: given[key],
+			Reason: fmt.Sprintf("slots of %s: %d of at least %d held", s.Name, held, s.MinSlots),
+		})
+	}
+}
+
+// grantKey identifies a grant of this decision.
+type grantKey struct {
+	instance string
+	node     int
+}
+
+// poorest returns the holder with the fewest slots among those that want more.
+func poorest(list []*holder) *holder {
+	var best *holder
+	for _, h := range list {
+		if h.held < h.wanted && (best == nil || h.held < best.held) {
+			best = h
+		}
+	}
+	return best
+}
+
+// slotNode finds the node for one more slot: one that the holder uses in this decision,
+// up to half of what it wants so that a retry finds another worker, else the node with
+// the least loss of future shapes.
+func (c *cycle) slotNode(s *structs.Service, h *holder, given map[grantKey]int) (int, bool) {
+	most := max((h.wanted+1)/2, 1)
+	best, bestLoss := -1, 0.0
+	losses := lossCache{c: c, task: s.SlotShape, known: map[lossKey]float64{}}
+	for i := range c.nodes {
+		n := &c.nodes[i]
+		if !n.usable || !s.SlotShape.Fits(n.free) || given[grantKey{h.instance, i}] >= most {
+			continue
+		}
+		if c.shadow != nil && !s.SlotShape.Fits(c.shadow.free[i]) {
+			continue
+		}
+		if loss := losses.get(i, 1); best < 0 || loss < bestLoss {
+			best, bestLoss = i, loss
+		}
+	}
+	return best, best >= 0
+}
+
+// reclaimSlots preempts lent jobs for the missing minimum slots of a service. Room that is
+// leaving already counts.
+func (c *cycle) reclaimSlots(s *structs.Service, missing int) {
+	for i := range c.nodes {
+		if n := &c.nodes[i]; n.usable {
+			missing -= s.SlotShape.CountIn(n.free.Add(n.leaving))
+		}
+	}
+	claimant := "service/" + s.Name
+	shape := structs.Shape{Tasks: 1, Task: s.SlotShape}
+	for ; missing > 0; missing-- {
+		best, found := option{}, false
+		for i := range c.nodes {
+			o, ok := c.victimsFor(shape, span{i, i + 1}, func(v *victim) bool { return v.job != nil && c.quick(&v.job.Job) })
+			if ok && len(o.victims) > 0 && (!found || o.cost < best.cost) {
+				best, found = o, true
+			}
+		}
+		if !found {
+			return
+		}
+		c.takeVictims(best.victims, 1)
+		for _, id := range best.victims {
+			c.wake(c.evict(&c.victims[id], claimant))
+		}
+	}
+}
+
+// rebalance revokes one grant of the holder with the most slots when another holder lacks
+// at least two slots against it, and grants that exceed what their holder wants.
+func (c *cycle) rebalance(s *structs.Service) {
+	list := c.holders[s.Name]
+	if len(list) == 0 {
+		return
+	}
+	low := poorest(list)
+	for _, h := range list {
+		for _, g := range h.grants {
+			surplus := h.held-g.Slots >= h.wanted
+			unfair := low != nil && h.held-g.Slots >= low.held+g.Slots
+			if !surplus && !unfair {
+				continue
+			}
+			h.held -= g.Slots
+			c.act(structs.Action{
+				Kind: structs.ActionRevoke, GrantID: g.ID, Instance: g.Instance, Worker: g.Worker, Service: s.Name, Slots: g.Slots,
+				Reason: fmt.Sprintf("%s holds more slots of %s than its share", h.instance, s.Name),
+			})
+			if unfair {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/guarantee.go
@@ -0,0 +1,255 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cyclamenyard/cyclamenyard/state"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// line is one guarantee of a workspace with what its charged jobs leave of it.
+type line struct {
+	g *state.Guarantee
+	// gangs holds the unused tasks of each guaranteed gang.
+	gangs []int
+	// open holds the unused rest of tasks that are partly used by smaller tasks.
+	open []structs.Resources
+}
+
+// match assigns the charged jobs of a workspace to its guarantees.
+type match struct {
+	lines   []line
+	jobs    map[string]bool
+	charged []*state.Job
+}
+
+// workspaces lists the workspaces with guarantees in the manifest's order.
+func (c *cycle) workspaces() []string {
+	var names []string
+	for i := range c.d.Guarantees {
+		if ws := c.d.Guarantees[i].Workspace; !slices.Contains(names, ws) {
+			names = append(names, ws)
+		}
+	}
+	return names
+}
+
+// match assigns the charged jobs of the workspace, and extra, to its guarantees. Jobs
+// that cannot be displaced come first, then urgent ones, then by class and size.
+func (c *cycle) match(ws string, extra *state.Job) *match {
+	m := &match{jobs: map[string]bool{}}
+	for i := range c.d.Guarantees {
+		g := &c.d.Guarantees[i]
+		if g.Workspace != ws {
+			continue
+		}
+		l := line{g: g, gangs: make([]int, g.Count)}
+		for k := range l.gangs {
+			l.gangs[k] = g.Shape.Tasks
+		}
+		m.lines = append(m.lines, l)
+	}
+	if len(m.lines) == 0 {
+		return m
+	}
+	m.charged = c.chargedJobs(ws)
+	if extra != nil {
+		m.charged = append(slices.Clip(m.charged), extra)
+	}
+	slices.SortFunc(m.charged, compareCharged)
+	for _, j := range m.charged {
+		for i := range m.lines {
+			if m.lines[i].take(j.Shape) {
+				m.jobs[j.ID] = true
+				break
+			}
+		}
+	}
+	return m
+}
+
+// chargedJobs lists the jobs that count against the workspace's guarantees: active ones
+// and those that hold a claim.
+func (c *cycle) chargedJobs(ws string) []*state.Job {
+	if old := c.matches[ws]; old != nil {
+		return old.charged
+	}
+	var out []*state.Job
+	for _, j := range c.d.Active {
+		if j.Workspace == ws && j.Guaranteed && j.Status != state.Preempting && !j.Cancelled {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+func compareCharged(a, b *state.Job) int {
+	return cmp.Or(
+		compareBool(a.Reclaimable(), b.Reclaimable()),
+		compareBool(b.Urgent, a.Urgent),
+		cmp.Compare(a.Class, b.Class),
+		cmp.Compare(b.Shape.Total().Accelerators, a.Shape.Total().Accelerators),
+		cmp.Compare(b.Shape.Total().Slots, a.Shape.Total().Slots),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// take charges a shape to the line if it fits: an adjacent gang into one guaranteed
+// gang, any other into the unused tasks of all gangs. Several small tasks may share one
+// guaranteed task.
+func (l *line) take(s structs.Shape) bool {
+	per := s.Task.CountIn(l.g.Shape.Task)
+	if per == 0 {
+		return false
+	}
+	oneTask := s.Tasks <= per
+	if s.Adjacent && !oneTask {
+		if !l.g.Shape.Adjacent {
+			return false
+		}
+		return l.takeGang(s, per)
+	}
+	if oneTask && s.Adjacent {
+		return l.takeTask(s)
+	}
+	return l.takeSpread(s, per)
+}
+
+// takeTask charges a gang whose tasks all fit into one guaranteed task.
+func (l *line) takeTask(s structs.Shape) bool {
+	total := s.Total()
+	for i := range l.open {
+		if total.Fits(l.open[i]) {
+			l.open[i] = l.open[i].Sub(total)
+			return true
+		}
+	}
+	for i := range l.gangs {
+		if l.gangs[i] > 0 {
+			l.gangs[i]--
+			l.open = append(l.open, l.g.Shape.Task.Sub(total))
+			return true
+		}
+	}
+	return false
+}
+
+func (l *line) takeGang(s structs.Shape, per int) bool {
+	units := (s.Tasks + per - 1) / per
+	best := -1
+	for i, left := range l.gangs {
+		if left >= units && (best < 0 || left < l.gangs[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	l.gangs[best] -= units
+	l.openRests(s, per, s.Tasks)
+	return true
+}
+
+// openRests records the unused rest of the guaranteed tasks that hold count tasks.
+func (l *line) openRests(s structs.Shape, per, count int) {
+	for count > 0 {
+		n := min(per, count)
+		if rest := l.g.Shape.Task.Sub(s.Task.Mul(n)); rest.Slots > 0 {
+			l.open = append(l.open, rest)
+		}
+		count -= n
+	}
+}
+
+func (l *line) takeSpread(s structs.Shape, per int) bool {
+	have := 0
+	for i := range l.open {
+		have += s.Task.CountIn(l.open[i])
+	}
+	for _, left := range l.gangs {
+		have += left * per
+	}
+	if have < s.Tasks {
+		return false
+	}
+	need := s.Tasks
+	for i := range l.open {
+		n := min(need, s.Task.CountIn(l.open[i]))
+		l.open[i] = l.open[i].Sub(s.Task.Mul(n))
+		need -= n
+	}
+	fresh := need
+	for i := range l.gangs {
+		for l.gangs[i] > 0 && need > 0 {
+			l.gangs[i]--
+			need -= per
+		}
+	}
+	l.openRests(s, per, fresh)
+	return true
+}
+
+// charged reports whether the active job is inside its workspace's guarantee.
+func (c *cycle) charged(j *state.Job) bool {
+	m := c.matches[j.Workspace]
+	return j.Guaranteed && m != nil && m.jobs[j.ID]
+}
+
+// fitsGuarantee returns the match with the queued job inside its workspace's guarantee.
+// The job may displace reclaimable jobs of its own workspace that rank lower; those go on
+// as lent work.
+func (c *cycle) fitsGuarantee(j *state.Job) (*match, bool) {
+	old := c.matches[j.Workspace]
+	if old == nil || len(old.lines) == 0 {
+		return nil, false
+	}
+	m := c.match(j.Workspace, j)
+	if !m.jobs[j.ID] {
+		return nil, false
+	}
+	for _, o := range old.charged {
+		if old.jobs[o.ID] && !m.jobs[o.ID] && !outranks(j, o) {
+			return nil, false
+		}
+	}
+	return m, true
+}
+
+func outranks(j, o *state.Job) bool {
+	if !o.Reclaimable() || o.Status == state.Queued {
+		return false
+	}
+	if j.Urgent != o.Urgent {
+		return j.Urgent
+	}
+	return j.Class < o.Class
+}
+
+// unmet lists the shapes that the workspace can still claim.
+func (m *match) unmet(out []demand) []demand {
+	for i := range m.lines {
+		l := &m.lines[i]
+		for _, left := range l.gangs {
+			if left > 0 {
+				out = append(out, demand{ws: l.g.Workspace, shape: structs.Shape{Tasks: left, Task: l.g.Shape.Task, Adjacent: l.g.Shape.Adjacent && left > 1}})
+			}
+		}
+		for _, rest := range l.open {
+			if rest.Slots > 0 {
+				out = append(out, demand{ws: l.g.Workspace, shape: structs.Shape{Tasks: 1, Task: rest}})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/scheduler/pack.go
@@ -0,0 +1,401 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// demand is a shape that must stay claimable: the unmet part of a guaranteed gang, or the
+// minimum slots of a service.
+type demand struct {
+	ws    string // empty for the slots of a service
+	shape structs.Shape
+	slots bool
+}
+
+// piece is a demand and the nodes that its tasks are packed on.
+type piece struct {
+	demand
+	nodes []int
+}
+
+// unpacked counts the tasks of demands that could not be packed.
+type unpacked struct {
+	tasks int            // of guarantees
+	slots int            // of the services' minimum
+	ws    map[string]int // of guarantees, by workspace
+	// shapes lists the guaranteed shapes that were not packed.
+	shapes []structs.Shape
+}
+
+func (u *unpacked) add(d demand) {
+	if d.slots {
+		u.slots += d.shape.Tasks
+		return
+	}
+	u.shapes = append(u.shapes, d.shape)
+	u.tasks += d.shape.Tasks
+	u.ws[d.ws] += d.shape.Tasks
+}
+
+// maxRepacks bounds the full packings of one decision. A start that needs one more waits
+// for the next decision.
+const maxRepacks = 12
+
+// ensurePacked packs all unmet demands once per decision.
+func (c *cycle) ensurePacked() {
+	if !c.packed {
+		c.packed = true
+		c.packAll()
+	}
+}
+
+// packAttempts is how many orders a packing tries. Each new order begins with the shapes
+// that the one before could not pack.
+const packAttempts = 4
+
+// packAll packs every unmet guarantee and the minimum slots of the services into free,
+// leaving and reclaimable room, the hardest shapes first and slots last.
+func (c *cycle) packAll() {
+	var demands []demand
+	for _, ws := range c.guaranteed {
+		demands = c.matches[ws].unmet(demands)
+	}
+	for _, s := range c.services {
+		if s.MinSlots > 0 {
+			demands = append(demands, demand{shape: structs.Shape{Tasks: s.MinSlots, Task: s.SlotShape}, slots: true})
+		}
+	}
+	slices.SortStableFunc(demands, compareDemands)
+	c.packOrder(demands)
+	best, bestPieces := c.unpacked, c.pieces
+	for n := 1; n < packAttempts && c.unpacked.tasks > 0; n++ {
+		failed := c.unpacked.shapes
+		slices.SortStableFunc(demands, func(a, b demand) int {
+			return compareBool(slices.Contains(failed, b.shape), slices.Contains(failed, a.shape))
+		})
+		if c.packOrder(demands); c.unpacked.tasks < best.tasks {
+			best, bestPieces = c.unpacked, c.pieces
+		}
+	}
+	if best.tasks < c.unpacked.tasks {
+		c.unpacked = best
+		c.setPieces(bestPieces)
+	}
+}
+
+// setPieces replaces the packing.
+func (c *cycle) setPieces(pieces []piece) {
+	for i := range c.nodes {
+		c.nodes[i].kept, c.nodes[i].keptSlots = structs.Resources{}, structs.Resources{}
+	}
+	c.pieces = pieces
+	for _, p := range pieces {
+		for _, i := range p.nodes {
+			c.nodes[i].keep(p.shape.Task, p.slots)
+		}
+	}
+}
+
+// packOrder packs the demands in their order, runs of equal shapes together.
+func (c *cycle) packOrder(demands []demand) {
+	c.setPieces(nil)
+	c.unpacked = unpacked{ws: map[string]int{}}
+	for len(demands) > 0 {
+		n := 1
+		for n < len(demands) && demands[n].shape == demands[0].shape && demands[n].slots == demands[0].slots {
+			n++
+		}
+		c.packSame(demands[:n])
+		demands = demands[n:]
+	}
+}
+
+// compareDemands orders demands by how hard they are to pack.
+func compareDemands(a, b demand) int {
+	return cmp.Or(
+		compareBool(a.slots, b.slots),
+		compareBool(b.shape.Adjacent, a.shape.Adjacent),
+		cmp.Compare(b.shape.Task.Accelerators, a.shape.Task.Accelerators),
+		cmp.Compare(b.shape.Task.Slots, a.shape.Task.Slots),
+		cmp.Compare(b.shape.Task.Processors, a.shape.Task.Processors),
+		cmp.Compare(b.shape.Task.MemoryMB, a.shape.Task.MemoryMB),
+		cmp.Compare(b.shape.Tasks, a.shape.Tasks),
+	)
+}
+
+// packSame packs demands of one shape. Nodes are filled in the order of the tasks that
+// they can hold, so that whole nodes stay together.
+func (c *cycle) packSame(demands []demand) {
+	shape, slots := demands[0].shape, demands[0].slots
+	l := c.levelOf(shape)
+	counts := make([]int, len(c.nodes))
+	for i := range c.nodes {
+		counts[i] = c.nodes[i].packable(shape.Task, slots)
+	}
+	p := packing{c: c, shape: shape, level: l, counts: counts}
+	for _, d := range demands {
+		nodes := p.next()
+		if nodes == nil {
+			c.unpacked.add(d)
+			continue
+		}
+		for _, i := range nodes {
+			c.nodes[i].keep(shape.Task, slots)
+		}
+		c.pieces = append(c.pieces, piece{demand: d, nodes: nodes})
+	}
+}
+
+func (n *node) packable(task structs.Resources, slots bool) int {
+	if !n.usable {
+		return 0
+	}
+	count := task.CountIn(n.spare())
+	if slots {
+		count = min(count, task.CountIn(n.quickSpare()))
+	}
+	return count
+}
+
+func (n *node) keep(task structs.Resources, slots bool) {
+	n.kept = n.kept.Add(task)
+	if slots {
+		n.keptSlots = n.keptSlots.Add(task)
+	}
+}
+
+func (n *node) release(task structs.Resources, slots bool) {
+	n.kept = n.kept.Sub(task)
+	if slots {
+		n.keptSlots = n.keptSlots.Sub(task)
+	}
+}
+
+// packing places demands of one shape one after the other.
+type packing struct {
+	c      *cycle
+	shape  structs.Shape
+	level  level
+	counts []int
+	order  []int // nodes by count, for the worker and data centre levels
+	pos    int
+	sums   []int // tasks by rack, for the rack levels
+}
+
+// next returns the nodes for one more gang, or nil.
+func (p *packing) next() []int {
+	switch p.level {
+	case levelWorker:
+		p.sortNodes()
+		for ; p.pos < len(p.order); p.pos++ {
+			if p.counts[p.order[p.pos]] >= p.shape.Tasks {
+				return p.fill(p.order[p.pos:p.pos+1], nil)
+			}
+		}
+	case levelDataCentre:
+		p.sortNodes()
+		for p.pos < len(p.order) && p.counts[p.order[p.pos]] == 0 {
+			p.pos++
+		}
+		return p.fill(p.order[p.pos:], nil)
+	case levelRack, levelRackPair:
+		return p.nextRack()
+	}
+	return nil
+}
+
+func (p *packing) sortNodes() {
+	if p.order != nil {
+		return
+	}
+	p.order = make([]int, 0, len(p.counts))
+	for i, n := range p.counts {
+		if n > 0 {
+			p.order = append(p.order, i)
+		}
+	}
+	slices.SortFunc(p.order, func(a, b int) int {
+		return cmp.Or(p.compareNodes(a, b), cmp.Compare(a, b))
+	})
+}
+
+// compareNodes orders nodes by the tasks that they can hold, then by their spare room.
+func (p *packing) compareNodes(a, b int) int {
+	x, y := p.c.nodes[a].spare(), p.c.nodes[b].spare()
+	return cmp.Or(
+		cmp.Compare(p.counts[a], p.counts[b]), cmp.Compare(x.Accelerators, y.Accelerators),
+		cmp.Compare(x.Slots, y.Slots), cmp.Compare(x.Processors, y.Processors),
+	)
+}
+
+// fill takes tasks from the nodes in order. It changes nothing if they do not suffice.
+func (p *packing) fill(order []int, out []int) []int {
+	need := p.shape.Tasks
+	for _, i := range order {
+		for n := min(need, p.counts[i]); n > 0; n-- {
+			out = append(out, i)
+			need--
+		}
+		if need == 0 {
+			for _, i := range out {
+				p.counts[i]--
+			}
+			return out
+		}
+	}
+	return nil
+}
+
+// nextRack picks the rack, or pair of racks, that the gang fills best.
+func (p *packing) nextRack() []int {
+	c := p.c
+	if p.sums == nil {
+		p.sums = make([]int, len(c.racks))
+		for i, n := range p.counts {
+			p.sums[c.nodes[i].rack] += n
+		}
+	}
+	best, bestSum := span{}, 0
+	c.domains(p.level, func(r span) bool {
+		sum := p.sums[c.nodes[r.lo].rack]
+		if last := c.nodes[r.hi-1].rack; last != c.nodes[r.lo].rack {
+			sum += p.sums[last]
+		}
+		if sum >= p.shape.Tasks && (bestSum == 0 || sum < bestSum) {
+			best, bestSum = r, sum
+		}
+		return true
+	})
+	if bestSum == 0 {
+		return nil
+	}
+	order := make([]int, 0, best.hi-best.lo)
+	for i := best.lo; i < best.hi; i++ {
+		order = append(order, i)
+	}
+	slices.SortStableFunc(order, p.compareNodes)
+	nodes := p.fill(order, nil)
+	for _, i := range nodes {
+		p.sums[c.nodes[i].rack]--
+	}
+	return nodes
+}
+
+// savepoint undoes a tentative change of nodes and packing.
+type savepoint struct {
+	nodes    []node
+	pieces   []piece
+	unpacked unpacked
+	victims  int
+}
+
+func (c *cycle) save() savepoint {
+	u := c.unpacked
+	u.ws = maps.Clone(u.ws)
+	return savepoint{nodes: slices.Clone(c.nodes), pieces: slices.Clone(c.pieces), unpacked: u, victims: len(c.victims)}
+}
+
+// worse reports whether more stays unpacked than at the savepoint. Work inside a guarantee
+// may take the room of minimum slots, which are weaker.
+func (c *cycle) worse(s *savepoint, guaranteed bool) bool {
+	return c.unpacked.tasks > s.unpacked.tasks || !guaranteed && c.unpacked.slots > s.unpacked.slots
+}
+
+func (c *cycle) restore(s savepoint) {
+	copy(c.nodes, s.nodes)
+	c.pieces, c.unpacked = s.pieces, s.unpacked
+	for _, v := range c.victims[s.victims:] {
+		for _, i := range v.nodes {
+			for n := len(c.on[i]); n > 0 && int(c.on[i][n-1]) >= s.victims; n-- {
+				c.on[i] = c.on[i][:n-1]
+			}
+		}
+	}
+	c.victims = c.victims[:s.victims]
+}
+
+// takeFixed takes room for good at the nodes if every unmet guarantee stays packed. m is
+// the workspace's match with the job charged, or nil for a job outside its guarantee.
+// Nothing changes if it returns false.
+func (c *cycle) takeFixed(ws string, task structs.Resources, nodes []int, m *match) bool {
+	c.ensurePacked()
+	s := c.save()
+	old := c.matches[ws]
+	if m != nil {
+		c.displace(old, m)
+		c.matches[ws] = m
+		c.rematch(ws, m)
+	}
+	for _, i := range nodes {
+		c.nodes[i].free = c.nodes[i].free.Sub(task)
+	}
+	if c.keptAt(nodes) && !c.worse(&s, m != nil) {
+		return true
+	}
+	if c.repacks++; c.repacks <= maxRepacks {
+		c.packAll()
+		if !c.worse(&s, m != nil) {
+			return true
+		}
+	}
+	// A guarantee that cannot be packed whole must still serve what it can.
+	if m != nil && s.unpacked.ws[ws] > 0 {
+		return true
+	}
+	c.restore(s)
+	if old != nil {
+		c.matches[ws] = old
+	}
+	return false
+}
+
+// displace counts jobs that lost their charge as lent.
+func (c *cycle) displace(old, m *match) {
+	for _, o := range old.charged {
+		if old.jobs[o.ID] && !m.jobs[o.ID] && !o.NoPreemptBefore.After(c.now) && o.Reclaimable() {
+			c.lend(o)
+		}
+	}
+}
+
+// rematch replaces the workspace's pieces by those that m leaves unmet. Pieces whose
+// shape is still unmet stay where they are.
+func (c *cycle) rematch(ws string, m *match) {
+	c.unpacked.tasks -= c.unpacked.ws[ws]
+	c.unpacked.ws[ws] = 0
+	missing := m.unmet(nil)
+	kept := c.pieces[:0:0]
+	for _, p := range c.pieces {
+		if p.ws == ws && !p.slots {
+			k := slices.Index(missing, p.demand)
+			if k < 0 {
+				for _, i := range p.nodes {
+					c.nodes[i].release(p.shape.Task, false)
+				}
+				continue
+			}
+			missing = slices.Delete(missing, k, k+1)
+		}
+		kept = append(kept, p)
+	}
+	c.pieces = kept
+	slices.SortStableFunc(missing, compareDemands)
+	for k := range missing {
+		c.packSame(missing[k : k+1])
+	}
+}
+
+// keptAt reports whether the room kept at the nodes is still there.
+func (c *cycle) keptAt(nodes []int) bool {
+	for _, i := range nodes {
+		n := &c.nodes[i]
+		if !n.kept.Fits(n.room()) || !n.keptSlots.Fits(n.room().Sub(n.slow)) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/scheduler/reclaim.go
@@ -0,0 +1,465 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/state"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// victim is a running job or a slot grant whose room can be reclaimed.
+type victim struct {
+	job   *state.Job
+	grant *state.Grant
+	cost  float64 // work lost, in capacity seconds
+	nodes []int   // one per task
+	size  structs.Resources
+	count int // times size on each node
+	taken bool
+}
+
+func (v *victim) room() structs.Resources { return v.size.Mul(v.count) }
+
+// claim is room that a job waits for while victims leave.
+type claim struct {
+	nodes   []int
+	startAt time.Time
+}
+
+// grantLoss is the work counted as lost when a grant is revoked: its requests finish, and
+// only the room stays unused until the grant expires.
+const grantLoss = time.Second
+
+func grantCost(g *state.Grant, capacity structs.Resources) float64 {
+	return g.PerSlot.Mul(g.Slots).DominantShare(capacity) * grantLoss.Seconds()
+}
+
+// workLost is the work that a preemption of the job loses: the checkpoint and the restart,
+// or the whole run since the last checkpoint.
+func (c *cycle) workLost(j *state.Job) float64 {
+	lost := c.now.Sub(j.CheckpointAt)
+	if j.Checkpoint {
+		lost = min(lost, j.Grace+c.opts.RestartCost)
+	}
+	return max(lost, 0).Seconds() * j.Shape.Total().DominantShare(c.d.Capacity)
+}
+
+// compareVictims orders by least work lost, youngest first among equals.
+func compareVictims(a, b *victim) int {
+	if n := cmp.Compare(a.cost, b.cost); n != 0 {
+		return n
+	}
+	if a.job != nil && b.job != nil {
+		return cmp.Or(b.job.StartedAt.Compare(a.job.StartedAt), cmp.Compare(a.job.ID, b.job.ID))
+	}
+	if a.grant != nil && b.grant != nil {
+		return cmp.Compare(a.grant.ID, b.grant.ID)
+	}
+	return compareBool(a.job != nil, b.job != nil)
+}
+
+func (c *cycle) addVictim(v victim) {
+	id := int32(len(c.victims))
+	c.victims = append(c.victims, v)
+	for k, i := range v.nodes {
+		if slices.Contains(v.nodes[:k], i) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(c.on[i], id, func(a, b int32) int {
+			return compareVictims(&c.victims[a], &c.victims[b])
+		})
+		c.on[i] = slices.Insert(c.on[i], at, id)
+	}
+}
+
+// option is a set of victims whose leaving makes room for a gang in a domain.
+type option struct {
+	domain  span
+	victims []int32
+	cost    float64
+}
+
+// maxOptions is how many domains a reclaim tries before it uses the room that the
+// packing keeps for the guarantee.
+const maxOptions = 4
+
+// reclaim claims room for a job inside its workspace's guarantee and plans the
+// preemptions that it needs.
+func (c *cycle) reclaim(j *state.Job, m *match) bool {
+	c.ensurePacked()
+	old := c.matches[j.Workspace]
+	s := c.save()
+	c.displace(old, m)
+	rest := &match{lines: old.lines, charged: old.charged, jobs: map[string]bool{}}
+	for id := range old.jobs {
+		if m.jobs[id] {
+			rest.jobs[id] = true
+		}
+	}
+	c.matches[j.Workspace] = rest
+	for _, o := range c.options(j.Shape) {
+		if c.claimOption(j, m, o) {
+			return true
+		}
+	}
+	if c.claimKept(j, m) {
+		return true
+	}
+	c.restore(s)
+	c.matches[j.Workspace] = old
+	return false
+}
+
+// options lists the cheapest domains for the shape with their victims.
+func (c *cycle) options(shape structs.Shape) []option {
+	var out []option
+	c.domains(c.levelOf(shape), func(r span) bool {
+		if o, ok := c.victimsFor(shape, r, anyVictim); ok {
+			out = append(out, o)
+		}
+		return true
+	})
+	slices.SortStableFunc(out, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	return out[:min(len(out), maxOptions)]
+}
+
+// search looks for victims within one domain.
+type search struct {
+	c      *cycle
+	shape  structs.Shape
+	r      span
+	allow  func(*victim) bool
+	room   []structs.Resources // by node of the domain
+	counts []int
+	sum    int
+	chosen []int32
+	steps  []step // cheapest next victims by node
+}
+
+// step is a set of victims on a node that lets it hold more tasks.
+type step struct {
+	victims []int32
+	cost    float64 // per task gained
+	fresh   bool
+}
+
+func anyVictim(*victim) bool { return true }
+
+// victimsFor finds a minimal set of cheap victims that makes room for the shape in r.
+func (c *cycle) victimsFor(shape structs.Shape, r span, allow func(*victim) bool) (option, bool) {
+	s := search{c: c, shape: shape, r: r, allow: allow}
+	s.room = make([]structs.Resources, r.hi-r.lo)
+	s.counts = make([]int, r.hi-r.lo)
+	s.steps = make([]step, r.hi-r.lo)
+	most := 0
+	for i := r.lo; i < r.hi; i++ {
+		n := &c.nodes[i]
+		if !n.usable {
+			continue
+		}
+		s.room[i-r.lo] = n.free.Add(n.leaving)
+		s.counts[i-r.lo] = shape.Task.CountIn(s.room[i-r.lo])
+		s.sum += s.counts[i-r.lo]
+		most += shape.Task.CountIn(n.room())
+	}
+	if most < shape.Tasks {
+		return option{}, false
+	}
+	for s.sum < shape.Tasks {
+		if !s.advance() {
+			return option{}, false
+		}
+	}
+	s.prune()
+	o := option{domain: r, victims: s.chosen}
+	for _, id := range s.chosen {
+		o.cost += c.victims[id].cost
+	}
+	return o, true
+}
+
+// advance takes the victims of the node that gains a task at the least cost.
+func (s *search) advance() bool {
+	best := -1
+	for k := range s.steps {
+		if !s.steps[k].fresh {
+			s.steps[k] = s.stepAt(k)
+		}
+		if len(s.steps[k].victims) > 0 && (best < 0 || s.steps[k].cost < s.steps[best].cost) {
+			best = k
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	for _, id := range s.steps[best].victims {
+		s.chosen = append(s.chosen, id)
+		s.change(id, 1)
+	}
+	return true
+}
+
+// change adds (sign 1) or removes (sign -1) the victim's room.
+func (s *search) change(id int32, sign int) {
+	v := &s.c.victims[id]
+	for _, i := range v.nodes {
+		if i < s.r.lo || i >= s.r.hi {
+			continue
+		}
+		k := i - s.r.lo
+		s.room[k] = s.room[k].Add(v.room().Mul(sign))
+		count := s.shape.Task.CountIn(s.room[k])
+		s.sum += count - s.counts[k]
+		s.counts[k] = count
+		s.steps[k].fresh = false
+	}
+}
+
+func (s *search) stepAt(k int) step {
+	out := step{fresh: true}
+	i := s.r.lo + k
+	if !s.c.nodes[i].usable {
+		return out
+	}
+	room, cost := s.room[k], 0.0
+	var ids []int32
+	for _, id := range s.c.on[i] {
+		v := &s.c.victims[id]
+		if v.taken || slices.Contains(s.chosen, id) || !s.allow(v) {
+			continue
+		}
+		for _, at := range v.nodes {
+			if at == i {
+				room = room.Add(v.room())
+			}
+		}
+		ids, cost = append(ids, id), cost+v.cost
+		if gain := min(s.shape.Task.CountIn(room)-s.counts[k], s.shape.Tasks); gain > 0 {
+			out.victims, out.cost = ids, cost/float64(gain)
+			return out
+		}
+	}
+	return out
+}
+
+// prune returns victims that are not needed, the most expensive first.
+func (s *search) prune() {
+	order := slices.Clone(s.chosen)
+	slices.SortFunc(order, func(a, b int32) int { return compareVictims(&s.c.victims[b], &s.c.victims[a]) })
+	for _, id := range order {
+		s.change(id, -1)
+		if s.sum < s.shape.Tasks {
+			s.change(id, 1)
+			continue
+		}
+		s.chosen = slices.DeleteFunc(s.chosen, func(o int32) bool { return o == id })
+	}
+}
+
+// claimOption claims the room of an option.
+func (c *cycle) claimOption(j *state.Job, m *match, o option) bool {
+	c.takeVictims(o.victims, 1)
+	nodes := c.fillLeaving(j.Shape, o.domain)
+	if nodes == nil || !c.takeFixed(j.Workspace, j.Shape.Task, nodes, m) {
+		c.takeVictims(o.victims, -1)
+		return false
+	}
+	c.commitClaim(j, nodes, o.victims)
+	return true
+}
+
+// fillLeaving picks nodes of the domain by their free and leaving room.
+func (c *cycle) fillLeaving(s structs.Shape, r span) []int {
+	counts := make([]int, len(c.nodes))
+	for i := r.lo; i < r.hi; i++ {
+		if n := &c.nodes[i]; n.usable {
+			counts[i] = min(s.Task.CountIn(n.free.Add(n.leaving)), s.Tasks)
+		}
+	}
+	losses := lossCache{c: c, task: s.Task, known: map[lossKey]float64{}}
+	nodes, _ := c.fillDomain(s, r, counts, &losses)
+	return nodes
+}
+
+// claimKept claims the room that the packing keeps for the workspace's own guarantee.
+// That room always leaves the other guarantees packed.
+func (c *cycle) claimKept(j *state.Job, m *match) bool {
+	var nodes []int
+	for _, p := range c.pieces {
+		if p.ws != j.Workspace || p.slots || len(p.nodes) < j.Shape.Tasks || !j.Shape.Task.Fits(p.shape.Task) {
+			continue
+		}
+		if j.Shape.Adjacent && !p.shape.Adjacent && j.Shape.Tasks > 1 {
+			continue
+		}
+		nodes = p.nodes[:j.Shape.Tasks]
+		break
+	}
+	if nodes == nil {
+		return false
+	}
+	victims, ok := c.victimsAt(nodes, j.Shape.Task)
+	if !ok {
+		return false
+	}
+	c.takeVictims(victims, 1)
+	if !c.takeFixed(j.Workspace, j.Shape.Task, nodes, m) {
+		c.takeVictims(victims, -1)
+		return false
+	}
+	c.commitClaim(j, nodes, victims)
+	return true
+}
+
+// victimsAt finds victims that make room for one task at each of the nodes.
+func (c *cycle) victimsAt(nodes []int, task structs.Resources) ([]int32, bool) {
+	need, room := map[int]structs.Resources{}, map[int]structs.Resources{}
+	for _, i := range nodes {
+		need[i] = need[i].Add(task)
+		room[i] = c.nodes[i].free.Add(c.nodes[i].leaving)
+	}
+	var chosen []int32
+	for _, i := range nodes {
+		for _, id := range c.on[i] {
+			if need[i].Fits(room[i]) {
+				break
+			}
+			if c.victims[id].taken || slices.Contains(chosen, id) {
+				continue
+			}
+			chosen = append(chosen, id)
+			for _, at := range c.victims[id].nodes {
+				room[at] = room[at].Add(c.victims[id].room())
+			}
+		}
+		if !need[i].Fits(room[i]) {
+			return nil, false
+		}
+	}
+	return chosen, true
+}
+
+// takeVictims moves the victims' room from lent to leaving, or back with sign -1.
+func (c *cycle) takeVictims(ids []int32, sign int) {
+	for _, id := range ids {
+		v := &c.victims[id]
+		v.taken = sign > 0
+		room := v.room().Mul(sign)
+		for _, i := range v.nodes {
+			n := &c.nodes[i]
+			n.lent, n.leaving = n.lent.Sub(room), n.leaving.Add(room)
+			if v.job != nil && !c.quick(&v.job.Job) {
+				n.slow = n.slow.Sub(room)
+			}
+		}
+	}
+}
+
+// commitClaim plans the preemptions of a claim and keeps its room.
+func (c *cycle) commitClaim(j *state.Job, nodes []int, victims []int32) {
+	if len(victims) == 0 && !slices.ContainsFunc(nodes, func(i int) bool { return c.nodes[i].overdrawn() }) {
+		c.start(j, nodes, true, "inside the guarantee of "+j.Workspace)
+		return
+	}
+	startAt := c.now
+	for _, id := range victims {
+		startAt = latest(startAt, c.evict(&c.victims[id], j.ID))
+	}
+	for _, i := range nodes {
+		for _, o := range c.d.Active {
+			if o.Status == state.Preempting && slices.ContainsFunc(o.Placements, func(p structs.Placement) bool { return p.Worker == c.nodes[i].w.ID }) {
+				startAt = latest(startAt, o.StopBy)
+			}
+		}
+	}
+	c.holdClaim(j, nodes, startAt, fmt.Sprintf("claim inside the guarantee of %s: room kept while %d victims leave", j.Workspace, len(victims)))
+}
+
+// evict plans the preemption of a victim and returns when its room comes free.
+func (c *cycle) evict(v *victim, claimant string) time.Time {
+	if v.grant != nil {
+		c.act(structs.Action{
+			Kind: structs.ActionRevoke, GrantID: v.grant.ID, Instance: v.grant.Instance, Worker: v.grant.Worker, Service: v.grant.Service,
+			Slots: v.grant.Slots, For: claimant, Reason: "slots reclaimed for " + claimant,
+		})
+		return v.grant.Expires
+	}
+	j := v.job
+	var grace time.Duration
+	if j.Checkpoint {
+		grace = j.Grace
+	}
+	c.act(structs.Action{
+		Kind: structs.ActionPreempt, Job: j.ID, Checkpoint: j.Checkpoint, Grace: grace, For: claimant,
+		Reason: fmt.Sprintf("room of %s reclaimed for %s: running since %s, %.4f capacity seconds lost", j.Shape, claimant, c.now.Sub(j.StartedAt), v.cost),
+	})
+	return c.now.Add(grace)
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// holdClaim keeps the nodes for the job until it can start there.
+func (c *cycle) holdClaim(j *state.Job, nodes []int, startAt time.Time, reason string) {
+	c.claims[j.ID] = claim{nodes: nodes, startAt: startAt}
+	c.refresh(nodes)
+	c.act(structs.Action{
+		Kind: structs.ActionReserve, Job: j.ID, Placements: c.placements(nodes), Guaranteed: true, StartAt: startAt, Reason: reason,
+	})
+	c.wake(startAt)
+}
+
+// keepClaims starts the claims of earlier decisions whose room is free and keeps the room
+// of the others. A claim whose room was lost goes back to the queue.
+func (c *cycle) keepClaims() {
+	for _, r := range c.d.Reservations {
+		j := c.d.Jobs[r.Job]
+		if !r.Claim || j == nil || j.Status != state.Queued {
+			continue
+		}
+		m, in := c.fitsGuarantee(j)
+		if !in || c.startGuaranteed(j, m) {
+			continue
+		}
+		nodes, ok := c.claimable(&r, j.Shape.Task)
+		if ok && c.takeFixed(j.Workspace, j.Shape.Task, nodes, m) {
+			c.holdClaim(j, nodes, r.StartAt, "claim inside the guarantee of "+j.Workspace+": victims are leaving")
+		}
+	}
+}
+
+// claimable returns the nodes of a reservation if their free and leaving room holds it.
+func (c *cycle) claimable(r *state.Reservation, task structs.Resources) ([]int, bool) {
+	nodes := make([]int, 0, len(r.Placements))
+	for _, p := range r.Placements {
+		i, ok := c.index[p.Worker]
+		if !ok || !c.nodes[i].usable {
+			return nil, false
+		}
+		nodes = append(nodes, i)
+	}
+	_, ok := c.victimsAt(nodes, task)
+	if !ok {
+		return nil, false
+	}
+	return nodes, c.holds(nodes, task, func(n *node) structs.Resources { return n.free.Add(n.leaving) })
+}
+
+// holds reports whether the room of the nodes holds one task at each.
+func (c *cycle) holds(nodes []int, task structs.Resources, room func(*node) structs.Resources) bool {
+	need := map[int]structs.Resources{}
+	for _, i := range nodes {
+		need[i] = need[i].Add(task)
+		if !need[i].Fits(room(&c.nodes[i])) {
+			return false
+		}
+	}
+	return true
+}
--- a/state/events.go
+++ b/state/events.go
@@ -20,6 +20,7 @@
 	Revision   uint64
 	Stage      structs.Stage
 	DrainBy    time.Time
+	Fleet      structs.FleetSpec
 	Guarantees []Guarantee
 	Workspaces []structs.Workspace
 	Services   []structs.Service
@@ -33,7 +34,7 @@
 	if e.Stage != d.Stage {
 		d.StageSince = e.Now
 	}
-	d.Revision, d.Stage, d.DrainBy = e.Revision, e.Stage, e.DrainBy
+	d.Revision, d.Stage, d.DrainBy, d.Fleet = e.Revision, e.Stage, e.DrainBy, e.Fleet
 	d.Guarantees = slices.Clone(e.Guarantees)
 	clear(d.Workspaces)
 	for _, w := range e.Workspaces {
@@ -178,7 +179,7 @@
 		case structs.ActionPreempt:
 			d.preempt(a, e.Now)
 		case structs.ActionReserve:
-			reservations = append(reservations, Reservation{Job: a.Job, Placements: a.Placements, StartAt: a.StartAt})
+			reservations = append(reservations, Reservation{Job: a.Job, Placements: a.Placements, StartAt: a.StartAt, Claim: a.Guaranteed})
 		case structs.ActionRefuse, structs.ActionTransfer:
 			d.drop(a.Job)
 		case structs.ActionGrant:
--- a/state/state.go
+++ b/state/state.go
@@ -99,15 +99,19 @@
 	Job        string
 	Placements []structs.Placement
 	StartAt    time.Time
+	// Claim marks room inside the job's guarantee that victims are leaving.
+	Claim bool
 }
 
 // DataCentre is the state of one data centre. Readers must not change it.
 type DataCentre struct {
-	Name         string
-	Stage        structs.Stage
-	StageSince   time.Time
-	DrainBy      time.Time
-	Revision     uint64 // manifest revision
+	Name       string
+	Stage      structs.Stage
+	StageSince time.Time
+	DrainBy    time.Time
+	Revision   uint64 // manifest revision
+	// Fleet is the fleet that the manifest expects; zero if unknown.
+	Fleet        structs.FleetSpec
 	Workers      map[string]*Worker
 	Order        []*Worker // by rack, then id
 	Jobs         map[string]*Job
