slots: test the pool; keep a worker's own report that it leaves

Cause: a new list replaced what a worker had said itself, and failures of workers that got no requests did not decay. A short owner was asked for more on every miss. Change: separate flags for the list and the worker's own report, decay at each renewal, and a spacing that doubles while an owner has nothing more to give. Tests cover ejection, probes, expiry, stages, leaving workers and return of idle slots.

--- a/slots/health.go
+++ b/slots/health.go
@@ -22,8 +22,10 @@
 	ejectContrast = 2
 	// maxEjectedShare bounds the ejected workers.
 	maxEjectedShare = 0.3
-	probeDelay      = time.Second
-	maxProbeDelay   = time.Minute
+	// leavingHold is how long a worker's own report that it leaves counts.
+	leavingHold   = 30 * time.Second
+	probeDelay    = time.Second
+	maxProbeDelay = time.Minute
 	// forgetAfter drops workers without grants or attempts.
 	forgetAfter = 10 * time.Minute
 )
@@ -38,7 +40,8 @@
 // worker is the health of one worker. The atomics are read without the pool's lock.
 type worker struct {
 	id       string
-	leaving  atomic.Bool
+	listed   atomic.Bool  // the list or the manifest says that the worker leaves
+	saidAt   atomic.Int64 // when the worker last refused because it leaves, Unix nanoseconds
 	state    atomic.Int32
 	level    atomic.Int64 // recent failures, rounded up
 	probeAt  atomic.Int64 // nanoseconds of Unix time
@@ -49,6 +52,12 @@
 	seen     time.Time
 }
 
+// leaving reports whether the worker must get nothing new. Its own report counts for a
+// while, until the list shows it or the worker has come back.
+func (w *worker) leaving(now time.Time) bool {
+	return w.listed.Load() || now.UnixNano()-w.saidAt.Load() < int64(leavingHold)
+}
+
 // score returns the worker's place in the choice, and whether it may be chosen. Only
 // idempotent requests probe an ejected worker until the probe is overdue.
 func (w *worker) score(now time.Time, idempotent bool) (int, bool) {
@@ -187,11 +196,14 @@
 	return failures / attempts, true
 }
 
-// forgetWorkers drops workers that have not been seen for long.
-func (p *Pool) forgetWorkers(now time.Time) {
+// refreshWorkers lets the failures of unused workers decay and drops workers that have
+// not been seen for long.
+func (p *Pool) refreshWorkers(now time.Time) {
 	p.healthMu.Lock()
 	defer p.healthMu.Unlock()
 	for id, w := range p.workers {
+		w.decayTo(now)
+		w.setLevel()
 		if now.Sub(w.seen) <= forgetAfter {
 			continue
 		}
--- a/slots/lease.go
+++ b/slots/lease.go
@@ -26,7 +26,7 @@
 	for _, dc := range names {
 		l := s.leases[dc]
 		if l == nil {
-			l = &lease{}
+			l = &lease{spacing: askSpacing}
 			s.leases[dc] = l
 		}
 		want := rest
@@ -44,7 +44,7 @@
 		}
 		holds := s.holds(dc)
 		due := renewal && (want > 0 || holds)
-		miss := want > have && now.Sub(l.asked) >= askSpacing
+		miss := want > have && now.Sub(l.asked) >= l.spacing
 		if due || miss {
 			p.startAsk(s, dc, l, want, now)
 		}
@@ -62,7 +62,7 @@
 
 // startAsk starts one lease call. The service's lock is held.
 func (p *Pool) startAsk(s *service, dc string, l *lease, want int, now time.Time) {
-	l.asking, l.asked, l.want = true, now, want
+	l.asking, l.asked = true, now
 	r := s.request(p.opts.Instance, dc, want, now)
 	p.calls.Add(1)
 	go func() {
@@ -87,6 +87,11 @@
 	l.asking = false
 	have := s.granted(dc, time.Now())
 	l.short = failed || have < int(r.Wanted)
+	if l.short {
+		l.spacing = min(2*l.spacing, renewEvery)
+	} else {
+		l.spacing = askSpacing
+	}
 	more := l.short && s.queued+s.blocked > 0
 	s.mu.Unlock()
 	if !failed && len(r.GiveBack) > 0 || !failed && have != int(r.Wanted) {
--- a/slots/pool.go
+++ b/slots/pool.go
@@ -16,7 +16,8 @@
 
 const (
 	renewEvery = time.Second
-	// askSpacing bounds lease calls of one service to one data centre on misses.
+	// askSpacing bounds lease calls of one service to one data centre on misses. It
+	// doubles while the owner has no more slots to give.
 	askSpacing = 20 * time.Millisecond
 	askTimeout = 800 * time.Millisecond
 	// waitPoll covers changes that nothing announces, such as a stage that opens.
@@ -107,7 +108,7 @@
 		p.askAll(s, true)
 		return true
 	})
-	p.forgetWorkers(time.Now())
+	p.refreshWorkers(time.Now())
 }
 
 func (p *Pool) service(name string) *service {
@@ -168,12 +169,12 @@
 	p.healthMu.Lock()
 	defer p.healthMu.Unlock()
 	for id, w := range p.workers {
-		w.leaving.Store(slices.Contains(workers, id))
+		w.listed.Store(slices.Contains(workers, id))
 	}
 	for _, id := range workers {
 		if p.workers[id] == nil {
 			w := &worker{id: id, seen: time.Now()}
-			w.leaving.Store(true)
+			w.listed.Store(true)
 			p.workers[id] = w
 		}
 	}
@@ -250,7 +251,7 @@
 	defer p.healthMu.Unlock()
 	for _, w := range p.workers {
 		st.Workers = append(st.Workers, WorkerStatus{
-			Worker: w.id, Leaving: w.leaving.Load(), Ejected: w.state.Load() != healthy,
+			Worker: w.id, Leaving: w.leaving(time.Now()), Ejected: w.state.Load() != healthy,
 			Failures: w.failures, Attempts: w.attempts,
 		})
 	}
--- /dev/null
+++ b/slots/pool_test.go
@@ -0,0 +1,300 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/internal/testlease"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// owners routes lease calls by data centre.
+type owners map[string]*testlease.Owner
+
+func (o owners) LeaseSlots(ctx context.Context, r *peer.LeaseSlotsRequest) (*peer.LeaseSlotsReply, error) {
+	return o[r.DataCentre].LeaseSlots(ctx, r)
+}
+
+func workersOf(dc string, n, slots int) []structs.Worker {
+	list := make([]structs.Worker, n)
+	for i := range list {
+		list[i] = structs.Worker{ID: fmt.Sprintf("%s-w%d", dc, i), DataCentre: dc, Capacity: structs.Resources{Slots: slots}}
+	}
+	return list
+}
+
+type fixture struct {
+	*Pool
+	owners  owners
+	blocked atomic.Pointer[error] // answer of MayStart
+}
+
+// start runs a pool over the owners until the end of the test.
+func start(t *testing.T, o owners, names ...string) *fixture {
+	f := &fixture{owners: o}
+	f.Pool = New(Options{
+		Instance: "i1", Leaser: o, DataCentres: func() []string { return names }, Metrics: metrics.NewRegistry(),
+		MayStart: func(string) error {
+			if err := f.blocked.Load(); err != nil {
+				return *err
+			}
+			return nil
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error)
+	go func() { stopped <- f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-stopped })
+	return f
+}
+
+func (f *fixture) acquire(t *testing.T, w Want) *Slot {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	s, err := f.Acquire(ctx, w)
+	require.NoError(t, err)
+	return s
+}
+
+var anyIdempotent = Want{Service: "rota", Idempotent: true}
+
+// run sends n requests one after the other; bad tells which workers fail at once.
+func (f *fixture) run(t *testing.T, n int, bad func(worker string) bool) (failures int) {
+	for range n {
+		s := f.acquire(t, anyIdempotent)
+		if bad(s.Worker) {
+			failures++
+			s.Done(Outcome{Result: Failed})
+			continue
+		}
+		time.Sleep(5 * time.Millisecond)
+		s.Done(Outcome{Result: Succeeded})
+	}
+	return failures
+}
+
+func (f *fixture) ejected() (ids []string) {
+	for _, w := range f.Status().Workers {
+		if w.Ejected {
+			ids = append(ids, w.Worker)
+		}
+	}
+	return ids
+}
+
+// hold acquires slots so that every worker is granted.
+func (f *fixture) hold(t *testing.T, n int) {
+	held := make([]*Slot, n)
+	for i := range held {
+		held[i] = f.acquire(t, anyIdempotent)
+	}
+	for _, s := range held {
+		s.Done(Outcome{Result: Succeeded})
+	}
+}
+
+// Guards against a worker that fails at once and so always looks idle: it must stop
+// attracting requests, and return only after a successful probe.
+func TestFastFailingWorkerIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 4, 2)...)}, "dc1")
+		broken := true
+		bad := func(worker string) bool { return broken && worker == "dc1-w0" }
+		// All slots are in use, so that the failing worker cannot be avoided.
+		failures := 0
+		var held []*Slot
+		for range 100 {
+			for len(held) < 7 {
+				held = append(held, f.acquire(t, anyIdempotent))
+			}
+			time.Sleep(5 * time.Millisecond)
+			for _, s := range held {
+				if bad(s.Worker) {
+					failures++
+					s.Done(Outcome{Result: Failed})
+				} else {
+					s.Done(Outcome{Result: Succeeded})
+				}
+			}
+			held = held[:0]
+			if len(f.ejected()) > 0 {
+				break
+			}
+		}
+		require.Equal(t, []string{"dc1-w0"}, f.ejected())
+		require.LessOrEqual(t, failures, 2*ejectFailures)
+		require.LessOrEqual(t, f.run(t, 2000, bad), 4, "10 s hold probes at 1, 3 and 7 s")
+		require.Equal(t, []string{"dc1-w0"}, f.ejected())
+		broken = false
+		require.Zero(t, f.run(t, 4000, bad))
+		require.Empty(t, f.ejected())
+	})
+}
+
+// Guards against the ejection of good workers because of a request that fails on all of them.
+func TestRequestThatFailsEverywhereEjectsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 10, 1)...)}, "dc1")
+		f.hold(t, 10)
+		for i := range 400 {
+			s := f.acquire(t, anyIdempotent)
+			if i%4 != 0 {
+				time.Sleep(time.Millisecond)
+				s.Done(Outcome{Result: Succeeded})
+				continue
+			}
+			s.Done(Outcome{Result: Failed})
+			second := f.acquire(t, Want{Service: "rota", Avoid: []string{s.Worker}})
+			require.NotEqual(t, s.Worker, second.Worker)
+			second.Done(Outcome{Result: Failed, FailedOn: s.Worker})
+		}
+		require.Empty(t, f.ejected())
+	})
+}
+
+// Guards against ejecting so many workers that the rest is overloaded.
+func TestAtMostThirtyPercentAreEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 10, 1)...)}, "dc1")
+		bad := map[string]bool{"dc1-w0": true, "dc1-w1": true, "dc1-w2": true, "dc1-w3": true}
+		for range 20 {
+			held := make([]*Slot, 0, 10)
+			for len(held) < 7 {
+				held = append(held, f.acquire(t, Want{Service: "rota"}))
+			}
+			for _, s := range held {
+				r := Succeeded
+				if bad[s.Worker] {
+					r = Failed
+				}
+				s.Done(Outcome{Result: r})
+			}
+			time.Sleep(time.Millisecond)
+		}
+		require.LessOrEqual(t, len(f.ejected()), 3)
+		require.NotEmpty(t, f.ejected())
+		for _, id := range f.ejected() {
+			require.True(t, bad[id], id)
+		}
+	})
+}
+
+// slowOwner answers once, late.
+type slowOwner struct {
+	*testlease.Owner
+	delay time.Duration
+}
+
+func (s *slowOwner) LeaseSlots(ctx context.Context, r *peer.LeaseSlotsRequest) (*peer.LeaseSlotsReply, error) {
+	reply, err := s.Owner.LeaseSlots(ctx, r)
+	s.Set(func(o *testlease.Owner) { o.Down = true })
+	time.Sleep(s.delay)
+	return reply, err
+}
+
+// Guards against dispatches under a grant that has ended at the owner: its validity
+// counts from the request, and a renewal that fails does not extend it.
+func TestGrantEndsWithMargin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := testlease.NewOwner(workersOf("dc1", 1, 1)...)
+		f := start(t, owners{"dc1": owner}, "dc1")
+		f.opts.Leaser = &slowOwner{owner, 700 * time.Millisecond}
+		began := time.Now()
+		s := f.acquire(t, anyIdempotent)
+		time.Sleep(3*time.Second - expiryMargin - time.Since(began) - time.Millisecond)
+		require.NoError(t, s.Usable())
+		time.Sleep(time.Millisecond)
+		require.Equal(t, errkind.UpstreamRefused, errkind.Of(s.Usable()))
+		s.Done(Outcome{Result: Unused})
+		require.Nil(t, f.TryAcquire(anyIdempotent))
+	})
+}
+
+// Guards against slots that stay with an instance that does not use them.
+func TestIdleSlotsGoBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := testlease.NewOwner(workersOf("dc1", 4, 8)...)
+		f := start(t, owners{"dc1": owner}, "dc1")
+		f.hold(t, 20)
+		used, _ := owner.Used()
+		require.GreaterOrEqual(t, total(used), 20)
+		time.Sleep(20 * time.Second)
+		used, calls := owner.Used()
+		require.Zero(t, total(used))
+		time.Sleep(20 * time.Second)
+		_, later := owner.Used()
+		require.Equal(t, calls, later, "an idle pool makes no calls")
+	})
+}
+
+func total(used map[string]int) (n int) {
+	for _, u := range used {
+		n += u
+	}
+	return n
+}
+
+// Guards against starts in a data centre whose stage forbids them, also for a slot that
+// was acquired before, and against waiting when nothing can start.
+func TestStageForbidsStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 1, 2)...)}, "dc1")
+		s := f.acquire(t, anyIdempotent)
+		stale := errkind.New(errkind.StaleManifest, "stale")
+		f.blocked.Store(&stale)
+		require.Equal(t, errkind.StaleManifest, errkind.Of(s.Usable()))
+		s.Done(Outcome{Result: Unused})
+		require.Nil(t, f.TryAcquire(anyIdempotent))
+		_, err := f.Acquire(t.Context(), anyIdempotent)
+		require.Equal(t, errkind.StaleManifest, errkind.Of(err))
+		f.blocked.Store(nil)
+		f.acquire(t, anyIdempotent).Done(Outcome{Result: Succeeded})
+	})
+}
+
+// Guards against new work on a leaving worker, whether the list or the worker says so.
+func TestLeavingWorkerGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 3, 1)...)}, "dc1")
+		f.hold(t, 3)
+		f.SetLeaving([]string{"dc1-w0"})
+		first := f.acquire(t, anyIdempotent)
+		require.NotEqual(t, "dc1-w0", first.Worker)
+		first.Done(Outcome{Result: Leaving})
+		for range 50 {
+			s := f.acquire(t, anyIdempotent)
+			require.NotContains(t, []string{"dc1-w0", first.Worker}, s.Worker)
+			s.Done(Outcome{Result: Succeeded})
+		}
+	})
+}
+
+// Guards against a shortage at home that leaves the slots of other data centres unused,
+// and against a use of remote slots while home has some.
+func TestShortageAtHomeUsesNextDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, owners{
+			"dc1": testlease.NewOwner(workersOf("dc1", 1, 2)...), "dc2": testlease.NewOwner(workersOf("dc2", 1, 2)...),
+		}, "dc1", "dc2")
+		a, b := f.acquire(t, anyIdempotent), f.acquire(t, anyIdempotent)
+		require.Equal(t, []string{"dc1", "dc1"}, []string{a.DataCentre, b.DataCentre})
+		c := f.acquire(t, anyIdempotent)
+		require.Equal(t, "dc2", c.DataCentre)
+		for _, s := range []*Slot{a, b, c} {
+			s.Done(Outcome{Result: Succeeded})
+		}
+		f.owners["dc1"].Set(func(o *testlease.Owner) { o.Down = true })
+		time.Sleep(4 * time.Second)
+		require.Equal(t, "dc2", f.acquire(t, anyIdempotent).DataCentre, "the owner at home is gone")
+	})
+}
--- a/slots/service.go
+++ b/slots/service.go
@@ -26,10 +26,10 @@
 
 // lease is the state of the lease calls to one data centre.
 type lease struct {
-	asking bool
-	asked  time.Time // start of the last call
-	want   int
-	short  bool // the last reply gave fewer slots than wanted, or failed
+	asking  bool
+	asked   time.Time     // start of the last call
+	short   bool          // the last reply gave fewer slots than wanted, or failed
+	spacing time.Duration // least time until the next call on a miss
 }
 
 // grant is one grant of slots on a worker.
@@ -56,7 +56,7 @@
 }
 
 func (g *grant) open(now time.Time) bool {
-	return g.valid(now) && !g.paused && !g.revoked && !g.worker.leaving.Load()
+	return g.valid(now) && !g.paused && !g.revoked && !g.worker.leaving(now)
 }
 
 // choose returns the best grant with a free slot and the number of usable free slots.
@@ -150,7 +150,7 @@
 	case Refused:
 		g.paused = true
 	case Leaving:
-		g.worker.leaving.Store(true)
+		g.worker.saidAt.Store(time.Now().UnixNano())
 	}
 	s.announce()
 }
@@ -176,7 +176,7 @@
 			continue
 		}
 		idle := g.used == 0
-		if idle && (!g.open(now) && (g.revoked || g.worker.leaving.Load()) || g.open(now) && have-g.slots >= want) {
+		if idle && (!g.open(now) && (g.revoked || g.worker.leaving(now)) || g.open(now) && have-g.slots >= want) {
 			if g.open(now) {
 				have -= g.slots
 			}
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -58,7 +58,7 @@
 	}
 	s.svc.mu.Lock()
 	defer s.svc.mu.Unlock()
-	if !s.grant.valid(time.Now()) || s.grant.worker.leaving.Load() {
+	if now := time.Now(); !s.grant.valid(now) || s.grant.worker.leaving(now) {
 		return errGrantEnded
 	}
 	return nil
