--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/cyclamenyard/cyclamenyard/claims"
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/internal/testlease"
 	"github.com/cyclamenyard/cyclamenyard/platform"
@@ -51,6 +52,7 @@
 	*Server
 	pool    *slots.Pool
 	owner   *testlease.Owner
+	up      platform.Upstream
 	workers []*standin.Worker
 }
 
@@ -79,18 +81,30 @@
 		t.Cleanup(transport.CloseIdleConnections)
 		up = platform.NewUpstreamClient(transport)
 	}
-	f.pool = slots.New(slots.Options{
-		Instance: "i1", Leaser: f.owner, DataCentres: func() []string { return []string{"dc1"} },
+	f.up = up
+	f.pool, f.Server = f.instance(t, "i1", ledger)
+	return f
+}
+
+// second returns another instance over the same workers.
+func (f *fixture) second(t testing.TB, name string, ledger Claims) *fixture {
+	g := *f
+	g.pool, g.Server = f.instance(t, name, ledger)
+	return &g
+}
+
+func (f *fixture) instance(t testing.TB, name string, ledger Claims) (*slots.Pool, *Server) {
+	pool := slots.New(slots.Options{
+		Instance: name, Leaser: f.owner, DataCentres: func() []string { return []string{"dc1"} },
 		MayStart: func(string) error { return nil }, Metrics: metrics.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error)
-	go func() { stopped <- f.pool.Run(ctx) }()
+	go func() { stopped <- pool.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-stopped })
-	f.Server = New(Options{
-		Instance: "i1", Home: "dc1", Manifest: testManifest(), Slots: f.pool, Claims: ledger, Upstream: up, Metrics: metrics.NewRegistry(),
+	return pool, New(Options{
+		Instance: name, Home: "dc1", Manifest: testManifest(), Slots: pool, Claims: ledger, Upstream: f.up, Metrics: metrics.NewRegistry(),
 	})
-	return f
 }
 
 // runs returns how often the request ran on any worker.
@@ -135,6 +149,17 @@
 	return readReply(rec.Result())
 }
 
+// setFaults gives the first n workers the faults.
+func (f *fixture) setFaults(n int, faults standin.WorkerFaults) {
+	for _, w := range f.workers[:n] {
+		w.SetFaults(faults)
+	}
+}
+
+func newLedger(name string, store platform.Store) *claims.Ledger {
+	return claims.New(claims.Options{Instance: name, Store: store, Metrics: metrics.NewRegistry()})
+}
+
 func readReply(resp *http.Response) reply {
 	raw, err := io.ReadAll(resp.Body)
 	r := reply{status: resp.StatusCode, body: string(raw)}
--- /dev/null
+++ b/gateway/queue_test.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/standin"
+)
+
+func contextAfter(t *testing.T, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(t.Context(), d)
+}
+
+// Guards against a workspace that takes more than its share of the slots by sending
+// more, and against one that is starved.
+func TestQueueSharesByWeight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 2, 10*time.Millisecond, standin.Upstream{}, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		served := map[string]int{}
+		var wg sync.WaitGroup
+		send := func(workspace string, n int) {
+			for i := range n {
+				wg.Go(func() {
+					got := f.do(ctx, request{workspace: workspace, service: "rota", id: fmt.Sprint(i), idempotent: true})
+					mu.Lock()
+					defer mu.Unlock()
+					if got.status == http.StatusOK {
+						served[workspace]++
+					}
+				})
+			}
+		}
+		send("verband", 600) // weight 1, sends first and most
+		synctest.Wait()
+		send("brazos", 200) // weight 3
+		time.Sleep(time.Second)
+		mu.Lock()
+		total := served["verband"] + served["brazos"]
+		require.InDelta(t, 0.75, float64(served["brazos"])/float64(total), 0.05, "%v", served)
+		require.Greater(t, total, 180, "both slots stay busy")
+		mu.Unlock()
+		cancel()
+		wg.Wait()
+	})
+}
+
+// Guards against a wave of cancellations that reaches a worker, leaves requests in the
+// queue or keeps a slot.
+func TestCancellationWave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 1, time.Second, standin.Upstream{}, newLedger("i1", standin.NewStore()))
+		go f.do(t.Context(), rota("running", true))
+		time.Sleep(500 * time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for i := range 500 {
+			wg.Go(func() { requireRefused(t, f.do(ctx, rota(fmt.Sprint("c", i), i%2 == 0)), errkind.Cancelled) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		cancel()
+		wg.Wait()
+		svc := f.limits.get(f.Server).services["rota"]
+		require.Zero(t, svc.queue.size())
+		require.Zero(t, f.limits.get(f.Server).workspaces["verband"].waiting.Load())
+		require.Equal(t, http.StatusOK, f.do(t.Context(), rota("after", true)).status)
+		require.Equal(t, map[string]int{"verband/running": 1, "verband/after": 1}, f.workers[0].Runs())
+	})
+}
+
+// Guards against work that is dispatched although it can no longer meet its deadline.
+func TestDeadlineDrop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 1, 100*time.Millisecond, standin.Upstream{}, nil)
+		require.Equal(t, http.StatusOK, f.do(t.Context(), rota("first", true)).status)
+		go f.do(t.Context(), rota("running", true))
+		synctest.Wait()
+		hopeless, waiting := rota("hopeless", true), rota("waiting", true)
+		hopeless.deadlineMS, waiting.deadlineMS = 60, 150
+		began := time.Now()
+		requireRefused(t, f.do(t.Context(), hopeless), errkind.DeadlineExceeded)
+		require.Zero(t, time.Since(began), "refused at once")
+		requireRefused(t, f.do(t.Context(), waiting), errkind.DeadlineExceeded)
+		require.Less(t, time.Since(began), 100*time.Millisecond, "dropped before its slot came free")
+		time.Sleep(time.Second)
+		require.Equal(t, map[string]int{"verband/first": 1, "verband/running": 1}, f.workers[0].Runs())
+	})
+}
+
+// Guards against a service that is refused for good after one slow period.
+func TestEstimateRecovers(t *testing.T) {
+	e := &estimate{}
+	e.observe(10 * time.Second)
+	deadline := time.Now().Add(time.Second)
+	misses := 0
+	for ; !e.fits(time.Now(), deadline); misses++ {
+		e.missed()
+		require.Less(t, misses, 100)
+	}
+	require.Positive(t, misses)
+}
+
+// Guards against an unbounded queue, and against a full one without a retry hint.
+func TestQueueIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 1, time.Second, standin.Upstream{}, nil)
+		small := func(id string) request {
+			return request{workspace: "small", service: "rota", id: id, idempotent: true}
+		}
+		for _, id := range []string{"runs", "waits"} {
+			go f.do(t.Context(), small(id))
+			time.Sleep(100 * time.Millisecond)
+		}
+		full := f.do(t.Context(), small("full"))
+		requireRefused(t, full, errkind.QueueFull)
+		require.Positive(t, full.err.RetryAfterMS)
+		time.Sleep(3 * time.Second)
+		require.Zero(t, f.runs("small", "full"))
+		require.Equal(t, 1, f.runs("small", "waits"))
+	})
+}
+
+// Guards against a stop that cuts a running or queued request, or that lets a new one in.
+func TestDrainCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 1, time.Second, standin.Upstream{}, newLedger("i1", standin.NewStore()))
+		var wg sync.WaitGroup
+		for i := range 3 {
+			wg.Go(func() { require.Equal(t, http.StatusOK, f.do(t.Context(), rota(fmt.Sprint(i), i == 0)).status) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		short, cancel := contextAfter(t, 500*time.Millisecond)
+		defer cancel()
+		require.Error(t, f.Drain(short), "requests are in flight")
+		requireRefused(t, f.do(t.Context(), rota("new", true)), errkind.ShuttingDown)
+		require.NoError(t, f.Drain(t.Context()))
+		wg.Wait()
+		require.Zero(t, f.runs("verband", "new"))
+	})
+}
--- a/standin/http.go
+++ b/standin/http.go
@@ -142,6 +142,7 @@
 	}
 	_, _ = rw.Write(answer)
 	if f.Truncate {
+		_ = http.NewResponseController(rw).Flush() // the caller gets the head and a part
 		panic(http.ErrAbortHandler)
 	}
 }
