--- /dev/null
+++ b/config/cluster_test.go
@@ -0,0 +1,241 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/config"
+	"github.com/cyclamenyard/cyclamenyard/membership"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/standin"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// The seed is fixed so that the verdict is the same every time.
+func init() {
+	if err := flag.Set("rapid.seed", "20260109"); err != nil {
+		panic(err)
+	}
+}
+
+var errNoAnswer = errors.New("store does not answer")
+
+// cluster is several instances with one store, one list and one network.
+type cluster struct {
+	store   *standin.Store
+	network *standin.Network
+	list    *standin.List
+	nodes   []*node
+
+	mu       sync.Mutex
+	history  []written   // revisions in the order in which they took effect
+	previous platform.KV // the entry before the last write
+}
+
+// written is a revision that took effect in the store.
+type written struct {
+	at       time.Time
+	revision structs.Revision
+}
+
+type node struct {
+	peer.DRPCPeerUnimplementedServer
+	id      string
+	store   *nodeStore
+	members *membership.Controller
+	config  *config.Controller
+}
+
+func (n *node) Heartbeat(ctx context.Context, r *peer.HeartbeatRequest) (*peer.HeartbeatReply, error) {
+	return n.members.HandleHeartbeat(ctx, r)
+}
+
+func (n *node) Confirm(ctx context.Context, r *peer.ConfirmRequest) (*peer.ConfirmReply, error) {
+	return n.config.HandleConfirm(ctx, r)
+}
+
+func (n *node) Announce(ctx context.Context, r *peer.AnnounceRequest) (*peer.AnnounceReply, error) {
+	return n.config.HandleAnnounce(ctx, r)
+}
+
+// nodeStore is the store as one instance reaches it, with faults of its own.
+type nodeStore struct {
+	platform.Store
+	cluster *cluster
+	id      string
+
+	mu    sync.Mutex
+	down  bool
+	lose  int  // answers of the next writes that are lost
+	stale bool // Get answers with the value before the last write
+}
+
+func (s *nodeStore) set(f func(*nodeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *nodeStore) isDown(ctx context.Context) error {
+	if err := s.cluster.network.Wait(ctx, s.id); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errNoAnswer
+	}
+	return nil
+}
+
+func (s *nodeStore) Get(ctx context.Context, key string) (platform.KV, error) {
+	if err := s.isDown(ctx); err != nil {
+		return platform.KV{}, err
+	}
+	s.mu.Lock()
+	stale := s.stale
+	s.mu.Unlock()
+	s.cluster.mu.Lock()
+	defer s.cluster.mu.Unlock()
+	if stale && s.cluster.previous.Revision != 0 {
+		return s.cluster.previous, nil
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *nodeStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	if err := s.isDown(ctx); err != nil {
+		return 0, err
+	}
+	revision, err := s.cluster.swap(ctx, s.Store, key, expect, value, lease)
+	s.mu.Lock()
+	lost := err == nil && s.lose > 0
+	if lost {
+		s.lose--
+	}
+	s.mu.Unlock()
+	if lost {
+		return 0, errNoAnswer
+	}
+	if waited := s.isDown(ctx); waited != nil {
+		return 0, waited
+	}
+	return revision, err
+}
+
+func (s *nodeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.KV, uint64, error) {
+	if err := s.isDown(ctx); err != nil {
+		return nil, 0, err
+	}
+	kvs, revision, err := s.Store.Watch(ctx, prefix, after, wait)
+	if waited := s.isDown(ctx); waited != nil {
+		return nil, 0, waited
+	}
+	return kvs, revision, err
+}
+
+// swap writes and records what took effect.
+func (c *cluster) swap(ctx context.Context, s platform.Store, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, _ := s.Get(ctx, key)
+	revision, err := s.CompareAndSwap(ctx, key, expect, value, lease)
+	if err != nil {
+		return revision, err
+	}
+	c.previous = before
+	var r structs.Revision
+	if err := json.Unmarshal(value, &r); err != nil {
+		return 0, err
+	}
+	if n := len(c.history); n == 0 || c.history[n-1].revision.CommitID != r.CommitID {
+		c.history = append(c.history, written{at: time.Now(), revision: r})
+	}
+	return revision, nil
+}
+
+// newCluster starts instances that are members for long enough to accept commits, with
+// a manifest of two open data centres in force.
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{store: standin.NewStore(), network: standin.NewNetwork(time.Millisecond), list: standin.NewList(config.ListLag)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	var instances []structs.Instance
+	for i := range size {
+		id := fmt.Sprintf("n%d", i)
+		instances = append(instances, structs.Instance{ID: id, DataCentre: "a", PeerAddr: id})
+	}
+	c.list.SetInstances(instances)
+	for i, in := range instances {
+		n := &node{id: in.ID, store: &nodeStore{Store: c.store, cluster: c, id: in.ID}}
+		random := seeded(uint64(i))
+		n.members = membership.New(membership.Options{Self: in, List: c.list, Clients: c.network.From(in.PeerAddr),
+			Metrics: metrics.NewRegistry(), Jitter: random})
+		n.config = config.New(config.Options{Store: n.store, Peers: n.members, Metrics: metrics.NewRegistry(), Jitter: random})
+		n.members.SetConfig(n.config)
+		c.network.Serve(in.PeerAddr, n)
+		c.nodes = append(c.nodes, n)
+		running.Go(func() { n.members.Run(ctx) })
+		running.Go(func() { n.config.Run(ctx) })
+	}
+	time.Sleep(config.ListLag + config.MemberFor + 5*time.Second)
+	_, err := c.nodes[0].config.Commit(ctx, twoDataCentres(), 0)
+	require.NoError(t, err)
+	time.Sleep(2 * time.Second)
+	return c
+}
+
+// seeded returns a source of jitter that is the same in every run.
+func seeded(seed uint64) func(time.Duration) time.Duration {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, 1))
+	return func(d time.Duration) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(r.Int64N(int64(d)))
+	}
+}
+
+func twoDataCentres() structs.Manifest {
+	dc := func(name string) structs.DataCentre {
+		return structs.DataCentre{Name: name, Region: "r", Stage: structs.StageOpen, Fleet: structs.FleetSpec{
+			Workers: 2, WorkersPerRack: 2, Connections: 64, Capacity: structs.Resources{Slots: 8, Processors: 8, MemoryMB: 8, Accelerators: 8}}}
+	}
+	return structs.Manifest{DataCentres: []structs.DataCentre{dc("a"), dc("b")}}
+}
+
+// staged returns the manifest in force at the node with one stage changed, and its revision.
+func (n *node) staged(dataCentre string, stage structs.Stage) (structs.Manifest, uint64) {
+	r, _ := n.config.Current()
+	m := r.Manifest
+	m.DataCentres = append([]structs.DataCentre(nil), m.DataCentres...)
+	m.DataCentre(dataCentre).Stage = stage
+	return m, r.Number
+}
+
+// commit changes one stage at the node.
+func (n *node) commit(dataCentre string, stage structs.Stage) (config.CommitResult, error) {
+	m, number := n.staged(dataCentre, stage)
+	return n.config.Commit(context.Background(), m, number)
+}
+
+func (c *cluster) each(f func(*node)) {
+	for _, n := range c.nodes {
+		f(n)
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -71,6 +72,8 @@
 	Peers   Peers
 	Log     *zap.Logger
 	Metrics metrics.Registry
+	// Jitter returns a random part of a duration; nil for the default source.
+	Jitter func(time.Duration) time.Duration
 }
 
 // Controller keeps the manifest in force. Its state is under one lock, and no call
@@ -131,6 +134,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.DefaultRegistry
 	}
+	if o.Jitter == nil {
+		o.Jitter = rand.N[time.Duration]
+	}
 	c := &Controller{
 		o:          o,
 		commits:    make(chan struct{}, 1),
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,284 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/config"
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/membership"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/standin"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// Guards against a commit that is reported as failed, or written twice, when the store's
+// answer is lost after the write took effect, also while reads are stale.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.nodes[0].store.set(func(s *nodeStore) { s.lose, s.stale = 1, true })
+		result, err := c.nodes[0].commit("a", structs.StageOut)
+		require.NoError(t, err)
+		require.True(t, result.Lost)
+		require.Equal(t, uint64(2), result.Revision)
+		require.Equal(t, []string{"n1", "n2"}, result.Acked)
+		require.Len(t, c.history, 2)
+		require.Equal(t, result.CommitID, c.history[1].revision.CommitID)
+	})
+}
+
+// Guards against a commit that is reported as not committed while its write, whose answer
+// was lost, was followed by a commit of another operator.
+func TestLostAnswerUnderLaterCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.nodes[0].store.set(func(s *nodeStore) { s.lose = 1 })
+		done := make(chan config.CommitResult, 1)
+		go func() {
+			result, err := c.nodes[0].commit("a", structs.StageOut)
+			require.NoError(t, err)
+			done <- result
+		}()
+		time.Sleep(5 * time.Millisecond)
+		c.nodes[0].store.set(func(s *nodeStore) { s.down = true })
+		time.Sleep(2 * time.Second)
+		_, err := c.nodes[1].commit("b", structs.StageDraining)
+		require.NoError(t, err)
+		c.nodes[0].store.set(func(s *nodeStore) { s.down = false })
+		require.Equal(t, uint64(2), (<-done).Revision)
+		time.Sleep(2 * time.Second)
+		c.each(func(n *node) { require.Equal(t, uint64(3), n.config.Status().Revision) })
+	})
+}
+
+// Guards against a revision that goes back when the store or a peer answers with an older one.
+func TestRevisionNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		n := c.nodes[1]
+		old, _ := n.config.Current()
+		var seen []uint64
+		n.config.Subscribe(func(r structs.Revision) { seen = append(seen, r.Number) })
+		_, err := c.nodes[0].commit("a", structs.StageOut)
+		require.NoError(t, err)
+		kv, err := c.store.Get(t.Context(), config.Key)
+		require.NoError(t, err)
+		_, err = c.store.CompareAndSwap(t.Context(), config.Key, kv.Revision, encode(t, old), 0)
+		require.NoError(t, err)
+		_, err = n.config.HandleAnnounce(t.Context(), &peer.AnnounceRequest{Revision: 1, CommitId: old.CommitID, Document: encode(t, old)})
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint64(2), n.config.Status().Revision)
+		require.Equal(t, []uint64{1, 2}, seen)
+		require.Equal(t, config.SourcePeers, n.config.Status().Source, "a store that went back confirms nothing")
+	})
+}
+
+// Guards against two operators who both succeed on the same revision, and against a
+// conflict that does not state what changed.
+func TestRacingCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		errs := make(chan error, 2)
+		for i, stage := range []structs.Stage{structs.StageOut, structs.StageDraining} {
+			go func() {
+				_, err := c.nodes[i].commit("a", stage)
+				errs <- err
+			}()
+		}
+		first, second := <-errs, <-errs
+		if first == nil {
+			first, second = second, first
+		}
+		require.NoError(t, second)
+		require.Equal(t, errkind.ManifestConflict, errkind.Of(first))
+		var conflict *config.ConflictError
+		require.ErrorAs(t, first, &conflict)
+		require.Len(t, conflict.Changes, 1)
+		require.Equal(t, "data_centres[a].stage", conflict.Changes[0].Field)
+		require.False(t, conflict.FromProposal)
+		require.Len(t, c.history, 2)
+		_, err := c.nodes[0].config.Commit(t.Context(), twoDataCentres(), 1)
+		require.Equal(t, errkind.ManifestConflict, errkind.Of(err), "an operator who read an old revision")
+		time.Sleep(time.Second)
+		c.each(func(n *node) { require.Empty(t, n.config.Status().Intents) })
+	})
+}
+
+// Guards against starts at an instance that has lost contact with the store and all peers.
+func TestStaleInstanceStopsStarting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		n := c.nodes[2]
+		n.store.set(func(s *nodeStore) { s.down = true })
+		c.network.Cut("n2", "n0", true)
+		c.network.Cut("n2", "n1", true)
+		_, err := c.nodes[0].commit("a", structs.StageOut)
+		require.NoError(t, err)
+		time.Sleep(config.FreshnessBound)
+		require.Equal(t, errkind.StaleManifest, errkind.Of(n.config.MayStart("a")))
+		require.Equal(t, errkind.StaleManifest, errkind.Of(n.config.MayStart("b")))
+		c.network.Cut("n2", "n1", false) // one peer that reaches the store is enough
+		time.Sleep(3 * time.Second)
+		require.NoError(t, n.config.MayStart("b"))
+		require.Error(t, n.config.MayStart("a"))
+		require.Equal(t, config.SourcePeer, n.config.Status().Source)
+	})
+}
+
+// Guards against a general outage of the store that stops work, and against starts in an
+// outage while a listed peer does not answer.
+func TestStoreOutageKeepsStartsPossible(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		c.each(func(n *node) { n.store.set(func(s *nodeStore) { s.down = true }) })
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			c.each(func(n *node) { require.NoError(t, n.config.MayStart("a")) })
+		}
+		_, err := c.nodes[0].commit("a", structs.StageOut)
+		require.Error(t, err)
+		c.network.Pause("n3")
+		time.Sleep(config.FreshnessBound + 100*time.Millisecond)
+		for _, n := range c.nodes[:3] {
+			require.Error(t, n.config.MayStart("b"))
+		}
+		c.network.Resume("n3")
+	})
+}
+
+// Guards against starts between the acceptance of a withdrawal and its commit, and
+// against a block that outlives a commit that failed for certain.
+func TestWithdrawalIntentBlocksBeforeCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.nodes[0].store.set(func(s *nodeStore) { s.down = true })
+		go func() { _, _ = c.nodes[0].commit("a", structs.StageOut) }()
+		time.Sleep(50 * time.Millisecond)
+		c.each(func(n *node) {
+			require.Error(t, n.config.MayStart("a"))
+			require.NoError(t, n.config.MayStart("b"))
+			require.Equal(t, uint64(1), n.config.Status().Revision)
+		})
+		time.Sleep(20 * time.Second) // kept while unresolved
+		require.Error(t, c.nodes[0].config.MayStart("a"))
+		c.nodes[0].store.set(func(s *nodeStore) { s.down = false })
+		time.Sleep(20 * time.Second)
+		c.each(func(n *node) { require.NoError(t, n.config.MayStart("a")) })
+		require.Len(t, c.history, 1)
+	})
+}
+
+// Guards against a return that takes effect before it is committed.
+func TestReturnOnlyWhenCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		_, err := c.nodes[0].commit("a", structs.StageOut)
+		require.NoError(t, err)
+		c.nodes[1].store.set(func(s *nodeStore) { s.down = true })
+		go func() { _, _ = c.nodes[1].commit("a", structs.StageReturning) }()
+		time.Sleep(5 * time.Second)
+		c.each(func(n *node) { require.Error(t, n.config.MayStart("a")) })
+		c.nodes[1].store.set(func(s *nodeStore) { s.down = false })
+		time.Sleep(10 * time.Second)
+		_, err = c.nodes[2].commit("a", structs.StageReturning)
+		require.NoError(t, err)
+		c.each(func(n *node) { require.NoError(t, n.config.MayStart("a")) })
+	})
+}
+
+// Guards against a late intent or an old revision that undoes a newer commit when two
+// operators withdraw and return a data centre within seconds.
+func TestWithdrawAndReturnWithinSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		for i := range 6 {
+			stage := structs.StageOut
+			if i%2 == 1 {
+				stage = structs.StageOpen
+			}
+			_, err := c.nodes[i%2].commit("a", stage)
+			require.NoError(t, err)
+			for _, n := range c.nodes {
+				require.Equal(t, stage.AllowsStarts(), n.config.MayStart("a") == nil)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		late := &peer.AnnounceRequest{Instance: "n0", Revision: 6, CommitId: "late", Withdraw: []string{"a"}}
+		_, err := c.nodes[2].config.HandleAnnounce(t.Context(), late)
+		require.NoError(t, err)
+		require.NoError(t, c.nodes[2].config.MayStart("a"))
+	})
+}
+
+// Guards against an announcement that is needed when the store answers watches with an
+// old value, and against operators who are not told which peers lack a revision.
+func TestAnnouncementCoversLaggingWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.network.Cut("n0", "n2", true)
+		c.store.SetFaults(standin.StoreFaults{WatchLag: time.Hour})
+		result, err := c.nodes[0].commit("a", structs.StageOut)
+		require.NoError(t, err)
+		require.Equal(t, []string{"n1"}, result.Acked)
+		require.Equal(t, []string{"n2"}, result.Missing)
+		time.Sleep(config.FreshnessBound)
+		c.each(func(n *node) { require.Error(t, n.config.MayStart("a")) })
+	})
+}
+
+// Guards against an instance that starts work or accepts commits before it knows the
+// revision in force and its peers know it, and against starts under an empty store.
+func TestNewInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		store, list := standin.NewStore(), standin.NewList(config.ListLag)
+		store.SetFaults(standin.StoreFaults{Down: true})
+		self := structs.Instance{ID: "n0", PeerAddr: "n0"}
+		list.SetInstances([]structs.Instance{self})
+		members := membership.New(membership.Options{Self: self, List: list, Metrics: metrics.NewRegistry()})
+		c := config.New(config.Options{Store: store, Peers: members, Metrics: metrics.NewRegistry()})
+		members.SetConfig(c)
+		go members.Run(ctx)
+		go c.Run(ctx)
+		time.Sleep(5 * time.Second)
+		_, known := c.Current()
+		require.False(t, known)
+		require.Equal(t, errkind.StaleManifest, errkind.Of(c.MayStart("a")))
+		store.SetFaults(standin.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		r, known := c.Current()
+		require.True(t, known)
+		require.Zero(t, r.Number)
+		require.NoError(t, c.Fresh())
+		require.Error(t, c.MayStart("a"))
+		_, err := c.Commit(ctx, twoDataCentres(), 0)
+		require.ErrorContains(t, err, "once it has been listed for 10s")
+		time.Sleep(10 * time.Second)
+		_, err = c.Commit(ctx, twoDataCentres(), 0)
+		require.NoError(t, err)
+		require.NoError(t, c.MayStart("a"))
+		before := store.Calls()["watch"]
+		time.Sleep(100 * time.Second)
+		require.LessOrEqual(t, store.Calls()["watch"]-before, 101, "one waiting watch per second")
+		require.Zero(t, store.Calls()["get"], "the store is not polled")
+	})
+}
+
+func encode(t *testing.T, r structs.Revision) []byte {
+	t.Helper()
+	value, err := json.Marshal(r)
+	require.NoError(t, err)
+	require.Less(t, len(value), platform.MaxValueBytes)
+	return value
+}
--- a/config/freshness.go
+++ b/config/freshness.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -65,7 +64,7 @@
 func (c *Controller) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := c.watchOnce(ctx); err != nil {
-			pause(ctx, retryPause)
+			c.pause(ctx, retryPause)
 		}
 	}
 }
@@ -207,7 +206,7 @@
 			}
 			continue
 		}
-		if !c.confirmOnce(ctx) && !pause(ctx, retryPause) {
+		if !c.confirmOnce(ctx) && !c.pause(ctx, retryPause) {
 			return
 		}
 	}
@@ -322,8 +321,8 @@
 }
 
 // pause waits d with up to half of it added as jitter, and reports whether ctx lasts.
-func pause(ctx context.Context, d time.Duration) bool {
-	return sleep(ctx, d+rand.N(d/2))
+func (c *Controller) pause(ctx context.Context, d time.Duration) bool {
+	return sleep(ctx, d+c.o.Jitter(d/2))
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,215 @@
+package config_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenyard/cyclamenyard/config"
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// step is one event of a fuzzed run, followed by a pause.
+type step struct {
+	kind       string
+	node, peer int
+	dataCentre string
+	stage      structs.Stage
+	pause      time.Duration
+}
+
+const fuzzNodes = 4
+
+var stepKinds = []string{"commit", "commit", "commit", "race", "store-down", "store-up", "all-down", "all-up",
+	"lose", "stale", "current", "cut", "heal", "pause", "resume", "wait"}
+
+func drawSteps(t *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			kind:       rapid.SampledFrom(stepKinds).Draw(t, "kind"),
+			node:       rapid.IntRange(0, fuzzNodes-1).Draw(t, "node"),
+			peer:       rapid.IntRange(0, fuzzNodes-1).Draw(t, "peer"),
+			dataCentre: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "data centre"),
+			stage: rapid.SampledFrom([]structs.Stage{structs.StageOut, structs.StageOpen, structs.StageDraining,
+				structs.StageReturning}).Draw(t, "stage"),
+			pause: time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond,
+		}
+	}), 1, 25).Draw(t, "steps")
+}
+
+// Guards against revisions that go back, starts after a withdrawal, and commits that are
+// lost or doubled, under store outages, lost answers, stale reads, cuts, pauses and
+// racing operators.
+func TestFuzzControllers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var faults []string
+		synctest.Test(t, func(t *testing.T) {
+			o := &oracle{cluster: newCluster(t, fuzzNodes), last: map[string]uint64{}, paused: map[string]bool{}}
+			for _, s := range steps {
+				o.play(s)
+				o.watch(s.pause)
+			}
+			o.heal()
+			o.watch(30 * time.Second)
+			o.operators.Wait()
+			o.atRest()
+			faults = o.faults
+		})
+		if len(faults) > 0 {
+			rt.Fatalf("%d faults, first: %s", len(faults), faults[0])
+		}
+	})
+}
+
+// oracle holds what a run may and may not show.
+type oracle struct {
+	cluster   *cluster
+	operators sync.WaitGroup
+	last      map[string]uint64 // highest revision seen at each instance
+	paused    map[string]bool
+
+	mu       sync.Mutex
+	accepted []string // commit ids that operators were told are committed
+	refused  []string // commit ids that operators were told are not
+	faults   []string
+}
+
+func (o *oracle) fault(format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.faults = append(o.faults, fmt.Sprintf(format, args...))
+}
+
+func (o *oracle) play(s step) {
+	n, p := o.cluster.nodes[s.node], o.cluster.nodes[s.peer]
+	switch s.kind {
+	case "commit":
+		o.commit(n, s.dataCentre, s.stage)
+	case "race":
+		o.commit(n, s.dataCentre, s.stage)
+		o.commit(p, s.dataCentre, structs.StageOpen)
+	case "store-down", "store-up":
+		n.store.set(func(st *nodeStore) { st.down = s.kind == "store-down" })
+	case "all-down", "all-up":
+		o.cluster.each(func(n *node) { n.store.set(func(st *nodeStore) { st.down = s.kind == "all-down" }) })
+	case "lose":
+		n.store.set(func(st *nodeStore) { st.lose++ })
+	case "stale", "current":
+		n.store.set(func(st *nodeStore) { st.stale = s.kind == "stale" })
+	case "cut", "heal":
+		if n != p {
+			o.cluster.network.Cut(n.id, p.id, s.kind == "cut")
+		}
+	case "pause":
+		o.cluster.network.Pause(n.id)
+		o.paused[n.id] = true
+	case "resume":
+		o.cluster.network.Resume(n.id)
+		delete(o.paused, n.id)
+	}
+}
+
+// commit plays an operator and keeps what the operator is told.
+func (o *oracle) commit(n *node, dataCentre string, stage structs.Stage) {
+	o.operators.Go(func() {
+		result, err := n.commit(dataCentre, stage)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		switch {
+		case err == nil:
+			o.accepted = append(o.accepted, result.CommitID)
+		case errkind.Of(err) != errkind.Internal && result.CommitID != "":
+			o.refused = append(o.refused, result.CommitID)
+		}
+	})
+}
+
+func (o *oracle) heal() {
+	for _, n := range o.cluster.nodes {
+		n.store.set(func(st *nodeStore) { st.down, st.lose, st.stale = false, 0, false })
+		o.cluster.network.Resume(n.id)
+		for _, p := range o.cluster.nodes {
+			if n != p {
+				o.cluster.network.Cut(n.id, p.id, false)
+			}
+		}
+	}
+	clear(o.paused)
+}
+
+// watch lets time pass and looks at every instance.
+func (o *oracle) watch(d time.Duration) {
+	const sample = 20 * time.Millisecond
+	for end := time.Now().Add(d); !time.Now().After(end); time.Sleep(sample) {
+		for _, n := range o.cluster.nodes {
+			o.look(n)
+		}
+	}
+}
+
+// look checks that a revision has not gone back, and that no start is allowed more than
+// the bound after the commit that withdrew the data centre.
+func (o *oracle) look(n *node) {
+	r, _ := n.config.Current()
+	if r.Number < o.last[n.id] {
+		o.fault("%s went back from revision %d to %d", n.id, o.last[n.id], r.Number)
+	}
+	o.last[n.id] = r.Number
+	if o.paused[n.id] {
+		return // a paused instance starts nothing
+	}
+	for _, dc := range []string{"a", "b"} {
+		since, withdrawn := o.cluster.withdrawn(dc)
+		if late := time.Since(since); withdrawn && late > config.FreshnessBound && n.config.MayStart(dc) == nil {
+			o.fault("%s allows starts in %s %s after its withdrawal: %+v", n.id, dc, late, n.config.Status())
+		}
+	}
+}
+
+// withdrawn returns when the commit took effect that withdrew the data centre, if it is
+// withdrawn now.
+func (c *cluster) withdrawn(dataCentre string) (since time.Time, withdrawn bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range slices.Backward(c.history) {
+		if w.revision.Manifest.DataCentre(dataCentre).Stage.AllowsStarts() {
+			break
+		}
+		since, withdrawn = w.at, true
+	}
+	return since, withdrawn
+}
+
+// atRest checks the history and that all instances agree once every fault is over.
+func (o *oracle) atRest() {
+	count := map[string]int{}
+	for i, w := range o.cluster.history {
+		count[w.revision.CommitID]++
+		if w.revision.Number != uint64(i+1) {
+			o.fault("revision %d is entry %d of the history", w.revision.Number, i+1)
+		}
+	}
+	for _, id := range o.accepted {
+		if count[id] != 1 {
+			o.fault("accepted commit %s is %d times in the history", id, count[id])
+		}
+	}
+	for _, id := range o.refused {
+		if count[id] != 0 {
+			o.fault("refused commit %s is in the history", id)
+		}
+	}
+	for _, n := range o.cluster.nodes {
+		s := n.config.Status()
+		if s.Revision != uint64(len(o.cluster.history)) || !s.Fresh || len(s.Intents) > 0 || s.Unresolved != "" {
+			o.fault("%s is not at rest at revision %d: %+v", n.id, len(o.cluster.history), s)
+		}
+	}
+}
--- a/config/intents.go
+++ b/config/intents.go
@@ -169,7 +169,7 @@
 		clear(c.behind)
 		c.mu.Unlock()
 		c.bringUp(ctx, ids)
-		if !pause(ctx, retryPause) {
+		if !c.pause(ctx, retryPause) {
 			return
 		}
 	}
@@ -215,7 +215,7 @@
 // resolve settles commits whose answer was lost: those of this instance, and intents
 // of instances that did not settle them.
 func (c *Controller) resolve(ctx context.Context) {
-	for pause(ctx, retryPause) {
+	for c.pause(ctx, retryPause) {
 		c.mu.Lock()
 		p := c.pending
 		waiting := p != nil && p.uncertain
--- /dev/null
+++ b/membership/election.go
@@ -0,0 +1,280 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+)
+
+const (
+	// OwnerKeyPrefix is the prefix of the owners' store keys.
+	OwnerKeyPrefix = "owner/"
+	// ownerTTL is the length of an owner's store lease.
+	ownerTTL = 10 * time.Second
+	// renewInterval leaves two further renewals before the lease ends.
+	renewInterval = 3 * time.Second
+	// storeTimeout bounds a store call of an election.
+	storeTimeout = 1500 * time.Millisecond
+	// watchHolder is how often an instance looks, without a store call, whether the
+	// holder is alive.
+	watchHolder = 500 * time.Millisecond
+	// readInterval spaces store reads while no live holder is known.
+	readInterval = time.Second
+	// checkInterval spaces store reads while the holder is alive.
+	checkInterval = time.Minute
+	// otherDelay is how long instances of other data centres hold back, so that one of the
+	// data centre itself becomes owner if there is one.
+	otherDelay = 2 * time.Second
+	// spread spaces simultaneous candidates.
+	spread = 400 * time.Millisecond
+)
+
+// ElectionOptions holds the dependencies of an Election.
+type ElectionOptions struct {
+	DataCentre  string
+	Store       platform.Store
+	Members     *Controller
+	Log         *zap.Logger
+	Metrics     metrics.Registry
+	OnElected   func(token uint64) // called by Run; must not block, or the lease ends
+	OnStoodDown func()             // called by Run, once after each OnElected
+}
+
+// Election elects the owner of one data centre.
+type Election struct {
+	o         ElectionOptions
+	key       string
+	elections metrics.Counter
+
+	mu     sync.Mutex
+	token  uint64 // 0 while this instance is not the holder
+	lease  platform.LeaseID
+	holder holderRecord // as last read from the store
+	read   uint64       // token of holder
+}
+
+// holderRecord is the value of an owner key.
+type holderRecord struct {
+	Instance string `json:"instance"`
+}
+
+// NewElection returns an election in which this instance is not the holder.
+func NewElection(o ElectionOptions) *Election {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.DefaultRegistry
+	}
+	return &Election{o: o, key: OwnerKeyPrefix + o.DataCentre,
+		elections: metrics.GetOrRegisterCounter("membership.elections.won", o.Metrics)}
+}
+
+// Run takes part in the election until ctx ends, and then releases the ownership.
+func (e *Election) Run(ctx context.Context) {
+	defer e.release()
+	for ctx.Err() == nil {
+		if e.Token() != 0 {
+			e.hold(ctx)
+		} else {
+			e.follow(ctx)
+		}
+	}
+}
+
+// Token returns this instance's fencing token, or 0 while it is not the holder.
+func (e *Election) Token() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.token
+}
+
+// Holder returns the holder with the highest token that is known, from heartbeats or
+// from the store.
+func (e *Election) Holder() (instance string, token uint64, ok bool) {
+	e.mu.Lock()
+	instance, token = e.holder.Instance, e.read
+	if e.token > token {
+		instance, token = e.o.Members.Self().ID, e.token
+	}
+	e.mu.Unlock()
+	if owner, seen := e.o.Members.holder(e.o.DataCentre); seen > token || (seen == token && owner == "") {
+		instance, token = owner, seen
+	}
+	return instance, token, instance != ""
+}
+
+// follow waits until there is no live holder, and then becomes a candidate. It reads the
+// store only while no live holder is known, and once per checkInterval otherwise.
+func (e *Election) follow(ctx context.Context) {
+	checked := time.Now()
+	for sleep(ctx, e.o.Members.jitter(watchHolder)) {
+		holder, _, known := e.Holder()
+		alive := known && holder != e.o.Members.Self().ID && e.o.Members.Alive(holder)
+		if alive && time.Since(checked) < checkInterval {
+			continue
+		}
+		checked = time.Now()
+		vacant, err := e.readHolder(ctx)
+		if err == nil && vacant && e.eligible() && e.holdBack(ctx) && e.campaign(ctx) {
+			return
+		}
+		if !sleep(ctx, e.o.Members.jitter(readInterval)) {
+			return
+		}
+	}
+}
+
+// eligible reports whether peers can find this instance as an owner.
+func (e *Election) eligible() bool {
+	since, _ := e.o.Members.ListedSince()
+	return !since.IsZero()
+}
+
+// holdBack waits so that instances of the data centre come first. It reports whether
+// there is still no live holder.
+func (e *Election) holdBack(ctx context.Context) bool {
+	delay := e.o.Members.o.Jitter(spread)
+	if e.o.Members.Self().DataCentre != e.o.DataCentre {
+		delay += otherDelay
+	}
+	if !sleep(ctx, delay) {
+		return false
+	}
+	vacant, err := e.readHolder(ctx)
+	return err == nil && vacant
+}
+
+// readHolder reads the owner key and reports whether it is absent.
+func (e *Election) readHolder(ctx context.Context) (vacant bool, err error) {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	kv, err := e.o.Store.Get(call, e.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		e.mu.Lock()
+		e.holder = holderRecord{}
+		e.mu.Unlock()
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	var record holderRecord
+	if err := json.Unmarshal(kv.Value, &record); err != nil {
+		return false, err
+	}
+	e.mu.Lock()
+	if kv.Created >= e.read {
+		e.holder, e.read = record, kv.Created
+	}
+	e.mu.Unlock()
+	e.observe(kv.Created)
+	return false, nil
+}
+
+func (e *Election) observe(token uint64) {
+	e.o.Members.ObserveTokens([]*peer.OwnerToken{{DataCentre: e.o.DataCentre, Token: token}})
+}
+
+// campaign tries once to create the owner key under a new lease. When the answer is
+// lost, the lease is revoked, which removes the key if it was created.
+func (e *Election) campaign(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	lease, err := e.o.Store.GrantLease(call, ownerTTL)
+	if err != nil {
+		return false
+	}
+	record := holderRecord{Instance: e.o.Members.Self().ID}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return false
+	}
+	token, err := e.o.Store.CompareAndSwap(call, e.key, 0, value, lease)
+	if err != nil {
+		e.revoke(lease)
+		return false
+	}
+	e.mu.Lock()
+	e.token, e.lease, e.holder, e.read = token, lease, record, token
+	e.mu.Unlock()
+	e.observe(token)
+	e.o.Members.SetSummary(&peer.Summary{DataCentre: e.o.DataCentre, Token: token})
+	e.elections.Inc(1)
+	events.Info(e.o.Log, events.OwnerElected, zap.String("data_centre", e.o.DataCentre), zap.Uint64("token", token))
+	e.o.OnElected(token)
+	return true
+}
+
+// hold renews the lease until another instance is known to have a newer token or the
+// store says that the lease has ended. A store that does not answer is no reason to stop:
+// the workers refuse an older token, and jobs need an owner during an outage.
+func (e *Election) hold(ctx context.Context) {
+	renewed := time.Now()
+	next := e.o.Members.jitter(renewInterval)
+	for sleep(ctx, min(watchHolder, next)) {
+		if newest := e.o.Members.Token(e.o.DataCentre); newest > e.Token() {
+			e.standDown("a newer token exists", newest)
+			return
+		}
+		if time.Since(renewed) < next {
+			continue
+		}
+		renewed, next = time.Now(), e.o.Members.jitter(renewInterval)
+		if err := e.renew(ctx); errors.Is(err, platform.ErrLeaseEnded) {
+			e.standDown("the lease has ended", 0)
+			// The state of this instance is the most recent: it tries again at once.
+			e.campaign(ctx)
+			return
+		}
+	}
+}
+
+func (e *Election) renew(ctx context.Context) error {
+	e.mu.Lock()
+	lease := e.lease
+	e.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return e.o.Store.RenewLease(call, lease)
+}
+
+// standDown ends the ownership of this instance.
+func (e *Election) standDown(reason string, newest uint64) {
+	e.mu.Lock()
+	token := e.token
+	e.token, e.lease = 0, 0
+	e.mu.Unlock()
+	e.o.Members.retractSummary(e.o.DataCentre)
+	events.Info(e.o.Log, events.OwnerStoodDown, zap.String("data_centre", e.o.DataCentre),
+		zap.Uint64("token", token), zap.String("reason", reason), zap.Uint64("newest", newest))
+	e.o.OnStoodDown()
+}
+
+// release stands down and revokes the lease, so that a successor need not wait for it.
+func (e *Election) release() {
+	e.mu.Lock()
+	lease := e.lease
+	e.mu.Unlock()
+	if e.Token() == 0 {
+		return
+	}
+	e.standDown("stopping", 0)
+	e.revoke(lease)
+}
+
+// revoke ends a lease; when it fails, the lease ends by itself.
+func (e *Election) revoke(lease platform.LeaseID) {
+	call, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	_ = e.o.Store.RevokeLease(call, lease)
+}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,308 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/membership"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/standin"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// cluster is several instances with one store, one list and one network. Instances n0
+// and n1 are in data centre "a", the others in "b".
+type cluster struct {
+	store     *standin.Store
+	network   *standin.Network
+	list      *standin.List
+	instances []structs.Instance
+	nodes     []*node
+}
+
+type node struct {
+	peer.DRPCPeerUnimplementedServer
+	members  *membership.Controller
+	election *membership.Election // of data centre "a"
+	stop     context.CancelFunc
+
+	mu        sync.Mutex
+	elected   []uint64
+	holds     bool
+	beats     int // heartbeats received
+	summaries int // summaries received
+}
+
+// received returns the heartbeats and summaries that have arrived.
+func (n *node) received() (beats, summaries int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.beats, n.summaries
+}
+
+func (n *node) Heartbeat(ctx context.Context, r *peer.HeartbeatRequest) (*peer.HeartbeatReply, error) {
+	n.mu.Lock()
+	n.beats++
+	n.summaries += len(r.Summaries)
+	n.mu.Unlock()
+	return n.members.HandleHeartbeat(ctx, r)
+}
+
+func (n *node) holding() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.holds
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{store: standin.NewStore(), network: standin.NewNetwork(time.Millisecond), list: standin.NewList(0)}
+	for i := range size {
+		id := fmt.Sprintf("n%d", i)
+		in := structs.Instance{ID: id, DataCentre: "a", PeerAddr: id}
+		if i > 1 {
+			in.DataCentre = "b"
+		}
+		c.instances = append(c.instances, in)
+	}
+	c.list.SetInstances(c.instances)
+	var running sync.WaitGroup
+	for i, in := range c.instances {
+		ctx, cancel := context.WithCancel(context.Background())
+		n := &node{stop: cancel}
+		n.members = membership.New(membership.Options{Self: in, List: c.list, Clients: c.network.From(in.PeerAddr),
+			Metrics: metrics.NewRegistry(), Jitter: seeded(uint64(i))})
+		n.members.SetConfig(calm{})
+		n.election = membership.NewElection(membership.ElectionOptions{
+			DataCentre: "a", Store: c.store, Members: n.members, Metrics: metrics.NewRegistry(),
+			OnElected: func(token uint64) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.elected, n.holds = append(n.elected, token), true
+			},
+			OnStoodDown: func() {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.holds = false
+			},
+		})
+		c.network.Serve(in.PeerAddr, n)
+		c.nodes = append(c.nodes, n)
+		running.Go(func() { n.members.Run(ctx) })
+		running.Go(func() { n.election.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.stop()
+		}
+		running.Wait()
+	})
+	return c
+}
+
+// calm is a configuration that the store confirms.
+type calm struct{}
+
+func (calm) Heartbeat() (uint64, time.Duration)               { return 790, 300 * time.Millisecond }
+func (calm) Ready() bool                                      { return true }
+func (calm) NeedsPeers() bool                                 { return false }
+func (calm) PeerSaw(string, uint64, time.Time, time.Duration) {}
+
+// seeded returns a source of jitter that is the same in every run.
+func seeded(seed uint64) func(time.Duration) time.Duration {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, 1))
+	return func(d time.Duration) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(r.Int64N(int64(d)))
+	}
+}
+
+// only returns the instance that holds the ownership, and requires that it is the only one.
+func (c *cluster) only(t *testing.T) int {
+	t.Helper()
+	var holders []int
+	for i, n := range c.nodes {
+		if n.holding() {
+			holders = append(holders, i)
+		}
+	}
+	require.Len(t, holders, 1)
+	return holders[0]
+}
+
+// Guards against a shard owner on which instances disagree, that is not alive or that is
+// leaving, and against shards that move although their owner stays.
+func TestShardOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 5)
+		time.Sleep(5 * time.Second)
+		before := map[uint32]string{}
+		for shard := range uint32(16) {
+			before[shard] = c.nodes[0].members.ShardOwner(shard)
+			for _, n := range c.nodes {
+				require.Equal(t, before[shard], n.members.ShardOwner(shard))
+			}
+		}
+		c.network.Serve("n4", nil) // dies; the list still shows it
+		c.nodes[4].stop()
+		c.nodes[3].members.SetLeaving()
+		time.Sleep(6 * time.Second)
+		moved := 0
+		for shard, owner := range before {
+			now := c.nodes[0].members.ShardOwner(shard)
+			require.NotContains(t, []string{"n3", "n4", ""}, now)
+			if owner == "n3" || owner == "n4" {
+				moved++
+				continue
+			}
+			require.Equal(t, owner, now)
+		}
+		require.NotZero(t, moved)
+	})
+}
+
+// Guards against an owner outside the data centre while an instance inside is alive,
+// against more than one holder, and against a holder that others do not know.
+func TestElectionPrefersItsDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		time.Sleep(10 * time.Second)
+		holder := c.only(t)
+		require.Less(t, holder, 2)
+		for _, n := range c.nodes {
+			instance, token, ok := n.election.Holder()
+			require.True(t, ok)
+			require.Equal(t, fmt.Sprintf("n%d", holder), instance)
+			require.Equal(t, c.nodes[holder].elected[0], token)
+		}
+		calls := c.store.Calls()["get"]
+		time.Sleep(50 * time.Second)
+		require.LessOrEqual(t, c.store.Calls()["get"]-calls, 6, "a live holder is not looked up in the store")
+	})
+}
+
+// Guards against a graceful stop that leaves a data centre without an owner until the
+// lease ends, and against a token that does not grow.
+func TestElectionReleaseOnStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		time.Sleep(10 * time.Second)
+		first := c.only(t)
+		c.nodes[first].members.SetLeaving()
+		c.nodes[first].stop()
+		time.Sleep(4 * time.Second)
+		second := c.only(t)
+		require.NotEqual(t, first, second)
+		require.Less(t, second, 2)
+		require.Greater(t, c.nodes[second].elected[0], c.nodes[first].elected[0])
+	})
+}
+
+// Guards against an owner that stands down because the store is out, and against an
+// owner that goes on although a peer has seen a newer token.
+func TestElectionDuringStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		time.Sleep(10 * time.Second)
+		first := c.only(t)
+		c.store.SetFaults(standin.StoreFaults{Down: true})
+		time.Sleep(10 * time.Minute)
+		require.Equal(t, first, c.only(t))
+		require.Len(t, c.nodes[first].elected, 1)
+		c.store.SetFaults(standin.StoreFaults{})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, first, c.only(t), "the holder has the newest state and comes first")
+		require.Len(t, c.nodes[first].elected, 2)
+		c.nodes[first].members.ObserveTokens([]*peer.OwnerToken{{DataCentre: "a", Token: 1 << 40}})
+		time.Sleep(600 * time.Millisecond)
+		require.False(t, c.nodes[first].holding())
+	})
+}
+
+// Guards against an instance that stays owner after a pause in which another was elected.
+func TestElectionAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		time.Sleep(10 * time.Second)
+		first := c.only(t)
+		for i := range c.nodes {
+			if i != first {
+				c.network.Cut(fmt.Sprintf("n%d", first), fmt.Sprintf("n%d", i), true)
+			}
+		}
+		c.store.ExpireLeases()
+		time.Sleep(15 * time.Second)
+		for i := range c.nodes {
+			c.network.Cut(fmt.Sprintf("n%d", first), fmt.Sprintf("n%d", i), false)
+		}
+		time.Sleep(5 * time.Second)
+		holder := c.only(t)
+		for _, n := range c.nodes {
+			_, token, ok := n.election.Holder()
+			require.True(t, ok)
+			require.Equal(t, c.nodes[holder].elected[len(c.nodes[holder].elected)-1], token)
+		}
+	})
+}
+
+// Guards against summaries that do not reach peers, that are sent again without a change,
+// or that an older owner overwrites.
+func TestSummariesAreSentAsDeltas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		time.Sleep(10 * time.Second)
+		owner := c.nodes[c.only(t)]
+		token := owner.elected[0]
+		owner.members.SetSummary(&peer.Summary{DataCentre: "a", Token: token, FreeSlots: 17})
+		time.Sleep(6 * time.Second)
+		for _, n := range c.nodes {
+			s := n.members.Summaries()
+			require.Len(t, s, 1)
+			require.EqualValues(t, 17, s[0].FreeSlots)
+			require.Equal(t, token, s[0].Token)
+		}
+		_, err := c.nodes[2].members.HandleHeartbeat(t.Context(), &peer.HeartbeatRequest{Instance: "n0",
+			Summaries: []*peer.Summary{{DataCentre: "a", Token: token - 1, Version: 99, Owner: "n9"}}})
+		require.NoError(t, err)
+		require.Equal(t, owner.members.Self().ID, c.nodes[2].members.Summaries()[0].Owner)
+		_, before := c.nodes[2].received()
+		time.Sleep(20 * time.Second)
+		_, after := c.nodes[2].received()
+		require.LessOrEqual(t, after-before, 1, "an unchanged summary is sent again once in 30 s")
+	})
+}
+
+// Guards against heartbeats in both directions of a pair, which exceed the traffic limit
+// of a node, and against a peer that is falsely taken for lost because of their absence.
+func TestOneHeartbeatPerPairAndSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, seconds = 24, 60
+		c := newCluster(t, size)
+		time.Sleep(10 * time.Second)
+		total := func() (n int) {
+			for _, node := range c.nodes {
+				beats, _ := node.received()
+				n += beats
+			}
+			return n
+		}
+		before := total()
+		time.Sleep(seconds * time.Second)
+		pairs := size * (size - 1) / 2
+		require.InDelta(t, pairs*seconds, total()-before, float64(pairs*seconds)/10)
+		for _, n := range c.nodes {
+			for _, p := range n.members.Status().Peers {
+				require.False(t, p.Lost)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,186 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	// MaxMessageBytes bounds a message. The largest is a manifest or a job record, which
+	// the store limits to 1 MB.
+	MaxMessageBytes = 2 << 20
+	// dialTimeout bounds the connection set-up. Peers are at most a region apart.
+	dialTimeout = time.Second
+	// callTimeout bounds a call whose context has no deadline.
+	callTimeout = 10 * time.Second
+	// idleTimeout closes connections that are not used. Heartbeats keep one in use.
+	idleTimeout = 30 * time.Second
+	// idlePerPeer is how many unused connections to a peer are kept.
+	idlePerPeer = 4
+	// callsPerPeer bounds concurrent calls to a peer; control calls are not counted, so
+	// that waiting job calls cannot delay them.
+	callsPerPeer = 64
+)
+
+// controlCalls are the calls of the control traffic, which is counted on its own and
+// uses connections of its own.
+var controlCalls = map[string]bool{
+	"/peer.Peer/Heartbeat": true,
+	"/peer.Peer/Confirm":   true,
+	"/peer.Peer/Announce":  true,
+}
+
+// ClientOptions configures Clients.
+type ClientOptions struct {
+	Metrics metrics.Registry // nil for the default registry
+}
+
+// Clients makes calls to peers. Connections are opened at the first call to a peer,
+// used again, and opened anew after a failure.
+type Clients struct {
+	traffic *traffic
+	pool    *drpcpool.Pool[poolKey, *drpcconn.Conn]
+	ctx     context.Context // ends with Close
+	cancel  context.CancelFunc
+
+	mu     sync.Mutex
+	closed bool
+	calls  sync.WaitGroup
+	limits map[string]*semaphore.Weighted
+}
+
+// poolKey separates control connections from others.
+type poolKey struct {
+	address string
+	control bool
+}
+
+// NewClients returns clients without connections.
+func NewClients(o ClientOptions) *Clients {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Clients{
+		ctx: ctx, cancel: cancel,
+		traffic: newTraffic(o.Metrics),
+		pool: drpcpool.New[poolKey, *drpcconn.Conn](drpcpool.Options{
+			Expiration: idleTimeout, KeyCapacity: idlePerPeer,
+		}),
+		limits: map[string]*semaphore.Weighted{},
+	}
+}
+
+// Client returns a client of the peer at an IP address and port. It opens no connection.
+func (c *Clients) Client(address string) DRPCPeerClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := c.limits[address]
+	if limit == nil {
+		limit = semaphore.NewWeighted(callsPerPeer)
+		c.limits[address] = limit
+	}
+	return NewDRPCPeerClient(&clientConn{clients: c, address: address, limit: limit})
+}
+
+// Forget drops what is kept about a peer that has left.
+func (c *Clients) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.limits, address)
+}
+
+// Close cancels the calls under way, waits for them and closes all connections.
+func (c *Clients) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	c.calls.Wait()
+	return c.pool.Close()
+}
+
+// begin counts a call, so that Close can wait for it.
+func (c *Clients) begin() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.calls.Add(1)
+	return nil
+}
+
+func (c *Clients) dial(ctx context.Context, key poolKey) (*drpcconn.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", key.address)
+	if err != nil {
+		return nil, err
+	}
+	counted := c.traffic.count(conn)
+	counted.classify(key.control)
+	return drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
+}
+
+// clientConn bounds the calls to one peer. It implements drpc.Conn.
+type clientConn struct {
+	clients *Clients
+	address string
+	limit   *semaphore.Weighted
+}
+
+// Close implements drpc.Conn. The pool owns the connections.
+func (c *clientConn) Close() error { return nil }
+
+// Closed implements drpc.Conn. Connections are opened again as needed.
+func (c *clientConn) Closed() <-chan struct{} { return nil }
+
+// Invoke implements drpc.Conn.
+func (c *clientConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	if m, ok := in.(proto.Message); ok && proto.Size(m) > MaxMessageBytes {
+		return fmt.Errorf("%s: message has %d bytes: must be at most %d", rpc, proto.Size(m), MaxMessageBytes)
+	}
+	if err := c.clients.begin(); err != nil {
+		return fmt.Errorf("%s: %w", rpc, err)
+	}
+	defer c.clients.calls.Done()
+	ctx, cancel := bounded(ctx)
+	defer cancel()
+	defer context.AfterFunc(c.clients.ctx, cancel)()
+	control := controlCalls[rpc]
+	if !control {
+		if err := c.limit.Acquire(ctx, 1); err != nil {
+			return fmt.Errorf("%s: %d calls to the peer are waiting: %w", rpc, callsPerPeer, err)
+		}
+		defer c.limit.Release(1)
+	}
+	conn := c.clients.pool.Get(ctx, poolKey{address: c.address, control: control}, c.clients.dial)
+	defer func() { _ = conn.Close() }()
+	return conn.Invoke(ctx, rpc, enc, in, out)
+}
+
+// bounded gives ctx a deadline when it has none.
+func bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, callTimeout)
+}
+
+// NewStream implements drpc.Conn. The protocol has no streams.
+func (c *clientConn) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
+	return nil, fmt.Errorf("peer: streams are not supported")
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,125 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+const (
+	// maxConnections bounds the connections of the peer listener: 24 instances with up to
+	// callsPerPeer calls each stay below it.
+	maxConnections = 2048
+	// serverIdleTimeout closes connections on which no call arrives. It is longer than the
+	// clients' own limit, so that a client does not meet a connection that is closing.
+	serverIdleTimeout = 2 * idleTimeout
+	// acceptPause is the pause after a failed accept, for example without descriptors.
+	acceptPause = 100 * time.Millisecond
+)
+
+// ServerOptions configures a Server.
+type ServerOptions struct {
+	Handler DRPCPeerServer
+	Log     *zap.Logger
+	Metrics metrics.Registry // nil for the default registry
+}
+
+// Server serves the calls of peers.
+type Server struct {
+	mux     *drpcmux.Mux
+	log     *zap.Logger
+	traffic *traffic
+	slots   chan struct{} // one for each connection
+}
+
+// NewServer returns a server for the handler.
+func NewServer(o ServerOptions) (*Server, error) {
+	s := &Server{mux: drpcmux.New(), log: o.Log, traffic: newTraffic(o.Metrics), slots: make(chan struct{}, maxConnections)}
+	if s.log == nil {
+		s.log = zap.NewNop()
+	}
+	if err := DRPCRegisterPeer(s.mux, o.Handler); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Serve accepts connections until ctx ends. It then closes the listener and every
+// connection, and returns when all calls have returned.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() {
+		<-ctx.Done()
+		_ = listener.Close()
+	})
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if err == nil {
+				_ = conn.Close()
+			}
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil:
+			s.log.Warn("peer connection not accepted", zap.Error(err))
+			sleep(ctx, acceptPause)
+			continue
+		}
+		select {
+		case s.slots <- struct{}{}:
+			wg.Go(func() {
+				defer func() { <-s.slots }()
+				s.serveOne(ctx, conn)
+			})
+		default:
+			s.log.Warn("peer connection refused", zap.Int("limit", maxConnections), zap.Stringer("remote", conn.RemoteAddr()))
+			_ = conn.Close()
+		}
+	}
+}
+
+func (s *Server) serveOne(ctx context.Context, conn net.Conn) {
+	counted := s.traffic.count(conn)
+	options := managerOptions()
+	options.InactivityTimeout = serverIdleTimeout
+	server := drpcserver.NewWithOptions(&classifier{next: s.mux, conn: counted}, drpcserver.Options{Manager: options})
+	if err := server.ServeOne(ctx, counted); err != nil && ctx.Err() == nil {
+		s.log.Debug("peer connection ended", zap.Error(err), zap.Stringer("remote", conn.RemoteAddr()))
+	}
+}
+
+// classifier assigns a connection to a class of traffic by its first call. Clients use
+// separate connections for the classes.
+type classifier struct {
+	next drpc.Handler
+	conn *countedConn
+	once sync.Once
+}
+
+// HandleRPC implements drpc.Handler.
+func (c *classifier) HandleRPC(stream drpc.Stream, rpc string) error {
+	c.once.Do(func() { c.conn.classify(controlCalls[rpc]) })
+	return c.next.HandleRPC(stream, rpc)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/standin/peers.go
@@ -0,0 +1,169 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cyclamenyard/cyclamenyard/peer"
+)
+
+// Network carries the control calls between instances in memory, by calling handlers
+// directly. It can cut pairs of instances and pause an instance.
+type Network struct {
+	mu       sync.Mutex
+	latency  time.Duration
+	handlers map[string]peer.DRPCPeerServer
+	cuts     map[[2]string]bool
+	paused   map[string]chan struct{} // closed on resume
+	bytes    map[string]int           // encoded messages sent and received, by address
+}
+
+// NewNetwork returns a network with a one-way latency.
+func NewNetwork(latency time.Duration) *Network {
+	return &Network{
+		latency: latency, handlers: map[string]peer.DRPCPeerServer{}, cuts: map[[2]string]bool{},
+		paused: map[string]chan struct{}{}, bytes: map[string]int{},
+	}
+}
+
+// Serve connects the handler of an address; nil disconnects it.
+func (n *Network) Serve(address string, handler peer.DRPCPeerServer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[address] = handler
+}
+
+// Cut loses calls between two addresses in both directions, or carries them again.
+func (n *Network) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}], n.cuts[[2]string{b, a}] = cut, cut
+}
+
+// Pause holds up every call from and to an address until Resume.
+func (n *Network) Pause(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused[address] == nil {
+		n.paused[address] = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (n *Network) Resume(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ch := n.paused[address]; ch != nil {
+		close(ch)
+		delete(n.paused, address)
+	}
+}
+
+// Wait returns when the address is not paused.
+func (n *Network) Wait(ctx context.Context, address string) error {
+	n.mu.Lock()
+	ch := n.paused[address]
+	n.mu.Unlock()
+	if ch == nil {
+		return ctx.Err()
+	}
+	select {
+	case <-ch:
+		return ctx.Err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Bytes returns the size of the encoded messages that an address sent and received.
+func (n *Network) Bytes(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes[address]
+}
+
+// From returns the clients of an address.
+func (n *Network) From(address string) NetworkClients {
+	return NetworkClients{network: n, from: address}
+}
+
+// NetworkClients opens clients for calls from one address.
+type NetworkClients struct {
+	network *Network
+	from    string
+}
+
+// Client returns a client of the peer at an address.
+func (c NetworkClients) Client(address string) peer.DRPCPeerClient {
+	return &networkClient{network: c.network, from: c.from, to: address}
+}
+
+// networkClient carries control calls; the other calls of the interface are not served.
+type networkClient struct {
+	peer.DRPCPeerClient
+	network  *Network
+	from, to string
+}
+
+// carry holds up or loses a message.
+func (n *Network) carry(ctx context.Context, from, to string, m proto.Message) (peer.DRPCPeerServer, error) {
+	if err := n.Wait(ctx, from); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, n.latency); err != nil {
+		return nil, err
+	}
+	if err := n.Wait(ctx, to); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	handler, cut := n.handlers[to], n.cuts[[2]string{from, to}]
+	if !cut {
+		n.bytes[from] += proto.Size(m)
+		n.bytes[to] += proto.Size(m)
+	}
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if handler == nil {
+		return nil, errNoAnswer
+	}
+	return handler, nil
+}
+
+func roundTrip[In, Out proto.Message](ctx context.Context, c *networkClient, in In,
+	call func(peer.DRPCPeerServer, context.Context, In) (Out, error)) (Out, error) {
+	var none Out
+	handler, err := c.network.carry(ctx, c.from, c.to, in)
+	if err != nil {
+		return none, err
+	}
+	out, err := call(handler, ctx, proto.CloneOf(in))
+	if err != nil {
+		return none, err
+	}
+	if _, err := c.network.carry(ctx, c.to, c.from, out); err != nil {
+		return none, err
+	}
+	return proto.CloneOf(out), nil
+}
+
+// Heartbeat implements peer.DRPCPeerClient.
+func (c *networkClient) Heartbeat(ctx context.Context, in *peer.HeartbeatRequest) (*peer.HeartbeatReply, error) {
+	return roundTrip(ctx, c, in, peer.DRPCPeerServer.Heartbeat)
+}
+
+// Confirm implements peer.DRPCPeerClient.
+func (c *networkClient) Confirm(ctx context.Context, in *peer.ConfirmRequest) (*peer.ConfirmReply, error) {
+	return roundTrip(ctx, c, in, peer.DRPCPeerServer.Confirm)
+}
+
+// Announce implements peer.DRPCPeerClient.
+func (c *networkClient) Announce(ctx context.Context, in *peer.AnnounceRequest) (*peer.AnnounceReply, error) {
+	return roundTrip(ctx, c, in, peer.DRPCPeerServer.Announce)
+}
