config: membership time follows the assumed list lag

Cause: commits were accepted only 10 s after an instance was listed, whatever the lag of the list, so that the demo could not commit within its time; a race in membership.Client was found by 'go test -race ./config' (read of a peer's address outside the lock). Conclusion: the bound still covers list age, lag and write time.

--- a/config/commit.go
+++ b/config/commit.go
@@ -136,6 +136,9 @@
 	return c.committed(ctx, next, sent, peers, result), nil
 }
 
+// memberFor is how long this instance must have been listed before it accepts commits.
+func (c *Controller) memberFor() time.Duration { return c.o.ListLag + memberMargin }
+
 // mayCommit refuses commits at an instance that other instances may not know of.
 func (c *Controller) mayCommit() error {
 	since, asOf := c.o.Peers.ListedSince()
@@ -143,8 +146,8 @@
 	switch {
 	case since.IsZero():
 		return errkind.New(errkind.ShuttingDown, "this instance is not on the platform's list, or is leaving")
-	case now.Sub(since) < MemberFor:
-		return errkind.New(errkind.StaleManifest, "this instance accepts commits once it has been listed for %s", MemberFor)
+	case now.Sub(since) < c.memberFor():
+		return errkind.New(errkind.StaleManifest, "this instance accepts commits once it has been listed for %s", c.memberFor())
 	case now.Sub(asOf) > maxListAge:
 		return errkind.New(errkind.StaleManifest, "the platform's list was last read more than %s ago", maxListAge)
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -35,14 +35,18 @@
 	confirmAfter = 1200 * time.Millisecond
 	// retryPause is the pause after a failed call, before jitter.
 	retryPause = 250 * time.Millisecond
-	// ListLag is the assumed lag of the platform's list.
+	// ListLag is the default for the assumed lag of the platform's list.
 	ListLag = 5 * time.Second
-	// MemberFor is how long an instance must have been listed before it accepts commits,
-	// so that every instance that asks its listed peers asks this one too.
-	MemberFor = 2 * ListLag
-	// maxListAge bounds the age of the list that a commit relies on. With the list's
-	// lag and the time of a write it stays inside MemberFor.
+	// maxListAge bounds the age of the list that a commit relies on.
 	maxListAge = 3 * time.Second
+	// confirmListAge bounds the age of the list whose peers are asked for confirmations.
+	confirmListAge = 5 * time.Second
+	// memberMargin is added to the list's lag: the age of the list that a commit relies on
+	// and the time of its write.
+	memberMargin = maxListAge + 2*time.Second
+	// MemberFor is how long an instance must have been listed before it accepts commits at
+	// the default lag, so that every instance that asks its listed peers asks this one too.
+	MemberFor = ListLag + memberMargin
 	// commitWait bounds how long a commit waits until a lost answer is resolved.
 	commitWait = 10 * time.Second
 	// maxRecent is how many commit ids a revision carries to resolve lost answers.
@@ -72,6 +76,8 @@
 	Peers   Peers
 	Log     *zap.Logger
 	Metrics metrics.Registry
+	// ListLag is the assumed lag of the platform's list; 0 for the default.
+	ListLag time.Duration
 	// Jitter returns a random part of a duration; nil for the default source.
 	Jitter func(time.Duration) time.Duration
 }
@@ -137,6 +143,9 @@
 	if o.Jitter == nil {
 		o.Jitter = rand.N[time.Duration]
 	}
+	if o.ListLag == 0 {
+		o.ListLag = ListLag
+	}
 	c := &Controller{
 		o:          o,
 		commits:    make(chan struct{}, 1),
--- a/config/freshness.go
+++ b/config/freshness.go
@@ -213,7 +213,7 @@
 }
 
 // trackListed keeps the peers whose confirmation counts: those listed now, and those
-// that left the list without warning less than MemberFor ago, because their own view of
+// that left the list without warning less than memberFor ago, because their own view of
 // the list may still allow them to commit.
 func (c *Controller) trackListed() {
 	now, self := time.Now(), c.o.Peers.Self().ID
@@ -231,7 +231,7 @@
 		}
 	}
 	for id, at := range c.lastListed {
-		if now.Sub(at) > MemberFor {
+		if now.Sub(at) > c.memberFor() {
 			delete(c.lastListed, id)
 		}
 	}
@@ -242,7 +242,7 @@
 func (c *Controller) confirmers() ([]string, bool) {
 	c.trackListed()
 	_, asOf := c.o.Peers.ListedSince()
-	if asOf.IsZero() || time.Since(asOf) > ListLag {
+	if asOf.IsZero() || time.Since(asOf) > confirmListAge {
 		return nil, false
 	}
 	var ids []string
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -177,11 +177,15 @@
 func (c *Controller) Client(_ context.Context, instance string) (peer.DRPCPeerClient, error) {
 	c.mu.Lock()
 	p := c.peers[instance]
+	var address string
+	if p != nil {
+		address = p.instance.PeerAddr
+	}
 	c.mu.Unlock()
 	if p == nil {
 		return nil, errkind.New(errkind.OwnerUnavailable, "instance %s is not on the platform's list", instance)
 	}
-	return c.o.Clients.Client(p.instance.PeerAddr), nil
+	return c.o.Clients.Client(address), nil
 }
 
 // ShardOwner returns the instance that softly owns a claim shard: the one with the
