owner: choose the destination of a transferred job; no cooldown without a claimant

Cause: the policy leaves the destination of a Transfer open, and the owner wrote the record with an empty data centre, so that the job belonged to nobody (seen with 'explain' on two processes). A job preempted by a withdrawal got a cooldown of 60 s during which it may not be lent room, so that it waited in a data centre that had returned. Change: Options.Destinations; a transfer without a destination leaves the job queued; the cooldown applies only to jobs that made room for another. Conclusion: withdrawn work moves, and does not wait after a quick return.

--- a/owner/lifecycle.go
+++ b/owner/lifecycle.go
@@ -176,7 +176,14 @@
 func (o *DataCentreOwner) preempt(j *job, a *structs.Action, now time.Time) {
 	events.Info(o.log, events.JobPreempted, zap.String("job", j.id()), zap.Int("attempt", j.rec.Attempt),
 		zap.String("for", a.For), zap.Bool("checkpoint", a.Checkpoint), zap.Duration("grace", a.Grace), zap.String("reason", a.Reason))
-	o.stop(j, stopOrder{reason: a.Reason, checkpoint: a.Checkpoint && j.rec.Job.Checkpoint, grace: a.Grace, cooldown: preemptCooldown}, now)
+	order := stopOrder{reason: a.Reason, checkpoint: a.Checkpoint && j.rec.Job.Checkpoint, grace: a.Grace}
+	if a.For != "" {
+		// Only a job that made room for another needs protection from being preempted over
+		// and over. During the cooldown it cannot be lent room, so that one that left its
+		// data centre would wait for nothing.
+		order.cooldown = preemptCooldown
+	}
+	o.stop(j, order, now)
 }
 
 // stop ends the running gang of a job as a whole.
--- a/owner/options.go
+++ b/owner/options.go
@@ -70,18 +70,26 @@
 	JobTransferred(dataCentre, job string)
 }
 
-// Options holds the dependencies of a Controller. All but Notifier, Log and Metrics are
-// required.
+// Destinations chooses where a job goes that has to leave its data centre.
+type Destinations interface {
+	// Destination returns false when no other data centre in service could run the job.
+	Destination(j *structs.Job, from string) (dataCentre string, ok bool)
+}
+
+// Options holds the dependencies of a Controller. All but Notifier, Destinations, Log and
+// Metrics are required. Without Destinations a job is transferred only when the policy
+// names the data centre.
 type Options struct {
-	Instance string
-	Store    platform.Store
-	List     platform.InstanceList
-	Dial     func(structs.Worker) platform.Worker
-	Policy   scheduler.Policy
-	Gate     StartGate
-	Notifier Notifier
-	Log      *zap.Logger
-	Metrics  metrics.Registry
+	Instance     string
+	Store        platform.Store
+	List         platform.InstanceList
+	Dial         func(structs.Worker) platform.Worker
+	Policy       scheduler.Policy
+	Gate         StartGate
+	Notifier     Notifier
+	Destinations Destinations
+	Log          *zap.Logger
+	Metrics      metrics.Registry
 }
 
 func (o *Options) setDefaults() {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,7 +215,7 @@
 	o.changed = false
 	plan := o.o.Policy.Decide(o.d, now)
 	o.wakeAt = plan.WakeAt
-	plan.Actions = slices.DeleteFunc(plan.Actions, func(a structs.Action) bool { return !o.admits(&a) })
+	plan.Actions = o.admitted(plan.Actions)
 	if len(plan.Actions) == 0 && len(o.d.Reservations) == 0 {
 		return
 	}
@@ -231,6 +230,17 @@
 	}
 }
 
+// admitted returns the actions that can be carried out now.
+func (o *DataCentreOwner) admitted(actions []structs.Action) []structs.Action {
+	kept := actions[:0]
+	for i := range actions {
+		if o.admits(&actions[i]) {
+			kept = append(kept, actions[i])
+		}
+	}
+	return kept
+}
+
 // admits reports whether an action can be carried out now. Starts wait while the gate
 // refuses them; the next tick decides again.
 func (o *DataCentreOwner) admits(a *structs.Action) bool {
@@ -251,12 +261,23 @@
 		o.guarded = false
 	case structs.ActionPreempt:
 		return j != nil && j.status == jobRunning
-	case structs.ActionRefuse, structs.ActionTransfer:
+	case structs.ActionTransfer:
+		return j != nil && j.status == jobQueued && o.chooseDestination(a, &j.rec.Job)
+	case structs.ActionRefuse:
 		return j != nil && j.status == jobQueued
 	}
 	return true
 }
 
+// chooseDestination completes a transfer whose data centre the policy, which sees only its
+// own, has left open. Without a destination the job stays queued here.
+func (o *DataCentreOwner) chooseDestination(a *structs.Action, j *structs.Job) bool {
+	if a.DataCentre == "" && o.o.Destinations != nil {
+		a.DataCentre, _ = o.o.Destinations.Destination(j, o.dc)
+	}
+	return a.DataCentre != "" && a.DataCentre != o.dc
+}
+
 // carryOut starts an accepted action.
 func (o *DataCentreOwner) carryOut(a *structs.Action, revoked map[string]bool, now time.Time) {
 	j := o.jobs[a.Job]
