--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,226 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenyard/cyclamenyard/claims"
+	"github.com/cyclamenyard/cyclamenyard/config"
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/gateway"
+	"github.com/cyclamenyard/cyclamenyard/membership"
+	"github.com/cyclamenyard/cyclamenyard/owner"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/scheduler"
+	"github.com/cyclamenyard/cyclamenyard/slots"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// Instance is one entry instance with all its roles.
+type Instance struct {
+	o       Options
+	info    structs.Instance
+	log     *zap.Logger
+	metrics metrics.Registry
+
+	platform  *platform.Client
+	transport *http.Transport // to workers
+	clients   *peer.Clients
+	members   *membership.Controller
+	config    *config.Controller
+	owners    *owner.Controller
+	claims    *claims.Ledger
+	pool      *slots.Pool
+	gateway   *gateway.Server
+	router    *router
+	elections elections
+	leavers   leavers
+
+	stopping atomic.Bool
+	killed   chan struct{}
+	killOnce sync.Once
+}
+
+// New returns an instance that Run starts.
+func New(o Options) (*Instance, error) {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.DefaultRegistry
+	}
+	if o.Policy == nil {
+		o.Policy = scheduler.New(scheduler.Options{})
+	}
+	i := &Instance{
+		o: o, info: o.info(), log: o.Log, metrics: o.Metrics,
+		transport: platform.NewTransport(0), killed: make(chan struct{}),
+	}
+	i.platform = platform.NewClient(platform.ClientOptions{Address: o.Platform, CallsPerSec: o.StoreCallsPerSec, Metrics: o.Metrics})
+	i.clients = peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})
+	i.members = membership.New(membership.Options{Self: i.info, List: i.platform, Clients: i.clients, Log: o.Log, Metrics: o.Metrics})
+	i.config = config.New(config.Options{Store: i.platform, Peers: i.members, ListLag: o.ListLag, Log: o.Log, Metrics: o.Metrics})
+	i.members.SetConfig(i.config)
+	i.wireOwners()
+	i.wireGateway()
+	return i, nil
+}
+
+func (i *Instance) wireOwners() {
+	i.router = &router{instance: i}
+	i.owners = owner.New(owner.Options{
+		Instance: i.info.ID, Store: i.platform, List: i.platform, Dial: i.dial, Policy: i.o.Policy,
+		Gate: i.config, Notifier: i.router, Destinations: i.router, Log: i.log, Metrics: i.metrics,
+	})
+	i.elections.init(i)
+	i.config.Subscribe(i.configure)
+}
+
+func (i *Instance) wireGateway() {
+	i.claims = claims.New(claims.Options{
+		Instance: i.info.ID, Store: i.platform, Peers: i.members, Instances: i.liveInstances, Log: i.log, Metrics: i.metrics,
+	})
+	i.pool = slots.New(slots.Options{
+		Instance: i.info.ID, Leaser: i.router, DataCentres: i.startable, MayStart: i.config.MayStart, Log: i.log, Metrics: i.metrics,
+	})
+	i.gateway = gateway.New(gateway.Options{
+		Instance: i.info.ID, Home: i.info.DataCentre, Manifest: i.config, Slots: i.pool, Claims: i.claims,
+		Upstream: platform.NewUpstreamClient(i.transport), Jobs: i.router, Summaries: i.members.Summaries,
+		Instances: i.liveInstances, Log: i.log, Metrics: i.metrics,
+	})
+}
+
+// dial returns the control client of a worker. All clients share one transport.
+func (i *Instance) dial(w structs.Worker) platform.Worker {
+	return platform.NewWorkerClient(platform.ClientOptions{Address: w.Address, Transport: i.transport, Metrics: i.metrics})
+}
+
+// Info describes the instance, as the platform lists it.
+func (i *Instance) Info() structs.Instance { return i.info }
+
+// Run runs the instance until ctx ends, and then stops it gracefully. It returns early
+// when Kill is called or a listener fails.
+func (i *Instance) Run(ctx context.Context) error {
+	began := time.Now()
+	events.Info(i.log, events.ProcessStarted, zap.Any("instance", i.info))
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	group, life := errgroup.WithContext(life)
+	background, stopBackground := context.WithCancel(life)
+	defer stopBackground()
+	callers, admin, err := i.serve(life, group)
+	if err != nil {
+		return err
+	}
+	for _, loop := range i.loops() {
+		group.Go(func() error {
+			loop(background)
+			return nil
+		})
+	}
+	var stopErr error
+	select {
+	case <-ctx.Done():
+		stopErr = i.stop(stopBackground)
+	case <-i.killed:
+		stopErr = errors.New("stopped at once")
+	case <-life.Done():
+	}
+	end()
+	_ = callers.Close()
+	_ = admin.Close()
+	err = errors.Join(stopErr, group.Wait(), i.clients.Close())
+	i.transport.CloseIdleConnections()
+	if err != nil {
+		events.Warn(i.log, events.ProcessFailed, zap.Error(err), zap.Duration("after", time.Since(began)))
+		return fmt.Errorf("instance %s: %w", i.info.ID, err)
+	}
+	events.Info(i.log, events.ProcessStopped, zap.Duration("after", time.Since(began)))
+	return nil
+}
+
+// loops returns the background work of all roles. Each ends with its context.
+func (i *Instance) loops() []func(context.Context) {
+	return []func(context.Context){
+		i.members.Run,
+		i.config.Run,
+		i.elections.run, // ends ownership before the owners' loop ends
+		func(ctx context.Context) { _ = i.pool.Run(ctx) },
+		i.leavers.loop(i),
+		i.publishSummaries,
+	}
+}
+
+// Kill stops the instance at once, as a second signal does. Requests are cut short.
+func (i *Instance) Kill() {
+	i.killOnce.Do(func() { close(i.killed) })
+}
+
+// stop stops the instance gracefully: not ready first, the listeners open until the
+// platform's list shows it, then no request is accepted any more and all are finished;
+// the data centres are handed over last, since the requests need their owners.
+func (i *Instance) stop(stopBackground func()) error {
+	events.Info(i.log, events.ProcessStopping, zap.Duration("list_lag", i.o.ListLag))
+	i.stopping.Store(true)
+	i.members.SetLeaving()
+	ctx, cancel := context.WithTimeout(context.Background(), i.o.DrainTimeout)
+	defer cancel()
+	select {
+	case <-time.After(i.o.ListLag):
+	case <-i.killed:
+		return errors.New("stopped at once")
+	}
+	err := i.gateway.Drain(ctx)
+	stopBackground()
+	return err
+}
+
+// Ready reports whether callers may be sent here: the manifest is known and the instance
+// is not stopping.
+func (i *Instance) Ready() bool {
+	return i.config.Ready() && !i.stopping.Load()
+}
+
+// Revision returns the number of the manifest revision in force here.
+func (i *Instance) Revision() uint64 {
+	r, _ := i.config.Current()
+	return r.Number
+}
+
+// liveInstances returns how many instances share the workspaces' rates.
+func (i *Instance) liveInstances() int {
+	n := 0
+	for _, p := range i.members.Listed() {
+		if !p.Leaving {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// startable returns the data centres in which work may start, the instance's own first.
+func (i *Instance) startable() []string {
+	r, _ := i.config.Current()
+	var names []string
+	for _, dc := range r.Manifest.DataCentres {
+		if !dc.Stage.AllowsStarts() {
+			continue
+		}
+		if dc.Name == i.info.DataCentre {
+			names = append([]string{dc.Name}, names...)
+		} else {
+			names = append(names, dc.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/instance/serve.go
@@ -0,0 +1,39 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenyard/cyclamenyard/peer"
+)
+
+// serve starts the three listeners. The peers' listener ends with ctx.
+func (i *Instance) serve(ctx context.Context, group *errgroup.Group) (callers, admin *http.Server, err error) {
+	server, err := peer.NewServer(peer.ServerOptions{Handler: peerServer{i}, Log: i.log, Metrics: i.metrics})
+	if err != nil {
+		return nil, nil, err
+	}
+	group.Go(func() error { return server.Serve(ctx, i.o.Peers) })
+	callers = newHTTPServer(i.gateway.Handler())
+	admin = newHTTPServer(i.adminHandler())
+	serveHTTP(group, callers, i.o.Callers)
+	serveHTTP(group, admin, i.o.Admin)
+	return callers, admin, nil
+}
+
+func newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+func serveHTTP(group *errgroup.Group, s *http.Server, l net.Listener) {
+	group.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
