--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/demo"
+	"github.com/cyclamenyard/cyclamenyard/examples"
+	"github.com/cyclamenyard/cyclamenyard/manifest"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// demoCommand holds the settings of the demo.
+type demoCommand struct {
+	output
+	Manifest string `long:"manifest" env:"CYCLAMENYARD_DEMO_MANIFEST" description:"manifest to run with; default: the Verband's example"`
+	Log      bool   `long:"log" description:"write the instances' logs to standard error"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	m, err := c.manifest()
+	if err != nil {
+		return err
+	}
+	log := zap.NewNop()
+	if c.Log {
+		if log, err = newLogger("info"); err != nil {
+			return err
+		}
+		defer func() { _ = log.Sync() }()
+	}
+	return demo.Run(demo.Options{Manifest: m, Out: c.out, Log: log})
+}
+
+func (c *demoCommand) manifest() (structs.Manifest, error) {
+	if c.Manifest == "" {
+		return manifest.Parse(examples.Verband)
+	}
+	_, m, _, err := fileArg{File: c.Manifest}.read()
+	return m, err
+}
--- /dev/null
+++ b/internal/faults/load_test.go
@@ -0,0 +1,220 @@
+package faults
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/gateway"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+const (
+	callers        = 12
+	callerPause    = 40 * time.Millisecond
+	jobEvery       = 400 * time.Millisecond
+	jobRun         = 2 * time.Second
+	callTimeout    = 8 * time.Second
+	callerPatience = 15 * time.Second // a caller repeats what it may for this long
+	retryPause     = 100 * time.Millisecond
+)
+
+// result is what a caller ended with for one request id.
+type result struct {
+	workspace  string
+	id         string
+	idempotent bool
+	tries      int
+	answered   int // answers of success
+	wrong      bool
+	notRun     errkind.Kind // last refusal as not run, empty for none
+	mayHaveRun bool
+	lastError  string
+}
+
+// load sends requests and jobs from several callers until it is stopped.
+type load struct {
+	c       *cluster
+	phase   string
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	results []result
+	jobs    map[string]int // accepted job ids and their number of tasks
+	refused map[errkind.Kind]int
+}
+
+// startLoad starts the callers of a phase.
+func (c *cluster) startLoad(phase string) *load {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &load{c: c, phase: phase, stop: stop, jobs: map[string]int{}, refused: map[errkind.Kind]int{}}
+	for n := range callers {
+		l.wg.Go(func() { l.caller(ctx, n) })
+	}
+	l.wg.Go(func() { l.submitter(ctx) })
+	return l
+}
+
+// end stops the callers and waits for the requests under way.
+func (l *load) end() {
+	l.stop()
+	l.wg.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// balance returns a listed instance that is not leaving, as the platform's balancer does.
+func (l *load) balance(r *rand.Rand) string {
+	listed, err := l.c.list.Instances(context.Background())
+	if err != nil {
+		return ""
+	}
+	var open []structs.Instance
+	for _, i := range listed {
+		if !i.Leaving {
+			open = append(open, i)
+		}
+	}
+	if len(open) == 0 {
+		return ""
+	}
+	return open[r.IntN(len(open))].CallerAddr
+}
+
+func (l *load) caller(ctx context.Context, n int) {
+	r := rand.New(rand.NewPCG(uint64(n), 1))
+	for i := 0; pause(ctx, callerPause); i++ {
+		q := result{
+			workspace: l.c.manifest.Workspaces[n%len(l.c.manifest.Workspaces)].Name,
+			id:        fmt.Sprintf("%s-%d-%d", l.phase, n, i), idempotent: i%2 == 0,
+		}
+		l.drive(&q, r)
+		l.mu.Lock()
+		l.results = append(l.results, q)
+		l.mu.Unlock()
+	}
+}
+
+// drive sends a request, and again while the answer allows it or the connection was lost:
+// an idempotent request may always be repeated, and a repeat of a non-idempotent one must
+// be refused if the first has run.
+func (l *load) drive(q *result, r *rand.Rand) {
+	for end := time.Now().Add(callerPatience); time.Now().Before(end); time.Sleep(retryPause) {
+		address := l.balance(r)
+		if address == "" {
+			continue
+		}
+		q.tries++
+		if l.try(q, address) {
+			return
+		}
+	}
+}
+
+// try makes one call and reports whether the caller is done.
+func (l *load) try(q *result, address string) (done bool) {
+	body := "shift " + q.id
+	status, raw, err := l.post(address+"/v1/requests", body, map[string]string{
+		gateway.HeaderWorkspace: q.workspace, gateway.HeaderService: "rota", gateway.HeaderRequestID: q.id,
+		gateway.HeaderIdempotent: strconv.FormatBool(q.idempotent),
+	})
+	if err != nil {
+		q.lastError = err.Error()
+		return false
+	}
+	if status == http.StatusOK {
+		q.answered++
+		q.wrong = q.wrong || string(raw) != "done:"+body
+		return true
+	}
+	var e struct {
+		Kind      errkind.Kind     `json:"kind"`
+		RunState  errkind.RunState `json:"run_state"`
+		RetrySafe bool             `json:"retry_safe"`
+	}
+	if json.Unmarshal(raw, &e) != nil {
+		q.lastError = fmt.Sprintf("status %d", status)
+		return false
+	}
+	q.lastError = string(e.Kind)
+	l.mu.Lock()
+	l.refused[e.Kind]++
+	l.mu.Unlock()
+	q.notRun = ""
+	if e.RunState == errkind.NotRun {
+		q.notRun = e.Kind
+		return !e.RetrySafe
+	}
+	q.mayHaveRun = true
+	return !q.idempotent
+}
+
+func (l *load) post(url, body string, header map[string]string) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.GetBody = nil
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := l.c.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, raw, err
+}
+
+// submitter submits gang jobs. A job whose submission got no answer is left open.
+func (l *load) submitter(ctx context.Context) {
+	r := rand.New(rand.NewPCG(99, 1))
+	for i := 0; pause(ctx, jobEvery); i++ {
+		address := l.balance(r)
+		if address == "" {
+			continue
+		}
+		tasks := 1 + i%4
+		id := fmt.Sprintf("%s-gang-%d", l.phase, i)
+		body, err := json.Marshal(gateway.JobRequest{
+			Workspace: "oberbayern", Service: "planning", RequestID: id, Checkpoint: i%2 == 0, DeclaredMS: jobRun.Milliseconds(),
+			Shape:   structs.Shape{Tasks: tasks, Task: structs.Resources{Slots: 4, Processors: 16, MemoryMB: 16384, Accelerators: 4}, Adjacent: true},
+			Payload: fmt.Appendf(nil, `{"run_ms": %d}`, jobRun.Milliseconds()),
+		})
+		if err != nil {
+			continue
+		}
+		status, raw, err := l.post(address+"/v1/jobs", string(body), nil)
+		l.mu.Lock()
+		switch {
+		case err == nil && status == http.StatusAccepted:
+			l.jobs["oberbayern/"+id] = tasks
+		case err == nil:
+			var e struct {
+				Kind errkind.Kind `json:"kind"`
+			}
+			if json.Unmarshal(raw, &e) == nil {
+				l.refused["job:"+e.Kind]++
+			}
+		}
+		l.mu.Unlock()
+	}
+}
