scheduler: fuzz test against an oracle, and the faults that it found

Cause: the first version had faults that only random events show: packings that missed a solution, claims that moved at the cost of others, gangs in a wider domain, and an index out of range. Change: oracle that computes capacity, domains and an exhaustive packing from the state; the scheduler backtracks when greedy packing fails, keeps claims where they are unless another place keeps all guarantees packed, and serves urgent work before slot grants. Jobs that lose their place in a guarantee are uncharged by an action of their own (structs.ActionUncharge), so that a later match does not charge them again.

--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -18,6 +18,9 @@
 	leaving structs.Resources
 	// lent is the room that can be reclaimed: jobs outside guarantees, and grants.
 	lent structs.Resources
+	// starting is the part of lent whose jobs are not running yet, and of grants of this
+	// decision. It cannot be reclaimed at once.
+	starting structs.Resources
 	// kept is the room that the unmet guarantees are packed into.
 	kept structs.Resources
 	// slow is the part of lent that takes longer than QuickGrace to reclaim; keptSlots is
@@ -68,13 +71,14 @@
 	packed     bool
 
 	victims     []victim
-	on          [][]int32 // victims by node
-	claims      map[string]claim
+	on          [][]int32       // victims by node
+	claimed     map[string]bool // queued jobs that hold a claim
 	failed      map[failKey]bool
 	started     map[string]bool
 	begun       []begun
 	feasibility map[feasibleKey]Feasibility
 	repacks     int
+	steps       int     // of exact packings
 	shadow      *shadow // reservation of the first blocked large job
 	ramp        structs.Resources
 	grants      []*state.Grant       // by id
@@ -90,7 +94,7 @@
 		index:       make(map[string]int, len(d.Order)),
 		levels:      map[structs.Shape]level{},
 		matches:     map[string]*match{},
-		claims:      map[string]claim{},
+		claimed:     map[string]bool{},
 		failed:      map[failKey]bool{},
 		started:     map[string]bool{},
 		feasibility: map[feasibleKey]Feasibility{},
@@ -124,9 +128,26 @@
 	c.startRamp()
 	c.future = c.histogram()
 	c.keepClaims()
+	queue := c.order()
+	urgent := 0
+	for urgent < len(queue) && queue[urgent].rank == rankUrgent {
+		urgent++
+	}
+	c.placeQueue(queue[:urgent])
 	c.grantMinimum()
-	c.placeQueue()
+	c.placeQueue(queue[urgent:])
 	c.grantDemands()
+	c.uncharge()
+}
+
+// uncharge plans that jobs which lost their place in their workspace's guarantee, to
+// other jobs or to a change of the guarantee, run on as lent work.
+func (c *cycle) uncharge() {
+	for _, j := range c.d.Active {
+		if j.Guaranteed && j.Status != state.Preempting && !j.Cancelled && !c.charged(j) {
+			c.act(structs.Action{Kind: structs.ActionUncharge, Job: j.ID, Reason: "no place left in the guarantee of " + j.Workspace})
+		}
+	}
 }
 
 // act appends an action to the plan.
@@ -198,6 +219,7 @@
 		}
 	})
 	if j.Status != state.Running {
+		c.eachNode(j.Placements, func(n *node) { n.starting = n.starting.Add(j.Shape.Task) })
 		return
 	}
 	v := victim{job: j, cost: c.workLost(j), size: j.Shape.Task, count: 1}
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -98,8 +98,7 @@
 		if !ok {
 			break
 		}
-		n := &c.nodes[i]
-		n.free, n.lent = n.free.Sub(s.SlotShape), n.lent.Add(s.SlotShape)
+		c.nodes[i].lend(s.SlotShape)
 		c.ramp = c.ramp.Sub(s.SlotShape)
 		c.refresh([]int{i})
 		h.held++
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -35,10 +35,28 @@
 	return names
 }
 
-// match assigns the charged jobs of the workspace, and extra, to its guarantees. Jobs
-// that cannot be displaced come first, then urgent ones, then by class and size.
+// match assigns the charged jobs of the workspace, and extra, to its guarantees: the
+// largest first if all fit that way, else those that cannot be displaced first, then urgent
+// ones, then by class and size.
 func (c *cycle) match(ws string, extra *state.Job) *match {
-	m := &match{jobs: map[string]bool{}}
+	charged := c.chargedJobs(ws)
+	if extra != nil {
+		charged = append(slices.Clip(charged), extra)
+	}
+	return c.matchJobs(ws, charged)
+}
+
+func (c *cycle) matchJobs(ws string, charged []*state.Job) *match {
+	m := c.matchIn(ws, charged, compareSizes)
+	if len(m.jobs) < len(charged) {
+		m = c.matchIn(ws, charged, compareCharged)
+	}
+	return m
+}
+
+// matchIn assigns the jobs to the workspace's guarantees in the given order.
+func (c *cycle) matchIn(ws string, charged []*state.Job, compare func(a, b *state.Job) int) *match {
+	m := &match{jobs: make(map[string]bool, len(charged)), charged: charged}
 	for i := range c.d.Guarantees {
 		g := &c.d.Guarantees[i]
 		if g.Workspace != ws {
@@ -50,15 +68,7 @@
 		}
 		m.lines = append(m.lines, l)
 	}
-	if len(m.lines) == 0 {
-		return m
-	}
-	m.charged = c.chargedJobs(ws)
-	if extra != nil {
-		m.charged = append(slices.Clip(m.charged), extra)
-	}
-	slices.SortFunc(m.charged, compareCharged)
-	for _, j := range m.charged {
+	for _, j := range slices.SortedFunc(slices.Values(charged), compare) {
 		for i := range m.lines {
 			if m.lines[i].take(j.Shape) {
 				m.jobs[j.ID] = true
@@ -89,12 +99,16 @@
 		compareBool(a.Reclaimable(), b.Reclaimable()),
 		compareBool(b.Urgent, a.Urgent),
 		cmp.Compare(a.Class, b.Class),
-		cmp.Compare(b.Shape.Total().Accelerators, a.Shape.Total().Accelerators),
-		cmp.Compare(b.Shape.Total().Slots, a.Shape.Total().Slots),
-		cmp.Compare(a.ID, b.ID),
+		compareSizes(a, b),
 	)
 }
 
+// compareSizes orders jobs by size, the largest first.
+func compareSizes(a, b *state.Job) int {
+	x, y := a.Shape.Total(), b.Shape.Total()
+	return cmp.Or(cmp.Compare(y.Accelerators, x.Accelerators), cmp.Compare(y.Slots, x.Slots), cmp.Compare(a.ID, b.ID))
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -223,6 +237,10 @@
 			return nil, false
 		}
 	}
+	if len(m.jobs) < len(m.charged) {
+		// The next decision sees only the jobs that stay charged.
+		m = c.matchJobs(j.Workspace, slices.DeleteFunc(slices.Clone(m.charged), func(o *state.Job) bool { return !m.jobs[o.ID] }))
+	}
 	return m, true
 }
 
--- /dev/null
+++ b/scheduler/oracle_test.go
@@ -0,0 +1,311 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/state"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// The oracle computes from the state alone, without the scheduler's packing or domains.
+
+// oracleLevels lists the sets of workers that an adjacent gang may lie in, smallest first.
+func oracleLevels(d *state.DataCentre) [][][]*state.Worker {
+	var worker, rack, pair [][]*state.Worker
+	byRack := map[int][]*state.Worker{}
+	for _, w := range d.Order {
+		worker = append(worker, []*state.Worker{w})
+		byRack[w.Rack] = append(byRack[w.Rack], w)
+	}
+	for r, list := range byRack {
+		rack = append(rack, list)
+		if next := byRack[r+1]; next != nil {
+			pair = append(pair, slices.Concat(list, next))
+		}
+	}
+	return [][][]*state.Worker{worker, rack, pair, {d.Order}}
+}
+
+// oracleDomains returns the domains of the smallest level that can ever hold the shape.
+func oracleDomains(d *state.DataCentre, s structs.Shape) [][]*state.Worker {
+	levels := oracleLevels(d)
+	if !s.Adjacent {
+		return levels[3]
+	}
+	for _, domains := range levels {
+		for _, domain := range domains {
+			n := 0
+			for _, w := range domain {
+				if !w.Leaving {
+					n += s.Task.CountIn(w.Worker.Capacity)
+				}
+			}
+			if n >= s.Tasks {
+				return domains
+			}
+		}
+	}
+	return nil
+}
+
+// oracleLine is a guarantee with the tasks that charged jobs leave of each gang.
+type oracleLine struct {
+	g    state.Guarantee
+	left []int
+	rest []structs.Resources
+}
+
+// charge takes the shape from the line if it fits.
+func (l *oracleLine) charge(s structs.Shape) bool {
+	unit := l.g.Shape.Task
+	per := s.Task.CountIn(unit)
+	if per == 0 {
+		return false
+	}
+	if s.Adjacent {
+		if s.Tasks <= per {
+			s = structs.Shape{Tasks: 1, Task: s.Total()}
+			per = 1
+		} else if !l.g.Shape.Adjacent {
+			return false
+		} else {
+			need, best := (s.Tasks+per-1)/per, -1
+			for i, n := range l.left {
+				if n >= need && (best < 0 || n < l.left[best]) {
+					best = i
+				}
+			}
+			if best < 0 {
+				return false
+			}
+			l.left[best] -= need
+			l.split(s, per, s.Tasks)
+			return true
+		}
+	}
+	have := 0
+	for _, r := range l.rest {
+		have += s.Task.CountIn(r)
+	}
+	for _, n := range l.left {
+		have += n * per
+	}
+	if have < s.Tasks {
+		return false
+	}
+	need := s.Tasks
+	for i := range l.rest {
+		n := min(need, s.Task.CountIn(l.rest[i]))
+		l.rest[i] = l.rest[i].Sub(s.Task.Mul(n))
+		need -= n
+	}
+	l.split(s, per, need)
+	for i := range l.left {
+		for ; l.left[i] > 0 && need > 0; need -= per {
+			l.left[i]--
+		}
+	}
+	return true
+}
+
+func (l *oracleLine) split(s structs.Shape, per, tasks int) {
+	for ; tasks > 0; tasks -= per {
+		l.rest = append(l.rest, l.g.Shape.Task.Sub(s.Task.Mul(min(per, tasks))))
+	}
+}
+
+// claimOf returns the room that a queued job has claimed inside its guarantee. A claim on
+// a worker that gets no new work has lapsed.
+func claimOf(d *state.DataCentre, j *state.Job, now time.Time) *state.Reservation {
+	for i := range d.Reservations {
+		r := &d.Reservations[i]
+		if r.Claim && r.Job == j.ID && j.Status == state.Queued && !slices.ContainsFunc(r.Placements, func(p structs.Placement) bool {
+			w := d.Workers[p.Worker]
+			return w == nil || !w.Usable() || held(w, now)
+		}) {
+			return r
+		}
+	}
+	return nil
+}
+
+// oracleCharge matches the charged jobs of a workspace with its guarantees: the largest
+// first if all fit that way, else by their right to stay.
+func oracleCharge(d *state.DataCentre, ws string, now time.Time) ([]oracleLine, map[string]bool) {
+	var jobs []*state.Job
+	for _, j := range d.Jobs {
+		running := j.Guaranteed && !j.Cancelled && (j.Status == state.Running || j.Status == state.Starting)
+		if j.Workspace == ws && (running || claimOf(d, j, now) != nil) {
+			jobs = append(jobs, j)
+		}
+	}
+	size := func(j *state.Job) string {
+		t := j.Shape.Total()
+		return fmt.Sprintf("%04d %04d %s", 9999-t.Accelerators, 9999-t.Slots, j.ID)
+	}
+	right := func(j *state.Job) string {
+		return fmt.Sprintf("%t %t %d %s", j.Reclaimable(), !j.Urgent, j.Class, size(j))
+	}
+	lines, in := oracleAssign(d, ws, jobs, size)
+	if len(in) < len(jobs) {
+		lines, in = oracleAssign(d, ws, jobs, right)
+	}
+	return lines, in
+}
+
+func oracleAssign(d *state.DataCentre, ws string, jobs []*state.Job, key func(*state.Job) string) ([]oracleLine, map[string]bool) {
+	var lines []oracleLine
+	for _, g := range d.Guarantees {
+		if g.Workspace == ws {
+			lines = append(lines, oracleLine{g: g, left: slices.Repeat([]int{g.Shape.Tasks}, g.Count)})
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *state.Job) int { return cmp.Compare(key(a), key(b)) })
+	in := map[string]bool{}
+	for _, j := range jobs {
+		for i := range lines {
+			if lines[i].charge(j.Shape) {
+				in[j.ID] = true
+				break
+			}
+		}
+	}
+	return lines, in
+}
+
+// oracleUnmet lists the shapes that all workspaces can still claim, and the jobs that are
+// inside their guarantee.
+func oracleUnmet(d *state.DataCentre, now time.Time) ([]structs.Shape, map[string]bool) {
+	var out []structs.Shape
+	inside := map[string]bool{}
+	var seen []string
+	for _, g := range d.Guarantees {
+		if slices.Contains(seen, g.Workspace) {
+			continue
+		}
+		seen = append(seen, g.Workspace)
+		lines, in := oracleCharge(d, g.Workspace, now)
+		for id, ok := range in {
+			inside[id] = ok
+		}
+		for _, l := range lines {
+			for _, n := range l.left {
+				if n > 0 {
+					out = append(out, structs.Shape{Tasks: n, Task: l.g.Shape.Task, Adjacent: l.g.Shape.Adjacent && n > 1})
+				}
+			}
+			for _, r := range l.rest {
+				if r.Slots > 0 {
+					out = append(out, structs.Shape{Tasks: 1, Task: r})
+				}
+			}
+		}
+	}
+	return out, inside
+}
+
+func held(w *state.Worker, now time.Time) bool {
+	return slices.ContainsFunc(w.Holds, func(h state.Hold) bool { return h.Until.After(now) })
+}
+
+// oracleRoom is the free and reclaimable room by worker. With atOnce, the room of lent
+// jobs that are still starting is left out.
+func oracleRoom(d *state.DataCentre, now time.Time, inside map[string]bool, atOnce bool) map[string]structs.Resources {
+	room := map[string]structs.Resources{}
+	for _, w := range d.Order {
+		if !w.Usable() || held(w, now) {
+			continue
+		}
+		room[w.ID] = w.Worker.Capacity
+		for _, h := range w.Holds {
+			room[w.ID] = room[w.ID].Sub(h.Resources)
+		}
+	}
+	for _, j := range d.Active {
+		leaving := j.Status == state.Preempting || j.Cancelled
+		lent := j.Reclaimable() && !inside[j.ID] && !j.NoPreemptBefore.After(now)
+		if leaving || lent && !(atOnce && j.Status == state.Starting) {
+			continue
+		}
+		for _, p := range j.Placements {
+			if r, ok := room[p.Worker]; ok {
+				room[p.Worker] = r.Sub(j.Shape.Task)
+			}
+		}
+	}
+	for _, j := range d.Queue {
+		if r := claimOf(d, j, now); r != nil {
+			for _, p := range r.Placements {
+				if have, ok := room[p.Worker]; ok {
+					room[p.Worker] = have.Sub(j.Shape.Task)
+				}
+			}
+		}
+	}
+	return room
+}
+
+// packer searches for a packing of shapes exhaustively, up to a number of steps.
+type packer struct {
+	d     *state.DataCentre
+	room  map[string]structs.Resources
+	steps int
+}
+
+const packerSteps = 20000
+
+// oraclePacks reports whether all shapes fit together; known is false if the search was
+// cut off.
+func oraclePacks(d *state.DataCentre, room map[string]structs.Resources, shapes []structs.Shape) (fits, known bool) {
+	shapes = slices.Clone(shapes)
+	slices.SortStableFunc(shapes, func(a, b structs.Shape) int {
+		return cmp.Or(-cmp.Compare(a.Task.Accelerators, b.Task.Accelerators), -cmp.Compare(a.Tasks, b.Tasks))
+	})
+	p := &packer{d: d, room: room}
+	fits = p.shapes(shapes)
+	return fits, fits || p.steps < packerSteps
+}
+
+func (p *packer) shapes(shapes []structs.Shape) bool {
+	if len(shapes) == 0 {
+		return true
+	}
+	for _, domain := range oracleDomains(p.d, shapes[0]) {
+		if p.tasks(shapes[0].Task, shapes[0].Tasks, domain, shapes[1:]) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *packer) tasks(task structs.Resources, n int, domain []*state.Worker, rest []structs.Shape) bool {
+	if n == 0 {
+		return p.shapes(rest)
+	}
+	if p.steps++; p.steps >= packerSteps {
+		return false
+	}
+	for i, w := range domain {
+		room, ok := p.room[w.ID]
+		if !ok || !task.Fits(room) {
+			continue
+		}
+		p.room[w.ID] = room.Sub(task)
+		// Equal tasks: later ones need not try earlier workers.
+		done := p.tasks(task, n-1, domain[i:], rest)
+		p.room[w.ID] = room
+		if done {
+			return true
+		}
+	}
+	return false
+}
+
+// oracleHolds reports whether every unmet guarantee can be packed at once.
+func oracleHolds(d *state.DataCentre, now time.Time) (holds, known bool) {
+	shapes, inside := oracleUnmet(d, now)
+	return oraclePacks(d, oracleRoom(d, now, inside, false), shapes)
+}
--- a/scheduler/pack.go
+++ b/scheduler/pack.go
@@ -85,6 +85,10 @@
 		c.unpacked = best
 		c.setPieces(bestPieces)
 	}
+	if c.unpacked.tasks > 0 {
+		slices.SortStableFunc(demands, compareDemands)
+		c.packExact(demands)
+	}
 }
 
 // setPieces replaces the packing.
@@ -310,9 +314,7 @@
 	c.pieces, c.unpacked = s.pieces, s.unpacked
 	for _, v := range c.victims[s.victims:] {
 		for _, i := range v.nodes {
-			for n := len(c.on[i]); n > 0 && int(c.on[i][n-1]) >= s.victims; n-- {
-				c.on[i] = c.on[i][:n-1]
-			}
+			c.on[i] = slices.DeleteFunc(c.on[i], func(id int32) bool { return int(id) >= s.victims })
 		}
 	}
 	c.victims = c.victims[:s.victims]
@@ -333,24 +335,37 @@
 	for _, i := range nodes {
 		c.nodes[i].free = c.nodes[i].free.Sub(task)
 	}
-	if c.keptAt(nodes) && !c.worse(&s, m != nil) {
+	if c.staysPacked(&s, nodes, ws, m != nil) {
 		return true
 	}
+	c.restore(s)
+	if old != nil {
+		c.matches[ws] = old
+	}
+	return false
+}
+
+// staysPacked reports whether the guarantees stay packed after room was taken at the
+// nodes, if need be in a new packing.
+func (c *cycle) staysPacked(s *savepoint, nodes []int, ws string, guaranteed bool) bool {
+	kept := c.keptAt(nodes) && !c.worse(s, guaranteed)
+	if kept && c.unpacked.tasks == 0 {
+		return true
+	}
+	// Pieces added one by one may miss a packing that exists.
 	if c.repacks++; c.repacks <= maxRepacks {
+		pieces, u := c.pieces, c.unpacked
 		c.packAll()
-		if !c.worse(&s, m != nil) {
+		if !c.worse(s, guaranteed) {
 			return true
 		}
+		if kept {
+			c.setPieces(pieces)
+			c.unpacked = u
+		}
 	}
 	// A guarantee that cannot be packed whole must still serve what it can.
-	if m != nil && s.unpacked.ws[ws] > 0 {
-		return true
-	}
-	c.restore(s)
-	if old != nil {
-		c.matches[ws] = old
-	}
-	return false
+	return kept || guaranteed && s.unpacked.ws[ws] > 0
 }
 
 // displace counts jobs that lost their charge as lent.
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -23,10 +23,10 @@
 }
 
 // placeQueue starts, claims, reserves and refuses queued jobs in their order.
-func (c *cycle) placeQueue() {
-	for _, e := range c.order() {
+func (c *cycle) placeQueue(queue []entry) {
+	for _, e := range queue {
 		j := e.job
-		if _, claimed := c.claims[j.ID]; claimed || c.started[j.ID] {
+		if c.claimed[j.ID] || c.started[j.ID] {
 			continue
 		}
 		if c.refuse(j) || e.rank != rankUrgent && c.overRamp(j) {
@@ -93,7 +93,7 @@
 	} else if ok {
 		for _, i := range nodes {
 			n := &c.nodes[i]
-			n.free, n.lent = n.free.Sub(j.Shape.Task), n.lent.Add(j.Shape.Task)
+			n.lend(j.Shape.Task)
 			if !c.quick(&j.Job) {
 				n.slow = n.slow.Add(j.Shape.Task)
 			}
@@ -110,6 +110,11 @@
 	return true
 }
 
+// lend moves free room to a start of this decision that can be reclaimed later.
+func (n *node) lend(task structs.Resources) {
+	n.free, n.lent, n.starting = n.free.Sub(task), n.lent.Add(task), n.starting.Add(task)
+}
+
 // usableRoom is the room of a node that a start of the mode may take.
 func (c *cycle) usableRoom(n *node, md mode) structs.Resources {
 	room := n.free
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -23,12 +23,6 @@
 
 func (v *victim) room() structs.Resources { return v.size.Mul(v.count) }
 
-// claim is room that a job waits for while victims leave.
-type claim struct {
-	nodes   []int
-	startAt time.Time
-}
-
 // grantLoss is the work counted as lost when a grant is revoked: its requests finish, and
 // only the room stays unused until the grant expires.
 const grantLoss = time.Second
@@ -285,33 +279,57 @@
 }
 
 // claimKept claims the room that the packing keeps for the workspace's own guarantee.
-// That room always leaves the other guarantees packed.
+// That room leaves the other guarantees packed. If the packing relies on jobs that are
+// still starting, it is tried again without their room.
 func (c *cycle) claimKept(j *state.Job, m *match) bool {
-	var nodes []int
-	for _, p := range c.pieces {
-		if p.ws != j.Workspace || p.slots || len(p.nodes) < j.Shape.Tasks || !j.Shape.Task.Fits(p.shape.Task) {
+	if c.claimPieces(j, m) {
+		return true
+	}
+	for i := range c.nodes {
+		n := &c.nodes[i]
+		n.lent = n.lent.Sub(n.starting)
+	}
+	c.packAll()
+	complete := c.unpacked.tasks == 0
+	for i := range c.nodes {
+		n := &c.nodes[i]
+		n.lent = n.lent.Add(n.starting)
+	}
+	return complete && c.claimPieces(j, m)
+}
+
+func (c *cycle) claimPieces(j *state.Job, m *match) bool {
+	for _, p := range slices.Clone(c.pieces) {
+		nodes := c.partFor(j.Shape, &p)
+		if p.ws != j.Workspace || p.slots || nodes == nil {
 			continue
 		}
-		if j.Shape.Adjacent && !p.shape.Adjacent && j.Shape.Tasks > 1 {
+		victims, ok := c.victimsAt(nodes, j.Shape.Task)
+		if !ok {
 			continue
 		}
-		nodes = p.nodes[:j.Shape.Tasks]
-		break
-	}
-	if nodes == nil {
-		return false
+		c.takeVictims(victims, 1)
+		if c.takeFixed(j.Workspace, j.Shape.Task, nodes, m) {
+			c.commitClaim(j, nodes, victims)
+			return true
+		}
+		c.takeVictims(victims, -1)
 	}
-	victims, ok := c.victimsAt(nodes, j.Shape.Task)
-	if !ok {
-		return false
+	return false
+}
+
+// partFor returns nodes of the piece that hold the shape within one of its domains.
+func (c *cycle) partFor(s structs.Shape, p *piece) []int {
+	if !s.Task.Fits(p.shape.Task) {
+		return nil
 	}
-	c.takeVictims(victims, 1)
-	if !c.takeFixed(j.Workspace, j.Shape.Task, nodes, m) {
-		c.takeVictims(victims, -1)
-		return false
+	sorted := slices.Sorted(slices.Values(p.nodes))
+	for k := 0; k+s.Tasks <= len(sorted); k++ {
+		if part := sorted[k : k+s.Tasks]; c.within(s, part) {
+			return part
+		}
 	}
-	c.commitClaim(j, nodes, victims)
-	return true
+	return nil
 }
 
 // victimsAt finds victims that make room for one task at each of the nodes.
@@ -339,7 +357,28 @@
 			return nil, false
 		}
 	}
-	return chosen, true
+	return c.neededAt(need, room, chosen), true
+}
+
+// neededAt drops victims without which the nodes have room, the most expensive first.
+func (c *cycle) neededAt(need, room map[int]structs.Resources, chosen []int32) []int32 {
+	order := slices.Clone(chosen)
+	slices.SortFunc(order, func(a, b int32) int { return compareVictims(&c.victims[b], &c.victims[a]) })
+	for _, id := range order {
+		v := &c.victims[id]
+		for _, at := range v.nodes {
+			room[at] = room[at].Sub(v.room())
+		}
+		short := slices.ContainsFunc(v.nodes, func(at int) bool { return !need[at].Fits(room[at]) })
+		if !short {
+			chosen = slices.DeleteFunc(chosen, func(o int32) bool { return o == id })
+			continue
+		}
+		for _, at := range v.nodes {
+			room[at] = room[at].Add(v.room())
+		}
+	}
+	return chosen
 }
 
 // takeVictims moves the victims' room from lent to leaving, or back with sign -1.
@@ -375,7 +414,7 @@
 			}
 		}
 	}
-	c.holdClaim(j, nodes, startAt, fmt.Sprintf("claim inside the guarantee of %s: room kept while %d victims leave", j.Workspace, len(victims)))
+	c.holdClaim(claim{job: j, nodes: nodes, startAt: startAt}, fmt.Sprintf("claim inside the guarantee of %s: room kept while %d victims leave", j.Workspace, len(victims)))
 }
 
 // evict plans the preemption of a victim and returns when its room comes free.
@@ -405,61 +444,3 @@
 	}
 	return a
 }
-
-// holdClaim keeps the nodes for the job until it can start there.
-func (c *cycle) holdClaim(j *state.Job, nodes []int, startAt time.Time, reason string) {
-	c.claims[j.ID] = claim{nodes: nodes, startAt: startAt}
-	c.refresh(nodes)
-	c.act(structs.Action{
-		Kind: structs.ActionReserve, Job: j.ID, Placements: c.placements(nodes), Guaranteed: true, StartAt: startAt, Reason: reason,
-	})
-	c.wake(startAt)
-}
-
-// keepClaims starts the claims of earlier decisions whose room is free and keeps the room
-// of the others. A claim whose room was lost goes back to the queue.
-func (c *cycle) keepClaims() {
-	for _, r := range c.d.Reservations {
-		j := c.d.Jobs[r.Job]
-		if !r.Claim || j == nil || j.Status != state.Queued {
-			continue
-		}
-		m, in := c.fitsGuarantee(j)
-		if !in || c.startGuaranteed(j, m) {
-			continue
-		}
-		nodes, ok := c.claimable(&r, j.Shape.Task)
-		if ok && c.takeFixed(j.Workspace, j.Shape.Task, nodes, m) {
-			c.holdClaim(j, nodes, r.StartAt, "claim inside the guarantee of "+j.Workspace+": victims are leaving")
-		}
-	}
-}
-
-// claimable returns the nodes of a reservation if their free and leaving room holds it.
-func (c *cycle) claimable(r *state.Reservation, task structs.Resources) ([]int, bool) {
-	nodes := make([]int, 0, len(r.Placements))
-	for _, p := range r.Placements {
-		i, ok := c.index[p.Worker]
-		if !ok || !c.nodes[i].usable {
-			return nil, false
-		}
-		nodes = append(nodes, i)
-	}
-	_, ok := c.victimsAt(nodes, task)
-	if !ok {
-		return nil, false
-	}
-	return nodes, c.holds(nodes, task, func(n *node) structs.Resources { return n.free.Add(n.leaving) })
-}
-
-// holds reports whether the room of the nodes holds one task at each.
-func (c *cycle) holds(nodes []int, task structs.Resources, room func(*node) structs.Resources) bool {
-	need := map[int]structs.Resources{}
-	for _, i := range nodes {
-		need[i] = need[i].Add(task)
-		if !need[i].Fits(room(&c.nodes[i])) {
-			return false
-		}
-	}
-	return true
-}
--- a/state/events.go
+++ b/state/events.go
@@ -188,6 +188,8 @@
 			if g := d.Grants[a.GrantID]; g != nil {
 				g.Revoking = true
 			}
+		case structs.ActionUncharge:
+			d.uncharge(a.Job)
 		}
 	}
 	d.Reservations = reservations
@@ -218,6 +220,15 @@
 	j.PreemptedFor = a.For
 }
 
+func (d *DataCentre) uncharge(id string) {
+	j := d.Jobs[id]
+	if j == nil || !j.Guaranteed {
+		return
+	}
+	j.Guaranteed = false
+	d.GuaranteedUsed[j.Workspace] = d.GuaranteedUsed[j.Workspace].Sub(j.Shape.Total())
+}
+
 func (d *DataCentre) drop(id string) {
 	j := d.Jobs[id]
 	if j == nil || j.Status != Queued {
--- a/structs/plan.go
+++ b/structs/plan.go
@@ -14,6 +14,7 @@
 	ActionTransfer ActionKind = "transfer" // hand the queued job to DataCentre
 	ActionGrant    ActionKind = "grant"    // grant Slots of Worker to Instance for Service
 	ActionRevoke   ActionKind = "revoke"   // take the grant GrantID back
+	ActionUncharge ActionKind = "uncharge" // the job runs on outside its workspace's guarantee
 )
 
 // Action is one step of a plan. Fields that its kind does not use are zero.
