Keep control traffic within its limit during an outage of the store; fix two races

Cause: at 24 instances a store outage cost 9700 B/s per node, because every heartbeat went both ways and confirmations carried the tokens of all data centres. Change: confirmations count as signs of life and replace heartbeats; they name only the tokens that the asking instance holds and are answered with higher ones; a round asks a peer again only when it has not agreed; at most 3 peers are asked in addition while the store does not confirm the manifest.

--- a/config/config.go
+++ b/config/config.go
@@ -30,9 +30,10 @@
 	callTimeout = 1500 * time.Millisecond
 	// peerTimeout bounds a call to a peer. Together with confirmAfter it stays inside
 	// FreshnessBound.
-	peerTimeout = 600 * time.Millisecond
-	// confirmAfter is the age of the last proof at which peers are asked for one.
-	confirmAfter = 1200 * time.Millisecond
+	peerTimeout = 500 * time.Millisecond
+	// confirmAfter is the age of the last proof at which peers are asked for one. At 24
+	// instances, shorter rounds would exceed 2 KB/s of control traffic in an outage.
+	confirmAfter = 1400 * time.Millisecond
 	// retryPause is the pause after a failed call, before jitter.
 	retryPause = 250 * time.Millisecond
 	// ListLag is the assumed lag of the platform's list.
@@ -60,10 +61,15 @@
 	// not leaving, zero when it is not, and the time of the list that shows it.
 	ListedSince() (since, asOf time.Time)
 	Client(ctx context.Context, instance string) (peer.DRPCPeerClient, error)
-	// Tokens returns the highest owner token known for each data centre.
-	Tokens() []*peer.OwnerToken
+	// OwnTokens returns the owner tokens that this instance holds.
+	OwnTokens() []*peer.OwnerToken
+	// NewerTokens takes the tokens that a peer holds and returns those of the same data
+	// centres that are higher.
+	NewerTokens([]*peer.OwnerToken) []*peer.OwnerToken
 	// ObserveTokens takes owner tokens that a peer has seen.
 	ObserveTokens([]*peer.OwnerToken)
+	// Heard takes a sign of life of a peer.
+	Heard(instance string)
 }
 
 // Options holds the dependencies of a Controller.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -76,6 +76,7 @@
 		_, err = n.config.HandleAnnounce(t.Context(), &peer.AnnounceRequest{Revision: 1, CommitId: old.CommitID, Document: encode(t, old)})
 		require.NoError(t, err)
 		time.Sleep(5 * time.Second)
+		synctest.Wait() // orders the subscriber's writes before the reads here
 		require.Equal(t, uint64(2), n.config.Status().Revision)
 		require.Equal(t, []uint64{1, 2}, seen)
 		require.Equal(t, config.SourcePeers, n.config.Status().Source, "a store that went back confirms nothing")
--- a/config/freshness.go
+++ b/config/freshness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -162,12 +163,15 @@
 	return known
 }
 
-// NeedsPeers reports whether the store has not confirmed the manifest lately, so that
-// the confirmations of peers are wanted.
+// NeedsPeers reports whether the store does not confirm the manifest, so that peers that
+// reach it are wanted. Confirmation by all peers makes further questions needless.
 func (c *Controller) NeedsPeers() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.storeUp || c.source != SourceStore || time.Since(c.confirmed) > confirmAfter
+	if c.freshLocked() != nil || c.source == SourcePeer {
+		return true
+	}
+	return !c.storeUp && c.source == SourceStore
 }
 
 // PeerSaw takes the revision that a peer reports. For an answer to a heartbeat, sent is
@@ -193,25 +197,40 @@
 // confirm asks all listed peers for confirmation whenever the last proof is older than
 // confirmAfter, which happens during an outage of the store.
 func (c *Controller) confirm(ctx context.Context) {
+	var r *round
 	for {
 		c.trackListed()
 		c.mu.Lock()
 		c.logFreshness()
 		due := confirmAfter - time.Since(c.confirmed)
 		ready := c.known && c.newest <= c.current.Number
+		number := c.current.Number
 		c.mu.Unlock()
 		if !ready || due > 0 {
+			r = nil
 			if !sleep(ctx, min(max(due, retryPause/5), retryPause)) {
 				return
 			}
 			continue
 		}
-		if !c.confirmOnce(ctx) && !c.pause(ctx, retryPause) {
+		if r == nil || r.number != number || time.Since(r.start) > confirmAfter {
+			r = &round{start: time.Now(), number: number, agreed: map[string]bool{}}
+		}
+		if !c.confirmOnce(ctx, r) && !c.pause(ctx, retryPause) {
 			return
 		}
 	}
 }
 
+// round is one round of questions to all peers. A peer that does not agree at first is
+// asked again; those that agreed since the start are not.
+type round struct {
+	start  time.Time
+	number uint64
+	mu     sync.Mutex
+	agreed map[string]bool
+}
+
 // trackListed keeps the peers whose confirmation counts: those listed now, and those
 // that left the list without warning less than MemberFor ago, because their own view of
 // the list may still allow them to commit.
@@ -268,40 +287,41 @@
 	return ids, true
 }
 
-// confirmOnce asks every peer that counts, and confirms the revision in force as of the
-// time at which the questions were sent.
-func (c *Controller) confirmOnce(ctx context.Context) bool {
+// confirmOnce asks the peers that have not agreed yet. When all have, it confirms the
+// revision in force as of the start of the round.
+func (c *Controller) confirmOnce(ctx context.Context, r *round) bool {
 	ids, ok := c.confirmers()
 	if !ok {
 		return false
 	}
-	sent := time.Now()
 	c.mu.Lock()
-	number, own := c.current.Number, c.pending != nil
+	own := c.pending != nil
 	c.mu.Unlock()
 	if own {
 		return false
 	}
-	request := &peer.ConfirmRequest{Instance: c.o.Peers.Self().ID, Revision: number, Tokens: c.o.Peers.Tokens()}
-	var mu sync.Mutex
-	agreed := 0
+	request := &peer.ConfirmRequest{Instance: c.o.Peers.Self().ID, Revision: r.number, Tokens: c.o.Peers.OwnTokens()}
+	ids = slices.DeleteFunc(ids, func(id string) bool { return r.agreed[id] })
+	missing := len(ids)
 	c.each(ctx, ids, func(ctx context.Context, id string, client peer.DRPCPeerClient) {
 		reply, err := client.Confirm(ctx, request)
 		if err != nil {
 			return
 		}
+		c.o.Peers.Heard(id)
 		c.o.Peers.ObserveTokens(reply.Tokens)
 		c.PeerSaw(id, reply.Revision, time.Time{}, -1)
-		if reply.Revision <= number && !reply.Unresolved {
-			mu.Lock()
-			agreed++
-			mu.Unlock()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if reply.Revision <= r.number && !reply.Unresolved {
+			r.agreed[id] = true
+			missing--
 		}
 	})
-	if agreed < len(ids) {
+	if missing > 0 {
 		return false
 	}
-	c.confirmAt(number, sent, SourcePeers)
+	c.confirmAt(r.number, r.start, SourcePeers)
 	return true
 }
 
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -110,16 +110,26 @@
 	needs := c.configuration().NeedsPeers()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var ids []string
+	var ids, others []string
 	for id, p := range c.peers {
-		if !p.listed || p.beating {
-			continue
-		}
-		if needs || time.Since(p.received) > suppressFor || len(c.pendingSummaries(p)) > 0 {
-			p.beating = true
+		switch {
+		case !p.listed || p.beating:
+		case time.Since(p.received) > suppressFor || len(c.pendingSummaries(p)) > 0:
 			ids = append(ids, id)
+		default:
+			others = append(others, id)
 		}
 	}
+	for range askedPeers {
+		if needs && len(others) > 0 {
+			i := int(c.o.Jitter(time.Duration(len(others))))
+			ids = append(ids, others[i])
+			others = slices.Delete(others, i, i+1)
+		}
+	}
+	for _, id := range ids {
+		c.peers[id].beating = true
+	}
 	return ids
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -33,7 +33,10 @@
 	// suppressFor is how long a peer's heartbeat replaces one in the other direction. One
 	// exchange carries the state of both sides, and one per pair and second is what the
 	// traffic limit of 2 KB/s per node allows at 24 instances.
-	suppressFor = 1250 * time.Millisecond
+	suppressFor = 1500 * time.Millisecond
+	// askedPeers is how many peers get a heartbeat in any case while the store does not
+	// confirm the manifest: one that reaches the store is enough.
+	askedPeers = 3
 	// lostAfter is the silence after which a peer counts as lost: three heartbeats.
 	lostAfter = 3500 * time.Millisecond
 	// keepUnlisted is how long a peer that has left the list can still be called.
@@ -176,8 +179,8 @@
 // short time ago.
 func (c *Controller) Client(_ context.Context, instance string) (peer.DRPCPeerClient, error) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	p := c.peers[instance]
-	c.mu.Unlock()
 	if p == nil {
 		return nil, errkind.New(errkind.OwnerUnavailable, "instance %s is not on the platform's list", instance)
 	}
@@ -238,18 +241,45 @@
 	return p != nil && c.isHeard(p) && !p.leaving
 }
 
-// Tokens returns the highest owner token known for each data centre, ordered by name.
-func (c *Controller) Tokens() []*peer.OwnerToken {
+// OwnTokens returns the owner tokens that this instance holds, ordered by data centre.
+func (c *Controller) OwnTokens() []*peer.OwnerToken {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var tokens []*peer.OwnerToken
-	for dc, token := range c.tokens {
-		tokens = append(tokens, &peer.OwnerToken{DataCentre: dc, Token: token})
+	for dc, s := range c.own {
+		if s.Owner != "" {
+			tokens = append(tokens, &peer.OwnerToken{DataCentre: dc, Token: s.Token})
+		}
 	}
 	slices.SortFunc(tokens, func(a, b *peer.OwnerToken) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
 	return tokens
 }
 
+// NewerTokens takes the owner tokens that a peer holds and returns those known here that
+// are higher.
+func (c *Controller) NewerTokens(held []*peer.OwnerToken) []*peer.OwnerToken {
+	c.ObserveTokens(held)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var newer []*peer.OwnerToken
+	for _, h := range held {
+		if token := c.tokens[h.DataCentre]; token > h.Token {
+			newer = append(newer, &peer.OwnerToken{DataCentre: h.DataCentre, Token: token})
+		}
+	}
+	return newer
+}
+
+// Heard takes a sign of life of a peer outside the heartbeats. It replaces a heartbeat.
+func (c *Controller) Heard(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[instance]; p != nil {
+		c.hear(p)
+		p.received = time.Now()
+	}
+}
+
 // ObserveTokens takes owner tokens that a peer or the store has shown.
 func (c *Controller) ObserveTokens(tokens []*peer.OwnerToken) {
 	c.mu.Lock()
