claims: keep released tokens that a peer may still write; fuzz claims and dispatch

Change: the release of such a claim leaves its token in the shard, which keeps any instance from writing it. Rapid fuzz over three instances with faults of the store, the workers and the way between instances. The stand-in store can make a write arrive after its caller has given up.

--- a/claims/batch.go
+++ b/claims/batch.go
@@ -28,7 +28,8 @@
 	withdrawn                 // no effect: the caller gave up before any call
 )
 
-// op is one claim or release on its way to the store.
+// op is one claim or release on its way to the store. A forwarded claim may still be
+// written by a peer at any later time.
 type op struct {
 	Claim
 	kind    opKind
@@ -38,16 +39,16 @@
 
 	// maybe says that a write whose answer was lost may hold the effect. It expected the
 	// shard's revision expect.
-	maybe  bool
-	expect uint64
-	// forwarded says that a peer may still write the effect at any later time.
-	forwarded bool
+	maybe     bool
+	expect    uint64
 	finished  bool
 	abandoned bool // nobody waits for the result; guarded by the shard's lock
 }
 
 func newOp(c Claim, kind opKind) *op {
-	return &op{Claim: c, kind: kind, done: make(chan result, 1)}
+	// The release of a claim that another instance may still write leaves a record, which
+	// only a direct write can do.
+	return &op{Claim: c, kind: kind, direct: c.forwarded, done: make(chan result, 1)}
 }
 
 func (o *op) finish(r result) {
@@ -81,7 +82,7 @@
 	verified  time.Time // when the store last answered for the shard
 	known     bool      // revision and records show the shard as last written or read
 	revision  uint64
-	records   map[idHash]record
+	records   contents
 	wrote     time.Time
 }
 
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -23,7 +23,10 @@
 type Claim struct {
 	Shard     uint32
 	High, Low uint64 // hash of workspace and request id
-	Token     uint64 // unique to this claim
+	Token     uint64 // unique to this claim; odd
+
+	// forwarded says that another instance may still write the claim.
+	forwarded bool
 }
 
 func (c Claim) key() idHash { return idHash{c.High, c.Low} }
@@ -48,8 +51,37 @@
 	expires uint32 // seconds of Unix time
 }
 
+// contents is what a shard holds: claims, and the tokens of released claims that another
+// instance may still try to write.
+type contents struct {
+	claims   map[idHash]record
+	released map[uint64]uint32 // token → expiry in seconds of Unix time
+}
+
+func newContents(size int) contents {
+	return contents{claims: make(map[idHash]record, size), released: map[uint64]uint32{}}
+}
+
+// size counts the records that the value holds.
+func (c contents) size() int { return len(c.claims) + len(c.released) }
+
+// purge deletes what has expired.
+func (c contents) purge(now time.Time) {
+	for id, r := range c.claims {
+		if r.expired(now) {
+			delete(c.claims, id)
+		}
+	}
+	for token, expires := range c.released {
+		if (record{expires: expires}).expired(now) {
+			delete(c.released, token)
+		}
+	}
+}
+
 // A shard's value is a version byte followed by records of 28 bytes in big-endian order:
-// two halves of the id's hash, the token, and the expiry.
+// two halves of the id's hash, the token, and the expiry. A claim's token is odd. An even
+// token stands for the released claim whose token is one higher, and has no hash.
 const (
 	valueVersion = 1
 	recordBytes  = 28
@@ -57,36 +89,43 @@
 
 var errBadValue = errors.New("claim shard holds a value of another format")
 
-// encode returns the shard's value without expired records, which it deletes.
-func encode(records map[idHash]record, now time.Time) []byte {
-	value := make([]byte, 1, 1+len(records)*recordBytes)
+// encode returns the shard's value.
+func (c contents) encode() []byte {
+	value := make([]byte, 1, 1+c.size()*recordBytes)
 	value[0] = valueVersion
-	for id, r := range records {
-		if r.expired(now) {
-			delete(records, id)
-			continue
-		}
-		value = binary.BigEndian.AppendUint64(value, id[0])
-		value = binary.BigEndian.AppendUint64(value, id[1])
-		value = binary.BigEndian.AppendUint64(value, r.token)
-		value = binary.BigEndian.AppendUint32(value, r.expires)
+	for id, r := range c.claims {
+		value = appendRecord(value, id, r)
+	}
+	for token, expires := range c.released {
+		value = appendRecord(value, idHash{}, record{token: token &^ 1, expires: expires})
 	}
 	return value
 }
 
-func decode(value []byte) (map[idHash]record, error) {
+func appendRecord(value []byte, id idHash, r record) []byte {
+	value = binary.BigEndian.AppendUint64(value, id[0])
+	value = binary.BigEndian.AppendUint64(value, id[1])
+	value = binary.BigEndian.AppendUint64(value, r.token)
+	return binary.BigEndian.AppendUint32(value, r.expires)
+}
+
+func decode(value []byte) (contents, error) {
 	if len(value) == 0 {
-		return map[idHash]record{}, nil
+		return newContents(0), nil
 	}
 	if value[0] != valueVersion || (len(value)-1)%recordBytes != 0 {
-		return nil, errBadValue
+		return contents{}, errBadValue
 	}
-	records := make(map[idHash]record, len(value)/recordBytes)
+	c := newContents(len(value) / recordBytes)
 	for b := value[1:]; len(b) > 0; b = b[recordBytes:] {
-		id := idHash{binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])}
-		records[id] = record{token: binary.BigEndian.Uint64(b[16:]), expires: binary.BigEndian.Uint32(b[24:])}
+		r := record{token: binary.BigEndian.Uint64(b[16:]), expires: binary.BigEndian.Uint32(b[24:])}
+		if r.token&1 == 0 {
+			c.released[r.token|1] = r.expires
+			continue
+		}
+		c.claims[idHash{binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])}] = r
 	}
-	return records, nil
+	return c, nil
 }
 
 func (r record) expired(now time.Time) bool {
--- a/claims/ledger.go
+++ b/claims/ledger.go
@@ -102,7 +102,7 @@
 	}
 	switch r {
 	case granted:
-		return c, nil
+		return o.Claim, nil
 	case duplicate:
 		return Claim{}, errkind.New(errkind.DuplicateRequest, "request id %s of workspace %s was used within the last %v", requestID, workspace, Expiry)
 	case withdrawn:
--- a/claims/ledger_test.go
+++ b/claims/ledger_test.go
@@ -31,48 +31,25 @@
 	return errkind.Of(err)
 }
 
-// lateStore plays a write that arrives after its caller has given up, and an outage
-// that starts with a given write.
-type lateStore struct {
-	*standin.Store
-	mu     sync.Mutex
-	late   int // next writes that arrive late
-	losing bool
-}
+// cutStore goes down after a write, whose answer is lost.
+type cutStore struct{ *standin.Store }
 
-func (s *lateStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
-	s.mu.Lock()
-	late, losing := s.late > 0, s.losing
-	if late {
-		s.late--
-	}
-	s.mu.Unlock()
-	if losing {
-		s.SetFaults(standin.StoreFaults{LoseWrites: 1})
-		_, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
-		s.SetFaults(standin.StoreFaults{Down: true})
-		return 0, err
-	}
-	if !late {
-		return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
-	}
-	go func() {
-		time.Sleep(callTimeout + 5*time.Millisecond)
-		_, _ = s.Store.CompareAndSwap(context.WithoutCancel(ctx), key, expect, value, lease)
-	}()
-	<-ctx.Done()
-	return 0, ctx.Err()
+func (s cutStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	s.SetFaults(standin.StoreFaults{LoseWrites: 1})
+	_, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	s.SetFaults(standin.StoreFaults{Down: true})
+	return 0, err
 }
 
 // Guards against a claim that is reported as failed, or written twice, because the
 // answer of its write was lost or the write arrived late.
 func TestLostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &lateStore{Store: standin.NewStore()}
+		store := standin.NewStore()
 		l := newLedger("i1", store, nil)
 		store.SetFaults(standin.StoreFaults{LoseWrites: 1})
 		require.Empty(t, kindOfClaim(t, l, "lost"))
-		store.late = 2
+		store.SetFaults(standin.StoreFaults{LateWrites: 2})
 		require.Empty(t, kindOfClaim(t, l, "late"))
 		for _, id := range []string{"lost", "late"} {
 			require.Equal(t, errkind.DuplicateRequest, kindOfClaim(t, l, id))
@@ -85,7 +62,7 @@
 // write is lost and the store stays down.
 func TestUnresolvedWriteIsUncertain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &lateStore{Store: standin.NewStore(), losing: true}
+		store := cutStore{standin.NewStore()}
 		require.Equal(t, errkind.ClaimUncertain, kindOfClaim(t, newLedger("i1", store, nil), "r"))
 		require.Equal(t, errkind.MayHaveRun, errkind.AnswerOf(errkind.ClaimUncertain).RunState)
 		store.SetFaults(standin.StoreFaults{})
@@ -253,11 +230,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewStore()
 		for shard := range Shards {
-			records := map[idHash]record{}
+			c := newContents(maxEntries)
 			for i := range maxEntries {
-				records[idHash{uint64(i), uint64(shard)}] = record{token: 1, expires: uint32(time.Now().Add(Expiry).Unix())}
+				c.claims[idHash{uint64(i), uint64(shard)}] = record{token: 1, expires: uint32(time.Now().Add(Expiry).Unix())}
 			}
-			value := encode(records, time.Now())
+			value := c.encode()
 			require.Less(t, len(value), platform.MaxValueBytes)
 			_, err := store.CompareAndSwap(t.Context(), fmt.Sprintf("claim/%d", shard), 0, value, 0)
 			require.NoError(t, err)
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -136,9 +136,10 @@
 		if !o.maybe || o.finished {
 			continue
 		}
-		held := s.records[o.key()].token == o.Token
+		held := s.records.claims[o.key()].token == o.Token
+		released := !held && s.revision > o.expect && (!o.forwarded || s.records.released[o.Token] != 0)
 		switch {
-		case o.kind == claimOp && held, o.kind == releaseOp && !held && s.revision > o.expect:
+		case o.kind == claimOp && held, o.kind == releaseOp && released:
 			s.resolved(o)
 			o.finish(granted)
 		case s.revision > o.expect:
@@ -151,7 +152,7 @@
 func (s *shard) resolved(o *op) {
 	s.l.lost.Inc(1)
 	events.Info(s.l.log, events.ClaimAnswerLost, zap.Uint32("shard", s.index), zap.Uint64("expected", o.expect),
-		zap.Uint64("revision", s.revision), zap.Bool("claimed", s.records[o.key()].token == o.Token))
+		zap.Uint64("revision", s.revision), zap.Bool("claimed", s.records.claims[o.key()].token == o.Token))
 }
 
 // apply applies the batch to the records and returns the operations that the next write
@@ -166,14 +167,19 @@
 		if o.finished {
 			continue
 		}
-		r, held := s.records[o.key()]
+		r, held := s.records.claims[o.key()]
 		held = held && !r.expired(now)
 		switch {
 		case o.kind == releaseOp:
 			if held && r.token == o.Token {
-				delete(s.records, o.key())
+				delete(s.records.claims, o.key())
+			}
+			if o.forwarded {
+				s.records.released[o.Token] = expires
 			}
 			writes = append(writes, o)
+		case s.records.released[o.Token] != 0:
+			o.finish(withdrawn) // the peer that made the claim has released it
 		case held && r.token != o.Token:
 			if added[r.token] {
 				continue // decided after the write
@@ -183,10 +189,10 @@
 				return nil
 			}
 			o.finish(duplicate)
-		case len(s.records) >= maxEntries && !s.purge(now):
+		case s.full(now):
 			o.fail(full)
 		default:
-			s.records[o.key()] = record{token: o.Token, expires: expires}
+			s.records.claims[o.key()] = record{token: o.Token, expires: expires}
 			added[o.Token] = true
 			writes = append(writes, o)
 		}
@@ -194,14 +200,13 @@
 	return writes
 }
 
-// purge drops expired records and reports whether the shard has room.
-func (s *shard) purge(now time.Time) bool {
-	for id, r := range s.records {
-		if r.expired(now) {
-			delete(s.records, id)
-		}
+// full reports whether the shard has no room, also after dropping expired records.
+func (s *shard) full(now time.Time) bool {
+	if s.records.size() < maxEntries {
+		return false
 	}
-	return len(s.records) < maxEntries
+	s.records.purge(now)
+	return s.records.size() >= maxEntries
 }
 
 // swap writes the records. It returns true when the write took effect.
@@ -215,7 +220,8 @@
 	defer cancel()
 	s.l.writes.Inc(1)
 	s.wrote = time.Now()
-	revision, err := s.l.opts.Store.CompareAndSwap(call, s.key, s.revision, encode(s.records, s.wrote), 0)
+	s.records.purge(s.wrote)
+	revision, err := s.l.opts.Store.CompareAndSwap(call, s.key, s.revision, s.records.encode(), 0)
 	if err == nil {
 		s.confirmed = true
 		s.revision, s.verified = revision, time.Now()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,7 +25,23 @@
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// fixedSeed makes the fuzz tests repeatable unless the command line gives a seed.
+const fixedSeed = "1"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		_ = seed.Value.Set(fixedSeed)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// tb is what testing.TB and rapid.T have in common.
+type tb interface {
+	require.TestingT
+	Helper()
+	Cleanup(func())
+}
 
 type fixedManifest structs.Manifest
 
@@ -58,7 +75,7 @@
 
 // newFixture starts a pool and returns a server. Its workers have the given number of
 // slots and are called over sockets, unless up is set.
-func newFixture(t testing.TB, workers, slotsEach int, run time.Duration, up platform.Upstream, ledger Claims) *fixture {
+func newFixture(t tb, workers, slotsEach int, run time.Duration, up platform.Upstream, ledger Claims) *fixture {
 	f := &fixture{owner: testlease.NewOwner()}
 	for i := range workers {
 		info := structs.Worker{ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("w%d", i), DataCentre: "dc1", Capacity: structs.Resources{Slots: slotsEach}}
@@ -87,13 +104,13 @@
 }
 
 // second returns another instance over the same workers.
-func (f *fixture) second(t testing.TB, name string, ledger Claims) *fixture {
+func (f *fixture) second(t tb, name string, ledger Claims) *fixture {
 	g := *f
 	g.pool, g.Server = f.instance(t, name, ledger)
 	return &g
 }
 
-func (f *fixture) instance(t testing.TB, name string, ledger Claims) (*slots.Pool, *Server) {
+func (f *fixture) instance(t tb, name string, ledger Claims) (*slots.Pool, *Server) {
 	pool := slots.New(slots.Options{
 		Instance: name, Leaser: f.owner, DataCentres: func() []string { return []string{"dc1"} },
 		MayStart: func(string) error { return nil }, Metrics: metrics.NewRegistry(),
@@ -173,7 +190,7 @@
 	return request{workspace: "verband", service: "rota", id: id, idempotent: idempotent, body: "plan"}
 }
 
-func requireRefused(t testing.TB, r reply, kind errkind.Kind) {
+func requireRefused(t tb, r reply, kind errkind.Kind) {
 	t.Helper()
 	row := errkind.AnswerOf(kind)
 	require.Equal(t, kind, r.err.Kind, r.body)
--- /dev/null
+++ b/gateway/fuzz_test.go
@@ -0,0 +1,292 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenyard/cyclamenyard/claims"
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/standin"
+)
+
+const (
+	fuzzInstances = 3
+	fuzzWorkers   = 4
+	fuzzIDs       = 8
+)
+
+// submission is one request of the fuzz with its reply.
+type submission struct {
+	request
+	reply
+	done bool
+}
+
+// cluster is several instances over one store and the same workers.
+type cluster struct {
+	store     *standin.Store
+	entries   [fuzzInstances]*fixture
+	ledgers   [fuzzInstances]*claims.Ledger
+	mu        sync.Mutex
+	sent      []*submission
+	wg        sync.WaitGroup
+	owners    [fuzzInstances]int // the owner of all shards as each instance sees it
+	cut, lose bool               // the way between instances
+}
+
+// link is the way from one instance to the others.
+type link struct {
+	peer.DRPCPeerClient
+	c    *cluster
+	from int
+	to   int
+}
+
+func name(i int) string { return fmt.Sprint("i", i) }
+
+func (l *link) ShardOwner(uint32) string {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	return name(l.c.owners[l.from])
+}
+
+func (l *link) Client(_ context.Context, instance string) (peer.DRPCPeerClient, error) {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	if l.c.cut {
+		return nil, context.DeadlineExceeded
+	}
+	for i := range fuzzInstances {
+		if name(i) == instance {
+			return &link{c: l.c, from: l.from, to: i}, nil
+		}
+	}
+	return nil, context.DeadlineExceeded
+}
+
+func (l *link) target() (ledger *claims.Ledger, lose bool) {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	return l.c.ledgers[l.to], l.c.lose
+}
+
+func (l *link) Claim(ctx context.Context, r *peer.ClaimRequest) (*peer.ClaimReply, error) {
+	ledger, lose := l.target()
+	reply, err := ledger.HandleClaim(ctx, r)
+	if lose {
+		return nil, context.DeadlineExceeded
+	}
+	return reply, err
+}
+
+func (l *link) Release(ctx context.Context, r *peer.ReleaseRequest) (*peer.ReleaseReply, error) {
+	ledger, lose := l.target()
+	reply, err := ledger.HandleRelease(ctx, r)
+	if lose {
+		return nil, context.DeadlineExceeded
+	}
+	return reply, err
+}
+
+// ledgerOf is the present ledger of one instance.
+type ledgerOf struct {
+	c *cluster
+	i int
+}
+
+func (l ledgerOf) present() *claims.Ledger {
+	l.c.mu.Lock()
+	defer l.c.mu.Unlock()
+	return l.c.ledgers[l.i]
+}
+
+func (l ledgerOf) Claim(ctx context.Context, workspace, id string) (claims.Claim, error) {
+	return l.present().Claim(ctx, workspace, id)
+}
+
+func (l ledgerOf) Release(ctx context.Context, claim claims.Claim) error {
+	return l.present().Release(ctx, claim)
+}
+
+// replaceLedger gives the instance a ledger without memory, as after a restart.
+func (c *cluster) replaceLedger(i int) {
+	l := claims.New(claims.Options{
+		Instance: name(i), Store: c.store, Peers: &link{c: c, from: i}, Metrics: metrics.NewRegistry(),
+		Instances: func() int { return fuzzInstances },
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledgers[i] = l
+}
+
+func newCluster(t tb) *cluster {
+	c := &cluster{store: standin.NewStore()}
+	for i := range fuzzInstances {
+		c.replaceLedger(i)
+	}
+	c.entries[0] = newFixture(t, fuzzWorkers, 2, 10*time.Millisecond, standin.Upstream{}, ledgerOf{c, 0})
+	for i := 1; i < fuzzInstances; i++ {
+		c.entries[i] = c.entries[0].second(t, name(i), ledgerOf{c, i})
+	}
+	return c
+}
+
+// submit sends a request whose body is unique, and keeps its reply.
+func (c *cluster) submit(entry int, id string, idempotent bool, callerWaits time.Duration) *submission {
+	c.mu.Lock()
+	s := &submission{request: request{
+		workspace: "verband", service: "rota", id: id, idempotent: idempotent, body: fmt.Sprint("body", len(c.sent)),
+	}}
+	c.sent = append(c.sent, s)
+	c.mu.Unlock()
+	c.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callerWaits)
+		defer cancel()
+		r := c.entries[entry].do(ctx, s.request)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		s.reply, s.done = r, true
+	})
+	return s
+}
+
+// check compares the replies so far with the workers' own counts.
+func (c *cluster) check(t require.TestingT) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range fuzzIDs {
+		id := fmt.Sprint("n", i)
+		runs, answered, mayExplain := c.entries[0].runs("verband", id), 0, 0
+		for _, s := range c.sent {
+			if s.id != id || s.done && (s.err.RunState == errkind.NotRun || s.err.Kind == errkind.DuplicateRequest) {
+				continue
+			}
+			mayExplain++
+			if s.done && s.status == http.StatusOK {
+				answered++
+			}
+		}
+		require.LessOrEqual(t, runs, 1, "%s ran more than once", id)
+		require.LessOrEqual(t, answered, runs, "%s was answered without a run", id)
+		if mayExplain == 0 {
+			require.Zero(t, runs, "%s ran although every reply says that it did not", id)
+		}
+	}
+	for _, s := range c.sent {
+		if s.done && s.status == http.StatusOK {
+			require.Equal(t, "done:"+s.request.body, s.reply.body, "answer of another attempt")
+		}
+	}
+}
+
+func (c *cluster) actions() map[string]func(*rapid.T) {
+	pick := func(t *rapid.T, label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			synctest.Wait() // each action settles before the next, so that a seed repeats
+			c.check(t)
+		},
+		"submit": func(t *rapid.T) {
+			waits := rapid.SampledFrom([]time.Duration{time.Minute, time.Minute, 15 * time.Millisecond}).Draw(t, "caller waits")
+			c.submit(pick(t, "entry", fuzzInstances), fmt.Sprint("n", pick(t, "id", fuzzIDs)), false, waits)
+		},
+		"submit idempotent": func(t *rapid.T) {
+			c.submit(pick(t, "entry", fuzzInstances), fmt.Sprint("i", pick(t, "id", fuzzIDs)), true, time.Minute)
+		},
+		"wait": func(t *rapid.T) {
+			time.Sleep(rapid.SampledFrom([]time.Duration{time.Millisecond, 25 * time.Millisecond, time.Second}).Draw(t, "time"))
+		},
+		"store fault": func(t *rapid.T) {
+			c.store.SetFaults(rapid.SampledFrom([]standin.StoreFaults{
+				{}, {}, {Down: true}, {LoseWrites: 1}, {LoseWrites: 3}, {LateWrites: 1}, {LateWrites: 2}, {StaleReads: true},
+				{Slow: 100 * time.Millisecond}, {Slow: time.Second}, {LoseWrites: 1, StaleReads: true},
+			}).Draw(t, "faults"))
+		},
+		"worker fault": func(t *rapid.T) {
+			c.entries[0].workers[pick(t, "worker", fuzzWorkers)].SetFaults(rapid.SampledFrom([]standin.WorkerFaults{
+				{}, {}, {Down: true}, {FailAll: true}, {CloseAfterRead: true}, {CrossAnswers: true}, {Truncate: true}, {Late: 6 * time.Second},
+			}).Draw(t, "faults"))
+		},
+		"worker leaves": func(t *rapid.T) {
+			c.entries[0].workers[pick(t, "worker", fuzzWorkers)].SetLeaving(rapid.Bool().Draw(t, "leaving"))
+		},
+		"peers": func(t *rapid.T) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.owners[pick(t, "instance", fuzzInstances)] = pick(t, "owner", fuzzInstances)
+			c.cut, c.lose = rapid.Bool().Draw(t, "cut"), rapid.Bool().Draw(t, "lose")
+		},
+		"replace ledger": func(t *rapid.T) {
+			c.replaceLedger(pick(t, "instance", fuzzInstances))
+		},
+	}
+}
+
+// heal ends all faults and waits for what is under way.
+func (c *cluster) heal() {
+	c.store.SetFaults(standin.StoreFaults{})
+	c.mu.Lock()
+	c.cut, c.lose, c.owners = false, false, [fuzzInstances]int{}
+	c.mu.Unlock()
+	for _, w := range c.entries[0].workers {
+		w.SetFaults(standin.WorkerFaults{})
+		w.SetLeaving(false)
+	}
+	c.wg.Wait()
+	time.Sleep(time.Minute)
+}
+
+// checkNotRunIsTrue repeats the ids whose every reply was "not run": each must run now.
+func (c *cluster) checkNotRunIsTrue(t require.TestingT) {
+	free := map[string]bool{}
+	for _, s := range c.sent {
+		if !s.idempotent {
+			before, seen := free[s.id]
+			free[s.id] = (before || !seen) && s.err.RunState == errkind.NotRun
+		}
+	}
+	for id, ok := range free {
+		if !ok {
+			continue
+		}
+		s := c.submit(0, id, false, time.Minute)
+		c.wg.Wait()
+		require.Equal(t, http.StatusOK, s.status, "%s was never run but is refused: %s\nits replies: %v", id, s.reply.body, c.replies(id))
+	}
+}
+
+// replies describes the replies to the submissions of an id.
+func (c *cluster) replies(id string) (list []string) {
+	for _, s := range c.sent {
+		if s.id == id {
+			list = append(list, s.reply.body)
+		}
+	}
+	return list
+}
+
+// Guards against a second run of a non-idempotent id, a false "not run", and an answer of
+// another attempt, under faults of the store, the workers and the way between instances.
+func TestFuzzClaimsAndDispatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// rapid asks a *testing.T for its deadline, which a bubble does not allow.
+		rapid.Check(struct{ rapid.TB }{t}, func(t *rapid.T) {
+			c := newCluster(t)
+			t.Repeat(c.actions())
+			c.heal()
+			c.check(t)
+			c.checkNotRunIsTrue(t)
+			c.check(t)
+		})
+	})
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -23,6 +23,7 @@
 	Down       bool          // no call is answered or has an effect
 	Slow       time.Duration // added to every call
 	LoseWrites int           // answers of the next writes are lost after the effect
+	LateWrites int           // the next writes take effect after their callers have given up
 	StaleReads bool          // Get and List answer with the value before the last write
 	WatchLag   time.Duration // a change reaches watches this much later
 }
@@ -210,8 +211,31 @@
 	return kvs[:min(len(kvs), limit)], nil
 }
 
+// lateBy is how long after its caller has given up a late write takes effect.
+const lateBy = 5 * time.Millisecond
+
+// takeLate reports whether the next write is late.
+func (s *Store) takeLate() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LateWrites == 0 || s.faults.Down {
+		return false
+	}
+	s.faults.LateWrites--
+	return true
+}
+
 // CompareAndSwap implements platform.Store.
 func (s *Store) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	if s.takeLate() {
+		<-ctx.Done()
+		time.AfterFunc(lateBy, func() { _, _ = s.swap(context.WithoutCancel(ctx), key, expect, value, lease) })
+		return 0, ctx.Err()
+	}
+	return s.swap(ctx, key, expect, value, lease)
+}
+
+func (s *Store) swap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
 	if err := s.begin(ctx, "swap"); err != nil {
 		return 0, err
 	}
