gateway: add a benchmark of the request path

Cause: the added latency has a target and no measurement. Change: BenchmarkRequest sends the same requests directly to a stand-in worker and through the gateway, in turns, and reports percentiles, allocations and the difference.

--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cyclamenyard/cyclamenyard/platform"
+)
+
+const (
+	benchClients = 32
+	benchRate    = 10_000 // requests a second
+	benchSlice   = 2_000  // requests of one kind in a row
+)
+
+// target is one way to the worker: through the gateway, or directly.
+type target struct {
+	client  *http.Client
+	url     string
+	headers map[string]string
+	times   *hdrhistogram.Histogram
+	allocs  uint64
+	sent    int
+	spent   time.Duration
+	mu      sync.Mutex
+}
+
+func (g *target) call(i int) error {
+	body := []byte("a plan of sixty-four bytes, as a short request would carry it...")
+	r, err := http.NewRequest(http.MethodPost, g.url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	for k, v := range g.headers {
+		r.Header.Set(k, v)
+	}
+	r.Header.Set(HeaderRequestID, fmt.Sprint("r", i))
+	resp, err := g.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// run sends n requests from benchClients clients, at the rate or, for 0, without pauses.
+func (g *target) run(b *testing.B, n, rate int) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	start := time.Now()
+	var wg sync.WaitGroup
+	for c := range benchClients {
+		wg.Go(func() {
+			local := hdrhistogram.New(1, int64(time.Minute), 3)
+			for i := c; i < n; i += benchClients {
+				if rate > 0 {
+					time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+				}
+				sent := time.Now()
+				if err := g.call(g.sent + i); err != nil {
+					b.Error(err)
+					return
+				}
+				_ = local.RecordValue(int64(time.Since(sent)))
+			}
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.times.Merge(local)
+		})
+	}
+	wg.Wait()
+	runtime.ReadMemStats(&after)
+	g.allocs += after.Mallocs - before.Mallocs
+	g.spent += time.Since(start)
+	g.sent += n
+}
+
+func (g *target) report(b *testing.B, name string) {
+	for _, q := range []float64{50, 99} {
+		b.ReportMetric(float64(g.times.ValueAtQuantile(q))/1e3, fmt.Sprintf("%s-p%.0f-µs", name, q))
+	}
+	b.ReportMetric(float64(g.allocs)/float64(g.sent), name+"-allocs/req")
+	b.ReportMetric(float64(g.sent)/g.spent.Seconds(), name+"-req/s")
+}
+
+// BenchmarkRequest compares requests through the gateway with requests by the same
+// client to the worker, in turns. Client, gateway and worker share one process.
+func BenchmarkRequest(b *testing.B) {
+	for _, rate := range []int{benchRate, 0} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			f := newFixture(b, 4, 2*benchClients, 0, nil, nil)
+			web := httptest.NewServer(f.Handler())
+			defer web.Close()
+			client := func() *http.Client {
+				t := platform.NewTransport(0)
+				b.Cleanup(t.CloseIdleConnections)
+				return &http.Client{Transport: t}
+			}
+			times := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Minute), 3) }
+			direct := &target{client: client(), times: times(), url: "http://" + f.workers[0].Info().Address + "/v1/run", headers: map[string]string{
+				platform.HeaderToken: "1", platform.HeaderAttempt: "a", platform.HeaderGrant: "g", HeaderService: "rota", HeaderWorkspace: "verband",
+			}}
+			through := &target{client: client(), times: times(), url: web.URL + "/v1/requests", headers: map[string]string{
+				HeaderService: "rota", HeaderWorkspace: "verband", HeaderIdempotent: "true",
+			}}
+			for _, g := range []*target{direct, through} {
+				g.run(b, benchSlice, rate) // opens connections and leases slots
+				g.times.Reset()
+				g.allocs, g.spent, g.sent = 0, 0, 0
+			}
+			b.ResetTimer()
+			for done := 0; done < b.N; done += benchSlice {
+				direct.run(b, min(benchSlice, b.N-done), rate)
+				through.run(b, min(benchSlice, b.N-done), rate)
+			}
+			b.StopTimer()
+			direct.report(b, "direct")
+			through.report(b, "gateway")
+			for _, q := range []float64{50, 99} {
+				added := through.times.ValueAtQuantile(q) - direct.times.ValueAtQuantile(q)
+				b.ReportMetric(float64(added)/1e3, fmt.Sprintf("added-p%.0f-µs", q))
+			}
+		})
+	}
+}
