--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -8,10 +8,13 @@
 	"net/http/httptest"
 	"runtime"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/cyclamenyard/cyclamenyard/platform"
 )
@@ -31,6 +34,7 @@
 	allocs  uint64
 	sent    int
 	spent   time.Duration
+	cpu     time.Duration // of the process: client, gateway and worker
 	mu      sync.Mutex
 }
 
@@ -62,7 +66,7 @@
 func (g *target) run(b *testing.B, n, rate int) {
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	start := time.Now()
+	start, cpu := time.Now(), processCPU()
 	var wg sync.WaitGroup
 	for c := range benchClients {
 		wg.Go(func() {
@@ -87,23 +91,34 @@
 	runtime.ReadMemStats(&after)
 	g.allocs += after.Mallocs - before.Mallocs
 	g.spent += time.Since(start)
+	g.cpu += processCPU() - cpu
 	g.sent += n
 }
 
+func processCPU() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func (g *target) report(b *testing.B, name string) {
 	for _, q := range []float64{50, 99} {
 		b.ReportMetric(float64(g.times.ValueAtQuantile(q))/1e3, fmt.Sprintf("%s-p%.0f-µs", name, q))
 	}
 	b.ReportMetric(float64(g.allocs)/float64(g.sent), name+"-allocs/req")
+	b.ReportMetric(float64(g.cpu.Nanoseconds())/1e3/float64(g.sent), name+"-cpu-µs/req")
 	b.ReportMetric(float64(g.sent)/g.spent.Seconds(), name+"-req/s")
 }
 
 // BenchmarkRequest compares requests through the gateway with requests by the same
 // client to the worker, in turns. Client, gateway and worker share one process.
 func BenchmarkRequest(b *testing.B) {
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	logger := zap.New(zapcore.NewCore(encoder, zapcore.AddSync(io.Discard), zap.InfoLevel))
 	for _, rate := range []int{benchRate, 0} {
 		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
 			f := newFixture(b, 4, 2*benchClients, 0, nil, nil)
+			f.log = logger
 			web := httptest.NewServer(f.Handler())
 			defer web.Close()
 			client := func() *http.Client {
@@ -121,7 +136,7 @@
 			for _, g := range []*target{direct, through} {
 				g.run(b, benchSlice, rate) // opens connections and leases slots
 				g.times.Reset()
-				g.allocs, g.spent, g.sent = 0, 0, 0
+				g.allocs, g.spent, g.cpu, g.sent = 0, 0, 0, 0
 			}
 			b.ResetTimer()
 			for done := 0; done < b.N; done += benchSlice {
