gateway: allocate less on the way of a request

Cause: the profile of the benchmark shows small allocations per request for the list of tried workers, the answer, two header slices, and the growing buffer of an answer whose length is known.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -47,11 +47,13 @@
 	svc     *serviceLimits
 	slot    *slots.Slot
 	queued  time.Duration // time spent in the queue
-	tried   []string      // workers that were dispatched to
-	failed  string        // worker on which an attempt ran and failed
-	reached error         // last error of an attempt that may have run
-	attempt string        // id of the current attempt
-	record  int           // place of its record among the decisions
+	tried   []string      // workers that were dispatched to, in first while they fit
+	first   [1]string
+	failed  string // worker on which an attempt ran and failed
+	reached error  // last error of an attempt that may have run
+	attempt string // id of the current attempt
+	record  int    // place of its record among the decisions
+	answer  answer
 }
 
 // answer is the worker's answer to a short request.
@@ -102,6 +104,7 @@
 		arrived: time.Now(), length: r.ContentLength,
 	}
 	c.source, _ = r.Body.(*boundedBody)
+	c.tried = c.first[:0]
 	if !validName(c.workspace) || !validName(c.service) {
 		return nil, refuse(errkind.BadRequest, "%s and %s must hold %s", HeaderWorkspace, HeaderService, nameRule)
 	}
@@ -158,9 +161,10 @@
 	h := w.Header()
 	h["Content-Type"] = contentTypeBytes
 	h["X-Run-State"] = runStateRan
-	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	values := [...]string{strconv.Itoa(len(a.body)), a.id}
+	h["Content-Length"] = values[0:1:1]
 	if a.id != "" {
-		h["X-Request-Id"] = []string{a.id}
+		h["X-Request-Id"] = values[1:2:2]
 	}
 	// An error here means that the caller is gone.
 	_, _ = w.Write(a.body)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -213,7 +213,8 @@
 		return nil, err
 	}
 	s.counters.answered.Inc(1)
-	return &answer{id: c.id, body: reply.Body}, nil
+	c.answer = answer{id: c.id, body: reply.Body}
+	return &c.answer, nil
 }
 
 // resultOf tells the pool how an attempt ended.
