--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -46,8 +46,8 @@
 	limits  *limits
 }
 
-// decodeJob reads a submission. The rate is applied before the body is decoded only by
-// its bound, since the body names the workspace.
+// decodeJob reads a submission. Its rate can be checked only afterwards, since the body
+// names the workspace.
 func (s *Server) decodeJob(_ context.Context, r *http.Request) (any, error) {
 	c := &jobCall{arrived: time.Now()}
 	if c.limits = s.limits.get(s); c.limits == nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -101,6 +101,9 @@
 	if o.Instances == nil {
 		o.Instances = func() int { return 1 }
 	}
+	if o.Summaries == nil {
+		o.Summaries = func() []*peer.Summary { return nil }
+	}
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("gateway."+name, o.Metrics)
 	}
