--- a/slots/lease.go
+++ b/slots/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -103,6 +104,30 @@
 	}
 }
 
+// returnAll gives idle grants back, so that others need not wait for their end.
+func (p *Pool) returnAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	p.services.Range(func(_, v any) bool {
+		s := v.(*service)
+		for _, dc := range p.opts.DataCentres() {
+			s.mu.Lock()
+			r := s.request(p.opts.Instance, dc, 0, time.Now())
+			s.mu.Unlock()
+			if len(r.GiveBack) == 0 {
+				continue
+			}
+			calls.Go(func() {
+				// Grants that are not given back end by themselves.
+				_, _ = p.opts.Leaser.LeaseSlots(ctx, r)
+			})
+		}
+		return true
+	})
+	calls.Wait()
+}
+
 func (p *Pool) ranks() map[string]int {
 	names := p.opts.DataCentres()
 	rank := make(map[string]int, len(names))
--- a/slots/pool.go
+++ b/slots/pool.go
@@ -85,7 +85,8 @@
 	return p
 }
 
-// Run renews grants until the context ends. It waits for lease calls on their way.
+// Run renews grants until the context ends. It then gives idle grants back and waits for
+// lease calls on their way.
 func (p *Pool) Run(ctx context.Context) error {
 	tick := time.NewTicker(renewEvery)
 	defer tick.Stop()
@@ -94,6 +95,7 @@
 		case <-ctx.Done():
 			p.cancel()
 			p.calls.Wait()
+			p.returnAll()
 			return nil
 		case <-tick.C:
 			p.renew()
--- a/slots/pool_test.go
+++ b/slots/pool_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -38,6 +39,7 @@
 	*Pool
 	owners  owners
 	blocked atomic.Pointer[error] // answer of MayStart
+	stop    func()
 }
 
 // start runs a pool over the owners until the end of the test.
@@ -55,7 +57,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error)
 	go func() { stopped <- f.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-stopped })
+	f.stop = sync.OnceFunc(func() { cancel(); <-stopped })
+	t.Cleanup(f.stop)
 	return f
 }
 
@@ -251,6 +254,10 @@
 		time.Sleep(20 * time.Second)
 		_, later := owner.Used()
 		require.Equal(t, calls, later, "an idle pool makes no calls")
+		f.hold(t, 20)
+		f.stop()
+		used, _ = owner.Used()
+		require.Zero(t, total(used), "a stopped pool keeps no slots")
 	})
 }
 
