gateway: follow the number of instances

Cause: a workspace's share of its rate changed only with the manifest. Change: the limits are indexed again when the number of instances differs. Conclusion: go test -race ./gateway passes.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -68,24 +68,33 @@
 	if !ok {
 		return nil
 	}
+	instances := max(1, s.opts.Instances())
 	l := c.current.Load()
-	if l != nil && l.number >= r.Number {
+	if l.covers(r.Number, instances) {
 		return l
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l = c.current.Load(); l != nil && l.number >= r.Number {
+	if l = c.current.Load(); l.covers(r.Number, instances) {
 		return l
 	}
-	l = s.index(l, r)
+	if l != nil && l.number > r.Number {
+		r = structs.Revision{Number: l.number, Manifest: l.manifest}
+	}
+	l = index(l, r, instances)
 	c.current.Store(l)
 	return l
 }
 
+// covers reports whether the limits hold for a revision and a number of instances.
+func (l *limits) covers(number uint64, instances int) bool {
+	return l != nil && l.number >= number && l.instances == instances
+}
+
 // index builds the limits of a revision and keeps the state of what both revisions name.
-func (s *Server) index(old *limits, r structs.Revision) *limits {
+func index(old *limits, r structs.Revision, instances int) *limits {
 	l := &limits{
-		number: r.Number, instances: max(1, s.opts.Instances()), manifest: r.Manifest,
+		number: r.Number, instances: instances, manifest: r.Manifest,
 		workspaces: map[string]*workspaceLimits{}, services: map[string]*serviceLimits{},
 	}
 	for _, w := range r.Manifest.Workspaces {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -65,7 +65,8 @@
 	Upstream  platform.Upstream
 	Jobs      Jobs
 	Summaries func() []*peer.Summary
-	// Instances returns the number of live instances, which share the workspaces' rates.
+	// Instances returns the number of live instances, which share the workspaces' rates. It
+	// is called for each request.
 	Instances func() int
 	Log       *zap.Logger
 	Metrics   metrics.Registry
