gateway: refuse at once when the queue is too long for the deadline

Cause: such a request took a place in the queue until its deadline had passed. Change: the wait is estimated from the pace of the busy queue and the workspace's share; a request is refused when twice its remaining time is not enough. A test for the order of urgent requests is added.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -14,6 +14,10 @@
 // whether anything waits.
 const acquireSlice = 250 * time.Millisecond
 
+// hopelessWait is by how much the estimated wait must exceed the time left for a request
+// to be refused at once, since the estimate follows the last dispatches only.
+const hopelessWait = 2
+
 // admission gives the request a slot: at once when one is free and nothing waits, else
 // in its workspace's turn.
 func (s *Server) admission(next endpoint.Endpoint) endpoint.Endpoint {
@@ -41,6 +45,10 @@
 	}
 	defer c.ws.waiting.Add(-1)
 	started := time.Now()
+	if wait := c.svc.queue.wait(c.ws); !c.svc.estimate.fits(started.Add(wait/hopelessWait), c.deadline) {
+		s.counters.dropped.Inc(1)
+		return &refusal{kind: errkind.DeadlineExceeded, message: "the queue is too long for the deadline", retryAfter: c.svc.queue.retryAfter()}
+	}
 	w := &waiter{call: c, ready: make(chan grantOrError, 1)}
 	n, start := c.svc.queue.push(w)
 	s.opts.Slots.SetWaiting(c.service, n)
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -139,6 +139,9 @@
 func (f *fairQueue) dispatched(now time.Time) {
 	if !f.last.IsZero() {
 		gap := min(now.Sub(f.last), time.Second)
+		if f.interval == 0 {
+			f.interval = gap
+		}
 		f.interval += (gap - f.interval) / 8
 	}
 	f.last = now
@@ -159,9 +162,27 @@
 		return false
 	}
 	f.running = false
+	f.last = time.Time{} // an idle time is no interval between dispatches
 	return true
 }
 
+// wait estimates how long a new request of the workspace would wait: the workspace gets
+// its weight's share of the dispatches.
+func (f *fairQueue) wait(ws *workspaceLimits) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own, weights := 1, ws.weight.Load()
+	for _, q := range f.heap {
+		if q.ws == ws {
+			own += q.len()
+		} else {
+			weights += q.ws.weight.Load()
+		}
+	}
+	turns := min(int64(own)*weights/ws.weight.Load(), int64(f.n)+1)
+	return time.Duration(turns) * f.interval
+}
+
 // retryAfter estimates when a refused request would find room.
 func (f *fairQueue) retryAfter() time.Duration {
 	f.mu.Lock()
--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -93,6 +93,15 @@
 		require.Less(t, time.Since(began), 100*time.Millisecond, "dropped before its slot came free")
 		time.Sleep(time.Second)
 		require.Equal(t, map[string]int{"verband/first": 1, "verband/running": 1}, f.workers[0].Runs())
+		for i := range 30 {
+			go f.do(t.Context(), rota(fmt.Sprint(i), true))
+		}
+		time.Sleep(time.Second) // the pace is known, 20 wait for 2 s
+		began = time.Now()
+		waiting.deadlineMS = 400
+		requireRefused(t, f.do(t.Context(), waiting), errkind.DeadlineExceeded)
+		require.Zero(t, time.Since(began), "refused before it queues")
+		time.Sleep(3 * time.Second)
 	})
 }
 
@@ -147,3 +156,22 @@
 		require.Zero(t, f.runs("verband", "new"))
 	})
 }
+
+// Guards against urgent requests that wait behind others of their workspace, or that
+// overtake another workspace's turn.
+func TestUrgentComesFirstInItsWorkspace(t *testing.T) {
+	q := newFairQueue()
+	for _, w := range []struct {
+		workspace, id string
+		urgent        bool
+	}{{"a", "a1", false}, {"a", "a2", false}, {"a", "a3", true}, {"b", "b1", false}, {"a", "a4", true}, {"b", "b2", false}} {
+		ws := &workspaceLimits{name: w.workspace}
+		ws.weight.Store(1)
+		q.push(&waiter{call: &call{workspace: w.workspace, id: w.id, urgent: w.urgent, ws: ws}})
+	}
+	order := ""
+	for w := q.pop(func(*waiter) bool { return false }); w != nil; w = q.pop(func(*waiter) bool { return false }) {
+		order += w.call.id
+	}
+	require.Equal(t, "a3b1a4b2a1a2", order)
+}
