--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -107,9 +107,13 @@
 	response, err := next(ctx, c)
 	outcome := slots.Outcome{Result: resultOf(err), FailedOn: c.failed}
 	slot.Done(outcome)
-	s.explain.finish(c, err, time.Since(sent))
+	took := time.Since(sent)
+	s.explain.finish(c, err, took)
+	if ce := s.log.Check(zap.DebugLevel, events.Message(events.RequestAnswered)); ce != nil {
+		ce.Write(events.Field(events.RequestAnswered), zap.String("attempt", c.attempt), zap.Duration("took", took), zap.Error(err))
+	}
 	if err == nil {
-		c.svc.estimate.observe(time.Since(sent))
+		c.svc.estimate.observe(took)
 		return response, nil
 	}
 	if kindOf(err) != errkind.UpstreamRefused {
