--- a/owner/fuzz_test.go
+++ b/owner/fuzz_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -257,9 +258,10 @@
 	_ = os.WriteFile(name, []byte(s.broken+"\n"+strings.Join(s.trace, "")), 0o644)
 }
 
-func playSession(t *testing.T, steps []step) (broken string) {
+func playSession(t *testing.T, policy scheduler.Policy, steps []step) (broken string) {
 	synctest.Test(t, func(*testing.T) {
 		s := &session{site: newSite(fuzzWorkers), specs: map[string]structs.Job{}, ended: map[string]structs.JobOutcome{}}
+		s.policy = policy
 		s.takeOver()
 		after(time.Second)
 		for i, st := range steps {
@@ -303,8 +305,12 @@
 	})
 	sessions := rapid.SliceOfN(one, fuzzSteps, fuzzSteps)
 	rapid.Check(t, func(rt *rapid.T) {
+		var policy scheduler.Policy = scheduler.FirstFit{}
+		if rapid.Bool().Draw(rt, "real policy") {
+			policy = scheduler.New(scheduler.Options{})
+		}
 		steps := sessions.Draw(rt, "steps")
-		if broken := playSession(t, steps); broken != "" {
+		if broken := playSession(t, policy, steps); broken != "" {
 			rt.Fatalf("%s", broken)
 		}
 	})
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -40,6 +40,7 @@
 	rev   uint64
 	gated func(n int)
 	asked int
+	two   bool // the manifest has a second, open data centre
 }
 
 func newSite(n int) *site {
@@ -81,7 +82,11 @@
 }
 
 func (s *site) revision() structs.Revision {
-	return structs.Revision{Number: s.rev, Manifest: structs.Manifest{DataCentres: []structs.DataCentre{{Name: dcA, Stage: s.stage}, {Name: "b", Stage: structs.StageOpen}}}}
+	m := structs.Manifest{DataCentres: []structs.DataCentre{{Name: dcA, Stage: s.stage}}}
+	if s.two {
+		m.DataCentres = append(m.DataCentres, structs.DataCentre{Name: "b", Stage: structs.StageOpen})
+	}
+	return structs.Revision{Number: s.rev, Manifest: m}
 }
 
 // instance is one owner with its own, separately frozen, connections.
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -201,40 +201,6 @@
 	return rec, errkind.Wrap(errkind.Internal, err, "job %s", id)
 }
 
-// transfer hands a queued job to another data centre. The state has dropped the job.
-func (o *DataCentreOwner) transfer(j *job, to string) {
-	j.status = jobLeaving
-	moved := j.rec
-	moved.DataCentre = to
-	wait := o.records.put(moved)
-	o.goRun(func() {
-		var err error
-		select {
-		case err = <-wait:
-		case <-o.ctx.Done():
-			return
-		}
-		o.post(func() { o.transferred(j, to, err) })
-	})
-}
-
-func (o *DataCentreOwner) transferred(j *job, to string, err error) {
-	if j.status != jobLeaving {
-		return // the record was taken, or found in the other data centre
-	}
-	if err != nil {
-		// The write may have taken effect: the next one finds out.
-		o.records.put(j.rec)
-		o.park(j, time.Now().Add(retryDelay), true)
-		return
-	}
-	events.Info(o.log, events.JobTransferred, zap.String("job", j.id()), zap.String("to", to))
-	o.leave(j, o.records.revision(j.id()))
-	if n := o.o.Notifier; n != nil {
-		o.goRun(func() { n.JobTransferred(to, j.id()) })
-	}
-}
-
 // fetch takes over a job that was transferred to this data centre.
 func (o *DataCentreOwner) fetch(ctx context.Context, id string) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -275,11 +241,12 @@
 		Workspaces: rev.Manifest.Workspaces, Services: rev.Manifest.Services,
 	}
 	if dc := rev.Manifest.DataCentre(o.dc); dc != nil {
-		e.Stage, e.DrainBy = dc.Stage, dc.DrainBy
+		e.Stage, e.DrainBy, e.Fleet = dc.Stage, dc.DrainBy, dc.Fleet
 	}
 	if rev.Number < o.d.Revision || !o.apply(e) {
 		return
 	}
+	o.manifest = rev.Manifest
 	if !e.Stage.AllowsStarts() {
 		for _, id := range sortedKeys(o.jobs) {
 			if j := o.jobs[id]; j.status == jobStarting {
--- a/owner/lifecycle.go
+++ b/owner/lifecycle.go
@@ -48,7 +48,7 @@
 	j.status = jobStarting
 	j.rec.Attempt = o.d.Job(j.id()).Attempt
 	j.rec.Phase = structs.PhaseStarting
-	j.rec.Placements = placements
+	j.rec.Placements, j.rec.Guaranteed = placements, o.d.Job(j.id()).Guaranteed
 	j.parts = make([]part, len(placements))
 	for i, p := range placements {
 		j.parts[i] = part{Placement: p, state: partNotStarted}
@@ -82,9 +82,14 @@
 		o.startFailed(j, g, err, now)
 		return
 	}
+	if j.overtakenBy != nil {
+		// An idempotent job was started before the answer to its intent came.
+		o.records.track(j.id(), j.overtakenBy.Revision)
+		j.overtakenBy = nil
+	}
 	o.apply(state.StartConfirmed{Job: j.id(), Attempt: j.rec.Attempt, Now: now})
 	j.status, j.startedAt, j.startRetries = jobRunning, now, 0
-	j.rec.Phase = structs.PhaseRunning
+	j.rec.Phase, j.rec.Started = structs.PhaseRunning, now
 	o.records.put(j.rec)
 	events.Info(o.log, events.JobStarted, zap.String("job", j.id()), zap.Int("attempt", j.rec.Attempt), zap.Any("placements", j.rec.Placements))
 	o.note(j, "started", "every task runs", structs.Action{}, now)
@@ -142,7 +147,7 @@
 func (o *DataCentreOwner) requeued(j *job) {
 	j.status = jobQueued
 	j.parts, j.cancelStart, j.adopted = nil, nil, false
-	j.rec.Phase, j.rec.Placements = structs.PhaseAccepted, nil
+	j.rec.Phase, j.rec.Placements, j.rec.Guaranteed, j.rec.Started = structs.PhaseAccepted, nil, false, time.Time{}
 	o.records.put(j.rec)
 }
 
--- a/owner/options.go
+++ b/owner/options.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -70,8 +71,8 @@
 	JobTransferred(dataCentre, job string)
 }
 
-// Options holds the dependencies of a Controller. All but Notifier, Log and Metrics are
-// required.
+// Options holds the dependencies of a Controller. All but Notifier, Summaries, Log and
+// Metrics are required.
 type Options struct {
 	Instance string
 	Store    platform.Store
@@ -80,8 +81,11 @@
 	Policy   scheduler.Policy
 	Gate     StartGate
 	Notifier Notifier
-	Log      *zap.Logger
-	Metrics  metrics.Registry
+	// Summaries describes the data centres of other owners, to choose where jobs go from
+	// a data centre that is withdrawn.
+	Summaries func() []*peer.Summary
+	Log       *zap.Logger
+	Metrics   metrics.Registry
 }
 
 func (o *Options) setDefaults() {
--- a/owner/outage_test.go
+++ b/owner/outage_test.go
@@ -228,8 +228,9 @@
 				if d.Name != dcA || len(d.Queue) == 0 {
 					return nil
 				}
-				return []structs.Action{{Kind: structs.ActionTransfer, Job: d.Queue[0].ID, DataCentre: "b", Reason: "test"}}
+				return []structs.Action{{Kind: structs.ActionTransfer, Job: d.Queue[0].ID, Reason: "test"}}
 			}}
+			s.two = true
 			info := structs.Worker{ID: "b1", Address: "b1", DataCentre: "b", Capacity: wholeWorker}
 			w := standin.NewWorker(info, 0)
 			s.workers, s.byID["b1"] = append(s.workers, w), w
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +35,7 @@
 	fenced  atomic.Bool    // a worker has seen a newer owner
 
 	d        *state.DataCentre
+	manifest structs.Manifest // in force
 	jobs     map[string]*job
 	workers  map[string]*worker
 	expired  []endedRecord // records to delete, by time of their end
@@ -220,7 +220,13 @@
 	o.changed = false
 	plan := o.o.Policy.Decide(o.d, now)
 	o.wakeAt = plan.WakeAt
-	plan.Actions = slices.DeleteFunc(plan.Actions, func(a structs.Action) bool { return !o.admits(&a) })
+	var admitted []structs.Action
+	for _, a := range plan.Actions {
+		if o.admits(&a) {
+			admitted = append(admitted, a)
+		}
+	}
+	plan.Actions = admitted
 	if len(plan.Actions) == 0 && len(o.d.Reservations) == 0 {
 		return
 	}
@@ -255,8 +261,16 @@
 		o.guarded = false
 	case structs.ActionPreempt:
 		return j != nil && j.status == jobRunning
-	case structs.ActionRefuse, structs.ActionTransfer:
+	case structs.ActionRefuse:
 		return j != nil && j.status == jobQueued
+	case structs.ActionTransfer:
+		if j == nil || j.status != jobQueued {
+			return false
+		}
+		if a.DataCentre == "" {
+			a.DataCentre, _ = o.destination(j)
+		}
+		return a.DataCentre != ""
 	}
 	return true
 }
@@ -274,6 +288,8 @@
 		o.end(j, structs.OutcomeNotRun, a.Reason, now)
 	case structs.ActionTransfer:
 		o.transfer(j, a.DataCentre)
+	case structs.ActionUncharge:
+		j.rec.Guaranteed = false
 	}
 }
 
@@ -297,7 +313,7 @@
 		return
 	}
 	events.Info(o.log, events.PlacementDecided, zap.String("kind", string(a.Kind)), zap.String("job", a.Job),
-		zap.Int("attempt", j.rec.Attempt), zap.String("shape", j.rec.Job.Shape.String()), zap.Any("placements", a.Placements),
+		zap.Int("attempt", j.rec.Attempt), zap.String("shape", j.rec.Job.Shape.String()), zap.Any("placements", a.Placements), zap.String("to", a.DataCentre),
 		zap.String("for", a.For), zap.Bool("guaranteed", a.Guaranteed), zap.Uint64("revision", o.d.Revision),
 		zap.Int("queued", len(o.d.Queue)), zap.Int("active", len(o.d.Active)), zap.String("reason", a.Reason))
 }
--- a/owner/recover.go
+++ b/owner/recover.go
@@ -239,7 +239,11 @@
 		}
 	}
 	j.adopted, j.status, j.startedAt = true, jobRunning, now
-	o.apply(state.JobAdopted{Job: j.rec.Job, Attempt: j.rec.Attempt, Placements: placements, StartedAt: now})
+	started := j.rec.Started
+	if started.IsZero() {
+		started = now
+	}
+	o.apply(state.JobAdopted{Job: j.rec.Job, Attempt: j.rec.Attempt, Placements: placements, Guaranteed: j.rec.Guaranteed, StartedAt: started})
 	events.Info(o.log, events.JobInDoubt, zap.String("job", j.id()), zap.Int("attempt", j.rec.Attempt),
 		zap.String("phase", string(j.rec.Phase)), zap.Int("running", j.count(partRunning)), zap.Int("unknown", j.count(partUnknown)))
 	o.judge(j, now)
--- a/structs/job.go
+++ b/structs/job.go
@@ -56,7 +56,9 @@
 	Attempt     int         `json:"attempt"` // counts starts from 1
 	Token       uint64      `json:"token"`   // fencing token of the owner that wrote the record
 	Placements  []Placement `json:"placements,omitempty"`
-	Checkpoints int         `json:"checkpoints"` // checkpoints taken so far
+	Guaranteed  bool        `json:"guaranteed,omitempty"` // the attempt is charged to the workspace's guarantee
+	Started     time.Time   `json:"started,omitzero"`     // of the running attempt
+	Checkpoints int         `json:"checkpoints"`          // checkpoints taken so far
 	Cancel      bool        `json:"cancel"`
 	Outcome     JobOutcome  `json:"outcome,omitempty"`
 	Reason      string      `json:"reason,omitempty"`
