--- a/events/events.go
+++ b/events/events.go
@@ -36,6 +36,8 @@
 	WorkerRefusedToken ID = 213
 	SlotsGranted       ID = 214
 	RecordWriteDelayed ID = 215
+	RecordAnswerLost   ID = 217
+	OrphanStopped      ID = 218
 	ManifestInForce    ID = 301
 	ManifestCommitted  ID = 302
 	ManifestConflict   ID = 303
@@ -88,6 +90,8 @@
 	WorkerRefusedToken: {"WorkerRefusedToken", "worker refused a stale fencing token"},
 	SlotsGranted:       {"SlotsGranted", "slots granted"},
 	RecordWriteDelayed: {"RecordWriteDelayed", "job record write delayed by the store"},
+	RecordAnswerLost:   {"RecordAnswerLost", "lost answer of a job record write resolved"},
+	OrphanStopped:      {"OrphanStopped", "task of no current attempt stopped"},
 	ManifestInForce:    {"ManifestInForce", "manifest in force"},
 	ManifestCommitted:  {"ManifestCommitted", "manifest committed"},
 	ManifestConflict:   {"ManifestConflict", "manifest commit lost a race"},
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -106,7 +106,7 @@
 		kv, err := o.o.Store.Get(ctx, recordKey(id))
 		switch {
 		case err == nil && bytes.Equal(kv.Value, value):
-			o.log.Info("lost answer of a job record resolved", zap.String("job", id))
+			events.Info(o.log, events.RecordAnswerLost, zap.String("job", id))
 			return kv.Revision, nil
 		case err == nil && bytes.Equal(kv.Value, tombValue):
 			return 0, o.withdrawCreate(id, kv.Revision, cause)
--- a/owner/options.go
+++ b/owner/options.go
@@ -55,7 +55,10 @@
 	// maxJobs bounds the jobs of one data centre that have not ended.
 	maxJobs = 20000
 	// preemptCooldown protects a job that was preempted from being preempted again at once.
-	preemptCooldown = time.Minute
+	preemptCooldown = 30 * time.Second
+	// decideInterval is the longest time between two decisions while jobs are queued: the
+	// cooldown of a queued job ends without an event.
+	decideInterval = 5 * time.Second
 	// maxAnswer bounds the answer in a job record, which the store limits to 1 MB as JSON.
 	maxAnswer = 512 << 10
 )
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -43,8 +43,10 @@
 	stopping bool          // stands down: no more decisions
 	changed  bool          // the state has changed since the last decision
 	wakeAt   time.Time
-	after    []func() // run after the next decision
-	version  uint64   // counts decisions
+	// decidedAt is the time of the last decision.
+	decidedAt time.Time
+	after     []func() // run after the next decision
+	version   uint64   // counts decisions
 
 	demandSeen map[demandKey]time.Time // when each demand for slots was last stated
 
@@ -175,7 +177,7 @@
 	if o.holdsDue(now) {
 		o.apply(state.HoldsExpired{Now: now})
 	}
-	if !o.wakeAt.IsZero() && !o.wakeAt.After(now) {
+	if !o.wakeAt.IsZero() && !o.wakeAt.After(now) || len(o.d.Queue) > 0 && now.Sub(o.decidedAt) >= decideInterval {
 		o.changed = true
 	}
 	for _, id := range sortedKeys(o.jobs) {
@@ -217,7 +219,7 @@
 	if !o.ready || o.stopping || !o.changed || o.fenced.Load() {
 		return
 	}
-	o.changed = false
+	o.changed, o.decidedAt = false, now
 	plan := o.o.Policy.Decide(o.d, now)
 	o.wakeAt = plan.WakeAt
 	var admitted []structs.Action
@@ -313,11 +315,19 @@
 		return
 	}
 	events.Info(o.log, events.PlacementDecided, zap.String("kind", string(a.Kind)), zap.String("job", a.Job),
-		zap.Int("attempt", j.rec.Attempt), zap.String("shape", j.rec.Job.Shape.String()), zap.Any("placements", a.Placements), zap.String("to", a.DataCentre),
+		zap.Int("attempt", o.attemptOf(j)), zap.String("shape", j.rec.Job.Shape.String()), zap.Any("placements", a.Placements), zap.String("to", a.DataCentre),
 		zap.String("for", a.For), zap.Bool("guaranteed", a.Guaranteed), zap.Uint64("revision", o.d.Revision),
 		zap.Int("queued", len(o.d.Queue)), zap.Int("active", len(o.d.Active)), zap.String("reason", a.Reason))
 }
 
+// attemptOf returns the attempt that a decision is about: the state has counted it already.
+func (o *DataCentreOwner) attemptOf(j *job) int {
+	if s := o.d.Job(j.id()); s != nil {
+		return s.Attempt
+	}
+	return j.rec.Attempt
+}
+
 // note adds to a job's decision record.
 func (o *DataCentreOwner) note(j *job, kind, reason string, a structs.Action, now time.Time) {
 	j.addDecision(Decision{At: now, Kind: kind, Reason: reason, Action: a})
--- a/owner/records.go
+++ b/owner/records.go
@@ -66,8 +66,9 @@
 	dirty   bool // want is not in the store
 	queued  bool
 	delayed bool
-	taken   bool  // another owner has written it: nothing is written until it is tracked again
-	refused error // the store has refused the last write, but shows an old value
+	tries   uint64 // failed writes
+	taken   bool   // another owner has written it: nothing is written until it is tracked again
+	refused error  // the store has refused the last write, but shows an old value
 	writes  int
 	waiters []waiter
 }
@@ -222,7 +223,7 @@
 
 // run writes records until the context ends.
 func (r *records) run(ctx context.Context) {
-	for round := uint64(0); ; round++ {
+	for {
 		e, probe := r.next()
 		if e == nil {
 			select {
@@ -232,7 +233,7 @@
 			}
 			continue
 		}
-		if probe && !sleep(ctx, probeInterval+jitter(e.id, round, probeInterval)) {
+		if probe && !sleep(ctx, probeInterval+jitter(e.id, e.tries, probeInterval)) {
 			return
 		}
 		if !probe && e.delayed && r.limiter.Wait(ctx) != nil {
@@ -319,6 +320,7 @@
 func (r *records) failed(e *entry, err error) {
 	e.notify(errkind.Wrap(errkind.StoreUnavailable, err, "record of job %s", e.id))
 	e.refused = nil
+	e.tries++
 	if errors.Is(err, platform.ErrConflict) {
 		e.refused = err // the store answers, with an old value: this is no outage
 	} else if !r.down {
--- a/owner/recover.go
+++ b/owner/recover.go
@@ -319,7 +319,8 @@
 		if err := client.Stop(ctx, platform.TaskRequest{Token: o.token, Task: t.Task}); err != nil {
 			o.workerRefused(w.info.ID, err)
 		}
-		o.log.Info("orphan task stopped", zap.String("worker", w.info.ID), zap.Any("task", t.Task))
+		events.Info(o.log, events.OrphanStopped, zap.String("worker", w.info.ID), zap.String("job", t.Task.Job),
+			zap.Int("attempt", t.Task.Attempt), zap.Int("task", t.Task.Task))
 	})
 }
 
