--- a/events/events.go
+++ b/events/events.go
@@ -37,6 +37,8 @@
 	SlotsGranted        ID = 214
 	RecordWriteDelayed  ID = 215
 	TransferNotNotified ID = 216
+	RecordAnswerLost    ID = 217
+	OrphanStopped       ID = 218
 	ManifestInForce     ID = 301
 	ManifestCommitted   ID = 302
 	ManifestConflict    ID = 303
@@ -90,6 +92,8 @@
 	SlotsGranted:        {"SlotsGranted", "slots granted"},
 	RecordWriteDelayed:  {"RecordWriteDelayed", "job record write delayed by the store"},
 	TransferNotNotified: {"TransferNotNotified", "owner not told of a transferred job"},
+	RecordAnswerLost:    {"RecordAnswerLost", "lost answer of a job record write resolved"},
+	OrphanStopped:       {"OrphanStopped", "task of no current attempt stopped"},
 	ManifestInForce:     {"ManifestInForce", "manifest in force"},
 	ManifestCommitted:   {"ManifestCommitted", "manifest committed"},
 	ManifestConflict:    {"ManifestConflict", "manifest commit lost a race"},
--- a/owner/options.go
+++ b/owner/options.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -54,7 +55,10 @@
 	// maxJobs bounds the jobs of one data centre that have not ended.
 	maxJobs = 20000
 	// preemptCooldown protects a job that was preempted from being preempted again at once.
-	preemptCooldown = time.Minute
+	preemptCooldown = 30 * time.Second
+	// decideInterval is the longest time between two decisions while jobs are queued: the
+	// cooldown of a queued job ends without an event.
+	decideInterval = 5 * time.Second
 	// maxAnswer bounds the answer in a job record, which the store limits to 1 MB as JSON.
 	maxAnswer = 512 << 10
 )
@@ -70,26 +74,21 @@
 	JobTransferred(dataCentre, job string)
 }
 
-// Destinations chooses where a job goes that has to leave its data centre.
-type Destinations interface {
-	// Destination returns false when no other data centre in service could run the job.
-	Destination(j *structs.Job, from string) (dataCentre string, ok bool)
-}
-
-// Options holds the dependencies of a Controller. All but Notifier, Destinations, Log and
-// Metrics are required. Without Destinations a job is transferred only when the policy
-// names the data centre.
+// Options holds the dependencies of a Controller. All but Notifier, Summaries, Log and
+// Metrics are required.
 type Options struct {
-	Instance     string
-	Store        platform.Store
-	List         platform.InstanceList
-	Dial         func(structs.Worker) platform.Worker
-	Policy       scheduler.Policy
-	Gate         StartGate
-	Notifier     Notifier
-	Destinations Destinations
-	Log          *zap.Logger
-	Metrics      metrics.Registry
+	Instance string
+	Store    platform.Store
+	List     platform.InstanceList
+	Dial     func(structs.Worker) platform.Worker
+	Policy   scheduler.Policy
+	Gate     StartGate
+	Notifier Notifier
+	// Summaries describes the data centres of other owners, to choose where jobs go from
+	// a data centre that is withdrawn.
+	Summaries func() []*peer.Summary
+	Log       *zap.Logger
+	Metrics   metrics.Registry
 }
 
 func (o *Options) setDefaults() {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -35,6 +35,7 @@
 	fenced  atomic.Bool    // a worker has seen a newer owner
 
 	d        *state.DataCentre
+	manifest structs.Manifest // in force
 	jobs     map[string]*job
 	workers  map[string]*worker
 	expired  []endedRecord // records to delete, by time of their end
@@ -42,8 +43,10 @@
 	stopping bool          // stands down: no more decisions
 	changed  bool          // the state has changed since the last decision
 	wakeAt   time.Time
-	after    []func() // run after the next decision
-	version  uint64   // counts decisions
+	// decidedAt is the time of the last decision.
+	decidedAt time.Time
+	after     []func() // run after the next decision
+	version   uint64   // counts decisions
 
 	demandSeen map[demandKey]time.Time // when each demand for slots was last stated
 
@@ -174,7 +177,7 @@
 	if o.holdsDue(now) {
 		o.apply(state.HoldsExpired{Now: now})
 	}
-	if !o.wakeAt.IsZero() && !o.wakeAt.After(now) {
+	if !o.wakeAt.IsZero() && !o.wakeAt.After(now) || len(o.d.Queue) > 0 && now.Sub(o.decidedAt) >= decideInterval {
 		o.changed = true
 	}
 	for _, id := range sortedKeys(o.jobs) {
@@ -216,10 +219,16 @@
 	if !o.ready || o.stopping || !o.changed || o.fenced.Load() {
 		return
 	}
-	o.changed = false
+	o.changed, o.decidedAt = false, now
 	plan := o.o.Policy.Decide(o.d, now)
 	o.wakeAt = plan.WakeAt
-	plan.Actions = o.admitted(plan.Actions)
+	var admitted []structs.Action
+	for _, a := range plan.Actions {
+		if o.admits(&a) {
+			admitted = append(admitted, a)
+		}
+	}
+	plan.Actions = admitted
 	if len(plan.Actions) == 0 && len(o.d.Reservations) == 0 {
 		return
 	}
@@ -234,17 +243,6 @@
 	}
 }
 
-// admitted returns the actions that can be carried out now.
-func (o *DataCentreOwner) admitted(actions []structs.Action) []structs.Action {
-	kept := actions[:0]
-	for i := range actions {
-		if o.admits(&actions[i]) {
-			kept = append(kept, actions[i])
-		}
-	}
-	return kept
-}
-
 // admits reports whether an action can be carried out now. Starts wait while the gate
 // refuses them; the next tick decides again.
 func (o *DataCentreOwner) admits(a *structs.Action) bool {
@@ -265,23 +263,20 @@
 		o.guarded = false
 	case structs.ActionPreempt:
 		return j != nil && j.status == jobRunning
-	case structs.ActionTransfer:
-		return j != nil && j.status == jobQueued && o.chooseDestination(a, &j.rec.Job)
 	case structs.ActionRefuse:
 		return j != nil && j.status == jobQueued
+	case structs.ActionTransfer:
+		if j == nil || j.status != jobQueued {
+			return false
+		}
+		if a.DataCentre == "" {
+			a.DataCentre, _ = o.destination(j)
+		}
+		return a.DataCentre != ""
 	}
 	return true
 }
 
-// chooseDestination completes a transfer whose data centre the policy, which sees only its
-// own, has left open. Without a destination the job stays queued here.
-func (o *DataCentreOwner) chooseDestination(a *structs.Action, j *structs.Job) bool {
-	if a.DataCentre == "" && o.o.Destinations != nil {
-		a.DataCentre, _ = o.o.Destinations.Destination(j, o.dc)
-	}
-	return a.DataCentre != "" && a.DataCentre != o.dc
-}
-
 // carryOut starts an accepted action.
 func (o *DataCentreOwner) carryOut(a *structs.Action, revoked map[string]bool, now time.Time) {
 	j := o.jobs[a.Job]
@@ -295,6 +290,8 @@
 		o.end(j, structs.OutcomeNotRun, a.Reason, now)
 	case structs.ActionTransfer:
 		o.transfer(j, a.DataCentre)
+	case structs.ActionUncharge:
+		j.rec.Guaranteed = false
 	}
 }
 
@@ -318,11 +315,19 @@
 		return
 	}
 	events.Info(o.log, events.PlacementDecided, zap.String("kind", string(a.Kind)), zap.String("job", a.Job),
-		zap.Int("attempt", j.rec.Attempt), zap.String("shape", j.rec.Job.Shape.String()), zap.Any("placements", a.Placements),
+		zap.Int("attempt", o.attemptOf(j)), zap.String("shape", j.rec.Job.Shape.String()), zap.Any("placements", a.Placements), zap.String("to", a.DataCentre),
 		zap.String("for", a.For), zap.Bool("guaranteed", a.Guaranteed), zap.Uint64("revision", o.d.Revision),
 		zap.Int("queued", len(o.d.Queue)), zap.Int("active", len(o.d.Active)), zap.String("reason", a.Reason))
 }
 
+// attemptOf returns the attempt that a decision is about: the state has counted it already.
+func (o *DataCentreOwner) attemptOf(j *job) int {
+	if s := o.d.Job(j.id()); s != nil {
+		return s.Attempt
+	}
+	return j.rec.Attempt
+}
+
 // note adds to a job's decision record.
 func (o *DataCentreOwner) note(j *job, kind, reason string, a structs.Action, now time.Time) {
 	j.addDecision(Decision{At: now, Kind: kind, Reason: reason, Action: a})
--- a/owner/recover.go
+++ b/owner/recover.go
@@ -239,7 +239,11 @@
 		}
 	}
 	j.adopted, j.status, j.startedAt = true, jobRunning, now
-	o.apply(state.JobAdopted{Job: j.rec.Job, Attempt: j.rec.Attempt, Placements: placements, StartedAt: now})
+	started := j.rec.Started
+	if started.IsZero() {
+		started = now
+	}
+	o.apply(state.JobAdopted{Job: j.rec.Job, Attempt: j.rec.Attempt, Placements: placements, Guaranteed: j.rec.Guaranteed, StartedAt: started})
 	events.Info(o.log, events.JobInDoubt, zap.String("job", j.id()), zap.Int("attempt", j.rec.Attempt),
 		zap.String("phase", string(j.rec.Phase)), zap.Int("running", j.count(partRunning)), zap.Int("unknown", j.count(partUnknown)))
 	o.judge(j, now)
@@ -315,7 +319,8 @@
 		if err := client.Stop(ctx, platform.TaskRequest{Token: o.token, Task: t.Task}); err != nil {
 			o.workerRefused(w.info.ID, err)
 		}
-		o.log.Info("orphan task stopped", zap.String("worker", w.info.ID), zap.Any("task", t.Task))
+		events.Info(o.log, events.OrphanStopped, zap.String("worker", w.info.ID), zap.String("job", t.Task.Job),
+			zap.Int("attempt", t.Task.Attempt), zap.Int("task", t.Task.Task))
 	})
 }
 
