--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -4,7 +4,6 @@
 package deps
 
 import (
-	_ "github.com/HdrHistogram/hdrhistogram-go"
 	_ "github.com/go-kit/kit/endpoint"
 	_ "github.com/go-kit/kit/transport/http"
 	_ "github.com/goccy/go-yaml"
@@ -12,7 +11,6 @@
 	_ "github.com/rogpeppe/go-internal/testscript"
 	_ "github.com/sebdah/goldie/v2"
 	_ "go.uber.org/goleak"
-	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/sync/singleflight"
 	_ "golang.org/x/time/rate"
 	_ "pgregory.net/rapid"
