bench: compare with best fit and the scheduler

Cause: package scheduler now has BestFit and Scheduler; the decision timing did not end when all jobs ended before enough decisions were timed. Change: all three policies run on every workload and size; a claim counts as reclaimed when the policy keeps room for it inside a guarantee; the timing loop ends with the jobs.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -37,6 +37,8 @@
 func candidates() []candidate {
 	return []candidate{
 		{firstFitName, scheduler.FirstFit{}, true},
+		{bestFitName, scheduler.BestFit{}, true},
+		{schedulerName, scheduler.New(scheduler.Options{}), false},
 	}
 }
 
--- a/bench/decision.go
+++ b/bench/decision.go
@@ -64,7 +64,7 @@
 	h := hdrhistogram.New(1, int64(time.Minute), 3)
 	r.policy = p
 	r.policy.policy = timed{p.policy, func(d time.Duration) { _ = h.RecordValue(int64(d)) }}
-	for h.TotalCount() < timedDecisions && len(r.events) > 0 {
+	for h.TotalCount() < timedDecisions && r.open > 0 && len(r.events) > 0 {
 		if err := r.loopUntil(ctx, r.events[0].at.Add(time.Nanosecond)); err != nil {
 			return DecisionTime{}, err
 		}
--- a/bench/measures.go
+++ b/bench/measures.go
@@ -207,9 +207,9 @@
 	}
 }
 
-func (m *measures) reclaimed(a *structs.Action) {
-	m.preemptions++
-	if k := m.claimed[a.For]; k != nil {
+// reclaimed marks a claim for which room is being taken back.
+func (m *measures) reclaimed(job string) {
+	if k := m.claimed[job]; k != nil {
 		k.reclaimed = true
 	}
 }
--- a/bench/run.go
+++ b/bench/run.go
@@ -146,7 +146,7 @@
 	r.manifest.DataCentres[len(r.centres)-1].Stage = stage
 	parts := apportion(&r.manifest)
 	for i, c := range r.centres {
-		e := state.Configured{Revision: c.Revision + 1, Stage: r.manifest.DataCentres[i].Stage, Guarantees: parts[c.Name],
+		e := state.Configured{Revision: c.Revision + 1, Stage: r.manifest.DataCentres[i].Stage, Fleet: r.manifest.DataCentres[i].Fleet, Guarantees: parts[c.Name],
 			Workspaces: r.manifest.Workspaces, Services: r.manifest.Services, Now: r.now}
 		if i == len(r.centres)-1 {
 			e.DrainBy = drainBy
@@ -246,13 +246,15 @@
 	case a.Kind == structs.ActionStart && x != nil:
 		r.later(c, x, startLatency, func(x *state.Job) { r.started(c, x) })
 	case a.Kind == structs.ActionPreempt && x != nil && x.Status == state.Preempting:
-		r.m.reclaimed(a)
+		r.m.preemptions++
 		wait := stopLatency
 		if a.Checkpoint {
 			wait = time.Duration((0.3 + 0.7*r.rng.Float64()) * float64(a.Grace))
 		}
 		checkpoint := a.Checkpoint
 		r.later(c, x, wait, func(x *state.Job) { r.stopped(c, x, checkpoint) })
+	case a.Kind == structs.ActionReserve && a.Guaranteed:
+		r.m.reclaimed(a.Job)
 	case a.Kind == structs.ActionTransfer && len(*moved) > 0:
 		to := a.DataCentre
 		if to == "" {
