cli: bench policy

Cause: the policy benchmark could only be called from code. Figures: none; the command prints the report of package bench. Conclusion: the comparison is one command.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -96,6 +96,8 @@
 	add(m, "show", "show the manifest in force", "Shows the manifest in force at an instance.", &manifestShowCommand{output: o})
 	add(root, "status", "show what is in force and who owns what", "Shows what is in force at an instance, its peers, owners, guarantees and jobs.", &statusCommand{output: o})
 	add(root, "explain", "show why a request or job is where it is", "Shows the decision records of a request or job, by workspace/id.", &explainCommand{output: o})
+	b := add(root, "bench", "measure policies", "Measurements that need no other process.", &struct{}{})
+	add(b, "policy", "measure the placement policies over virtual time", "Drives the placement policies with the users' workloads over virtual time.", &benchPolicyCommand{output: o})
 	add(root, "version", "print the version", "Prints the version.", &versionCommand{output: o})
 	return parser
 }
