Withdraw slot grants of leaving workers at the owner; list workers there only

Cause: each of 24 instances listed all 630 workers once a second to learn which are leaving. Conclusion: one list call per data centre and 2 s in place of one per instance and second.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -44,7 +44,6 @@
 	gateway   *gateway.Server
 	router    *router
 	elections elections
-	leavers   leavers
 
 	stopping atomic.Bool
 	killed   chan struct{}
@@ -156,7 +155,6 @@
 		i.config.Run,
 		i.elections.run, // ends ownership before the owners' loop ends
 		func(ctx context.Context) { _ = i.pool.Run(ctx) },
-		i.leavers.loop(i),
 		i.publishSummaries,
 	}
 }
--- a/instance/options.go
+++ b/instance/options.go
@@ -22,9 +22,6 @@
 	maxHeaderBytes = 16 << 10
 	// adminBodyLimit bounds an operator's body: a manifest.
 	adminBodyLimit = 1 << 20
-	// pollInterval is how often the worker list, the leaving workers and the summaries are
-	// brought up to date. It bounds how long a leaving worker gets new requests.
-	pollInterval = time.Second
 )
 
 // Options configures an Instance. The instance closes the listeners.
--- a/internal/faults/capacity_test.go
+++ b/internal/faults/capacity_test.go
@@ -32,14 +32,18 @@
 // size is one size of the system.
 type size struct {
 	instances, dataCentres, workers, workspaces, tasks int
+	slots                                              int // of a worker that a task takes
 }
 
+// sizes are today's size, half of the size expected within two years, and that size: idle,
+// with 2,200 tasks, and with a full fleet, on which urgent work has to reclaim its room.
 var sizes = []size{
-	{8, 4, 50, 4, 0},
-	{8, 4, 50, 4, 175},
-	{16, 7, 315, 49, 1100},
-	{24, 7, 630, 98, 0},
-	{24, 7, 630, 98, 2200},
+	{8, 4, 50, 4, 0, 1},
+	{8, 4, 50, 4, 175, 1},
+	{16, 7, 315, 49, 1100, 1},
+	{24, 7, 630, 98, 0, 1},
+	{24, 7, 630, 98, 2200, 1},
+	{24, 7, 630, 98, 700, 8},
 }
 
 // fleetManifest states a fleet of the given size: racks of 8, one guaranteed worker for each
@@ -71,16 +75,17 @@
 	return m
 }
 
-// fill submits checkpointable jobs with gangs of 4 to 64 small tasks until the wanted number
-// of tasks is placed.
-func (c *cluster) fill(tasks int) {
-	for n, id := tasks, 0; n > 0; id++ {
-		gang := min([]int{4, 8, 16, 4, 8, 64}[id%6], n)
+// fill submits checkpointable jobs, with gangs of 4 to 64 tasks that fit into a data centre,
+// for the wanted number of tasks.
+func (c *cluster) fill(s size) {
+	largest := s.workers / s.dataCentres * 8 / s.slots
+	for n, id := s.tasks, 0; n > 0; id++ {
+		gang := min([]int{4, 8, 16, 4, 8, 64}[id%6], n, largest)
 		n -= gang
 		c.submit(id, gateway.JobRequest{
 			Workspace: c.manifest.Workspaces[id%len(c.manifest.Workspaces)].Name, Service: "planning", RequestID: fmt.Sprintf("fill-%d", id),
 			Checkpoint: true, Idempotent: true, DeclaredMS: time.Hour.Milliseconds(),
-			Shape:   structs.Shape{Tasks: gang, Task: structs.Resources{Slots: 2, Processors: 4, MemoryMB: 4096, Accelerators: 2}},
+			Shape:   structs.Shape{Tasks: gang, Task: structs.Resources{Slots: s.slots, Processors: 4, MemoryMB: 4096, Accelerators: s.slots}},
 			Payload: []byte(`{"run_ms": 3600000}`),
 		})
 	}
@@ -155,13 +160,13 @@
 	fmt.Println("| instances | data centres | workers | workspaces | tasks running | CPU of a core, mean and max | memory max | control sent, mean and max | store calls | worker calls | in force everywhere, max of 10 | urgent start, max of 10 |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, s := range sizes {
-		t.Run(fmt.Sprintf("%d-workers-%d-tasks", s.workers, s.tasks), func(t *testing.T) { measureSize(t, s) })
+		t.Run(fmt.Sprintf("%d-workers-%d-tasks-%d-slots", s.workers, s.tasks, s.slots), func(t *testing.T) { measureSize(t, s) })
 	}
 }
 
 func measureSize(t *testing.T, s size) {
 	c := newCluster(t, s.instances, fleetManifest(s))
-	c.fill(s.tasks)
+	c.fill(s)
 	time.Sleep(settleTime)
 	running := c.runningTasks()
 	var before, after []usage
--- a/owner/options.go
+++ b/owner/options.go
@@ -40,8 +40,9 @@
 	tickInterval = 500 * time.Millisecond
 	// listInterval is how often records and workers are listed again.
 	listInterval = 30 * time.Second
-	// workerListInterval follows the lag of the platform's list.
-	workerListInterval = 5 * time.Second
+	// workerListInterval, with the lag of the platform's list, bounds how long a leaving
+	// worker gets new work.
+	workerListInterval = 2 * time.Second
 	// stopWait is how long a stop is repeated before the room is held instead.
 	stopWait = 1500 * time.Millisecond
 	// pollInterval is the time between two questions about checkpoints or stops.
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -128,6 +128,7 @@
 	}
 	c.readActive()
 	c.startRamp()
+	c.revokeUnusable()
 	c.future = c.histogram()
 	c.keepClaims()
 	queue := c.order()
