--- a/claims/ledger_test.go
+++ b/claims/ledger_test.go
@@ -32,10 +32,18 @@
 	return errkind.Of(err)
 }
 
-// cutStore goes down after a write, whose answer is lost.
-type cutStore struct{ *standin.Store }
+// cutStore goes down after a write, whose answer is lost. A write without an effect is
+// lost on its way, and the store then answers reads with old values.
+type cutStore struct {
+	*standin.Store
+	noEffect bool
+}
 
 func (s cutStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	if s.noEffect {
+		s.SetFaults(standin.StoreFaults{StaleReads: true})
+		return 0, errLost
+	}
 	s.SetFaults(standin.StoreFaults{LoseWrites: 1})
 	_, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
 	s.SetFaults(standin.StoreFaults{Down: true})
@@ -63,7 +71,7 @@
 // write is lost and the store stays down.
 func TestUnresolvedWriteIsUncertain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := cutStore{standin.NewStore()}
+		store := cutStore{Store: standin.NewStore()}
 		require.Equal(t, errkind.ClaimUncertain, kindOfClaim(t, newLedger("i1", store, nil), "r"))
 		require.Equal(t, errkind.MayHaveRun, errkind.AnswerOf(errkind.ClaimUncertain).RunState)
 		store.SetFaults(standin.StoreFaults{})
@@ -124,6 +132,21 @@
 	return c
 }
 
+// Guards against a release that is taken for done because of a stale read.
+func TestStaleReadAfterLostRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		first := newLedger("i1", store, nil)
+		claims := map[uint32][]Claim{}
+		for i := 0; len(claims) < Shards || len(claims[0]) < 2; i++ {
+			c := must(first.Claim(t.Context(), "w", fmt.Sprint(i)))
+			claims[c.Shard] = append(claims[c.Shard], c)
+		}
+		newest := claims[0][len(claims[0])-1]
+		require.Error(t, newLedger("i2", cutStore{store, true}, nil).Release(t.Context(), newest))
+	})
+}
+
 // Guards against two instances that both believe they own a shard and both grant an id.
 func TestOwnersThatDisagree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -157,21 +157,22 @@
 	})
 }
 
-// Guards against urgent requests that wait behind others of their workspace, or that
-// overtake another workspace's turn.
-func TestUrgentComesFirstInItsWorkspace(t *testing.T) {
+// Guards against urgent requests that wait behind others of their workspace or overtake
+// another workspace's turn, and against turns saved up by an idle workspace.
+func TestOrderOfTheQueue(t *testing.T) {
 	q := newFairQueue()
-	for _, w := range []struct {
-		workspace, id string
-		urgent        bool
-	}{{"a", "a1", false}, {"a", "a2", false}, {"a", "a3", true}, {"b", "b1", false}, {"a", "a4", true}, {"b", "b2", false}} {
-		ws := &workspaceLimits{name: w.workspace}
-		ws.weight.Store(1)
-		q.push(&waiter{call: &call{workspace: w.workspace, id: w.id, urgent: w.urgent, ws: ws}})
-	}
-	order := ""
-	for w := q.pop(func(*waiter) bool { return false }); w != nil; w = q.pop(func(*waiter) bool { return false }) {
-		order += w.call.id
+	ws := map[byte]*workspaceLimits{'a': {name: "a"}, 'b': {name: "b"}, 'c': {name: "c"}}
+	run := func(ids ...string) (order string) {
+		for _, id := range ids {
+			w := ws[id[0]]
+			w.weight.Store(1)
+			q.push(&waiter{call: &call{workspace: w.name, id: id, urgent: id[1] == '!', ws: w}})
+		}
+		for w := q.pop(func(*waiter) bool { return false }); w != nil; w = q.pop(func(*waiter) bool { return false }) {
+			order += w.call.id
+		}
+		return order
 	}
-	require.Equal(t, "a3b1a4b2a1a2", order)
+	require.Equal(t, "a!1b1a!2b2a1a2", run("a1", "a2", "a!1", "b1", "a!2", "b2"))
+	require.Equal(t, "c1a1c2a2c3", run("a1", "a2", "c1", "c2", "c3"), "c was idle")
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -211,8 +211,9 @@
 	return kvs[:min(len(kvs), limit)], nil
 }
 
-// lateBy is how long after its caller has given up a late write takes effect.
-const lateBy = 5 * time.Millisecond
+// lateBy is how long after its caller has given up a late write takes effect. The
+// caller has the time to read the entry before.
+const lateBy = 50 * time.Millisecond
 
 // takeLate reports whether the next write is late.
 func (s *Store) takeLate() bool {
