--- a/owner/fuzz_test.go
+++ b/owner/fuzz_test.go
@@ -101,7 +101,7 @@
 		s.faults[st.A%fuzzWorkers] = standin.WorkerFaults{}
 		s.workers[st.A%fuzzWorkers].SetFaults(standin.WorkerFaults{})
 	case "store fault":
-		s.store.SetFaults([]standin.StoreFaults{{Down: true}, {LoseWrites: 1 + st.B%3}, {Slow: time.Duration(st.B) * 100 * time.Millisecond}, {StaleReads: true}}[st.A%4])
+		s.store.SetFaults([]standin.StoreFaults{{Down: true}, {LoseWrites: 1 + st.B%3}, {Slow: time.Duration(st.B) * 100 * time.Millisecond}, {StaleReads: true}, {LateWrites: 1 + st.B%3}}[st.A%5])
 	case "store heals":
 		s.store.SetFaults(standin.StoreFaults{})
 	case "stage":
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -35,7 +35,6 @@
 	fenced  atomic.Bool    // a worker has seen a newer owner
 
 	d        *state.DataCentre
-	manifest structs.Manifest // in force
 	jobs     map[string]*job
 	workers  map[string]*worker
 	expired  []endedRecord // records to delete, by time of their end
@@ -222,13 +221,7 @@
 	o.changed, o.decidedAt = false, now
 	plan := o.o.Policy.Decide(o.d, now)
 	o.wakeAt = plan.WakeAt
-	var admitted []structs.Action
-	for _, a := range plan.Actions {
-		if o.admits(&a) {
-			admitted = append(admitted, a)
-		}
-	}
-	plan.Actions = admitted
+	plan.Actions = o.admitted(plan.Actions)
 	if len(plan.Actions) == 0 && len(o.d.Reservations) == 0 {
 		return
 	}
@@ -243,6 +236,17 @@
 	}
 }
 
+// admitted returns the actions that can be carried out now.
+func (o *DataCentreOwner) admitted(actions []structs.Action) []structs.Action {
+	kept := actions[:0]
+	for i := range actions {
+		if o.admits(&actions[i]) {
+			kept = append(kept, actions[i])
+		}
+	}
+	return kept
+}
+
 // admits reports whether an action can be carried out now. Starts wait while the gate
 // refuses them; the next tick decides again.
 func (o *DataCentreOwner) admits(a *structs.Action) bool {
@@ -263,20 +267,25 @@
 		o.guarded = false
 	case structs.ActionPreempt:
 		return j != nil && j.status == jobRunning
+	case structs.ActionTransfer:
+		return j != nil && j.status == jobQueued && o.chooseDestination(a, &j.rec.Job)
 	case structs.ActionRefuse:
 		return j != nil && j.status == jobQueued
-	case structs.ActionTransfer:
-		if j == nil || j.status != jobQueued {
-			return false
-		}
-		if a.DataCentre == "" {
-			a.DataCentre, _ = o.destination(j)
-		}
-		return a.DataCentre != ""
 	}
 	return true
 }
 
+// chooseDestination completes a transfer whose data centre the policy, which sees only its
+// own, has left open. Without a destination the job stays queued here.
+func (o *DataCentreOwner) chooseDestination(a *structs.Action, j *structs.Job) bool {
+	if a.DataCentre == "" && o.o.Destinations != nil {
+		if to, ok := o.o.Destinations.Destination(j, o.dc); ok {
+			a.DataCentre = to
+		}
+	}
+	return a.DataCentre != "" && a.DataCentre != o.dc
+}
+
 // carryOut starts an accepted action.
 func (o *DataCentreOwner) carryOut(a *structs.Action, revoked map[string]bool, now time.Time) {
 	j := o.jobs[a.Job]
