--- a/instance/instance.go
+++ b/instance/instance.go
@@ -79,7 +79,7 @@
 	i.router = &router{instance: i}
 	i.owners = owner.New(owner.Options{
 		Instance: i.info.ID, Store: i.platform, List: i.platform, Dial: i.dial, Policy: i.o.Policy,
-		Gate: i.config, Notifier: i.router, Summaries: i.members.Summaries, Log: i.log, Metrics: i.metrics,
+		Gate: i.config, Notifier: i.router, Destinations: i.router, Log: i.log, Metrics: i.metrics,
 	})
 	i.elections.init(i)
 	i.config.Subscribe(i.configure)
--- a/instance/router.go
+++ b/instance/router.go
@@ -8,7 +8,9 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/gateway"
 	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
 // router sends calls to the owner of a data centre: to this instance's own controller or
@@ -98,3 +100,14 @@
 		events.Warn(r.instance.log, events.TransferNotNotified, zap.String("data_centre", dataCentre), zap.String("job", job), zap.Error(err))
 	}
 }
+
+// Destination implements owner.Destinations: the best data centre by the rank of a new job.
+func (r *router) Destination(j *structs.Job, from string) (string, bool) {
+	current, _ := r.instance.config.Current()
+	for _, route := range gateway.RouteJob(&current.Manifest, r.instance.members.Summaries(), j.Shape, r.instance.info.DataCentre) {
+		if route.Open && route.DataCentre != from {
+			return route.DataCentre, true
+		}
+	}
+	return "", false
+}
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -69,6 +69,9 @@
 	return nil
 }
 
+// Destination implements Destinations.
+func (s *site) Destination(*structs.Job, string) (string, bool) { return "b", s.two }
+
 // commit puts a stage in force and tells the instances.
 func (s *site) commit(stage structs.Stage, instances ...*instance) {
 	s.mu.Lock()
@@ -190,7 +193,7 @@
 	core, logs := observer.New(zapcore.InfoLevel)
 	in := &instance{name: name, logs: logs, gate: &gate{}, done: make(chan struct{})}
 	in.c = New(Options{
-		Instance: name, Store: gatedStore{s.store, in.gate}, List: s.list, Policy: s.policy, Gate: s,
+		Instance: name, Store: gatedStore{s.store, in.gate}, List: s.list, Policy: s.policy, Gate: s, Destinations: s,
 		Dial:    func(w structs.Worker) platform.Worker { return gatedWorker{s.byID[w.ID], in.gate} },
 		Log:     zap.New(core),
 		Metrics: metrics.NewRegistry(),
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -66,20 +66,23 @@
 // create writes a new record. Reading first shows an outage before anything is sent, so
 // that the refusal "not run" is true, and shows most duplicates without a write.
 func (o *DataCentreOwner) create(ctx context.Context, rec structs.JobRecord) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
-	defer cancel()
 	id := rec.Job.ID
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return 0, errkind.Wrap(errkind.BadRequest, err, "job %s", id)
 	}
-	if _, err := o.o.Store.Get(ctx, recordKey(id)); err == nil {
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if _, err := o.o.Store.Get(readCtx, recordKey(id)); err == nil {
 		return 0, errkind.New(errkind.DuplicateRequest, "job %s exists", id)
 	} else if !errors.Is(err, platform.ErrNotFound) {
 		return 0, errkind.Wrap(errkind.StoreUnavailable, err, "job %s", id)
 	}
 	metrics.GetOrRegisterCounter("owner.record_writes", o.o.Metrics).Inc(1)
-	rev, err := o.o.Store.CompareAndSwap(ctx, recordKey(id), 0, value, 0)
+	// From here on the record may exist: a caller that goes away does not end the calls.
+	writeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+	defer cancel()
+	rev, err := o.o.Store.CompareAndSwap(writeCtx, recordKey(id), 0, value, 0)
 	switch {
 	case err == nil:
 		return rev, nil
@@ -88,7 +91,9 @@
 	case platform.NotSent(err) && !errors.Is(err, platform.ErrConflict):
 		return 0, errkind.Wrap(errkind.StoreUnavailable, err, "job %s", id)
 	}
-	return o.resolveCreate(ctx, rec, value, err)
+	resolveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*storeTimeout)
+	defer cancel()
+	return o.resolveCreate(resolveCtx, rec, value, err)
 }
 
 // resolveCreate finds out whether a create took effect whose answer was lost. When no
@@ -246,7 +251,6 @@
 	if rev.Number < o.d.Revision || !o.apply(e) {
 		return
 	}
-	o.manifest = rev.Manifest
 	if !e.Stage.AllowsStarts() {
 		for _, id := range sortedKeys(o.jobs) {
 			if j := o.jobs[id]; j.status == jobStarting {
