scheduler: stable reservations, lending of reserved room, order by current share

Change: the holder of a reservation keeps its turn behind urgent guaranteed work; MaxReservations (2) jobs hold one at a time; jobs that can be checkpointed cheaply run on reserved room and leave when nothing else is in the way; the share counts what runs, in steps of 0.25, and is updated after each start. A job that is still starting is not displaced from its guarantee. state: Reservation.Since.

--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -10,6 +10,7 @@
 // node is a worker as one decision sees it.
 type node struct {
 	w      *state.Worker
+	at     int  // index into cycle.nodes
 	rack   int  // index into cycle.racks
 	usable bool // new work may be placed here
 	// free is the room that a start may take now: less claims and starts of this decision.
@@ -77,11 +78,12 @@
 	claimed     map[string]bool // queued jobs that hold a claim
 	failed      map[failKey]bool
 	started     map[string]bool
+	lentNow     map[string]structs.Resources // by workspace, started outside guarantees in this decision
 	begun       []begun
 	feasibility map[feasibleKey]Feasibility
 	repacks     int
-	steps       int     // of exact packings
-	shadow      *shadow // reservation of the first blocked large job
+	steps       int      // of exact packings
+	shadows     []shadow // reservations of blocked large jobs
 	ramp        structs.Resources
 	grants      []*state.Grant       // by id
 	ramping     bool                 // the data centre returns and is filled in steps; ramp is the room left
@@ -98,12 +100,13 @@
 		matches:     map[string]*match{},
 		claimed:     map[string]bool{},
 		failed:      map[failKey]bool{},
+		lentNow:     map[string]structs.Resources{},
 		started:     map[string]bool{},
 		feasibility: map[feasibleKey]Feasibility{},
 	}
 	for i, w := range d.Order {
 		n := &c.nodes[i]
-		n.w, n.usable = w, w.Usable()
+		n.w, n.at, n.usable = w, i, w.Usable()
 		for _, h := range w.Holds {
 			if h.Until.After(now) {
 				n.usable = false
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -144,7 +144,7 @@
 		if !n.usable || !s.SlotShape.Fits(n.free) || given[grantKey{h.instance, i}] >= most {
 			continue
 		}
-		if c.shadow != nil && !s.SlotShape.Fits(c.shadow.free[i]) {
+		if !s.SlotShape.Fits(c.beside(n.free, i, allShadows)) {
 			continue
 		}
 		if loss := losses.get(i, 1); best < 0 || loss < bestLoss {
--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -245,7 +245,7 @@
 }
 
 func outranks(j, o *state.Job) bool {
-	if !o.Reclaimable() || o.Status == state.Queued {
+	if !o.Reclaimable() || o.Status != state.Running {
 		return false
 	}
 	if j.Urgent != o.Urgent {
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -29,6 +29,8 @@
 	DrainParallel int
 	// RestartCost is the run time that a checkpointed job loses by a stop and a start.
 	RestartCost time.Duration
+	// MaxReservations is how many blocked large jobs hold a reservation at a time.
+	MaxReservations int
 	// MaxMoves is how many jobs one defragmentation may move; negative disables it.
 	MaxMoves int
 	// QuickGrace is the longest grace of a job whose room counts as quickly reclaimable
@@ -40,14 +42,15 @@
 const (
 	defaultScanLimit        = 512
 	defaultArchiveRise      = time.Hour
-	defaultShareStep        = 0.05
+	defaultShareStep        = 0.25
 	defaultBackfillQuantile = 0.8
 	defaultStrictQuantile   = 0.95
 	defaultRampTime         = 30 * time.Second
 	defaultDrainMargin      = 2 * time.Second
 	defaultDrainParallel    = 8
 	defaultRestartCost      = 10 * time.Second
-	defaultMaxMoves         = 3
+	defaultMaxReservations  = 2
+	defaultMaxMoves         = 4
 	defaultQuickGrace       = 5 * time.Second
 )
 
@@ -61,6 +64,7 @@
 	setDefault(&o.DrainMargin, defaultDrainMargin)
 	setDefault(&o.DrainParallel, defaultDrainParallel)
 	setDefault(&o.RestartCost, defaultRestartCost)
+	setDefault(&o.MaxReservations, defaultMaxReservations)
 	setDefault(&o.MaxMoves, defaultMaxMoves)
 	setDefault(&o.QuickGrace, defaultQuickGrace)
 	return o
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -22,11 +22,16 @@
 	rank       int  // urgent work inside its guarantee is before class 0
 	reserved   bool // holds the reservation of the first blocked large job
 	guaranteed bool // fits the unmet guarantee of its workspace
-	share      int  // step of the workspace's share, counting its jobs before this one
+	share      int  // step of the workspace's weighted share outside its guarantees
 	ratio      float64
 }
 
-const rankUrgent = -1
+// Ranks before the classes. The holder of the reservation keeps its turn, since the room
+// that was drained for it would be lost to a later job.
+const (
+	rankUrgent   = -2
+	rankReserved = -1
+)
 
 // order returns the jobs to consider, first to be placed first. Within a class, work
 // inside a guarantee goes first, since its start cannot be reclaimed later; then the
@@ -40,6 +45,9 @@
 			continue
 		}
 		e := entry{job: j, rank: c.rank(j), ratio: c.responseRatio(j), reserved: c.reservation(j.ID) != nil}
+		if e.reserved {
+			e.rank = rankReserved
+		}
 		if m := c.matches[j.Workspace]; m != nil {
 			key := fitKey{j.Workspace, j.Shape, j.Class, j.Urgent, j.Reclaimable()}
 			in, ok := fits[key]
@@ -53,16 +61,21 @@
 		}
 		list = append(list, e)
 	}
-	slices.SortFunc(list, func(a, b entry) int {
-		return cmp.Or(
-			cmp.Compare(a.rank, b.rank), compareBool(b.reserved, a.reserved), compareBool(b.guaranteed, a.guaranteed), compareBool(b.job.Urgent, a.job.Urgent),
-			cmp.Compare(b.ratio, a.ratio), cmp.Compare(a.job.ID, b.job.ID),
-		)
-	})
-	c.applyShares(list)
+	for i := range list {
+		list[i].share = c.shareStep(&list[i])
+	}
+	slices.SortFunc(list, compareEntries)
 	return list
 }
 
+func compareEntries(a, b entry) int {
+	return cmp.Or(
+		cmp.Compare(a.rank, b.rank), compareBool(b.reserved, a.reserved), compareBool(b.guaranteed, a.guaranteed),
+		compareBool(b.job.Urgent, a.job.Urgent), cmp.Compare(a.share, b.share),
+		cmp.Compare(b.ratio, a.ratio), cmp.Compare(a.job.ID, b.job.ID),
+	)
+}
+
 // fitKey identifies jobs that fit the same guarantee.
 type fitKey struct {
 	ws          string
@@ -72,33 +85,31 @@
 	reclaimable bool
 }
 
-// applyShares orders equal ranks by the share that the workspace would have if its
-// earlier jobs of the same rank were started.
-func (c *cycle) applyShares(list []entry) {
-	shares := make(map[string]float64, len(c.d.Workspaces))
-	for i := range list {
-		e := &list[i]
-		if e.guaranteed {
-			continue
-		}
-		ws := e.job.Workspace
-		share, ok := shares[ws]
-		if !ok {
-			share = c.weightedShare(ws, c.d.Used[ws].Sub(c.d.GuaranteedUsed[ws]))
-		}
-		e.share = int(share / c.opts.ShareStep)
-		shares[ws] = share + c.weightedShare(ws, e.job.Shape.Total())
+// shareStep is the step of the share that the workspace has now, with the starts of this
+// decision. Work inside a guarantee is not ordered by share.
+func (c *cycle) shareStep(e *entry) int {
+	if e.guaranteed {
+		return 0
 	}
-	slices.SortStableFunc(list, func(a, b entry) int {
-		return cmp.Or(
-			cmp.Compare(a.rank, b.rank), compareBool(b.reserved, a.reserved), compareBool(b.guaranteed, a.guaranteed),
-			compareBool(b.job.Urgent, a.job.Urgent), cmp.Compare(a.share, b.share),
-		)
-	})
+	ws := e.job.Workspace
+	used := c.d.Used[ws].Sub(c.d.GuaranteedUsed[ws]).Add(c.lentNow[ws])
+	share := used.DominantShare(c.d.Capacity) / float64(max(c.d.Workspaces[ws].Weight, 1))
+	return int(share / c.opts.ShareStep)
 }
 
-func (c *cycle) weightedShare(ws string, used structs.Resources) float64 {
-	return used.DominantShare(c.d.Capacity) / float64(max(c.d.Workspaces[ws].Weight, 1))
+// postpone moves the first entry back if its workspace's share has grown since the queue
+// was ordered, and reports whether another entry is first now.
+func (c *cycle) postpone(queue []entry) bool {
+	e := queue[0]
+	step := c.shareStep(&e)
+	if step <= e.share {
+		return false
+	}
+	e.share = step
+	i, _ := slices.BinarySearchFunc(queue[1:], e, compareEntries)
+	copy(queue, queue[1:i+1])
+	queue[i] = e
+	return i > 0
 }
 
 // rank is the job's class; a job of the last class rises with its waiting time.
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -19,12 +19,15 @@
 type mode struct {
 	fixed bool // cannot be reclaimed: must leave every unmet guarantee packed
 	slow  bool // takes longer to reclaim than the minimum slots of services allow
-	long  bool // runs into the reservation of a large job
+	long  uint // the reservations that it may run into
 }
 
 // placeQueue starts, claims, reserves and refuses queued jobs in their order.
 func (c *cycle) placeQueue(queue []entry) {
-	for _, e := range queue {
+	for ; len(queue) > 0; queue = queue[1:] {
+		for c.postpone(queue) {
+		}
+		e := queue[0]
 		j := e.job
 		if c.claimed[j.ID] || c.started[j.ID] {
 			continue
@@ -41,7 +44,7 @@
 
 // startInGuarantee starts or claims room for a job inside its workspace's guarantee.
 func (c *cycle) startInGuarantee(j *state.Job) bool {
-	key := failKey{shape: j.Shape, ws: j.Workspace, mode: mode{fixed: !j.Reclaimable(), slow: j.Urgent, long: j.Class == structs.ClassInteractive}}
+	key := failKey{shape: j.Shape, ws: j.Workspace, mode: mode{fixed: !j.Reclaimable(), slow: j.Urgent, long: uint(j.Class)}}
 	if c.failed[key] {
 		return false
 	}
@@ -100,9 +103,12 @@
 		c.failed[key] = true
 		return false
 	}
-	if md.long {
-		c.shadow.take(nodes, j.Shape.Task)
+	for k := range c.shadows {
+		if md.long&(1<<k) != 0 {
+			c.shadows[k].take(nodes, j.Shape.Task)
+		}
 	}
+	c.lentNow[j.Workspace] = c.lentNow[j.Workspace].Add(j.Shape.Total())
 	c.start(j, nodes, false, md.reason())
 	return true
 }
@@ -121,19 +127,16 @@
 	if md.slow {
 		room = least(room, n.quickSpare())
 	}
-	if md.long {
-		room = least(room, c.shadow.free[c.index[n.w.ID]])
-	}
-	return room
+	return c.beside(room, n.at, md.long)
 }
 
 func (m mode) reason() string {
 	switch {
-	case m.fixed && m.long:
+	case m.fixed && m.long != 0:
 		return "room that neither a guarantee nor the reservation needs"
 	case m.fixed:
 		return "room that no guarantee needs"
-	case m.long:
+	case m.long != 0:
 		return "lent room beside the reservation"
 	}
 	return "lent room"
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -13,9 +13,10 @@
 // largeShare is the part of a worker from which on a job counts as large.
 const largeShare = 0.5
 
-// shadow is the reservation of the first blocked large job.
+// shadow is the reservation of a blocked large job.
 type shadow struct {
 	job     *state.Job
+	nodes   []int
 	startAt time.Time
 	// free is the room of each node at startAt that the reservation leaves to jobs that
 	// run beyond it.
@@ -28,17 +29,44 @@
 	}
 }
 
-// runsInto reports whether a job that starts now may still run when the reservation
-// starts.
-func (c *cycle) runsInto(j *state.Job) bool {
-	if c.shadow == nil {
-		return false
-	}
-	q := c.opts.StrictQuantile
+// lendGain is how many times the cost of its checkpoint and restart a job must be able to
+// run on reserved room before the reservation starts.
+const lendGain = 4
+
+// runsInto returns the reservations, as a set of bits, that a job which starts now may
+// still run into, unless it can be checkpointed in their favour then at little cost.
+func (c *cycle) runsInto(j *state.Job) uint {
+	q, set := c.opts.StrictQuantile, uint(0)
 	if j.Checkpoint {
 		q = c.opts.BackfillQuantile
 	}
-	return c.now.Add(c.remaining(j, q)).After(c.shadow.startAt)
+	for k := range c.shadows {
+		s := &c.shadows[k]
+		cheap := s.startAt.Sub(c.now) >= lendGain*(j.Grace+c.opts.RestartCost) && c.yields(j, s.job)
+		if !cheap && c.now.Add(c.remaining(j, q)).After(s.startAt) {
+			set |= 1 << k
+		}
+	}
+	return set
+}
+
+// beside limits the room of node i to what the reservations in the set leave.
+func (c *cycle) beside(room structs.Resources, i int, set uint) structs.Resources {
+	for k := range c.shadows {
+		if set&(1<<k) != 0 {
+			room = least(room, c.shadows[k].free[i])
+		}
+	}
+	return room
+}
+
+// allShadows is the set of all reservations.
+const allShadows = ^uint(0)
+
+// yields reports whether a backfilled job may be checkpointed in favour of the reserved
+// one.
+func (c *cycle) yields(j, reserved *state.Job) bool {
+	return j.Checkpoint && !j.Urgent && c.rank(j) >= c.rank(reserved) && !j.NoPreemptBefore.After(c.now)
 }
 
 // reservation returns the reservation that an earlier decision made for the job.
@@ -51,32 +79,104 @@
 	return nil
 }
 
-// blocked gives the first large job that found no room a reservation.
+// blocked gives the first large job that found no room a reservation. Jobs that were
+// backfilled on its room are checkpointed as soon as nothing else is in the way.
 func (c *cycle) blocked(j *state.Job) {
-	if c.shadow != nil || c.feasible(j).Verdict != CanRun || !c.large(j.Shape) {
+	if len(c.shadows) >= c.opts.MaxReservations || c.feasible(j).Verdict != CanRun || !c.large(j.Shape) {
 		return
 	}
-	f := c.forecastFor(j)
-	if !f.run() {
+	r := c.reservation(j.ID)
+	backfilled := c.backfilled(j, r)
+	f := c.forecastFor(j, backfilled)
+	reason, promised := "", c.now
+	if f.fits(nil) {
+		if len(backfilled) == 0 || !c.evictBackfilled(j, f, backfilled) {
+			return
+		}
+		reason = fmt.Sprintf("%s is given room by checkpointing backfilled jobs", j.Shape)
+	} else if !f.run() || !c.mayHold(j, f.nodes) {
 		return
+	} else {
+		promised = f.at
+		reason = fmt.Sprintf("first blocked large job: %s at level %s expects room in %s", j.Shape, f.level, f.at.Sub(c.now))
+		if nodes, at, ok := c.moveFor(j, f.at); ok {
+			f.nodes, f.at = nodes, at
+			reason = fmt.Sprintf("%s is given room by moving checkpointable jobs", j.Shape)
+		}
 	}
-	r := c.reservation(j.ID)
-	promised := f.at
 	if r != nil && r.StartAt.Before(promised) {
 		promised = r.StartAt
 	}
-	reason := fmt.Sprintf("first blocked large job: %s at level %s expects room in %s", j.Shape, f.level, f.at.Sub(c.now))
-	if nodes, at, ok := c.moveFor(j, f.at, promised); ok {
-		f.pin(nodes, at)
-		reason = fmt.Sprintf("%s is given room by moving checkpointable jobs", j.Shape)
-	}
-	c.shadow = &shadow{job: j, startAt: f.at, free: f.left()}
+	c.shadows = append(c.shadows, shadow{job: j, startAt: f.at, free: f.left(), nodes: f.nodes})
 	c.act(structs.Action{
 		Kind: structs.ActionReserve, Job: j.ID, Placements: c.placements(f.nodes), StartAt: promised, Reason: reason,
 	})
 	c.wake(f.at)
 }
 
+// backfilled lists the victims that were started on the room of the reservation since it
+// was made and yield to it.
+func (c *cycle) backfilled(j *state.Job, r *state.Reservation) []int32 {
+	if r == nil {
+		return nil
+	}
+	reserved := c.nodesOf(r.Placements)
+	var out []int32
+	for id := range c.victims {
+		v := &c.victims[id]
+		if v.job == nil || v.taken || !v.job.StartedAt.After(r.Since) || !c.yields(v.job, j) {
+			continue
+		}
+		if slices.ContainsFunc(v.nodes, func(i int) bool { return slices.Contains(reserved, i) }) {
+			out = append(out, int32(id))
+		}
+	}
+	return out
+}
+
+// evictBackfilled preempts the backfilled jobs that the reserved job needs to start.
+func (c *cycle) evictBackfilled(j *state.Job, f *forecast, backfilled []int32) bool {
+	best, found := option{}, false
+	c.domains(f.level, func(r span) bool {
+		o, ok := c.victimsFor(j.Shape, r, func(v *victim) bool {
+			return slices.ContainsFunc(backfilled, func(id int32) bool { return v == &c.victims[id] })
+		})
+		if ok && (!found || o.cost < best.cost) {
+			best, found = o, true
+		}
+		return true
+	})
+	if !found || len(best.victims) == 0 {
+		return false
+	}
+	f.at = c.evictAll(best.victims, j.ID)
+	f.nodes = c.fillLeaving(j.Shape, best.domain)
+	return true
+}
+
+// evictAll plans the preemption of the victims and returns when the last has left.
+func (c *cycle) evictAll(victims []int32, claimant string) time.Time {
+	at := c.now
+	c.takeVictims(victims, 1)
+	for _, id := range victims {
+		at = latest(at, c.evict(&c.victims[id], claimant))
+	}
+	return at
+}
+
+// mayHold reports whether the job would leave every unmet guarantee packed at the nodes. A
+// job that cannot be reclaimed and would not must not drain them in vain.
+func (c *cycle) mayHold(j *state.Job, nodes []int) bool {
+	if j.Reclaimable() {
+		return true
+	}
+	c.ensurePacked()
+	s := c.save(outerSave)
+	ok := c.takeFixed(j.Workspace, j.Shape.Task, nodes, nil)
+	c.restore(s)
+	return ok
+}
+
 func (c *cycle) large(s structs.Shape) bool {
 	if s.Tasks > 1 {
 		return true
@@ -108,19 +208,36 @@
 	total  int
 	at     time.Time
 	nodes  []int
+	known  map[string]bool // jobs whose room is counted from the beginning
 }
 
-func (c *cycle) forecastFor(j *state.Job) *forecast {
+// forecastFor starts a forecast from the free room and that of the backfilled victims.
+func (c *cycle) forecastFor(j *state.Job, backfilled []int32) *forecast {
 	f := &forecast{
-		c: c, job: j, level: c.levelOf(j.Shape), at: c.now,
+		c: c, job: j, level: c.levelOf(j.Shape), at: c.now, known: map[string]bool{},
 		room: make([]structs.Resources, len(c.nodes)), counts: make([]int, len(c.nodes)), sums: make([]int, len(c.racks)),
 	}
 	for i := range c.nodes {
 		if n := &c.nodes[i]; n.usable {
 			f.room[i] = n.free
-			f.recount(i)
 		}
 	}
+	// Room of earlier reservations is out of reach until their jobs have ended.
+	for k := range c.shadows {
+		for _, i := range c.shadows[k].nodes {
+			f.room[i] = f.room[i].Sub(c.shadows[k].job.Shape.Task)
+		}
+	}
+	for _, id := range backfilled {
+		v := &c.victims[id]
+		f.known[v.job.ID] = true
+		for _, i := range v.nodes {
+			f.room[i] = f.room[i].Add(v.room())
+		}
+	}
+	for i := range c.nodes {
+		f.recount(i)
+	}
 	return f
 }
 
@@ -141,6 +258,9 @@
 	ends := f.c.endings()
 	for k := range ends {
 		e := &ends[k]
+		if f.known[e.id] {
+			continue
+		}
 		for _, i := range e.nodes {
 			f.room[i] = f.room[i].Add(e.task)
 			f.recount(i)
@@ -208,11 +328,6 @@
 	}
 }
 
-// pin replaces the forecast by nodes whose room comes free at a known time.
-func (f *forecast) pin(nodes []int, at time.Time) {
-	f.nodes, f.at = nodes, at
-}
-
 // left is the room at the time of the forecast without the gang.
 func (f *forecast) left() []structs.Resources {
 	for _, i := range f.nodes {
@@ -258,46 +373,33 @@
 // moveGain is how many times the work lost by moves the gain must be.
 const moveGain = 2
 
-// moveFor preempts jobs in favour of the reserved job: backfilled jobs that overran the
-// promised start, or a few checkpointable jobs that fit elsewhere, if the waiting job
-// gains more than the moves cost. It returns the room and when it is free.
-func (c *cycle) moveFor(j *state.Job, expected, promised time.Time) ([]int, time.Time, bool) {
-	overdue := !promised.After(c.now)
-	allow := func(v *victim) bool {
-		return v.job != nil && v.job.Checkpoint && (overdue && c.overran(v.job, j) || c.movable(v.job))
-	}
+// moveFor preempts a few checkpointable jobs that fit elsewhere in favour of the reserved
+// job, if it gains more than the moves cost. It returns the room and when it is free.
+func (c *cycle) moveFor(j *state.Job, expected time.Time) ([]int, time.Time, bool) {
 	if c.moving() {
 		return nil, time.Time{}, false
 	}
 	best := option{}
 	c.domains(c.levelOf(j.Shape), func(r span) bool {
-		if o, ok := c.victimsFor(j.Shape, r, allow); ok && len(o.victims) > 0 && (best.victims == nil || o.cost < best.cost) {
+		o, ok := c.victimsFor(j.Shape, r, func(v *victim) bool { return v.job != nil && c.movable(v.job) })
+		if ok && len(o.victims) > 0 && (best.victims == nil || o.cost < best.cost) {
 			best = o
 		}
 		return true
 	})
-	if best.victims == nil {
+	if best.victims == nil || len(best.victims) > c.opts.MaxMoves {
 		return nil, time.Time{}, false
 	}
 	at := c.now
-	moves := 0
 	for _, id := range best.victims {
-		v := &c.victims[id]
-		at = latest(at, c.now.Add(v.job.Grace))
-		if !overdue || !c.overran(v.job, j) {
-			moves++
-		}
+		at = latest(at, c.now.Add(c.victims[id].job.Grace))
 	}
 	gain := expected.Sub(at).Seconds() * j.Shape.Total().DominantShare(c.d.Capacity)
-	if moves > 0 && (moves > c.opts.MaxMoves || gain <= moveGain*best.cost || !c.fitElsewhere(best, j)) || gain <= 0 {
+	if gain <= moveGain*best.cost || !c.fitElsewhere(best, j) {
 		return nil, time.Time{}, false
 	}
-	c.takeVictims(best.victims, 1)
-	nodes := c.fillLeaving(j.Shape, best.domain)
-	for _, id := range best.victims {
-		c.evict(&c.victims[id], j.ID)
-	}
-	return nodes, at, true
+	c.evictAll(best.victims, j.ID)
+	return c.fillLeaving(j.Shape, best.domain), at, true
 }
 
 // moving reports whether jobs are leaving already; one defragmentation runs at a time.
@@ -305,20 +407,10 @@
 	return slices.ContainsFunc(c.d.Active, func(o *state.Job) bool { return o.Status == state.Preempting })
 }
 
-// overran reports whether the active job was backfilled before the reserved job and has
-// run longer than the backfill assumed.
-func (c *cycle) overran(o, reserved *state.Job) bool {
-	if !o.StartedAt.After(reserved.QueuedAt) {
-		return false
-	}
-	whole := c.d.RunTimes.Quantile(o.Service, o.Workspace, o.Declared, c.opts.BackfillQuantile)
-	return !c.now.Before(o.StartedAt.Add(max(whole-o.Progress, minRunTime)))
-}
-
 // movable reports whether a move of the job costs little: it is short of its end and has
 // not been preempted before.
 func (c *cycle) movable(o *state.Job) bool {
-	return c.opts.MaxMoves > 0 && !o.Urgent && o.Preemptions == 0 && c.endOf(o, medianQuantile).Sub(c.now) > moveGain*(o.Grace+c.opts.RestartCost)
+	return o.Checkpoint && c.opts.MaxMoves > 0 && !o.Urgent && o.Preemptions == 0 && c.endOf(o, medianQuantile).Sub(c.now) > moveGain*(o.Grace+c.opts.RestartCost)
 }
 
 // fitElsewhere reports whether the victims fit on free room outside the domain.
--- a/state/events.go
+++ b/state/events.go
@@ -179,7 +179,7 @@
 		case structs.ActionPreempt:
 			d.preempt(a, e.Now)
 		case structs.ActionReserve:
-			reservations = append(reservations, Reservation{Job: a.Job, Placements: a.Placements, StartAt: a.StartAt, Claim: a.Guaranteed})
+			reservations = append(reservations, d.reserve(a, e.Now))
 		case structs.ActionRefuse, structs.ActionTransfer:
 			d.drop(a.Job)
 		case structs.ActionGrant:
@@ -196,6 +196,16 @@
 	return nil
 }
 
+func (d *DataCentre) reserve(a *structs.Action, now time.Time) Reservation {
+	r := Reservation{Job: a.Job, Placements: a.Placements, StartAt: a.StartAt, Since: now, Claim: a.Guaranteed}
+	for i := range d.Reservations {
+		if o := &d.Reservations[i]; o.Job == r.Job && o.Claim == r.Claim {
+			r.Since = o.Since
+		}
+	}
+	return r
+}
+
 func (d *DataCentre) start(a *structs.Action, now time.Time) {
 	j := d.Jobs[a.Job]
 	if j == nil || j.Status != Queued {
--- a/state/state.go
+++ b/state/state.go
@@ -99,6 +99,7 @@
 	Job        string
 	Placements []structs.Placement
 	StartAt    time.Time
+	Since      time.Time // when the job was given a reservation first
 	// Claim marks room inside the job's guarantee that victims are leaving.
 	Claim bool
 }
