slots: replace the slots of ejected workers

Cause: slots of ejected workers counted as met demand, so that requests waited while the owner had slots on other workers. TestFastFailingWorkerIsEjected shows it with two slots on the ejected worker: no slot within 1 s. Change: only slots of healthy workers count; kept grants that do not count are asked for on top. Conclusion: go test -race -count=10 ./slots passes.

--- a/slots/lease.go
+++ b/slots/lease.go
@@ -68,11 +68,11 @@
 	p.calls.Add(1)
 	go func() {
 		defer p.calls.Done()
-		p.call(s, dc, l, r)
+		p.call(s, dc, l, r, want)
 	}()
 }
 
-func (p *Pool) call(s *service, dc string, l *lease, r *peer.LeaseSlotsRequest) {
+func (p *Pool) call(s *service, dc string, l *lease, r *peer.LeaseSlotsRequest, want int) {
 	ctx, cancel := context.WithTimeout(p.ctx, askTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -87,7 +87,7 @@
 	s.mu.Lock()
 	l.asking = false
 	have := s.granted(dc, time.Now())
-	l.short = failed || have < int(r.Wanted)
+	l.short = failed || have < want
 	if l.short {
 		l.spacing = min(2*l.spacing, renewEvery)
 	} else {
@@ -95,9 +95,9 @@
 	}
 	more := l.short && s.queued+s.blocked > 0
 	s.mu.Unlock()
-	if !failed && len(r.GiveBack) > 0 || !failed && have != int(r.Wanted) {
+	if !failed && len(r.GiveBack) > 0 || !failed && have != want {
 		events.Info(p.opts.Log, events.SlotsLeased, zap.String("data_centre", dc), zap.String("service", s.name),
-			zap.Int32("wanted", r.Wanted), zap.Int("granted", have), zap.Int("given_back", len(r.GiveBack)))
+			zap.Int("wanted", want), zap.Int("granted", have), zap.Int("given_back", len(r.GiveBack)))
 	}
 	if more {
 		p.ask(s)
--- a/slots/pool_test.go
+++ b/slots/pool_test.go
@@ -112,10 +112,10 @@
 // attracting requests, and return only after a successful probe.
 func TestFastFailingWorkerIsEjected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 4, 2)...)}, "dc1")
+		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 4, 4)...)}, "dc1")
 		broken := true
 		bad := func(worker string) bool { return broken && worker == "dc1-w0" }
-		// All slots are in use, so that the failing worker cannot be avoided.
+		// All granted slots but the reserve are in use, so that the failing worker cannot be avoided.
 		failures := 0
 		var held []*Slot
 		for range 100 {
@@ -138,6 +138,7 @@
 		}
 		require.Equal(t, []string{"dc1-w0"}, f.ejected())
 		require.LessOrEqual(t, failures, 2*ejectFailures)
+		f.hold(t, 7) // slots of the other workers replace those of the ejected one
 		require.LessOrEqual(t, f.run(t, 2000, bad), 4, "10 s hold probes at 1, 3 and 7 s")
 		require.Equal(t, []string{"dc1-w0"}, f.ejected())
 		broken = false
--- a/slots/service.go
+++ b/slots/service.go
@@ -155,11 +155,16 @@
 	s.announce()
 }
 
+// counts reports whether the grant meets demand: the slots of ejected workers do not.
+func (g *grant) counts(now time.Time) bool {
+	return g.open(now) && g.worker.state.Load() == healthy
+}
+
 // granted counts the usable slots of a data centre. The lock is held.
 func (s *service) granted(dataCentre string, now time.Time) int {
 	n := 0
 	for _, g := range s.grants {
-		if g.dataCentre == dataCentre && g.open(now) {
+		if g.dataCentre == dataCentre && g.counts(now) {
 			n += g.slots
 		}
 	}
@@ -167,7 +172,8 @@
 }
 
 // request prepares the next lease call to a data centre: grants to keep, and idle grants
-// above the wanted slots to return. The lock is held.
+// above the wanted slots to return. Kept grants that meet no demand are asked for on top.
+// The lock is held.
 func (s *service) request(instance, dataCentre string, want int, now time.Time) *peer.LeaseSlotsRequest {
 	r := &peer.LeaseSlotsRequest{Instance: instance, DataCentre: dataCentre, Service: s.name, Wanted: int32(want)}
 	have := s.granted(dataCentre, now)
@@ -175,15 +181,19 @@
 		if g.dataCentre != dataCentre || g.returned {
 			continue
 		}
-		idle := g.used == 0
-		if idle && (!g.open(now) && (g.revoked || g.worker.leaving(now)) || g.open(now) && have-g.slots >= want) {
-			if g.open(now) {
+		counts := g.counts(now)
+		ending := g.revoked || g.worker.leaving(now)
+		if g.used == 0 && (want == 0 || ending || counts && have-g.slots >= want) {
+			if counts {
 				have -= g.slots
 			}
 			g.returned = true
 			r.GiveBack = append(r.GiveBack, g.id)
 			continue
 		}
+		if !counts && want > 0 {
+			r.Wanted += int32(g.slots)
+		}
 		r.Keep = append(r.Keep, g.id)
 	}
 	return r
