gateway: end the dispatcher when the last waiter leaves

Cause: the dispatcher of an empty queue waited up to 250 ms for a slot. The queue test then sometimes ended before it (1 failure in about 30 runs). Change: the last waiter to leave ends the wait. Conclusion: go test -race -count=10 ./gateway passes.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -77,19 +77,23 @@
 
 // serveQueue hands slots to waiting requests until none is left.
 func (s *Server) serveQueue(svc *serviceState, name string) {
-	for {
-		s.opts.Slots.SetWaiting(name, svc.queue.size())
-		if svc.queue.stopIfEmpty() {
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), acquireSlice)
-		slot, err := s.opts.Slots.Acquire(ctx, slots.Want{Service: name})
-		cancel()
-		if err != nil && kindOf(err) == errkind.NoCapacity {
-			continue
-		}
+	for s.serveOne(svc, name) {
+	}
+}
+
+// serveOne waits for a slot and hands it over. It returns false when nothing waits.
+func (s *Server) serveOne(svc *serviceState, name string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), acquireSlice)
+	defer cancel()
+	s.opts.Slots.SetWaiting(name, svc.queue.size())
+	if svc.queue.stopIfEmpty(cancel) {
+		return false
+	}
+	slot, err := s.opts.Slots.Acquire(ctx, slots.Want{Service: name})
+	if err == nil || kindOf(err) != errkind.NoCapacity {
 		s.serveNext(svc.queue, slot, err)
 	}
+	return true
 }
 
 // serveNext gives the slot, or the error, to the next request that can meet its deadline.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -53,7 +53,8 @@
 	heap       passHeap
 	now        int64 // pass of the last dispatch
 	n          int
-	running    bool // a dispatcher serves the queue
+	running    bool   // a dispatcher serves the queue
+	stopWait   func() // ends the dispatcher's wait for a slot
 	interval   time.Duration
 	last       time.Time // of the last dispatch
 }
@@ -102,6 +103,9 @@
 	q.list(w.urgent).Remove(w.elem)
 	w.elem = nil
 	f.n--
+	if f.n == 0 && f.stopWait != nil {
+		f.stopWait()
+	}
 	if q.len() == 0 {
 		heap.Remove(&f.heap, q.index)
 		q.index = -1
@@ -154,10 +158,12 @@
 	return f.n
 }
 
-// stopIfEmpty ends the dispatcher's turn when nothing waits.
-func (f *fairQueue) stopIfEmpty() bool {
+// stopIfEmpty ends the dispatcher's turn when nothing waits. Otherwise stopWait will be
+// called when the last waiter leaves.
+func (f *fairQueue) stopIfEmpty(stopWait func()) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.stopWait = stopWait
 	if f.n > 0 {
 		return false
 	}
