--- a/gateway/duplicates_test.go
+++ b/gateway/duplicates_test.go
@@ -68,3 +68,23 @@
 		require.Equal(t, http.StatusOK, f.do(t.Context(), rota("n", false)).status)
 	})
 }
+
+// Guards against instances whose grants together exceed a worker's slots: the worker
+// would have to refuse.
+func TestInstancesShareSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, 4, 10*time.Millisecond, standin.Upstream{}, nil)
+		entries := []*fixture{f, f.second(t, "i2", nil), f.second(t, "i3", nil)}
+		var wg sync.WaitGroup
+		for i := range 1000 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				require.Equal(t, http.StatusOK, entries[i%7%3].do(t.Context(), rota(fmt.Sprint(i), true)).status)
+			})
+		}
+		wg.Wait()
+		for _, w := range f.workers {
+			require.Zero(t, w.Refusals())
+		}
+	})
+}
--- a/slots/pool_test.go
+++ b/slots/pool_test.go
@@ -249,7 +249,19 @@
 		f.hold(t, 20)
 		used, _ := owner.Used()
 		require.GreaterOrEqual(t, total(used), 20)
-		time.Sleep(20 * time.Second)
+		time.Sleep(2500 * time.Millisecond) // a part has gone back
+		owner.Set(func(o *testlease.Owner) { o.Down = true })
+		var held []*Slot
+		for s := f.TryAcquire(anyIdempotent); s != nil; s = f.TryAcquire(anyIdempotent) {
+			held = append(held, s)
+		}
+		used, _ = owner.Used()
+		require.Len(t, held, total(used), "what was given back is not used")
+		for _, s := range held {
+			s.Done(Outcome{Result: Unused})
+		}
+		owner.Set(func(o *testlease.Owner) { o.Down = false })
+		time.Sleep(30 * time.Second)
 		used, calls := owner.Used()
 		require.Zero(t, total(used))
 		time.Sleep(20 * time.Second)
