owner: fuzz with long gangs, so that the rule on partial gangs can fail

Cause: every job of the fuzz ended within 12 s, so that no gang could be partly running at quiescence. Change: some jobs run for an hour and are cancelled at the end; the rule reads the workers' own status and counts tasks that have succeeded.

--- a/owner/fuzz_test.go
+++ b/owner/fuzz_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -134,7 +135,11 @@
 		task = structs.Resources{Slots: 4, Processors: 64, MemoryMB: 1024, Accelerators: 4}
 	}
 	id := strconv.Itoa(len(s.specs))
-	j := jobOf(id, 1+st.A%fuzzWorkers, time.Duration(st.C)*time.Second)
+	run := time.Duration(st.C) * time.Second
+	if st.C >= 11 {
+		run = time.Hour // still runs when the session gets quiet
+	}
+	j := jobOf(id, 1+st.A%fuzzWorkers, run)
 	j.Shape.Task = task
 	j.Idempotent, j.Checkpoint = st.B%3 == 0, st.B%4 == 1
 	if st.B%11 == 10 {
@@ -211,6 +216,37 @@
 	}
 }
 
+// checkGangs applies the rule on gangs: where one task runs, every other one of the same
+// attempt runs too, or has already succeeded.
+func (s *session) checkGangs() {
+	type attempt struct {
+		job string
+		n   int
+	}
+	running, whole := map[attempt]int{}, map[attempt]int{}
+	for _, w := range s.workers {
+		status, err := w.Status(context.Background(), s.token)
+		if err != nil {
+			s.fail("worker %s: %v", w.Info().ID, err)
+		}
+		for _, t := range status.Tasks {
+			a := attempt{t.Task.Job, t.Task.Attempt}
+			switch t.State {
+			case platform.TaskRunning, platform.TaskCheckpointed:
+				running[a]++
+				whole[a]++
+			case platform.TaskSucceeded:
+				whole[a]++
+			}
+		}
+	}
+	for a, n := range running {
+		if want := s.specs[a.job].Shape.Tasks; whole[a] != want {
+			s.fail("job %s runs %d of %d tasks", a.job, n, want)
+		}
+	}
+}
+
 // settle ends all faults and applies the rules of a quiet system.
 func (s *session) settle() {
 	for i, w := range s.workers {
@@ -219,16 +255,12 @@
 	}
 	s.store.SetFaults(standin.StoreFaults{})
 	s.setStage(structs.StageOpen)
-	after(30 * time.Second)
-	for id, j := range s.specs {
-		if n := s.running(id); n != 0 && n != j.Shape.Tasks {
-			after(WorkerLease) // tasks of unequal age end within one lease
-			if n := s.running(id); n != 0 && n != j.Shape.Tasks {
-				s.fail("job %s runs %d of %d tasks", id, n, j.Shape.Tasks)
-			}
-		}
-	}
 	after(quiescence)
+	s.checkGangs()
+	for _, id := range s.accepted {
+		s.owner.cancelJob(id)
+	}
+	after(time.Minute)
 	s.observe(true)
 	for _, id := range s.accepted {
 		if s.ended[id] == "" {
