scheduler: a guaranteed shape is not lost to parts of it

Change: a job that asks for a whole guaranteed shape displaces reclaimable parts of the shape, and a part that cannot be displaced is not charged unless urgent.

--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -59,13 +59,23 @@
 	return s.Tasks <= per*g.Shape.Tasks*g.Count
 }
 
+// fills reports whether the shape is one guaranteed shape rather than a part of one.
+func fills(g *state.Guarantee, s structs.Shape) bool {
+	return s.Tasks == g.Shape.Tasks && s.Task.CountIn(g.Shape.Task) == 1 && (g.Shape.Adjacent || !s.Adjacent)
+}
+
+// fillsAny reports whether the job asks for one of its workspace's guaranteed shapes.
+func (c *cycle) fillsAny(j *state.Job) bool {
+	return slices.ContainsFunc(c.byWorkspace[j.Workspace], func(g *state.Guarantee) bool { return fills(g, j.Shape) })
+}
+
 // matchJobs assigns the charged jobs of a workspace to its guarantees: the largest first
-// if all fit that way, else those that cannot be displaced first, then urgent ones, then by
-// class and size.
+// if all fit that way, else those that cannot be displaced first, then urgent ones, then
+// those that ask for a guaranteed shape, then by class and size.
 func (c *cycle) matchJobs(ws string, charged []*state.Job) *match {
 	m := c.matchIn(ws, charged, compareSizes)
 	if len(m.jobs) < len(charged) {
-		m = c.matchIn(ws, charged, compareCharged)
+		m = c.matchIn(ws, charged, c.compareCharged)
 	}
 	return m
 }
@@ -94,10 +104,11 @@
 	return m
 }
 
-func compareCharged(a, b *state.Job) int {
+func (c *cycle) compareCharged(a, b *state.Job) int {
 	return cmp.Or(
 		compareBool(a.Reclaimable(), b.Reclaimable()),
 		compareBool(b.Urgent, a.Urgent),
+		compareBool(c.fillsAny(b), c.fillsAny(a)),
 		cmp.Compare(a.Class, b.Class),
 		compareSizes(a, b),
 	)
@@ -228,12 +239,17 @@
 	if old == nil || !slices.ContainsFunc(c.byWorkspace[j.Workspace], func(g *state.Guarantee) bool { return admits(g, j.Shape) }) {
 		return nil, false
 	}
+	// A part of a guaranteed shape that cannot be displaced would keep the workspace from
+	// the whole shape.
+	if !j.Reclaimable() && !j.Urgent && !c.fillsAny(j) {
+		return nil, false
+	}
 	m := c.matchJobs(j.Workspace, append(slices.Clip(old.charged), j))
 	if !m.jobs[j.ID] {
 		return nil, false
 	}
 	for _, o := range old.charged {
-		if old.jobs[o.ID] && !m.jobs[o.ID] && !outranks(j, o) {
+		if old.jobs[o.ID] && !m.jobs[o.ID] && !c.outranks(j, o) {
 			return nil, false
 		}
 	}
@@ -244,13 +260,17 @@
 	return m, true
 }
 
-func outranks(j, o *state.Job) bool {
+// outranks reports whether the queued job may displace a charged one.
+func (c *cycle) outranks(j, o *state.Job) bool {
 	if !o.Reclaimable() || o.Status == state.Queued {
 		return false
 	}
 	if j.Urgent != o.Urgent {
 		return j.Urgent
 	}
+	if a, b := c.fillsAny(j), c.fillsAny(o); a != b {
+		return a
+	}
 	return j.Class < o.Class
 }
 
--- a/scheduler/route.go
+++ b/scheduler/route.go
@@ -46,9 +46,9 @@
 	return s
 }
 
-// Covers reports whether the job asks for one shape of the guarantee.
+// Covers reports whether the job asks for one whole shape of the guarantee.
 func Covers(g *state.Guarantee, j *structs.Job) bool {
-	return g.Workspace == j.Workspace && j.Shape.Tasks == g.Shape.Tasks && j.Shape.Task.Fits(g.Shape.Task)
+	return g.Workspace == j.Workspace && fills(g, j.Shape)
 }
 
 // Route chooses the data centre for a job among those that allow starts and are large
