--- a/bench/apportion.go
+++ b/bench/apportion.go
@@ -20,6 +20,9 @@
 						best = i
 					}
 				}
+				if best < 0 {
+					return parts
+				}
 				counts[best]++
 				load[best] += g.Shape.Total().DominantShare(m.DataCentres[best].Fleet.Capacity) / float64(m.DataCentres[best].Fleet.Workers)
 			}
