--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -262,7 +262,7 @@
 
 // outranks reports whether the queued job may displace a charged one.
 func (c *cycle) outranks(j, o *state.Job) bool {
-	if !o.Reclaimable() || o.Status == state.Queued {
+	if !o.Reclaimable() || o.Status != state.Running {
 		return false
 	}
 	if j.Urgent != o.Urgent {
