faults: log why a submission of the capacity test is not accepted yet

Cause: one of two runs at 630 workers and 2,200 tasks failed with 'job fill-9 is accepted' not within 40 s, without a reason. Change: the test logs each refused submission. Conclusion: the next failure will show its cause.

--- a/internal/faults/capacity_test.go
+++ b/internal/faults/capacity_test.go
@@ -96,8 +96,12 @@
 	require.NoError(c.t, err)
 	l := load{c: c}
 	c.eventually("job "+j.RequestID+" is accepted", func() bool {
-		status, _, err := l.post(c.instances[via%len(c.instances)].info.CallerAddr+"/v1/jobs", string(raw), nil)
-		return err == nil && (status == http.StatusAccepted || status == http.StatusConflict)
+		status, answer, err := l.post(c.instances[via%len(c.instances)].info.CallerAddr+"/v1/jobs", string(raw), nil)
+		if err == nil && (status == http.StatusAccepted || status == http.StatusConflict) {
+			return true
+		}
+		c.t.Logf("job %s: status %d: %s %v", j.RequestID, status, answer, err)
+		return false
 	})
 }
 
