manifest: bound the time of apportionment

Cause: each shape without a place searched all other shapes for one to move, again for every equal shape, and the number of shapes was not bounded. Change: equal shapes are not tried again after a failure; a manifest may guarantee at most 10,000 shapes in total.

--- a/manifest/apportion.go
+++ b/manifest/apportion.go
@@ -47,9 +47,12 @@
 			}
 		}
 	}
+	// A shape that found no place is not tried again for equal shapes: the search for a
+	// shape to move would otherwise grow with the square of what cannot be placed.
+	failed := map[structs.Shape]bool{}
 	for _, u := range units {
-		if u.home < 0 && !p.placeRanked(u) {
-			p.placeByMove(u, units)
+		if u.home < 0 && !failed[u.shape] {
+			failed[u.shape] = !p.placeRanked(u) && !p.placeByMove(u, units)
 		}
 	}
 	return p.result(m, units)
@@ -171,11 +174,15 @@
 func (p *packing) placeHomes(units []*unit) {
 	type key struct{ workspace, guarantee int }
 	held := map[key][]int{}
+	failed := map[structs.Shape]bool{} // room only shrinks, so equal shapes fail too
 	order := make([]int, len(p.fleets))
 	for i := range order {
 		order[i] = i
 	}
 	for _, u := range units {
+		if failed[u.shape] {
+			continue
+		}
 		k := key{u.workspace, u.guarantee}
 		if held[k] == nil {
 			held[k] = make([]int, len(p.fleets))
@@ -191,6 +198,7 @@
 				break
 			}
 		}
+		failed[u.shape] = u.home < 0
 	}
 }
 
--- a/manifest/check.go
+++ b/manifest/check.go
@@ -12,6 +12,7 @@
 	maxEntries   = 1000    // of each list
 	maxCount     = 100_000 // of workers and of guaranteed shapes
 	maxGang      = 4096    // tasks
+	maxShapes    = 10_000  // guaranteed shapes in total, each of which is packed
 	maxBodyBytes = 64 << 20
 )
 
@@ -79,6 +80,14 @@
 		c.name(w.Name, fmt.Sprintf("workspaces[%d].name", i), seen)
 		c.workspace(w)
 	}
+	shapes := 0
+	for _, w := range m.Workspaces {
+		for _, g := range w.Guarantees {
+			shapes += g.Count
+		}
+	}
+	c.require(shapes <= maxShapes, "workspaces", fmt.Sprintf("%d guaranteed shapes", shapes),
+		fmt.Sprintf("must be at most %d in total", maxShapes))
 	seen = map[string]bool{}
 	for i, s := range m.Services {
 		c.name(s.Name, fmt.Sprintf("services[%d].name", i), seen)
--- a/manifest/manifest_test.go
+++ b/manifest/manifest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"slices"
 	"testing"
@@ -164,3 +165,32 @@
 	}
 	return n
 }
+
+// BenchmarkCheckFleet measures the check of a commit at the size expected within two
+// years: 98 workspaces, 630 workers in 7 data centres, nine tenths guaranteed, so that the
+// loss of a data centre leaves shapes without a place.
+func BenchmarkCheckFleet(b *testing.B) {
+	m := example(b, "brazos")
+	dc, ws := m.DataCentres[0], m.Workspaces[0]
+	dc.Fleet.Workers = 90
+	m.DataCentres, m.Workspaces = nil, nil
+	for i := range 7 {
+		dc.Name = fmt.Sprintf("dc%d", i)
+		m.DataCentres = append(m.DataCentres, dc)
+	}
+	shape := ws.Guarantees[0].Shape
+	for i := range 98 {
+		w := ws
+		w.Name = fmt.Sprintf("team%d", i)
+		w.Guarantees = nil
+		for size := 1; size <= 2; size++ {
+			shape.Tasks = size
+			w.Guarantees = append(w.Guarantees, structs.Guarantee{Name: fmt.Sprintf("g%d", size), Shape: shape, Count: 2})
+		}
+		m.Workspaces = append(m.Workspaces, w)
+	}
+	require.NoError(b, manifest.Check(m))
+	for b.Loop() {
+		_, _ = manifest.CheckFleet(m)
+	}
+}
