config: test that one instance without the store keeps starting

Cause: only a general outage of the store was tested; an instance that alone loses the store depends on the age that a peer states. Change: the outage test first takes the store from one instance for a minute. Conclusion: no change of the code was needed.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -163,6 +163,11 @@
 func TestStoreOutageKeepsStartsPossible(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 4)
+		c.nodes[1].store.set(func(s *nodeStore) { s.down = true })
+		for range 600 { // one instance has lost the store
+			time.Sleep(100 * time.Millisecond)
+			require.NoError(t, c.nodes[1].config.MayStart("a"))
+		}
 		c.each(func(n *node) { n.store.set(func(s *nodeStore) { s.down = true }) })
 		for range 600 {
 			time.Sleep(100 * time.Millisecond)
