--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -112,7 +112,7 @@
 func (c *cluster) start(p *process) {
 	cmd := exec.Command(c.binary, "serve", "--id", p.info.ID, "--data-centre", p.info.DataCentre,
 		"--platform", c.platform.Address, "--listen", p.info.CallerAddr, "--peer-listen", p.info.PeerAddr,
-		"--admin-listen", p.info.AdminAddr, "--list-lag", listLag.String(), "--drain-timeout", "30s", "--log-level", "warn")
+		"--admin-listen", p.info.AdminAddr, "--list-lag", listLag.String(), "--drain-timeout", "30s", "--log-level", logLevel())
 	if dir := os.Getenv("FAULTS_LOG_DIR"); dir != "" {
 		f, err := os.OpenFile(filepath.Join(dir, p.info.ID+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		require.NoError(c.t, err)
@@ -175,3 +175,12 @@
 	}
 	c.t.Fatalf("not within %v: %s", waitLimit, what)
 }
+
+// logLevel is that of the instances: their decisions are logged only where a directory for
+// the logs is given.
+func logLevel() string {
+	if os.Getenv("FAULTS_LOG_DIR") != "" {
+		return "info"
+	}
+	return "warn"
+}
