--- a/claims/ledger_test.go
+++ b/claims/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -31,10 +32,18 @@
 	return errkind.Of(err)
 }
 
-// cutStore goes down after a write, whose answer is lost.
-type cutStore struct{ *standin.Store }
+// cutStore goes down after a write, whose answer is lost. A write without an effect is
+// lost on its way, and the store then answers reads with old values.
+type cutStore struct {
+	*standin.Store
+	noEffect bool
+}
 
 func (s cutStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	if s.noEffect {
+		s.SetFaults(standin.StoreFaults{StaleReads: true})
+		return 0, errLost
+	}
 	s.SetFaults(standin.StoreFaults{LoseWrites: 1})
 	_, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
 	s.SetFaults(standin.StoreFaults{Down: true})
@@ -62,7 +71,7 @@
 // write is lost and the store stays down.
 func TestUnresolvedWriteIsUncertain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := cutStore{standin.NewStore()}
+		store := cutStore{Store: standin.NewStore()}
 		require.Equal(t, errkind.ClaimUncertain, kindOfClaim(t, newLedger("i1", store, nil), "r"))
 		require.Equal(t, errkind.MayHaveRun, errkind.AnswerOf(errkind.ClaimUncertain).RunState)
 		store.SetFaults(standin.StoreFaults{})
@@ -123,6 +132,21 @@
 	return c
 }
 
+// Guards against a release that is taken for done because of a stale read.
+func TestStaleReadAfterLostRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		first := newLedger("i1", store, nil)
+		claims := map[uint32][]Claim{}
+		for i := 0; len(claims) < Shards || len(claims[0]) < 2; i++ {
+			c := must(first.Claim(t.Context(), "w", fmt.Sprint(i)))
+			claims[c.Shard] = append(claims[c.Shard], c)
+		}
+		newest := claims[0][len(claims[0])-1]
+		require.Error(t, newLedger("i2", cutStore{store, true}, nil).Release(t.Context(), newest))
+	})
+}
+
 // Guards against two instances that both believe they own a shard and both grant an id.
 func TestOwnersThatDisagree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -249,18 +273,35 @@
 	})
 }
 
-// Guards against a write for each claim, which would exceed the store's rate.
+// Guards against a write for each claim, which would exceed the store's rate, from many
+// shards or from one.
 func TestClaimsShareWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewStore()
 		l := newLedger("i1", store, nil)
-		started := time.Now()
-		var wg sync.WaitGroup
-		for i := range 2000 {
-			wg.Go(func() { _, _ = l.Claim(t.Context(), "w", fmt.Sprint(i)) })
+		claim := func(goroutines, each int, shard func(uint32) bool) (elapsed time.Duration, writes int) {
+			began, before := time.Now(), store.Calls()["swap"]
+			var wg sync.WaitGroup
+			for g := range goroutines {
+				wg.Go(func() {
+					for i := 0; i < each; {
+						id := fmt.Sprint(before, "-", g, "-", i, "-", rand.Uint64())
+						if !shard(uint32(hashOf("w", id)[0] % Shards)) {
+							continue
+						}
+						i++
+						if _, err := l.Claim(t.Context(), "w", id); err != nil {
+							t.Error(err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			return time.Since(began), store.Calls()["swap"] - before
 		}
-		wg.Wait()
-		allowed := Shards + int(time.Since(started).Seconds()*fleetWritesPerSec)
-		require.LessOrEqual(t, store.Calls()["swap"], allowed)
+		elapsed, writes := claim(2000, 1, func(uint32) bool { return true })
+		require.LessOrEqual(t, writes, Shards+int(elapsed.Seconds()*fleetWritesPerSec))
+		elapsed, writes = claim(5, 10, func(s uint32) bool { return s == 3 })
+		require.LessOrEqual(t, writes, 1+int(elapsed/window))
 	})
 }
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -14,6 +14,10 @@
 // whether anything waits.
 const acquireSlice = 250 * time.Millisecond
 
+// hopelessWait is by how much the estimated wait must exceed the time left for a request
+// to be refused at once, since the estimate follows the last dispatches only.
+const hopelessWait = 2
+
 // admission gives the request a slot: at once when one is free and nothing waits, else
 // in its workspace's turn.
 func (s *Server) admission(next endpoint.Endpoint) endpoint.Endpoint {
@@ -41,6 +45,10 @@
 	}
 	defer c.ws.waiting.Add(-1)
 	started := time.Now()
+	if wait := c.svc.queue.wait(c.ws); !c.svc.estimate.fits(started.Add(wait/hopelessWait), c.deadline) {
+		s.counters.dropped.Inc(1)
+		return &refusal{kind: errkind.DeadlineExceeded, message: "the queue is too long for the deadline", retryAfter: c.svc.queue.retryAfter()}
+	}
 	w := &waiter{call: c, ready: make(chan grantOrError, 1)}
 	n, start := c.svc.queue.push(w)
 	s.opts.Slots.SetWaiting(c.service, n)
@@ -69,19 +77,23 @@
 
 // serveQueue hands slots to waiting requests until none is left.
 func (s *Server) serveQueue(svc *serviceState, name string) {
-	for {
-		s.opts.Slots.SetWaiting(name, svc.queue.size())
-		if svc.queue.stopIfEmpty() {
-			return
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), acquireSlice)
-		slot, err := s.opts.Slots.Acquire(ctx, slots.Want{Service: name})
-		cancel()
-		if err != nil && kindOf(err) == errkind.NoCapacity {
-			continue
-		}
+	for s.serveOne(svc, name) {
+	}
+}
+
+// serveOne waits for a slot and hands it over. It returns false when nothing waits.
+func (s *Server) serveOne(svc *serviceState, name string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), acquireSlice)
+	defer cancel()
+	s.opts.Slots.SetWaiting(name, svc.queue.size())
+	if svc.queue.stopIfEmpty(cancel) {
+		return false
+	}
+	slot, err := s.opts.Slots.Acquire(ctx, slots.Want{Service: name})
+	if err == nil || kindOf(err) != errkind.NoCapacity {
 		s.serveNext(svc.queue, slot, err)
 	}
+	return true
 }
 
 // serveNext gives the slot, or the error, to the next request that can meet its deadline.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -53,7 +53,8 @@
 	heap       passHeap
 	now        int64 // pass of the last dispatch
 	n          int
-	running    bool // a dispatcher serves the queue
+	running    bool   // a dispatcher serves the queue
+	stopWait   func() // ends the dispatcher's wait for a slot
 	interval   time.Duration
 	last       time.Time // of the last dispatch
 }
@@ -102,6 +103,9 @@
 	q.list(w.urgent).Remove(w.elem)
 	w.elem = nil
 	f.n--
+	if f.n == 0 && f.stopWait != nil {
+		f.stopWait()
+	}
 	if q.len() == 0 {
 		heap.Remove(&f.heap, q.index)
 		q.index = -1
@@ -139,6 +143,9 @@
 func (f *fairQueue) dispatched(now time.Time) {
 	if !f.last.IsZero() {
 		gap := min(now.Sub(f.last), time.Second)
+		if f.interval == 0 {
+			f.interval = gap
+		}
 		f.interval += (gap - f.interval) / 8
 	}
 	f.last = now
@@ -151,17 +158,37 @@
 	return f.n
 }
 
-// stopIfEmpty ends the dispatcher's turn when nothing waits.
-func (f *fairQueue) stopIfEmpty() bool {
+// stopIfEmpty ends the dispatcher's turn when nothing waits. Otherwise stopWait will be
+// called when the last waiter leaves.
+func (f *fairQueue) stopIfEmpty(stopWait func()) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.stopWait = stopWait
 	if f.n > 0 {
 		return false
 	}
 	f.running = false
+	f.last = time.Time{} // an idle time is no interval between dispatches
 	return true
 }
 
+// wait estimates how long a new request of the workspace would wait: the workspace gets
+// its weight's share of the dispatches.
+func (f *fairQueue) wait(ws *workspaceLimits) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own, weights := 1, ws.weight.Load()
+	for _, q := range f.heap {
+		if q.ws == ws {
+			own += q.len()
+		} else {
+			weights += q.ws.weight.Load()
+		}
+	}
+	turns := min(int64(own)*weights/ws.weight.Load(), int64(f.n)+1)
+	return time.Duration(turns) * f.interval
+}
+
 // retryAfter estimates when a refused request would find room.
 func (f *fairQueue) retryAfter() time.Duration {
 	f.mu.Lock()
--- a/gateway/queue_test.go
+++ b/gateway/queue_test.go
@@ -45,12 +45,12 @@
 		send("brazos", 200) // weight 3
 		time.Sleep(time.Second)
 		mu.Lock()
-		total := served["verband"] + served["brazos"]
-		require.InDelta(t, 0.75, float64(served["brazos"])/float64(total), 0.05, "%v", served)
-		require.Greater(t, total, 180, "both slots stay busy")
+		light, heavy := served["verband"], served["brazos"]
 		mu.Unlock()
 		cancel()
 		wg.Wait()
+		require.InDelta(t, 0.75, float64(heavy)/float64(light+heavy), 0.05, "%d and %d", light, heavy)
+		require.Greater(t, light+heavy, 180, "both slots stay busy")
 	})
 }
 
@@ -93,6 +93,15 @@
 		require.Less(t, time.Since(began), 100*time.Millisecond, "dropped before its slot came free")
 		time.Sleep(time.Second)
 		require.Equal(t, map[string]int{"verband/first": 1, "verband/running": 1}, f.workers[0].Runs())
+		for i := range 30 {
+			go f.do(t.Context(), rota(fmt.Sprint(i), true))
+		}
+		time.Sleep(time.Second) // the pace is known, 20 wait for 2 s
+		began = time.Now()
+		waiting.deadlineMS = 400
+		requireRefused(t, f.do(t.Context(), waiting), errkind.DeadlineExceeded)
+		require.Zero(t, time.Since(began), "refused before it queues")
+		time.Sleep(3 * time.Second)
 	})
 }
 
@@ -147,3 +156,23 @@
 		require.Zero(t, f.runs("verband", "new"))
 	})
 }
+
+// Guards against urgent requests that wait behind others of their workspace or overtake
+// another workspace's turn, and against turns saved up by an idle workspace.
+func TestOrderOfTheQueue(t *testing.T) {
+	q := newFairQueue()
+	ws := map[byte]*workspaceLimits{'a': {name: "a"}, 'b': {name: "b"}, 'c': {name: "c"}}
+	run := func(ids ...string) (order string) {
+		for _, id := range ids {
+			w := ws[id[0]]
+			w.weight.Store(1)
+			q.push(&waiter{call: &call{workspace: w.name, id: id, urgent: id[1] == '!', ws: w}})
+		}
+		for w := q.pop(func(*waiter) bool { return false }); w != nil; w = q.pop(func(*waiter) bool { return false }) {
+			order += w.call.id
+		}
+		return order
+	}
+	require.Equal(t, "a!1b1a!2b2a1a2", run("a1", "a2", "a!1", "b1", "a!2", "b2"))
+	require.Equal(t, "c1a1c2a2c3", run("a1", "a2", "c1", "c2", "c3"), "c was idle")
+}
--- a/slots/pool_test.go
+++ b/slots/pool_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -36,6 +39,7 @@
 	*Pool
 	owners  owners
 	blocked atomic.Pointer[error] // answer of MayStart
+	stop    func()
 }
 
 // start runs a pool over the owners until the end of the test.
@@ -53,7 +57,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error)
 	go func() { stopped <- f.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-stopped })
+	f.stop = sync.OnceFunc(func() { cancel(); <-stopped })
+	t.Cleanup(f.stop)
 	return f
 }
 
@@ -107,10 +112,10 @@
 // attracting requests, and return only after a successful probe.
 func TestFastFailingWorkerIsEjected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 4, 2)...)}, "dc1")
+		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 4, 4)...)}, "dc1")
 		broken := true
 		bad := func(worker string) bool { return broken && worker == "dc1-w0" }
-		// All slots are in use, so that the failing worker cannot be avoided.
+		// All granted slots but the reserve are in use, so that the failing worker cannot be avoided.
 		failures := 0
 		var held []*Slot
 		for range 100 {
@@ -133,6 +138,7 @@
 		}
 		require.Equal(t, []string{"dc1-w0"}, f.ejected())
 		require.LessOrEqual(t, failures, 2*ejectFailures)
+		f.hold(t, 7) // slots of the other workers replace those of the ejected one
 		require.LessOrEqual(t, f.run(t, 2000, bad), 4, "10 s hold probes at 1, 3 and 7 s")
 		require.Equal(t, []string{"dc1-w0"}, f.ejected())
 		broken = false
@@ -141,24 +147,39 @@
 	})
 }
 
-// Guards against the ejection of good workers because of a request that fails on all of them.
+// Guards against the ejection of good workers because of requests that fail on all of
+// them, or of a request whose first attempts all met one worker.
 func TestRequestThatFailsEverywhereEjectsNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 10, 1)...)}, "dc1")
-		f.hold(t, 10)
-		for i := range 400 {
-			s := f.acquire(t, anyIdempotent)
-			if i%4 != 0 {
-				time.Sleep(time.Millisecond)
-				s.Done(Outcome{Result: Succeeded})
-				continue
+		round := func(end func(s *Slot)) {
+			held := make([]*Slot, 10)
+			for i := range held {
+				held[i] = f.acquire(t, anyIdempotent)
 			}
-			s.Done(Outcome{Result: Failed})
-			second := f.acquire(t, Want{Service: "rota", Avoid: []string{s.Worker}})
-			require.NotEqual(t, s.Worker, second.Worker)
-			second.Done(Outcome{Result: Failed, FailedOn: s.Worker})
+			slices.SortFunc(held, func(a, b *Slot) int { return strings.Compare(b.Worker, a.Worker) }) // w0 last
+			for _, s := range held {
+				end(s)
+			}
+			time.Sleep(time.Millisecond)
 		}
-		require.Empty(t, f.ejected())
+		for range 20 {
+			round(func(s *Slot) { s.Done(Outcome{Result: Failed}) })
+		}
+		require.Empty(t, f.ejected(), "every request fails")
+		time.Sleep(5 * time.Minute)
+		for range 20 {
+			round(func(s *Slot) {
+				if s.Worker != "dc1-w0" {
+					s.Done(Outcome{Result: Succeeded})
+					return
+				}
+				s.Done(Outcome{Result: Failed})
+				second := f.acquire(t, Want{Service: "rota", Avoid: []string{s.Worker}})
+				second.Done(Outcome{Result: Failed, FailedOn: s.Worker})
+			})
+		}
+		require.Empty(t, f.ejected(), "each request failed on two workers")
 	})
 }
 
@@ -228,12 +249,29 @@
 		f.hold(t, 20)
 		used, _ := owner.Used()
 		require.GreaterOrEqual(t, total(used), 20)
-		time.Sleep(20 * time.Second)
+		time.Sleep(2500 * time.Millisecond) // a part has gone back
+		owner.Set(func(o *testlease.Owner) { o.Down = true })
+		var held []*Slot
+		for s := f.TryAcquire(anyIdempotent); s != nil; s = f.TryAcquire(anyIdempotent) {
+			held = append(held, s)
+		}
+		used, _ = owner.Used()
+		require.Less(t, total(used), 20)
+		require.Len(t, held, total(used), "what was given back is not used")
+		for _, s := range held {
+			s.Done(Outcome{Result: Unused})
+		}
+		owner.Set(func(o *testlease.Owner) { o.Down = false })
+		time.Sleep(30 * time.Second)
 		used, calls := owner.Used()
 		require.Zero(t, total(used))
 		time.Sleep(20 * time.Second)
 		_, later := owner.Used()
 		require.Equal(t, calls, later, "an idle pool makes no calls")
+		f.hold(t, 20)
+		f.stop()
+		used, _ = owner.Used()
+		require.Zero(t, total(used), "a stopped pool keeps no slots")
 	})
 }
 
