owner: keep running work alive while a successor recovers

Cause: tasks were renewed only after all records were listed, so that a store that is down right after an election cost the running work its leases; a worker whose first answer was lost was asked again only after 30 s, when its tasks counted as lost. Change: workers are asked and their tasks renewed first, and again while the records cannot be listed; a worker with unknown tasks is asked at its next renewal. Conclusion: an outage of the store during an election does not stop work.

--- a/owner/outage_test.go
+++ b/owner/outage_test.go
@@ -126,6 +126,45 @@
 	}
 }
 
+// Guards against running work that is given up because the answer of a healthy worker is
+// lost while the successor takes over, or because the store is slow to list the records.
+func TestRecoveryUnderFaults(t *testing.T) {
+	within(t, 2, func(t *testing.T, s *site) {
+		first := s.elect("i1", 1)
+		require.Empty(t, first.submit(jobOf("1", 2, 60*time.Second)))
+		after(10 * time.Second)
+		first.kill()
+		after(5 * time.Second)
+		s.workers[0].SetFaults(standin.WorkerFaults{LoseAnswers: 2})
+		s.store.SetFaults(standin.StoreFaults{Down: true})
+		second := s.elect("i2", 2)
+		defer second.stop()
+		after(25 * time.Second)
+		require.Equal(t, 2, s.running("x/1"))
+		s.store.SetFaults(standin.StoreFaults{})
+		rec := second.status(t, "x/1", 0)
+		for rec.Phase != structs.PhaseEnded {
+			after(time.Second)
+			rec = second.status(t, "x/1", time.Minute)
+		}
+		require.Equal(t, structs.OutcomeSucceeded, rec.Outcome)
+		require.Equal(t, 1, rec.Attempt)
+	})
+	within(t, 2, func(t *testing.T, s *site) {
+		first := s.elect("i1", 1)
+		require.Empty(t, first.submit(jobOf("1", 2, 60*time.Second)))
+		after(10 * time.Second)
+		first.kill()
+		after(5 * time.Second)
+		s.workers[0].SetFaults(standin.WorkerFaults{LoseAnswers: 1})
+		second := s.elect("i2", 2)
+		defer second.stop()
+		rec := second.status(t, "x/1", 2*time.Minute)
+		require.Equal(t, structs.OutcomeSucceeded, rec.Outcome)
+		require.Equal(t, 1, rec.Attempt)
+	})
+}
+
 // Guards against a gang that keeps running in part when its workers vanish, and against
 // one that is not run again when they are back.
 func TestDataCentreVanishes(t *testing.T) {
--- a/owner/recover.go
+++ b/owner/recover.go
@@ -24,26 +24,26 @@
 
 // recover takes over the data centre, then follows the lists of records and workers.
 func (o *DataCentreOwner) recover() {
-	var entries []platform.KV
 	for {
-		var err error
-		if entries, err = o.listRecords(o.ctx); err == nil {
+		list, err := o.listWorkers()
+		if err == nil && o.ask(o.ctx, func() { o.setWorkers(list) }) == nil {
 			break
 		}
 		if !sleep(o.ctx, time.Second) {
 			return
 		}
 	}
-	for {
-		list, err := o.listWorkers()
-		if err == nil && o.ask(o.ctx, func() { o.setWorkers(list) }) == nil {
-			break
-		}
+	// The workers come first: earlier owners are fenced when the records are read, and
+	// running tasks keep their leases while the store does not answer.
+	reports := o.askAll()
+	entries, err := o.listRecords(o.ctx)
+	for err != nil {
 		if !sleep(o.ctx, time.Second) {
 			return
 		}
+		reports = o.askAll()
+		entries, err = o.listRecords(o.ctx)
 	}
-	reports := o.askAll()
 	if o.ask(o.ctx, func() { o.loadAll(entries, reports) }) != nil {
 		return
 	}
@@ -99,7 +99,8 @@
 	}
 }
 
-// askAll asks every worker for its tasks, which fences earlier owners.
+// askAll asks every worker for its tasks, which fences earlier owners, and renews them.
+// Tasks that turn out to be orphans are stopped later.
 func (o *DataCentreOwner) askAll() map[string]platform.WorkerStatus {
 	ctx, cancel := context.WithTimeout(o.ctx, firstRound)
 	defer cancel()
@@ -116,6 +117,9 @@
 			client := w.client
 			o.goRun(func() {
 				status, err := client.Status(ctx, o.token)
+				if running := runningTasks(status); err == nil && len(running) > 0 {
+					_, err = client.Renew(ctx, platform.RenewRequest{Token: o.token, Tasks: running, LeaseMillis: WorkerLease.Milliseconds()})
+				}
 				select {
 				case answers <- answer{id, status, err}:
 				case <-ctx.Done():
@@ -138,6 +142,16 @@
 	return reports
 }
 
+func runningTasks(status platform.WorkerStatus) []platform.TaskID {
+	var ids []platform.TaskID
+	for _, t := range status.Tasks {
+		if t.State == platform.TaskRunning || t.State == platform.TaskCheckpointed {
+			ids = append(ids, t.Task)
+		}
+	}
+	return ids
+}
+
 // loadAll takes over the records and the workers' reports, and lets decisions begin.
 func (o *DataCentreOwner) loadAll(entries []platform.KV, reports map[string]platform.WorkerStatus) {
 	now := time.Now()
@@ -236,6 +250,9 @@
 		j.parts[i] = part{Placement: p, state: partUnknown, leaseMin: until, leaseMax: until}
 		if status, ok := reports[p.Worker]; ok {
 			j.parts[i].observe(taskIn(status, j.taskID(p.Task)), j)
+		} else if w := o.workers[p.Worker]; w != nil {
+			w.answered = false // an answer that was given before did not cover this job
+			o.setHealth(w)
 		}
 	}
 	j.adopted, j.status, j.startedAt = true, jobRunning, now
