One rank of data centres for jobs, with unused guarantees in the summaries

The number of live instances was counted anew for each request. Change: scheduler.RankOf and CompareRanks for all; the owners' summaries carry what waiting jobs ask for and one bit for each workspace with an unused guarantee (13 bytes at 98 workspaces); the count of instances is kept.

--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -104,7 +104,7 @@
 	}
 	shape := c.Shape
 	shape.Task.Slots = max(1, shape.Task.Slots) // every task takes at least one slot
-	if reason := neverRunnable(&c.limits.manifest, shape); reason != "" {
+	if reason := neverRunnable(&c.limits.revision.Manifest, shape); reason != "" {
 		return nil, refuse(errkind.NeverRunnable, "%s", reason)
 	}
 	j := &structs.Job{
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, refuse(errkind.BadRequest, "the job cannot be encoded: %v", err)
 	}
-	routes := RouteJob(&c.limits.manifest, s.opts.Summaries(), j.Shape, s.opts.Home)
+	routes := RouteJob(&c.limits.revision, s.opts.Summaries(), j, s.opts.Home)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownerTimeout)
 	defer cancel()
 	var last error
@@ -263,8 +263,8 @@
 		}
 	}
 	result := refuse(errkind.JobUnknown, "no data centre knows job %s", id)
-	for i := range l.manifest.DataCentres {
-		dc = l.manifest.DataCentres[i].Name
+	for i := range l.revision.Manifest.DataCentres {
+		dc = l.revision.Manifest.DataCentres[i].Name
 		record, err = s.statusAt(ctx, dc, id, 0)
 		if err == nil {
 			s.located.put(id, dc)
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/manifest"
 	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -155,18 +156,20 @@
 // Guards against jobs sent to a data centre that cannot start them while another can.
 func TestRouteJob(t *testing.T) {
 	fleet := structs.FleetSpec{Workers: 8, Capacity: structs.Resources{Slots: 8, Accelerators: 8}}
-	m := &structs.Manifest{}
+	r := &structs.Revision{Number: 3}
+	m := &r.Manifest
 	for _, name := range []string{"a", "b", "c", "d", "small"} {
 		m.DataCentres = append(m.DataCentres, structs.DataCentre{Name: name, Stage: structs.StageOpen, Fleet: fleet})
 	}
 	m.DataCentre("small").Fleet.Workers = 1
 	shape := structs.Shape{Tasks: 4, Task: structs.Resources{Slots: 1, Accelerators: 8}, Adjacent: true}
 	summary := func(dc string, free, gang, queued int32) *peer.Summary {
-		return &peer.Summary{DataCentre: dc, Owner: "i1", Token: 2, FreeAccelerators: free, LargestGang: gang, Queued: queued}
+		return &peer.Summary{DataCentre: dc, Owner: "i1", Token: 2, FreeSlots: 64, FreeAccelerators: free, LargestGang: gang, QueuedAccelerators: 8 * queued}
 	}
+	job := &structs.Job{Workspace: "x", Shape: shape}
 	order := func(home string, sums ...*peer.Summary) (names string) {
-		for _, r := range RouteJob(m, sums, shape, home) {
-			names += r.DataCentre
+		for _, rank := range RouteJob(r, sums, job, home) {
+			names += rank.DataCentre
 		}
 		return names
 	}
@@ -176,6 +179,19 @@
 	stale := summary("b", 64, 8, 0)
 	stale.Token = 1
 	require.Equal(t, "abcd", order("", summary("b", 64, 8, 5), stale, summary("a", 64, 8, 1)), "an older owner's summary")
+	m.Workspaces = []structs.Workspace{{Name: "w"}, {Name: "x", Guarantees: []structs.Guarantee{{Name: "g", Shape: shape, Count: 1}}}}
+	home := ""
+	for dc, shares := range manifest.Apportion(*m) {
+		if len(shares) > 0 {
+			home = dc
+		}
+	}
+	unused := summary(home, 0, 0, 9)
+	unused.Revision, unused.UnusedGuarantees = 3, []byte{2}
+	require.Equal(t, home, order("", summary("b", 64, 8, 0), unused)[:1], "an unused guarantee before free room")
+	unused.Revision = 2
+	require.NotEqual(t, home, order("", summary("d", 64, 8, 0), unused)[:1], "a summary of another revision")
+	m.Workspaces = nil
 	m.DataCentre("a").Stage = structs.StageDraining
 	m.DataCentre("d").Stage = structs.StageReturning
 	require.Equal(t, "bcda", order("", summary("a", 64, 8, 0)), "draining last, returning allowed")
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -48,10 +48,9 @@
 
 // limits is the manifest in force, indexed for requests.
 type limits struct {
-	number     uint64
+	revision   structs.Revision
 	instances  int
 	maxJobBody int64 // of a job's submission
-	manifest   structs.Manifest
 	workspaces map[string]*workspaceLimits
 	services   map[string]*serviceLimits
 }
@@ -78,8 +77,8 @@
 	if l = c.current.Load(); l.covers(r.Number, instances) {
 		return l
 	}
-	if l != nil && l.number > r.Number {
-		r = structs.Revision{Number: l.number, Manifest: l.manifest}
+	if l != nil && l.revision.Number > r.Number {
+		r = l.revision
 	}
 	l = index(l, r, instances)
 	c.current.Store(l)
@@ -88,13 +87,13 @@
 
 // covers reports whether the limits hold for a revision and a number of instances.
 func (l *limits) covers(number uint64, instances int) bool {
-	return l != nil && l.number >= number && l.instances == instances
+	return l != nil && l.revision.Number >= number && l.instances == instances
 }
 
 // index builds the limits of a revision and keeps the state of what both revisions name.
 func index(old *limits, r structs.Revision, instances int) *limits {
 	l := &limits{
-		number: r.Number, instances: instances, manifest: r.Manifest,
+		revision: r, instances: instances,
 		workspaces: map[string]*workspaceLimits{}, services: map[string]*serviceLimits{},
 	}
 	for _, w := range r.Manifest.Workspaces {
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -4,76 +4,78 @@
 	"cmp"
 	"slices"
 
+	"github.com/cyclamenyard/cyclamenyard/manifest"
 	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/scheduler"
+	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
-// Route is one data centre that could run a job, with the inputs of its rank.
-type Route struct {
-	DataCentre string        `json:"data_centre"`
-	Stage      structs.Stage `json:"stage"`
-	Open       bool          `json:"open"`     // the stage allows starts
-	Owned      bool          `json:"owned"`    // an owner is known
-	FitsNow    bool          `json:"fits_now"` // by the owner's last summary
-	Queued     int32         `json:"queued"`
-	Free       int32         `json:"free_accelerators"`
-	Home       bool          `json:"home"`
-}
-
-// RouteJob returns the data centres whose fleet could run the shape, the best one first:
-// open ones before others, then those with a known owner, those where the gang fits now,
-// the shorter queue, the instance's own, and the most free accelerators.
-func RouteJob(m *structs.Manifest, summaries []*peer.Summary, shape structs.Shape, home string) []Route {
+// RouteJob returns the data centres whose fleet could run the job, the best one first in the
+// order of scheduler.CompareRanks. It knows the data centres by the manifest and by the
+// latest summaries of their owners.
+func RouteJob(r *structs.Revision, summaries []*peer.Summary, j *structs.Job, home string) []scheduler.Rank {
+	m := &r.Manifest
 	known := make(map[string]*peer.Summary, len(summaries))
 	for _, sum := range summaries {
 		if old := known[sum.DataCentre]; old == nil || newer(sum, old) {
 			known[sum.DataCentre] = sum
 		}
 	}
-	var routes []Route
+	var shares map[string][]manifest.Share
+	var ranks []scheduler.Rank
 	for i := range m.DataCentres {
 		dc := &m.DataCentres[i]
-		if tooLarge(dc, shape) == "" {
-			routes = append(routes, routeTo(dc, known[dc.Name], shape, home))
+		if tooLarge(dc, j.Shape) != "" {
+			continue
+		}
+		sum := known[dc.Name]
+		if shares == nil && hasUnused(r, sum, j.Workspace) {
+			shares = manifest.Apportion(*m)
 		}
+		rank := scheduler.RankOf(j, summaryOf(r, dc, sum, shares[dc.Name], j.Workspace))
+		rank.Owned = sum != nil && sum.Owner != ""
+		rank.Home = dc.Name == home
+		ranks = append(ranks, rank)
 	}
-	slices.SortFunc(routes, compareRoutes)
-	return routes
+	slices.SortStableFunc(ranks, func(a, b scheduler.Rank) int {
+		return cmp.Or(scheduler.CompareRanks(a, b), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	return ranks
 }
 
 func newer(a, b *peer.Summary) bool {
 	return a.Token > b.Token || a.Token == b.Token && a.Version > b.Version
 }
 
-func routeTo(dc *structs.DataCentre, sum *peer.Summary, shape structs.Shape, home string) Route {
-	r := Route{DataCentre: dc.Name, Stage: dc.Stage, Open: dc.Stage.AllowsStarts(), Home: dc.Name == home}
+// summaryOf completes an owner's summary with the manifest's fleet. Summaries carry slots and
+// accelerators only; the other resources count as free.
+func summaryOf(r *structs.Revision, dc *structs.DataCentre, sum *peer.Summary, shares []manifest.Share, workspace string) *scheduler.Summary {
+	total := dc.Fleet.Capacity.Mul(dc.Fleet.Workers)
+	s := &scheduler.Summary{DataCentre: dc.Name, Stage: dc.Stage, Capacity: total, Worker: dc.Fleet.Capacity}
 	if sum == nil {
-		return r
+		return s // nothing is known to be free
 	}
-	total := shape.Total()
-	r.Owned = sum.Owner != ""
-	r.Queued, r.Free = sum.Queued, sum.FreeAccelerators
-	r.FitsNow = int(sum.FreeAccelerators) >= total.Accelerators
-	if total.Accelerators > 0 && shape.Adjacent {
-		r.FitsNow = r.FitsNow && int(sum.LargestGang) >= shape.Tasks
+	s.Free = total
+	s.Free.Slots, s.Free.Accelerators = int(sum.FreeSlots), int(sum.FreeAccelerators)
+	s.Queued = structs.Resources{Slots: int(sum.QueuedSlots), Accelerators: int(sum.QueuedAccelerators)}
+	s.Whole = int(sum.LargestGang)
+	if hasUnused(r, sum, workspace) {
+		for _, share := range shares {
+			if share.Workspace == workspace {
+				s.Unused = append(s.Unused, state.Guarantee(share))
+			}
+		}
 	}
-	return r
-}
-
-func compareRoutes(a, b Route) int {
-	return cmp.Or(
-		trueFirst(a.Open, b.Open), trueFirst(a.Owned, b.Owned), trueFirst(a.FitsNow, b.FitsNow),
-		cmp.Compare(a.Queued, b.Queued), trueFirst(a.Home, b.Home), cmp.Compare(b.Free, a.Free),
-		cmp.Compare(a.DataCentre, b.DataCentre),
-	)
+	return s
 }
 
-func trueFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
+// hasUnused reports whether the summary shows an unused guarantee of the workspace. A summary
+// of another revision shows none, because its bits count that revision's workspaces.
+func hasUnused(r *structs.Revision, sum *peer.Summary, workspace string) bool {
+	if sum == nil || sum.Revision != r.Number {
+		return false
 	}
-	return 1
+	i := slices.IndexFunc(r.Manifest.Workspaces, func(w structs.Workspace) bool { return w.Name == workspace })
+	return i >= 0 && i/8 < len(sum.UnusedGuarantees) && sum.UnusedGuarantees[i/8]&(1<<(i%8)) != 0
 }
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -33,7 +33,7 @@
 	if l == nil {
 		return st
 	}
-	st.Revision = l.number
+	st.Revision = l.revision.Number
 	for name, svc := range l.services {
 		waiting, interval := svc.queue.waiting()
 		st.Services = append(st.Services, ServiceStatus{
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -45,6 +45,7 @@
 	router    *router
 	elections elections
 
+	live     atomic.Int64 // listed instances that are not leaving
 	stopping atomic.Bool
 	killed   chan struct{}
 	killOnce sync.Once
@@ -195,15 +196,21 @@
 	return r.Number
 }
 
-// liveInstances returns how many instances share the workspaces' rates.
+// liveInstances returns how many instances share the workspaces' rates. It is called for each
+// request, so that the count is kept and not made anew.
 func (i *Instance) liveInstances() int {
-	n := 0
+	return max(int(i.live.Load()), 1)
+}
+
+// countInstances brings the number of live instances up to date.
+func (i *Instance) countInstances() {
+	n := int64(0)
 	for _, p := range i.members.Listed() {
 		if !p.Leaving {
 			n++
 		}
 	}
-	return max(n, 1)
+	i.live.Store(n)
 }
 
 // startable returns the data centres in which work may start, the instance's own first.
--- a/instance/router.go
+++ b/instance/router.go
@@ -104,7 +104,7 @@
 // Destination implements owner.Destinations: the best data centre by the rank of a new job.
 func (r *router) Destination(j *structs.Job, from string) (string, bool) {
 	current, _ := r.instance.config.Current()
-	for _, route := range gateway.RouteJob(&current.Manifest, r.instance.members.Summaries(), j.Shape, r.instance.info.DataCentre) {
+	for _, route := range gateway.RouteJob(&current, r.instance.members.Summaries(), j, r.instance.info.DataCentre) {
 		if route.Open && route.DataCentre != from {
 			return route.DataCentre, true
 		}
--- a/instance/summaries.go
+++ b/instance/summaries.go
@@ -12,11 +12,13 @@
 	summaryInterval = time.Second
 )
 
-// publishSummaries hands the summaries of the owned data centres to the membership.
+// publishSummaries hands the summaries of the owned data centres to the membership, and counts
+// the live instances.
 func (i *Instance) publishSummaries(ctx context.Context) {
 	t := time.NewTicker(summaryInterval)
 	defer t.Stop()
 	for {
+		i.countInstances()
 		for _, s := range i.owners.Summaries() {
 			i.members.SetSummary(s)
 		}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -255,6 +255,7 @@
 	if rev.Number < o.d.Revision || !o.apply(e) {
 		return
 	}
+	o.workspaces = rev.Manifest.Workspaces
 	if !e.Stage.AllowsStarts() {
 		for _, id := range sortedKeys(o.jobs) {
 			if j := o.jobs[id]; j.status == jobStarting {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -21,10 +21,11 @@
 // DataCentreOwner places the work of one data centre under one fencing token. All its
 // state belongs to the applier goroutine; other goroutines reach it through post and ask.
 type DataCentreOwner struct {
-	o     *Options
-	dc    string
-	token uint64
-	log   *zap.Logger
+	workspaces []structs.Workspace // of the manifest, in its order
+	o          *Options
+	dc         string
+	token      uint64
+	log        *zap.Logger
 
 	events  chan func()
 	records *records
--- a/owner/status.go
+++ b/owner/status.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/scheduler"
+	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -148,24 +151,31 @@
 	return list
 }
 
-// summary describes the free room. The largest gang counts tasks that take all
-// accelerators of a worker.
+// summary describes free room, waiting jobs and unused guarantees to the peers.
 func (o *DataCentreOwner) summary() *peer.Summary {
-	s := &peer.Summary{DataCentre: o.dc, Token: o.token, Owner: o.o.Instance, Version: o.version, Queued: int32(len(o.d.Queue))}
+	view := scheduler.Summarize(o.d)
+	s := &peer.Summary{
+		DataCentre: o.dc, Token: o.token, Owner: o.o.Instance, Version: o.version, Queued: int32(len(o.d.Queue)),
+		FreeSlots: int32(max(view.Free.Slots, 0)), FreeAccelerators: int32(max(view.Free.Accelerators, 0)), LargestGang: int32(view.Whole),
+		Revision: o.d.Revision, UnusedGuarantees: o.unusedGuarantees(view.Unused),
+	}
 	for _, j := range o.jobs {
 		if j.status == jobParked {
 			s.Queued++
+			view.Queued = view.Queued.Add(j.rec.Job.Shape.Total())
 		}
 	}
-	for _, w := range o.d.Order {
-		if !w.Usable() {
-			continue
-		}
-		s.FreeAccelerators += int32(max(w.Free.Accelerators, 0))
-		s.FreeSlots += int32(max(w.Free.Slots, 0))
-		if w.Capacity.Accelerators > 0 && w.Free.Accelerators >= w.Capacity.Accelerators && w.Free.Slots > 0 {
-			s.LargestGang++
+	s.QueuedSlots, s.QueuedAccelerators = int32(view.Queued.Slots), int32(view.Queued.Accelerators)
+	return s
+}
+
+// unusedGuarantees sets the bit of each workspace of the manifest that has an unused guarantee.
+func (o *DataCentreOwner) unusedGuarantees(unused []state.Guarantee) []byte {
+	bits := make([]byte, (len(o.workspaces)+7)/8)
+	for i, w := range o.workspaces {
+		if slices.ContainsFunc(unused, func(g state.Guarantee) bool { return g.Workspace == w.Name }) {
+			bits[i/8] |= 1 << (i % 8)
 		}
 	}
-	return s
+	return bits
 }
