--- a/owner/controller.go
+++ b/owner/controller.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var decisions []Decision
+	decisions := []Decision{}
 	err = w.ask(ctx, func() {
 		if j := w.jobs[r.Id]; j != nil {
 			decisions = append(decisions, j.decisions...)
