gateway: explain refusals

Cause: Explain knew only dispatch decisions, so `cyclamenyard explain` could not say why a request or a job submission was refused.

Change: the handler records the error of every short request and job submission that no attempt's record holds: kind, message, time, time since the arrival. Refusals have their own ring of 4,096 entries, so that overload does not push out dispatch decisions. gateway.Decision has the fields Refused and Message; the CLI prints them and tells "refused" from "not accepted, may have run". Decoders return the call along with the error, so that refusals at the decoding are recorded as well.

Refusals of a stopping instance, and of jobs before a manifest is known, are only in the log, since workspace and id have not been read then.

--- a/cli/status.go
+++ b/cli/status.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/config"
+	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/gateway"
 	"github.com/cyclamenyard/cyclamenyard/instance"
 	"github.com/cyclamenyard/cyclamenyard/owner"
@@ -120,7 +121,7 @@
 func renderExplanation(out io.Writer, e instance.Explanation) error {
 	fmt.Fprintln(out, e.ID)
 	for _, d := range e.Requests {
-		fmt.Fprintf(out, "  %s request to %s in %s, attempt %s: %s\n", stamp(d.At), d.Worker, d.DataCentre, d.Attempt, requestOutcome(d))
+		fmt.Fprintf(out, "  %s %s: %s\n", stamp(d.At), requestStep(d), requestOutcome(d))
 	}
 	for _, o := range e.Owners {
 		for _, d := range o.Decisions {
@@ -135,8 +136,25 @@
 
 func stamp(t time.Time) string { return t.UTC().Format("15:04:05.000") }
 
+// requestStep names what a decision was about.
+func requestStep(d gateway.Decision) string {
+	if !d.Refused {
+		return fmt.Sprintf("request to %s in %s, attempt %s", d.Worker, d.DataCentre, d.Attempt)
+	}
+	service := "service " + d.Service
+	if d.Service == "" {
+		service = "an invalid service name"
+	}
+	if errkind.AnswerOf(errkind.Kind(d.Kind)).RunState == errkind.NotRun {
+		return "refused, " + service
+	}
+	return "not accepted, may have run, " + service
+}
+
 func requestOutcome(d gateway.Decision) string {
 	switch {
+	case d.Refused:
+		return fmt.Sprintf("%s: %s", d.Kind, d.Message)
 	case d.Kind != "":
 		return d.Kind
 	case d.Ended:
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -97,6 +97,7 @@
 	return body, nil
 }
 
+// decodeRequest returns the call along with an error, for the record of the refusal.
 func decodeRequest(_ context.Context, r *http.Request) (any, error) {
 	h := r.Header
 	c := &call{
@@ -106,23 +107,23 @@
 	c.source, _ = r.Body.(*boundedBody)
 	c.tried = c.first[:0]
 	if !validName(c.workspace) || !validName(c.service) {
-		return nil, refuse(errkind.BadRequest, "%s and %s must hold %s", HeaderWorkspace, HeaderService, nameRule)
+		return c, refuse(errkind.BadRequest, "%s and %s must hold %s", HeaderWorkspace, HeaderService, nameRule)
 	}
 	var ok bool
 	if c.idempotent, ok = parseFlag(h.Get(HeaderIdempotent)); !ok {
-		return nil, refuse(errkind.BadRequest, `%s must be "true" or "false"`, HeaderIdempotent)
+		return c, refuse(errkind.BadRequest, `%s must be "true" or "false"`, HeaderIdempotent)
 	}
 	if c.urgent, ok = parseFlag(h.Get(HeaderUrgent)); !ok {
-		return nil, refuse(errkind.BadRequest, `%s must be "true" or "false"`, HeaderUrgent)
+		return c, refuse(errkind.BadRequest, `%s must be "true" or "false"`, HeaderUrgent)
 	}
 	// Without an id a repeat of a non-idempotent request could not be told from a new one.
 	if !validName(c.id) && (c.id != "" || !c.idempotent) {
-		return nil, refuse(errkind.BadRequest, "%s must hold %s", HeaderRequestID, nameRule)
+		return c, refuse(errkind.BadRequest, "%s must hold %s", HeaderRequestID, nameRule)
 	}
 	if text := h.Get(HeaderDeadline); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
-			return nil, refuse(errkind.BadRequest, "%s must be between 1 and %d", HeaderDeadline, maxDeadline.Milliseconds())
+			return c, refuse(errkind.BadRequest, "%s must be between 1 and %d", HeaderDeadline, maxDeadline.Milliseconds())
 		}
 		c.within = time.Duration(ms) * time.Millisecond
 	}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -1,14 +1,18 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
 )
 
-// explainSize is how many recent decisions are kept.
+// explainSize is how many recent decisions, and how many recent refusals, are kept.
 const explainSize = 4096
 
-// Decision is the record of one routing decision for a short request.
+// Decision is the record of one routing decision for a short request, or of a short
+// request or job submission that was refused without an attempt.
 type Decision struct {
 	At         time.Time     `json:"at"`
 	ID         string        `json:"id"` // "workspace/request id"
@@ -24,6 +28,8 @@
 	Ended      bool          `json:"ended"`
 	Took       time.Duration `json:"took,omitempty"`
 	Kind       string        `json:"kind,omitempty"` // of the error, if any
+	Refused    bool          `json:"refused,omitempty"`
+	Message    string        `json:"message,omitempty"` // of the refusal
 }
 
 // ring keeps the last decisions.
@@ -67,16 +73,68 @@
 	}
 }
 
-// Explain returns the recent decisions for a request, named "workspace/request id",
-// oldest first.
+// refusalRing keeps the last refusals. They are kept apart from decisions, so that refusals under overload do not
+// replace the decisions about requests that were dispatched.
+type refusalRing struct {
+	mu      sync.Mutex
+	entries [explainSize]refusalEntry
+	next    int
+}
+
+type refusalEntry struct {
+	at                     time.Time
+	took                   time.Duration
+	workspace, id, service string
+	kind                   errkind.Kind
+	message                string
+}
+
+func (r *refusalRing) add(e refusalEntry) {
+	r.mu.Lock()
+	r.entries[r.next%explainSize] = e
+	r.next++
+	r.mu.Unlock()
+}
+
+// noteRefusal records the error answer to a request or job submission. Requests without a
+// valid workspace and id cannot be asked for and are left out.
+func (s *Server) noteRefusal(request any, err error) {
+	e := refusalEntry{at: time.Now(), kind: kindOf(err)}
+	switch c := request.(type) {
+	case *call:
+		// The records of the attempts hold these errors already.
+		if c.reached != nil || c.attempt != "" && e.kind == errkind.UpstreamRefused {
+			return
+		}
+		e.workspace, e.id, e.service, e.took = c.workspace, c.id, c.service, e.at.Sub(c.arrived)
+	case *jobCall:
+		e.workspace, e.id, e.service, e.took = c.Workspace, c.RequestID, c.Service, e.at.Sub(c.arrived)
+	default:
+		return
+	}
+	if !validName(e.workspace) || !validName(e.id) {
+		return
+	}
+	if !validName(e.service) {
+		e.service = ""
+	}
+	e.message = err.Error()
+	s.refusals.add(e)
+}
+
+// Explain returns the recent decisions and refusals for a request or job, named
+// "workspace/request id", oldest first.
 func (s *Server) Explain(id string) []Decision {
-	r := &s.explain
+	found := append(s.explain.find(id), s.refusals.find(id)...)
+	slices.SortStableFunc(found, func(a, b Decision) int { return a.At.Compare(b.At) })
+	return found
+}
+
+func (r *ring) find(id string) (found []Decision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var found []Decision
 	for i := max(0, r.next-explainSize); i < r.next; i++ {
-		e := &r.entries[i%explainSize]
-		if len(id) == len(e.workspace)+1+len(e.id) && e.workspace+"/"+e.id == id {
+		if e := &r.entries[i%explainSize]; names(e.workspace, e.id, id) {
 			d := e.Decision
 			d.ID = id
 			found = append(found, d)
@@ -84,3 +142,21 @@
 	}
 	return found
 }
+
+func (r *refusalRing) find(id string) (found []Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := max(0, r.next-explainSize); i < r.next; i++ {
+		if e := &r.entries[i%explainSize]; names(e.workspace, e.id, id) {
+			found = append(found, Decision{
+				At: e.at, ID: id, Service: e.service, Ended: true, Took: e.took, Kind: string(e.kind), Refused: true, Message: e.message,
+			})
+		}
+	}
+	return found
+}
+
+// names reports whether id is "workspace/request id".
+func names(workspace, requestID, id string) bool {
+	return len(id) == len(workspace)+1+len(requestID) && workspace+"/"+requestID == id
+}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	if err := json.Unmarshal(raw, &c.JobRequest); err != nil {
-		return nil, refuse(errkind.BadRequest, "the body is not a job: %v", err)
+		return c, refuse(errkind.BadRequest, "the body is not a job: %v", err)
 	}
 	return c, c.check()
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -81,6 +81,7 @@
 	inflight inflight
 	active   activeIDs
 	explain  ring
+	refusals refusalRing
 	located  locations
 	counters counters
 	attempts atomic.Uint64
@@ -136,9 +137,23 @@
 	s.mux.Handle("DELETE /v1/jobs/{workspace}/{id}", s.handler(s.cancelJob, decodeJobRef, encodeJSON))
 }
 
-// handler serves an endpoint over HTTP and counts it as in flight.
+// handler serves an endpoint over HTTP and counts it as in flight. It records refusals.
 func (s *Server) handler(e endpoint.Endpoint, dec httptransport.DecodeRequestFunc, enc httptransport.EncodeResponseFunc) http.Handler {
-	h := httptransport.NewServer(e, dec, enc,
+	decode := func(ctx context.Context, r *http.Request) (any, error) {
+		request, err := dec(ctx, r)
+		if err != nil {
+			s.noteRefusal(request, err)
+		}
+		return request, err
+	}
+	serve := func(ctx context.Context, request any) (any, error) {
+		response, err := e(ctx, request)
+		if err != nil {
+			s.noteRefusal(request, err)
+		}
+		return response, err
+	}
+	h := httptransport.NewServer(serve, decode, enc,
 		httptransport.ServerErrorEncoder(s.encodeError),
 		httptransport.ServerErrorHandler(transport.ErrorHandlerFunc(func(context.Context, error) {})),
 	)
