slots: remove SetLeaving

Cause: owners revoke the grants on leaving workers, so nothing calls Pool.SetLeaving any more.

Change: SetLeaving and worker.listed are gone. TestLeavingWorkerGetsNothing covers the signals that the pool still sees: grants that the owner revokes (testlease.Owner.Revoked) and the worker's own report. It also requires that a slot held on a worker that reports is not usable, and that revoked slots go back to the owner.

Conclusion: one source of truth for leaving workers, the owner's grants.

--- a/internal/testlease/testlease.go
+++ b/internal/testlease/testlease.go
@@ -22,6 +22,7 @@
 	TTL     int64 // milliseconds
 	Token   uint64
 	Down    bool
+	Revoked map[string]bool          // workers whose grants are revoked
 	granted map[string][]*peer.Grant // by instance and service
 	used    map[string]int           // by worker
 	next    int
@@ -82,18 +83,18 @@
 	o.granted[key] = kept
 	reply := &peer.LeaseSlotsReply{Token: o.Token}
 	for _, g := range kept {
-		reply.Grants = append(reply.Grants, &peer.Grant{Id: g.Id, Worker: g.Worker, Address: g.Address, Slots: 1, TtlMs: o.TTL})
+		reply.Grants = append(reply.Grants, &peer.Grant{Id: g.Id, Worker: g.Worker, Address: g.Address, Slots: 1, TtlMs: o.TTL, Revoked: o.Revoked[g.Worker]})
 	}
 	return reply, nil
 }
 
-// freeWorker returns the worker with the most free slots.
+// freeWorker returns the worker with the most free slots whose grants are not revoked.
 func (o *Owner) freeWorker() *structs.Worker {
 	var best *structs.Worker
 	for i := range o.Workers {
 		w := &o.Workers[i]
 		free := w.Capacity.Slots - o.used[w.ID]
-		if free > 0 && (best == nil || free > best.Capacity.Slots-o.used[best.ID]) {
+		if free > 0 && !o.Revoked[w.ID] && (best == nil || free > best.Capacity.Slots-o.used[best.ID]) {
 			best = w
 		}
 	}
--- a/slots/health.go
+++ b/slots/health.go
@@ -40,7 +40,6 @@
 // worker is the health of one worker. The atomics are read without the pool's lock.
 type worker struct {
 	id       string
-	listed   atomic.Bool  // the list or the manifest says that the worker leaves
 	saidAt   atomic.Int64 // when the worker last refused because it leaves, Unix nanoseconds
 	state    atomic.Int32
 	level    atomic.Int64 // recent failures, rounded up
@@ -53,9 +52,9 @@
 }
 
 // leaving reports whether the worker must get nothing new. Its own report counts for a
-// while, until the list shows it or the worker has come back.
+// while, until the owner has revoked its grants or the worker has come back.
 func (w *worker) leaving(now time.Time) bool {
-	return w.listed.Load() || now.UnixNano()-w.saidAt.Load() < int64(leavingHold)
+	return now.UnixNano()-w.saidAt.Load() < int64(leavingHold)
 }
 
 // score returns the worker's place in the choice, and whether it may be chosen. Only
--- a/slots/pool.go
+++ b/slots/pool.go
@@ -166,22 +166,6 @@
 	s.mu.Unlock()
 }
 
-// SetLeaving replaces the set of workers that are known to be leaving.
-func (p *Pool) SetLeaving(workers []string) {
-	p.healthMu.Lock()
-	defer p.healthMu.Unlock()
-	for id, w := range p.workers {
-		w.listed.Store(slices.Contains(workers, id))
-	}
-	for _, id := range workers {
-		if p.workers[id] == nil {
-			w := &worker{id: id, seen: time.Now()}
-			w.listed.Store(true)
-			p.workers[id] = w
-		}
-	}
-}
-
 // take chooses a slot. The error is set when work may start in no data centre.
 func (p *Pool) take(s *service, w Want) (*Slot, error) {
 	now := time.Now()
--- a/slots/pool_test.go
+++ b/slots/pool_test.go
@@ -300,20 +300,35 @@
 	})
 }
 
-// Guards against new work on a leaving worker, whether the list or the worker says so.
+// Guards against new work on a leaving worker, whether the owner revokes its grants or the
+// worker says so, and against revoked slots that are kept.
 func TestLeavingWorkerGetsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := start(t, owners{"dc1": testlease.NewOwner(workersOf("dc1", 3, 1)...)}, "dc1")
-		f.hold(t, 3)
-		f.SetLeaving([]string{"dc1-w0"})
-		first := f.acquire(t, anyIdempotent)
+		owner := testlease.NewOwner(workersOf("dc1", 3, 2)...)
+		f := start(t, owners{"dc1": owner}, "dc1")
+		f.hold(t, 6)
+		owner.Set(func(o *testlease.Owner) { o.Revoked = map[string]bool{"dc1-w0": true} })
+		time.Sleep(renewEvery)
+		synctest.Wait()
+		first, last := f.acquire(t, anyIdempotent), "dc1-w1"
 		require.NotEqual(t, "dc1-w0", first.Worker)
+		if first.Worker == last {
+			last = "dc1-w2"
+		}
+		other := f.acquire(t, Want{Service: "rota", Avoid: []string{"dc1-w0", last}})
+		require.Equal(t, first.Worker, other.Worker)
 		first.Done(Outcome{Result: Leaving})
+		require.Error(t, other.Usable(), "the worker has said that it leaves")
+		other.Done(Outcome{Result: Unused})
 		for range 50 {
 			s := f.acquire(t, anyIdempotent)
-			require.NotContains(t, []string{"dc1-w0", first.Worker}, s.Worker)
+			require.Equal(t, last, s.Worker)
 			s.Done(Outcome{Result: Succeeded})
 		}
+		time.Sleep(renewEvery)
+		synctest.Wait()
+		used, _ := owner.Used()
+		require.Zero(t, used["dc1-w0"])
 	})
 }
 
