gateway: fuzz duplicates of claims whose write was lost

Change: an action submits an id under a lost or late write, lets the store be down or stale for a while, and submits the same id at any instance. The other actions, the oracle and its bounds are unchanged.

--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -212,6 +212,18 @@
 				{Slow: 100 * time.Millisecond}, {Slow: time.Second}, {LoseWrites: 1, StaleReads: true},
 			}).Draw(t, "faults"))
 		},
+		// A claim whose write is lost or late, a store that may not tell what became of it,
+		// and the same id at any instance: random order alone rarely brings these together.
+		"duplicate after a lost write": func(t *rapid.T) {
+			id := fmt.Sprint("n", pick(t, "id", fuzzIDs))
+			c.store.SetFaults(rapid.SampledFrom([]standin.StoreFaults{{LoseWrites: 1}, {LateWrites: 1}, {LateWrites: 2}}).Draw(t, "write"))
+			c.submit(pick(t, "first entry", fuzzInstances), id, false, time.Minute)
+			time.Sleep(rapid.SampledFrom([]time.Duration{30 * time.Millisecond, 520 * time.Millisecond}).Draw(t, "time of the write"))
+			c.store.SetFaults(rapid.SampledFrom([]standin.StoreFaults{{}, {Down: true}, {Down: true}, {StaleReads: true}}).Draw(t, "store"))
+			time.Sleep(rapid.SampledFrom([]time.Duration{time.Millisecond, time.Second, 3 * time.Second}).Draw(t, "time until the duplicate"))
+			c.store.SetFaults(standin.StoreFaults{})
+			c.submit(pick(t, "second entry", fuzzInstances), id, false, time.Minute)
+		},
 		"worker fault": func(t *rapid.T) {
 			c.entries[0].workers[pick(t, "worker", fuzzWorkers)].SetFaults(rapid.SampledFrom([]standin.WorkerFaults{
 				{}, {}, {Down: true}, {FailAll: true}, {CloseAfterRead: true}, {CrossAnswers: true}, {Truncate: true}, {Late: 6 * time.Second},
