membership: one heartbeat for all changed summaries, every 20 s in an outage

Cause: owners of two data centres sent one heartbeat for each summary and were above 2 KB/s during an outage of the store.

Change: when one summary is due to a peer, all changed ones go with it. The interval while confirmation calls replace heartbeats is 20 s instead of 12 s: summaries serve the routing of new jobs, which are refused in an outage.

--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -19,12 +19,12 @@
 
 const (
 	// summaryInterval is the shortest time between two summaries of a data centre to the
-	// same peer, unless its owner changes. It keeps an owner within the traffic limit.
+	// same peer, unless its owner changes or another summary is due. It keeps an owner within the traffic limit.
 	summaryInterval = 4 * time.Second
 	// outageSummaryInterval takes its place while confirmation calls replace heartbeats:
 	// a summary then needs a heartbeat of its own, and at 24 instances one per peer every
 	// 4 s raises an owner above 2 KB/s.
-	outageSummaryInterval = 12 * time.Second
+	outageSummaryInterval = 20 * time.Second
 	// summaryRefresh sends an unchanged summary again, for a peer that lost its memory.
 	summaryRefresh = 30 * time.Second
 	// maxSummaries bounds the summaries that a heartbeat may carry.
@@ -295,25 +295,32 @@
 	return owner, token
 }
 
-// pendingSummaries returns the summaries that a peer lacks and that are due.
+// pendingSummaries returns the summaries that a peer lacks when at least one is due. The
+// others that have changed go with it, because a heartbeat costs more than a summary.
 func (c *Controller) pendingSummaries(p *peerState) []*peer.Summary {
 	interval := summaryInterval
 	if !p.confirmed.IsZero() && time.Since(p.confirmed) <= lostAfter {
 		interval = outageSummaryInterval
 	}
 	var pending []*peer.Summary
+	due := false
 	for dc, s := range c.own {
 		if s.Token < c.tokens[dc] {
 			continue // another instance owns the data centre
 		}
 		sent := p.summaries[dc]
 		age := time.Since(sent.at)
+		changed := sent.token != s.Token || sent.owner != s.Owner || sent.version != s.Version
 		switch {
-		case sent.token != s.Token, sent.owner != s.Owner,
-			sent.version != s.Version && age >= interval,
-			age >= summaryRefresh:
-			pending = append(pending, s)
+		case sent.token != s.Token, sent.owner != s.Owner, changed && age >= interval, age >= summaryRefresh:
+			due = true
+		case !changed:
+			continue
 		}
+		pending = append(pending, s)
+	}
+	if !due {
+		return nil
 	}
 	return pending
 }
