config: test of the confirmation rule under differing lists

Cause: no test had two instances whose platform lists differ during an outage of the store.

Change: TestConfirmationUnderDifferingLists. One instance without the store does not see a peer that commits a withdrawal and that it cannot reach. Test code only.

Two instances whose lists differ for longer than the membership time, with a cut between them and no third instance, are outside the assumed lag and are not covered.

--- a/config/cluster_test.go
+++ b/config/cluster_test.go
@@ -7,7 +7,9 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +55,7 @@
 	peer.DRPCPeerUnimplementedServer
 	id      string
 	store   *nodeStore
+	list    *nodeList
 	members *membership.Controller
 	config  *config.Controller
 }
@@ -69,6 +72,17 @@
 	return n.config.HandleAnnounce(ctx, r)
 }
 
+// nodeList is the platform's list as one instance sees it.
+type nodeList struct {
+	*standin.List
+	hidden atomic.Value // id of an instance that it does not show
+}
+
+func (l *nodeList) Instances(ctx context.Context) ([]structs.Instance, error) {
+	instances, err := l.List.Instances(ctx)
+	return slices.DeleteFunc(slices.Clone(instances), func(in structs.Instance) bool { return in.ID == l.hidden.Load() }), err
+}
+
 // nodeStore is the store as one instance reaches it, with faults of its own.
 type nodeStore struct {
 	platform.Store
@@ -196,9 +210,9 @@
 	}
 	c.list.SetInstances(instances)
 	for i, in := range instances {
-		n := &node{id: in.ID, store: &nodeStore{Store: c.store, cluster: c, id: in.ID}}
+		n := &node{id: in.ID, store: &nodeStore{Store: c.store, cluster: c, id: in.ID}, list: &nodeList{List: c.list}}
 		random := seeded(uint64(i))
-		n.members = membership.New(membership.Options{Self: in, List: c.list, Clients: c.network.From(in.PeerAddr),
+		n.members = membership.New(membership.Options{Self: in, List: n.list, Clients: c.network.From(in.PeerAddr),
 			Metrics: metrics.NewRegistry(), Jitter: random})
 		n.config = config.New(config.Options{Store: n.store, Peers: n.members, Metrics: metrics.NewRegistry(), Jitter: random})
 		n.members.SetConfig(n.config)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -342,3 +342,39 @@
 	require.Less(t, len(value), platform.MaxValueBytes)
 	return value
 }
+
+// Guards against a confirmation by all listed peers that leaves out an instance which
+// another list still shows and which commits: through a third instance that knows the
+// commit, and without one for as long as the list may lag.
+func TestConfirmationUnderDifferingLists(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		size   int
+		hidden time.Duration // before the commit
+	}{{"third instance", 3, time.Minute}, {"lagging list", 2, config.ListLag}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, c.size)
+				cut := cl.nodes[1]
+				cl.each(func(n *node) { n.store.set(func(s *nodeStore) { s.down = n.id != "n0" }) })
+				time.Sleep(5 * time.Second)
+				require.NoError(t, cut.config.MayStart("a"))
+				cut.list.hidden.Store("n0")
+				time.Sleep(c.hidden)
+				if c.size > 2 {
+					require.NoError(t, cut.config.MayStart("a"), "the third instance confirms")
+				}
+				cl.network.Cut("n0", "n1", true)
+				_, err := cl.nodes[0].commit("a", structs.StageOut)
+				require.NoError(t, err)
+				time.Sleep(config.FreshnessBound)
+				require.Error(t, cut.config.MayStart("a"))
+				cl.network.Cut("n0", "n1", false)
+				cut.list.hidden.Store("")
+				time.Sleep(10 * time.Second)
+				require.Equal(t, uint64(2), cut.config.Status().Revision)
+				require.NoError(t, cut.config.MayStart("b"))
+			})
+		})
+	}
+}
