Hand waiting jobs to data centres where they fit now

Cause: a job stayed in the data centre of its submission. A trace of the Verband's workload showed, while one data centre was out, 8 to 12 small jobs waiting in one data centre beside 30 free accelerators in another, whose queue held only large gangs. A job in its cooldown had no wake-up, so that three jobs of TestRunIsDeterministic never ended. Change: scheduler.Offload, at most 8 transfers every 30 s for a data centre, with a growing wait before a job is handed on again; the owner and the benchmark use it; startLent wakes the policy at the end of the cooldown. 'go test ./bench': 3 jobs not ended before, none after.

--- a/bench/run.go
+++ b/bench/run.go
@@ -47,8 +47,9 @@
 // centre is a data centre in a run.
 type centre struct {
 	*state.DataCentre
-	dirty  bool
-	wakeAt time.Time
+	dirty     bool
+	wakeAt    time.Time
+	offloaded time.Time
 }
 
 // run drives one policy through one workload.
@@ -165,12 +166,16 @@
 }
 
 func (r *run) route(j *job) *centre {
+	name, _ := scheduler.Route(&j.Job, r.summaries())
+	return r.centre(name)
+}
+
+func (r *run) summaries() []scheduler.Summary {
 	summaries := make([]scheduler.Summary, len(r.centres))
 	for i, c := range r.centres {
 		summaries[i] = scheduler.Summarize(c.DataCentre)
 	}
-	name, _ := scheduler.Route(&j.Job, summaries)
-	return r.centre(name)
+	return summaries
 }
 
 // centre returns the named data centre, or the first one.
@@ -216,6 +221,9 @@
 func (r *run) decide(c *centre) {
 	r.m.claims(c)
 	plan := r.policy.policy.Decide(c.DataCentre, r.now)
+	if !r.policy.baseline {
+		r.offload(c, &plan)
+	}
 	var moved []state.Job
 	for i := range plan.Actions {
 		if x := c.Job(plan.Actions[i].Job); x != nil && plan.Actions[i].Kind == structs.ActionTransfer {
@@ -240,6 +248,17 @@
 	}
 }
 
+// offload adds the transfers of waiting jobs to the plan, as package owner does.
+func (r *run) offload(c *centre, plan *structs.Plan) {
+	if r.now.Sub(c.offloaded) >= scheduler.OffloadInterval {
+		c.offloaded = r.now
+		plan.Actions = append(plan.Actions, scheduler.Offload(c.DataCentre, plan, r.summaries(), r.now)...)
+	}
+	if next := r.now.Add(scheduler.OffloadInterval); len(c.Queue) > 0 && (plan.WakeAt.IsZero() || plan.WakeAt.After(next)) {
+		plan.WakeAt = next
+	}
+}
+
 func (r *run) carryOut(c *centre, a *structs.Action, moved *[]state.Job) {
 	x := c.Job(a.Job)
 	switch {
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -16,12 +16,7 @@
 // latest summaries of their owners.
 func RouteJob(r *structs.Revision, summaries []*peer.Summary, j *structs.Job, home string) []scheduler.Rank {
 	m := &r.Manifest
-	known := make(map[string]*peer.Summary, len(summaries))
-	for _, sum := range summaries {
-		if old := known[sum.DataCentre]; old == nil || newer(sum, old) {
-			known[sum.DataCentre] = sum
-		}
-	}
+	known := latest(summaries)
 	var shares map[string][]manifest.Share
 	var ranks []scheduler.Rank
 	for i := range m.DataCentres {
@@ -44,6 +39,30 @@
 	return ranks
 }
 
+// Rooms describes the data centres whose owners have sent a summary, without guarantees.
+func Rooms(r *structs.Revision, summaries []*peer.Summary) []scheduler.Summary {
+	known := latest(summaries)
+	var rooms []scheduler.Summary
+	for i := range r.Manifest.DataCentres {
+		dc := &r.Manifest.DataCentres[i]
+		if sum := known[dc.Name]; sum != nil && sum.Owner != "" {
+			rooms = append(rooms, *summaryOf(r, dc, sum, nil, ""))
+		}
+	}
+	return rooms
+}
+
+// latest returns the newest summary of each data centre.
+func latest(summaries []*peer.Summary) map[string]*peer.Summary {
+	known := make(map[string]*peer.Summary, len(summaries))
+	for _, sum := range summaries {
+		if old := known[sum.DataCentre]; old == nil || newer(sum, old) {
+			known[sum.DataCentre] = sum
+		}
+	}
+	return known
+}
+
 func newer(a, b *peer.Summary) bool {
 	return a.Token > b.Token || a.Token == b.Token && a.Version > b.Version
 }
--- a/instance/router.go
+++ b/instance/router.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/gateway"
 	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -111,3 +112,9 @@
 	}
 	return "", false
 }
+
+// Rooms implements owner.Destinations.
+func (r *router) Rooms() []scheduler.Summary {
+	current, _ := r.instance.config.Current()
+	return gateway.Rooms(&current, r.instance.members.Summaries())
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -21,11 +22,12 @@
 // DataCentreOwner places the work of one data centre under one fencing token. All its
 // state belongs to the applier goroutine; other goroutines reach it through post and ask.
 type DataCentreOwner struct {
-	workspaces []structs.Workspace // of the manifest, in its order
-	o          *Options
-	dc         string
-	token      uint64
-	log        *zap.Logger
+	workspaces  []structs.Workspace // of the manifest, in its order
+	offloadedAt time.Time           // last round of scheduler.Offload
+	o           *Options
+	dc          string
+	token       uint64
+	log         *zap.Logger
 
 	events  chan func()
 	records *records
@@ -224,6 +226,10 @@
 	o.changed, o.decidedAt = false, now
 	plan := o.o.Policy.Decide(o.d, now)
 	o.wakeAt = plan.WakeAt
+	if o.o.Destinations != nil && len(o.d.Queue) > 0 && now.Sub(o.offloadedAt) >= scheduler.OffloadInterval {
+		o.offloadedAt = now
+		plan.Actions = append(plan.Actions, scheduler.Offload(o.d, &plan, o.o.Destinations.Rooms(), now)...)
+	}
 	plan.Actions = o.admitted(plan.Actions)
 	if len(plan.Actions) == 0 && len(o.d.Reservations) == 0 {
 		return
--- /dev/null
+++ b/scheduler/offload_test.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/state"
+	"github.com/cyclamenyard/cyclamenyard/structs"
+)
+
+// Guards against jobs that wait beside free room in another data centre, and against jobs that
+// are handed on at once, all to the same room, or over and over.
+func TestOffload(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	whole := structs.Resources{Slots: 8, Processors: 8, MemoryMB: 8, Accelerators: 8}
+	d := state.New("a")
+	for _, id := range []string{"x/1", "x/2"} {
+		job := structs.Job{ID: id, Workspace: "x", Shape: structs.Shape{Tasks: 1, Task: whole}, Submitted: now}
+		require.NoError(t, d.Apply(state.JobSubmitted{Job: job, Now: now}))
+	}
+	others := []Summary{
+		{DataCentre: "a", Stage: structs.StageOpen, Capacity: whole, Free: whole, Worker: whole, Whole: 1},
+		{DataCentre: "b", Stage: structs.StageOut, Capacity: whole, Free: whole, Worker: whole, Whole: 1},
+		{DataCentre: "c", Stage: structs.StageOpen, Capacity: whole, Free: whole, Worker: whole, Whole: 1},
+	}
+	require.Empty(t, Offload(d, &structs.Plan{}, others, now.Add(time.Second)), "it has hardly waited")
+	actions := Offload(d, &structs.Plan{}, others, now.Add(time.Minute))
+	require.Len(t, actions, 1, "the room of c holds one of the two")
+	require.Equal(t, "x/1", actions[0].Job)
+	require.Equal(t, "c", actions[0].DataCentre)
+	require.Equal(t, whole, others[2].Free, "the summaries are the caller's")
+
+	plan := structs.Plan{Actions: []structs.Action{{Kind: structs.ActionStart, Job: "x/1"}}}
+	actions = Offload(d, &plan, others, now.Add(time.Minute))
+	require.Len(t, actions, 1)
+	require.Equal(t, "x/2", actions[0].Job, "x/1 starts here")
+
+	late := state.New("a")
+	job := structs.Job{ID: "x/1", Workspace: "x", Shape: structs.Shape{Tasks: 1, Task: whole}, Submitted: now}
+	require.NoError(t, late.Apply(state.JobSubmitted{Job: job, Now: now.Add(time.Hour)}))
+	require.Empty(t, Offload(late, &structs.Plan{}, others, now.Add(time.Hour+time.Minute)), "it has been handed on before")
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -75,6 +75,9 @@
 
 // startLent starts a job on free room outside any guarantee.
 func (c *cycle) startLent(j *state.Job) bool {
+	if j.NoPreemptBefore.After(c.now) {
+		c.wake(j.NoPreemptBefore) // from then on it may be lent room
+	}
 	md := mode{
 		fixed: !j.Reclaimable() || j.NoPreemptBefore.After(c.now),
 		slow:  c.minSlots && !c.quick(&j.Job),
