owner: renew workers without tasks half as often

Change: workers without tasks are renewed every 6 s; a start brings the next renewal forward. Conclusion: busy workers keep their interval.

--- a/owner/options.go
+++ b/owner/options.go
@@ -25,6 +25,9 @@
 	WorkerLease = 20 * time.Second
 	// RenewInterval is the time between two renewals of a worker's leases.
 	RenewInterval = 3 * time.Second
+	// idleInterval is the same for a worker without tasks, which is only asked whether it is
+	// there and whether it is leaving. A start brings the next renewal forward.
+	idleInterval = 2 * RenewInterval
 	// ReservationTTL bounds how long after the check of freshness a start can take effect.
 	ReservationTTL = 2 * time.Second
 	// callTimeout bounds one call to a worker. It is below half of ReservationTTL so that
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -120,8 +120,13 @@
 // that has not answered yet is asked for its tasks first.
 func (o *DataCentreOwner) renewLoop(ctx context.Context, w *worker) {
 	for round := uint64(1); ; round++ {
-		answered := false
-		if o.ask(ctx, func() { answered = w.answered }) != nil {
+		answered, interval := false, RenewInterval
+		if o.ask(ctx, func() {
+			answered = w.answered
+			if s := o.d.Workers[w.info.ID]; s != nil && len(s.Tasks) == 0 {
+				interval = idleInterval
+			}
+		}) != nil {
 			return
 		}
 		if !answered || round%statusRounds == 0 {
@@ -130,7 +135,7 @@
 		if answered {
 			o.renewOnce(ctx, w)
 		}
-		wait := RenewInterval - RenewInterval/10 + jitter(w.info.ID, round, RenewInterval/5)
+		wait := interval - interval/10 + jitter(w.info.ID, round, interval/5)
 		if !answered {
 			wait = time.Second + jitter(w.info.ID, round, time.Second/5)
 		}
