--- a/config/freshness.go
+++ b/config/freshness.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -208,7 +209,7 @@
 		c.mu.Unlock()
 		if !ready || due > 0 {
 			r = nil
-			if !sleep(ctx, min(max(due, retryPause/5), retryPause)) {
+			if !wait.For(ctx, min(max(due, retryPause/5), retryPause)) {
 				return
 			}
 			continue
@@ -342,16 +343,5 @@
 
 // pause waits d with up to half of it added as jitter, and reports whether ctx lasts.
 func (c *Controller) pause(ctx context.Context, d time.Duration) bool {
-	return sleep(ctx, d+c.o.Jitter(d/2))
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return wait.For(ctx, d+c.o.Jitter(d/2))
 }
--- a/membership/election.go
+++ b/membership/election.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 )
@@ -117,7 +118,7 @@
 // store only while no live holder is known, and once per checkInterval otherwise.
 func (e *Election) follow(ctx context.Context) {
 	checked := time.Now()
-	for sleep(ctx, e.o.Members.jitter(watchHolder)) {
+	for wait.For(ctx, e.o.Members.jitter(watchHolder)) {
 		holder, _, known := e.Holder()
 		alive := known && holder != e.o.Members.Self().ID && e.o.Members.Alive(holder)
 		if alive && time.Since(checked) < checkInterval {
@@ -128,7 +129,7 @@
 		if err == nil && vacant && e.eligible() && e.holdBack(ctx) && e.campaign(ctx) {
 			return
 		}
-		if !sleep(ctx, e.o.Members.jitter(readInterval)) {
+		if !wait.For(ctx, e.o.Members.jitter(readInterval)) {
 			return
 		}
 	}
@@ -147,7 +148,7 @@
 	if e.o.Members.Self().DataCentre != e.o.DataCentre {
 		delay += otherDelay
 	}
-	if !sleep(ctx, delay) {
+	if !wait.For(ctx, delay) {
 		return false
 	}
 	vacant, err := e.readHolder(ctx)
@@ -221,7 +222,7 @@
 func (e *Election) hold(ctx context.Context) {
 	renewed := time.Now()
 	next := e.o.Members.jitter(renewInterval)
-	for sleep(ctx, min(watchHolder, next)) {
+	for wait.For(ctx, min(watchHolder, next)) {
 		if newest := e.o.Members.Token(e.o.DataCentre); newest > e.Token() {
 			e.standDown("a newer token exists", newest)
 			return
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -13,6 +13,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -48,7 +49,7 @@
 		if err == nil {
 			c.setList(instances, asOf)
 		}
-		if !sleep(ctx, c.jitter(pollInterval)) {
+		if !wait.For(ctx, c.jitter(pollInterval)) {
 			return
 		}
 	}
@@ -103,7 +104,7 @@
 		for _, id := range c.due() {
 			wg.Go(func() { c.beatOne(ctx, id) })
 		}
-		if !sleep(ctx, c.jitter(heartbeatInterval)) {
+		if !wait.For(ctx, c.jitter(heartbeatInterval)) {
 			return
 		}
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -334,14 +334,3 @@
 func (c *Controller) jitter(d time.Duration) time.Duration {
 	return d - d/10 + c.o.Jitter(d/5)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -218,7 +219,7 @@
 				left++
 			}
 		}
-		if left == 0 || !time.Now().Before(deadline) || g.o.fenced.Load() || !sleep(ctx, pollInterval) {
+		if left == 0 || !time.Now().Before(deadline) || g.o.fenced.Load() || !wait.For(ctx, pollInterval) {
 			return
 		}
 	}
@@ -298,7 +299,7 @@
 		if g.reached = err == nil; g.reached {
 			return
 		}
-		if !time.Now().Add(pollInterval).Before(deadline) || g.o.fenced.Load() || !sleep(ctx, pollInterval) {
+		if !time.Now().Add(pollInterval).Before(deadline) || g.o.fenced.Load() || !wait.For(ctx, pollInterval) {
 			return
 		}
 	}
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -13,6 +13,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -122,7 +123,7 @@
 				return 0, o.withdrawCreate(id, rev, cause)
 			}
 		}
-		if !sleep(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			// It is not known whether the record exists; a listing finds it if it does.
 			return 0, errkind.Wrap(errkind.Internal, cause, "job %s: the store has not told whether it is recorded", id)
 		}
--- a/owner/options.go
+++ b/owner/options.go
@@ -5,7 +5,6 @@
 package owner
 
 import (
-	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -117,15 +116,3 @@
 	_, _ = h.WriteString(key)
 	return time.Duration(h.Sum64() % uint64(d))
 }
-
-// sleep waits for d or until the context ends, and reports whether it waited for all of d.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/owner/records.go
+++ b/owner/records.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -233,7 +234,7 @@
 			}
 			continue
 		}
-		if probe && !sleep(ctx, probeInterval+jitter(e.id, e.tries, probeInterval)) {
+		if probe && !wait.For(ctx, probeInterval+jitter(e.id, e.tries, probeInterval)) {
 			return
 		}
 		if !probe && e.delayed && r.limiter.Wait(ctx) != nil {
--- a/owner/recover.go
+++ b/owner/recover.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -29,7 +30,7 @@
 		if err == nil && o.ask(o.ctx, func() { o.setWorkers(list) }) == nil {
 			break
 		}
-		if !sleep(o.ctx, time.Second) {
+		if !wait.For(o.ctx, time.Second) {
 			return
 		}
 	}
@@ -38,7 +39,7 @@
 	reports := o.askAll()
 	entries, err := o.listRecords(o.ctx)
 	for err != nil {
-		if !sleep(o.ctx, time.Second) {
+		if !wait.For(o.ctx, time.Second) {
 			return
 		}
 		reports = o.askAll()
@@ -55,7 +56,7 @@
 // data centre has transferred to this one.
 func (o *DataCentreOwner) follow() {
 	lastRecords := time.Now()
-	for round := uint64(0); sleep(o.ctx, workerListInterval+jitter(o.dc, round, time.Second)); round++ {
+	for round := uint64(0); wait.For(o.ctx, workerListInterval+jitter(o.dc, round, time.Second)); round++ {
 		if list, err := o.listWorkers(); err == nil {
 			o.post(func() { o.setWorkers(list) })
 		}
--- a/peer/server.go
+++ b/peer/server.go
@@ -12,6 +12,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 )
 
 const (
@@ -75,7 +77,7 @@
 			return err
 		case err != nil:
 			s.log.Warn("peer connection not accepted", zap.Error(err))
-			sleep(ctx, acceptPause)
+			wait.For(ctx, acceptPause)
 			continue
 		}
 		select {
@@ -114,12 +116,3 @@
 	c.once.Do(func() { c.conn.classify(controlCalls[rpc]) })
 	return c.next.HandleRPC(stream, rpc)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/scheduler/bestfit.go
+++ b/scheduler/baseline.go
@@ -10,24 +10,42 @@
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
+// FirstFit places jobs in order of arrival on the first workers with room. It is a
+// baseline: it has no guarantees, reservations or adjacency.
+type FirstFit struct{}
+
+// Decide implements Policy.
+func (FirstFit) Decide(d *state.DataCentre, _ time.Time) structs.Plan {
+	return arrivalOrder(d, "first fit", func(freeRoom, structs.Shape) []*state.Worker { return d.Order })
+}
+
 // BestFit places jobs in order of arrival on the workers that they fill best. It is a
 // baseline: it has no guarantees, reservations or adjacency.
 type BestFit struct{}
 
 // Decide implements Policy.
 func (BestFit) Decide(d *state.DataCentre, _ time.Time) structs.Plan {
+	return arrivalOrder(d, "best fit", func(free freeRoom, s structs.Shape) []*state.Worker { return fullestFirst(d, free, s) })
+}
+
+// freeRoom is the room left on each usable worker while a plan is made.
+type freeRoom map[string]structs.Resources
+
+// arrivalOrder starts the jobs that fit, in order of arrival. Workers returns the workers to
+// fill, the first one first.
+func arrivalOrder(d *state.DataCentre, name string, workers func(freeRoom, structs.Shape) []*state.Worker) structs.Plan {
 	var plan structs.Plan
 	if !d.Stage.AllowsStarts() {
 		return plan
 	}
-	free := make(map[string]structs.Resources, len(d.Order))
+	free := make(freeRoom, len(d.Order))
 	for _, w := range d.Order {
 		if w.Usable() {
 			free[w.ID] = w.Free
 		}
 	}
 	for _, j := range d.Queue {
-		placements, ok := bestFit(d, free, j.Shape)
+		placements, ok := fill(workers(free, j.Shape), free, j.Shape)
 		if !ok {
 			continue
 		}
@@ -36,14 +54,25 @@
 		}
 		plan.Actions = append(plan.Actions, structs.Action{
 			Kind: structs.ActionStart, Job: j.ID, Placements: placements,
-			Reason: fmt.Sprintf("best fit: %s on the %d fullest workers with room", j.Shape, len(placements)),
+			Reason: fmt.Sprintf("%s: %s on %d workers with room", name, j.Shape, len(placements)),
 		})
 	}
 	return plan
 }
 
-// bestFit fills the workers with the least room left first.
-func bestFit(d *state.DataCentre, free map[string]structs.Resources, s structs.Shape) ([]structs.Placement, bool) {
+// fill puts as many tasks on each worker as fit, in the given order.
+func fill(workers []*state.Worker, free freeRoom, s structs.Shape) ([]structs.Placement, bool) {
+	placements := make([]structs.Placement, 0, s.Tasks)
+	for _, w := range workers {
+		for n := s.Task.CountIn(free[w.ID]); n > 0 && len(placements) < s.Tasks; n-- {
+			placements = append(placements, structs.Placement{Task: len(placements), Worker: w.ID})
+		}
+	}
+	return placements, len(placements) == s.Tasks
+}
+
+// fullestFirst returns the workers on which a task fits, those with the least room first.
+func fullestFirst(d *state.DataCentre, free freeRoom, s structs.Shape) []*state.Worker {
 	workers := make([]*state.Worker, 0, len(d.Order))
 	for _, w := range d.Order {
 		if s.Task.CountIn(free[w.ID]) > 0 {
@@ -53,11 +82,5 @@
 	slices.SortStableFunc(workers, func(a, b *state.Worker) int {
 		return cmp.Compare(free[a.ID].DominantShare(a.Worker.Capacity), free[b.ID].DominantShare(b.Worker.Capacity))
 	})
-	placements := make([]structs.Placement, 0, s.Tasks)
-	for _, w := range workers {
-		for n := s.Task.CountIn(free[w.ID]); n > 0 && len(placements) < s.Tasks; n-- {
-			placements = append(placements, structs.Placement{Task: len(placements), Worker: w.ID})
-		}
-	}
-	return placements, len(placements) == s.Tasks
+	return workers
 }
--- a/standin/http.go
+++ b/standin/http.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -121,7 +122,7 @@
 	f := w.faults
 	w.mu.Unlock()
 	if f.Late > 0 {
-		if sleep(req.Context(), f.Late) != nil {
+		if !wait.For(req.Context(), f.Late) {
 			return
 		}
 	}
--- a/standin/peers.go
+++ b/standin/peers.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/peer"
 )
 
@@ -113,8 +114,8 @@
 	if err := n.Wait(ctx, from); err != nil {
 		return nil, err
 	}
-	if err := sleep(ctx, n.latency); err != nil {
-		return nil, err
+	if !wait.For(ctx, n.latency) {
+		return nil, ctx.Err()
 	}
 	if err := n.Wait(ctx, to); err != nil {
 		return nil, err
--- a/standin/run.go
+++ b/standin/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 )
 
@@ -77,8 +78,8 @@
 	f := w.faults
 	w.mu.Unlock()
 	if f.Late > 0 {
-		if err := sleep(ctx, f.Late); err != nil {
-			return platform.RunReply{}, errkind.Wrap(errkind.UpstreamUncertain, err, "worker %s", address)
+		if !wait.For(ctx, f.Late) {
+			return platform.RunReply{}, errkind.Wrap(errkind.UpstreamUncertain, ctx.Err(), "worker %s", address)
 		}
 	}
 	if f.CloseAfterRead {
--- a/standin/store.go
+++ b/standin/store.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/platform"
 )
 
@@ -98,8 +99,8 @@
 	s.calls[call]++
 	if d := s.faults.Slow; d > 0 {
 		s.mu.Unlock()
-		if err := sleep(ctx, d); err != nil {
-			return err
+		if !wait.For(ctx, d) {
+			return ctx.Err()
 		}
 		s.mu.Lock()
 	}
@@ -111,17 +112,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // expire deletes the entries of ended leases.
 func (s *Store) expire() {
 	now := time.Now()
