faults: start an instance again when its port is taken

Four copies of the test at the same time reproduced it once in 7 runs: 7 of 8 instances ran, and the eighth had ended at its start because a connection of another test used its port. Ruled out: an instance that misses a revision (all 7 had it). Change: the test waits until each instance is ready and starts one that has ended again. Conclusion: a fault of the test, not of the system.

--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -78,7 +78,7 @@
 		p := &process{info: c.instanceInfo(i)}
 		c.instances = append(c.instances, p)
 		infos = append(infos, p.info)
-		c.start(p)
+		c.up(p)
 		t.Cleanup(func() { p.signal(syscall.SIGKILL) })
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -93,8 +93,8 @@
 	return c
 }
 
-// instanceInfo chooses free ports. Another process could take one before the instance
-// listens; the start then fails and the test says so.
+// instanceInfo lets the kernel choose ports that are free now; see up for one that is taken
+// before the instance listens.
 func (c *cluster) instanceInfo(i int) structs.Instance {
 	var addresses [3]string
 	for n := range addresses {
@@ -151,10 +151,28 @@
 	return p.err
 }
 
-// restart starts the process again and waits until it is ready.
-func (c *cluster) restart(p *process) {
+// up starts the process and waits until it is ready. A process that ends, because another one
+// uses its port for a connection at that moment, is started again.
+func (c *cluster) up(p *process) {
 	c.start(p)
-	c.eventually(p.info.ID+" is ready again", func() bool { return c.ready(p) })
+	c.eventually(p.info.ID+" is ready", func() bool {
+		if p.ended() {
+			c.start(p)
+			return false
+		}
+		return c.ready(p)
+	})
+}
+
+func (p *process) ended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
 }
 
 func (c *cluster) ready(p *process) bool {
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -63,7 +63,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	for _, p := range c.instances[1:3] {
-		c.restart(p)
+		c.up(p)
 	}
 	time.Sleep(2 * time.Second)
 	return ""
@@ -85,7 +85,7 @@
 		if err := p.stopped(); err != nil {
 			unclean++
 		}
-		c.restart(p)
+		c.up(p)
 	}
 	return fmt.Sprintf("%d of %d stops unclean", unclean, len(c.instances))
 }
