scheduler: hand on jobs whose reservation is far away

Cause: at 50 workers with 144 of 175 tasks placed, a gang of 31 tasks waited for a reservation in 59 minutes while three other data centres had room: holders of reservations were never handed on (traced with FAULTS_LOG_DIR and TestCapacity). Right after the first elections all jobs had gone to the one data centre whose owner was known. Change: only a holder whose reservation starts within a minute stays; a reservation ends with the transfer of its job. Conclusion: room that is free now is used.

--- a/scheduler/offload.go
+++ b/scheduler/offload.go
@@ -16,11 +16,14 @@
 	offloadAfter = 30 * time.Second
 	// offloadMost bounds the transfers of one round, each of which is a write to the store.
 	offloadMost = 8
+	// nearReservation is the time before the start of a reservation from which its holder
+	// stays. Room that is free elsewhere now is worth more than room expected in an hour.
+	nearReservation = time.Minute
 )
 
 // Offload plans the transfer of jobs that wait in one data centre and seem to fit into the
-// free room of another one now. Jobs that hold a reservation, or for which their workspace
-// has an unused guarantee here, stay, and so do those on which the plan acts. It does not
+// free room of another one now. Jobs whose reservation is near, or for which their workspace
+// has an unused guarantee here, stay, and so do those that the plan starts or refuses. It does not
 // change d.
 func Offload(d *state.DataCentre, plan *structs.Plan, others []Summary, now time.Time) []structs.Action {
 	if !d.Stage.AllowsStarts() {
@@ -28,7 +31,9 @@
 	}
 	own, planned := Summarize(d), map[string]bool{}
 	for i := range plan.Actions {
-		planned[plan.Actions[i].Job] = true
+		if plan.Actions[i].Kind != structs.ActionReserve {
+			planned[plan.Actions[i].Job] = true
+		}
 	}
 	free := make([]Summary, len(others))
 	copy(free, others)
@@ -37,7 +42,7 @@
 		if len(actions) == offloadMost {
 			break
 		}
-		if j.Cancelled || planned[j.ID] || now.Sub(j.QueuedAt) < waitBeforeOffload(j) || holdsReservation(d, j) || RankOf(&j.Job, &own).Guaranteed {
+		if j.Cancelled || planned[j.ID] || now.Sub(j.QueuedAt) < waitBeforeOffload(j) || nearlyStarts(d, j, now) || RankOf(&j.Job, &own).Guaranteed {
 			continue
 		}
 		to := roomiest(&j.Job, d.Name, free)
@@ -59,10 +64,10 @@
 	return max(offloadAfter, j.QueuedAt.Sub(j.Submitted)/2)
 }
 
-func holdsReservation(d *state.DataCentre, j *state.Job) bool {
+func nearlyStarts(d *state.DataCentre, j *state.Job, now time.Time) bool {
 	for i := range d.Reservations {
-		if d.Reservations[i].Job == j.ID {
-			return true
+		if r := &d.Reservations[i]; r.Job == j.ID {
+			return r.StartAt.Sub(now) < nearReservation
 		}
 	}
 	return false
--- a/scheduler/offload_test.go
+++ b/scheduler/offload_test.go
@@ -37,6 +37,15 @@
 	require.Len(t, actions, 1)
 	require.Equal(t, "x/2", actions[0].Job, "x/1 starts here")
 
+	reserve := structs.Action{Kind: structs.ActionReserve, Job: "x/1", StartAt: now.Add(90 * time.Second)}
+	require.NoError(t, d.Apply(state.PlanAccepted{Plan: structs.Plan{Actions: []structs.Action{reserve}}, Now: now}))
+	actions = Offload(d, &structs.Plan{Actions: []structs.Action{reserve}}, others, now.Add(time.Minute))
+	require.Equal(t, "x/2", actions[0].Job, "the reservation of x/1 is near")
+	reserve.StartAt = now.Add(time.Hour)
+	require.NoError(t, d.Apply(state.PlanAccepted{Plan: structs.Plan{Actions: []structs.Action{reserve}}, Now: now}))
+	actions = Offload(d, &structs.Plan{Actions: []structs.Action{reserve}}, others, now.Add(time.Minute))
+	require.Equal(t, "x/1", actions[0].Job, "there is room elsewhere long before its reservation")
+
 	late := state.New("a")
 	job := structs.Job{ID: "x/1", Workspace: "x", Shape: structs.Shape{Tasks: 1, Task: whole}, Submitted: now}
 	require.NoError(t, late.Apply(state.JobSubmitted{Job: job, Now: now.Add(time.Hour)}))
--- a/state/events.go
+++ b/state/events.go
@@ -192,7 +192,8 @@
 			d.uncharge(a.Job)
 		}
 	}
-	d.Reservations = reservations
+	// A job that the same plan hands to another data centre needs no room here.
+	d.Reservations = slices.DeleteFunc(reservations, func(r Reservation) bool { return d.Jobs[r.Job] == nil })
 	return nil
 }
 
