instance: read the names of the elections under their lock

Cause: elections.run read the names outside the lock while the configuration may replace them; found by reading. Change: the names are copied under the lock.

--- a/instance/elections.go
+++ b/instance/elections.go
@@ -36,8 +36,9 @@
 func (e *elections) run(ctx context.Context) {
 	e.mu.Lock()
 	e.ctx = ctx
+	names := e.names
 	e.mu.Unlock()
-	e.update(e.names)
+	e.update(names)
 	<-ctx.Done()
 	e.wg.Wait()
 	stopped, cancel := context.WithCancel(context.Background())
