--- a/claims/ledger.go
+++ b/claims/ledger.go
@@ -13,7 +13,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 )
 
 const (
@@ -42,7 +42,7 @@
 // Options configures a Ledger.
 type Options struct {
 	Instance string
-	Store    platform.Store
+	Store    remote.Store
 	Peers    Peers // nil writes every shard directly
 	// Instances returns the number of live instances, which share the rate of writes.
 	Instances func() int
--- a/claims/ledger_test.go
+++ b/claims/ledger_test.go
@@ -15,11 +15,11 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 )
 
-func newLedger(name string, store platform.Store, peers Peers) *Ledger {
+func newLedger(name string, store remote.Store, peers Peers) *Ledger {
 	return New(Options{Instance: name, Store: store, Peers: peers, Metrics: metrics.NewRegistry()})
 }
 
@@ -39,7 +39,7 @@
 	noEffect bool
 }
 
-func (s cutStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (s cutStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease remote.LeaseID) (uint64, error) {
 	if s.noEffect {
 		s.SetFaults(standin.StoreFaults{StaleReads: true})
 		return 0, errLost
@@ -259,7 +259,7 @@
 				c.claims[idHash{uint64(i), uint64(shard)}] = record{token: 1, expires: uint32(time.Now().Add(Expiry).Unix())}
 			}
 			value := c.encode()
-			require.Less(t, len(value), platform.MaxValueBytes)
+			require.Less(t, len(value), remote.MaxValueBytes)
 			_, err := store.CompareAndSwap(t.Context(), fmt.Sprintf("claim/%d", shard), 0, value, 0)
 			require.NoError(t, err)
 		}
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 )
 
 func (s *shard) init(l *Ledger, index uint32) {
@@ -107,8 +107,8 @@
 	defer cancel()
 	kv, err := s.l.opts.Store.Get(call, s.key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		kv = platform.KV{}
+	case errors.Is(err, remote.ErrNotFound):
+		kv = remote.KV{}
 	case err != nil:
 		s.l.noteFailure()
 		s.l.downUntil.Store(time.Now().Add(downPause).UnixNano())
@@ -232,10 +232,10 @@
 	}
 	s.known = false
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, remote.ErrConflict):
 		s.l.conflicts.Inc(1)
 		events.Info(s.l.log, events.ClaimConflict, zap.Uint32("shard", s.index), zap.Uint64("expected", s.revision))
-	case platform.NotSent(err):
+	case remote.NotSent(err):
 		failCertain(writes, unavailable)
 	default:
 		s.l.noteFailure()
--- a/config/cluster_test.go
+++ b/config/cluster_test.go
@@ -19,7 +19,7 @@
 	"github.com/cyclamenyard/cyclamenyard/config"
 	"github.com/cyclamenyard/cyclamenyard/membership"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -41,8 +41,8 @@
 	nodes   []*node
 
 	mu       sync.Mutex
-	history  []written   // revisions in the order in which they took effect
-	previous platform.KV // the entry before the last write
+	history  []written // revisions in the order in which they took effect
+	previous remote.KV // the entry before the last write
 }
 
 // written is a revision that took effect in the store.
@@ -85,7 +85,7 @@
 
 // nodeStore is the store as one instance reaches it, with faults of its own.
 type nodeStore struct {
-	platform.Store
+	remote.Store
 	cluster *cluster
 	id      string
 
@@ -114,9 +114,9 @@
 	return nil
 }
 
-func (s *nodeStore) Get(ctx context.Context, key string) (platform.KV, error) {
+func (s *nodeStore) Get(ctx context.Context, key string) (remote.KV, error) {
 	if err := s.isDown(ctx); err != nil {
-		return platform.KV{}, err
+		return remote.KV{}, err
 	}
 	s.mu.Lock()
 	stale := s.stale
@@ -129,7 +129,7 @@
 	return s.Store.Get(ctx, key)
 }
 
-func (s *nodeStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (s *nodeStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease remote.LeaseID) (uint64, error) {
 	if err := s.isDown(ctx); err != nil {
 		return 0, err
 	}
@@ -149,7 +149,7 @@
 	return revision, err
 }
 
-func (s *nodeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.KV, uint64, error) {
+func (s *nodeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]remote.KV, uint64, error) {
 	if err := s.isDown(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -167,7 +167,7 @@
 }
 
 // swap writes and records what took effect.
-func (c *cluster) swap(ctx context.Context, s platform.Store, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (c *cluster) swap(ctx context.Context, s remote.Store, key string, expect uint64, value []byte, lease remote.LeaseID) (uint64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before, _ := s.Get(ctx, key)
--- a/config/commit.go
+++ b/config/commit.go
@@ -17,7 +17,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/manifest"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -116,8 +116,8 @@
 	if err != nil {
 		return CommitResult{}, errkind.Wrap(errkind.ManifestInvalid, err, "manifest cannot be written as JSON")
 	}
-	if len(value) > platform.MaxValueBytes {
-		return CommitResult{}, errkind.New(errkind.ManifestInvalid, "manifest takes %d bytes as JSON: must be at most %d", len(value), platform.MaxValueBytes)
+	if len(value) > remote.MaxValueBytes {
+		return CommitResult{}, errkind.New(errkind.ManifestInvalid, "manifest takes %d bytes as JSON: must be at most %d", len(value), remote.MaxValueBytes)
 	}
 	peers := c.listedPeers()
 	p := c.begin(ctx, next, entry.revision, manifest.Withdrawn(base.Manifest, m), peers)
@@ -188,7 +188,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	kv, err := c.o.Store.Get(call, Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, remote.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -248,9 +248,9 @@
 	defer cancel()
 	written, err := c.o.Store.CompareAndSwap(call, Key, p.expect, value, 0)
 	if err == nil {
-		return outcomeCommitted, c.observe(platform.KV{Key: Key, Value: value, Revision: written}, time.Time{})
+		return outcomeCommitted, c.observe(remote.KV{Key: Key, Value: value, Revision: written}, time.Time{})
 	}
-	if platform.NotSent(err) {
+	if remote.NotSent(err) {
 		return outcomeLost, err
 	}
 	c.mu.Lock()
@@ -334,7 +334,7 @@
 
 // whyLost states why a commit had no effect.
 func (c *Controller) whyLost(ctx context.Context, m structs.Manifest, base uint64, cause error) error {
-	if errors.Is(cause, platform.ErrConflict) {
+	if errors.Is(cause, remote.ErrConflict) {
 		if err := c.read(ctx); err != nil {
 			cause = errors.Join(cause, err)
 		}
--- a/config/config.go
+++ b/config/config.go
@@ -14,7 +14,7 @@
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -78,7 +78,7 @@
 
 // Options holds the dependencies of a Controller.
 type Options struct {
-	Store   platform.Store
+	Store   remote.Store
 	Peers   Peers
 	Log     *zap.Logger
 	Metrics metrics.Registry
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -14,7 +14,7 @@
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/membership"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -339,7 +339,7 @@
 	t.Helper()
 	value, err := json.Marshal(r)
 	require.NoError(t, err)
-	require.Less(t, len(value), platform.MaxValueBytes)
+	require.Less(t, len(value), remote.MaxValueBytes)
 	return value
 }
 
--- a/config/freshness.go
+++ b/config/freshness.go
@@ -13,7 +13,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -111,7 +111,7 @@
 
 // observe takes an entry of the manifest key that the store returned for a call sent at
 // the given time. The time is zero for a read that may be stale.
-func (c *Controller) observe(kv platform.KV, sent time.Time) error {
+func (c *Controller) observe(kv remote.KV, sent time.Time) error {
 	if kv.Value == nil {
 		return errkind.New(errkind.Internal, "the manifest was deleted from the store")
 	}
--- a/config/intents.go
+++ b/config/intents.go
@@ -12,7 +12,7 @@
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -258,7 +258,7 @@
 	current := c.known && entry.number == c.current.Number
 	c.mu.Unlock()
 	if !current {
-		return platform.ErrConflict
+		return remote.ErrConflict
 	}
 	if entry.revision == 0 {
 		entry.value, _ = json.Marshal(structs.Revision{}) // an empty store is revision 0
@@ -273,5 +273,5 @@
 	if err := json.Unmarshal(entry.value, &r); err != nil {
 		return err
 	}
-	return c.observe(platform.KV{Key: Key, Value: entry.value, Revision: written}, time.Time{})
+	return c.observe(remote.KV{Key: Key, Value: entry.value, Revision: written}, time.Time{})
 }
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -16,7 +16,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 )
 
 const (
@@ -122,13 +122,13 @@
 			web := httptest.NewServer(f.Handler())
 			defer web.Close()
 			client := func() *http.Client {
-				t := platform.NewTransport(0)
+				t := remote.NewTransport(0)
 				b.Cleanup(t.CloseIdleConnections)
 				return &http.Client{Transport: t}
 			}
 			times := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Minute), 3) }
 			direct := &target{client: client(), times: times(), url: "http://" + f.workers[0].Info().Address + "/v1/run", headers: map[string]string{
-				platform.HeaderToken: "1", platform.HeaderAttempt: "a", platform.HeaderGrant: "g", HeaderService: "rota", HeaderWorkspace: "verband",
+				remote.HeaderToken: "1", remote.HeaderAttempt: "a", remote.HeaderGrant: "g", HeaderService: "rota", HeaderWorkspace: "verband",
 			}}
 			through := &target{client: client(), times: times(), url: web.URL + "/v1/requests", headers: map[string]string{
 				HeaderService: "rota", HeaderWorkspace: "verband", HeaderIdempotent: "true",
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -12,7 +12,7 @@
 	"github.com/cyclamenyard/cyclamenyard/claims"
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/slots"
 )
 
@@ -205,7 +205,7 @@
 	c := request.(*call)
 	attempt, cancel := context.WithDeadline(context.Background(), c.deadline)
 	defer cancel()
-	reply, err := s.opts.Upstream.Run(attempt, c.slot.Address, platform.RunRequest{
+	reply, err := s.opts.Upstream.Run(attempt, c.slot.Address, remote.RunRequest{
 		AttemptID: c.attempt, RequestID: c.id, Token: c.slot.Token, GrantID: c.slot.GrantID,
 		Service: c.service, Workspace: c.workspace, Idempotent: c.idempotent, Body: c.body, MaxAnswer: c.svc.maxAnswer,
 	})
@@ -239,9 +239,9 @@
 
 func refusalResult(err error) slots.Result {
 	switch {
-	case errors.Is(err, platform.ErrLeaving):
+	case errors.Is(err, remote.ErrLeaving):
 		return slots.Leaving
-	case errors.Is(err, platform.ErrNoRoom), errors.Is(err, platform.ErrStaleToken), errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, remote.ErrNoRoom), errors.Is(err, remote.ErrStaleToken), errors.Is(err, remote.ErrRateLimited):
 		return slots.Refused
 	}
 	return slots.Unreachable
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -19,7 +19,7 @@
 	"github.com/cyclamenyard/cyclamenyard/claims"
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/internal/testlease"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/slots"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -69,13 +69,13 @@
 	*Server
 	pool    *slots.Pool
 	owner   *testlease.Owner
-	up      platform.Upstream
+	up      remote.Upstream
 	workers []*standin.Worker
 }
 
 // newFixture starts a pool and returns a server. Its workers have the given number of
 // slots and are called over sockets, unless up is set.
-func newFixture(t tb, workers, slotsEach int, run time.Duration, up platform.Upstream, ledger Claims) *fixture {
+func newFixture(t tb, workers, slotsEach int, run time.Duration, up remote.Upstream, ledger Claims) *fixture {
 	f := &fixture{owner: testlease.NewOwner()}
 	for i := range workers {
 		info := structs.Worker{ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("w%d", i), DataCentre: "dc1", Capacity: structs.Resources{Slots: slotsEach}}
@@ -94,9 +94,9 @@
 		}
 	}
 	if up == nil {
-		transport := platform.NewTransport(0)
+		transport := remote.NewTransport(0)
 		t.Cleanup(transport.CloseIdleConnections)
-		up = platform.NewUpstreamClient(transport)
+		up = remote.NewUpstreamClient(transport)
 	}
 	f.up = up
 	f.pool, f.Server = f.instance(t, "i1", ledger)
@@ -173,7 +173,7 @@
 	}
 }
 
-func newLedger(name string, store platform.Store) *claims.Ledger {
+func newLedger(name string, store remote.Store) *claims.Ledger {
 	return claims.New(claims.Options{Instance: name, Store: store, Metrics: metrics.NewRegistry()})
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -18,7 +18,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/claims"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/slots"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -62,7 +62,7 @@
 	Manifest  Manifest
 	Slots     Slots
 	Claims    Claims
-	Upstream  platform.Upstream
+	Upstream  remote.Upstream
 	Jobs      Jobs
 	Summaries func() []*peer.Summary
 	// Instances returns the number of live instances, which share the workspaces' rates. It
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,7 +20,7 @@
 	"github.com/cyclamenyard/cyclamenyard/membership"
 	"github.com/cyclamenyard/cyclamenyard/owner"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/slots"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -33,7 +33,7 @@
 	log     *zap.Logger
 	metrics metrics.Registry
 
-	platform  *platform.Client
+	platform  *remote.Client
 	transport *http.Transport // to workers
 	clients   *peer.Clients
 	members   *membership.Controller
@@ -64,9 +64,9 @@
 	}
 	i := &Instance{
 		o: o, info: o.info(), log: o.Log, metrics: o.Metrics,
-		transport: platform.NewTransport(0), killed: make(chan struct{}),
+		transport: remote.NewTransport(0), killed: make(chan struct{}),
 	}
-	i.platform = platform.NewClient(platform.ClientOptions{Address: o.Platform, CallsPerSec: o.StoreCallsPerSec, Metrics: o.Metrics})
+	i.platform = remote.NewClient(remote.ClientOptions{Address: o.Platform, CallsPerSec: o.StoreCallsPerSec, Metrics: o.Metrics})
 	i.clients = peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})
 	i.members = membership.New(membership.Options{Self: i.info, List: i.platform, Clients: i.clients, Log: o.Log, Metrics: o.Metrics})
 	i.config = config.New(config.Options{Store: i.platform, Peers: i.members, ListLag: o.ListLag, Log: o.Log, Metrics: o.Metrics})
@@ -95,14 +95,14 @@
 	})
 	i.gateway = gateway.New(gateway.Options{
 		Instance: i.info.ID, Home: i.info.DataCentre, Manifest: i.config, Slots: i.pool, Claims: i.claims,
-		Upstream: platform.NewUpstreamClient(i.transport), Jobs: i.router, Summaries: i.members.Summaries,
+		Upstream: remote.NewUpstreamClient(i.transport), Jobs: i.router, Summaries: i.members.Summaries,
 		Instances: i.liveInstances, Log: i.log, Metrics: i.metrics,
 	})
 }
 
 // dial returns the control client of a worker. All clients share one transport.
-func (i *Instance) dial(w structs.Worker) platform.Worker {
-	return platform.NewWorkerClient(platform.ClientOptions{Address: w.Address, Transport: i.transport, Metrics: i.metrics})
+func (i *Instance) dial(w structs.Worker) remote.Worker {
+	return remote.NewWorkerClient(remote.ClientOptions{Address: w.Address, Transport: i.transport, Metrics: i.metrics})
 }
 
 // Info describes the instance, as the platform lists it.
--- a/membership/election.go
+++ b/membership/election.go
@@ -13,7 +13,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 )
 
 const (
@@ -42,7 +42,7 @@
 // ElectionOptions holds the dependencies of an Election.
 type ElectionOptions struct {
 	DataCentre  string
-	Store       platform.Store
+	Store       remote.Store
 	Members     *Controller
 	Log         *zap.Logger
 	Metrics     metrics.Registry
@@ -58,7 +58,7 @@
 
 	mu     sync.Mutex
 	token  uint64 // 0 while this instance is not the holder
-	lease  platform.LeaseID
+	lease  remote.LeaseID
 	holder holderRecord // as last read from the store
 	read   uint64       // token of holder
 }
@@ -160,7 +160,7 @@
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	kv, err := e.o.Store.Get(call, e.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, remote.ErrNotFound) {
 		e.mu.Lock()
 		e.holder = holderRecord{}
 		e.mu.Unlock()
@@ -231,7 +231,7 @@
 			continue
 		}
 		renewed, next = time.Now(), e.o.Members.jitter(renewInterval)
-		if err := e.renew(ctx); errors.Is(err, platform.ErrLeaseEnded) {
+		if err := e.renew(ctx); errors.Is(err, remote.ErrLeaseEnded) {
 			e.standDown("the lease has ended", 0)
 			// The state of this instance is the most recent: it tries again at once.
 			e.campaign(ctx)
@@ -274,7 +274,7 @@
 }
 
 // revoke ends a lease; when it fails, the lease ends by itself.
-func (e *Election) revoke(lease platform.LeaseID) {
+func (e *Election) revoke(lease remote.LeaseID) {
 	call, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	_ = e.o.Store.RevokeLease(call, lease)
--- a/membership/fuzz_test.go
+++ b/membership/fuzz_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/membership"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -78,7 +78,7 @@
 
 // voterStore is the store as one run of an instance reaches it.
 type voterStore struct {
-	platform.Store
+	remote.Store
 	v *voter
 }
 
@@ -94,9 +94,9 @@
 	return nil
 }
 
-func (s voterStore) Get(ctx context.Context, key string) (platform.KV, error) {
+func (s voterStore) Get(ctx context.Context, key string) (remote.KV, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.KV{}, err
+		return remote.KV{}, err
 	}
 	kv, err := s.Store.Get(ctx, key)
 	if err == nil {
@@ -105,21 +105,21 @@
 	return kv, err
 }
 
-func (s voterStore) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s voterStore) GrantLease(ctx context.Context, ttl time.Duration) (remote.LeaseID, error) {
 	if err := s.reach(ctx); err != nil {
 		return 0, err
 	}
 	return s.Store.GrantLease(ctx, ttl)
 }
 
-func (s voterStore) RenewLease(ctx context.Context, id platform.LeaseID) error {
+func (s voterStore) RenewLease(ctx context.Context, id remote.LeaseID) error {
 	if err := s.reach(ctx); err != nil {
 		return err
 	}
 	return s.Store.RenewLease(ctx, id)
 }
 
-func (s voterStore) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+func (s voterStore) RevokeLease(ctx context.Context, id remote.LeaseID) error {
 	if err := s.reach(ctx); err != nil {
 		return err
 	}
@@ -127,7 +127,7 @@
 }
 
 // CompareAndSwap holds back the answer of a paused instance.
-func (s voterStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (s voterStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease remote.LeaseID) (uint64, error) {
 	if err := s.reach(ctx); err != nil {
 		return 0, err
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -17,7 +17,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -63,7 +63,7 @@
 // Options holds the dependencies of a Controller.
 type Options struct {
 	Self    structs.Instance
-	List    platform.InstanceList
+	List    remote.InstanceList
 	Clients Clients
 	Log     *zap.Logger
 	Metrics metrics.Registry
--- a/owner/fuzz_test.go
+++ b/owner/fuzz_test.go
@@ -17,7 +17,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -238,10 +238,10 @@
 		for _, t := range status.Tasks {
 			a := attempt{t.Task.Job, t.Task.Attempt}
 			switch t.State {
-			case platform.TaskRunning, platform.TaskCheckpointed:
+			case remote.TaskRunning, remote.TaskCheckpointed:
 				running[a]++
 				whole[a]++
-			case platform.TaskSucceeded:
+			case remote.TaskSucceeded:
 				whole[a]++
 			}
 		}
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -10,7 +10,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -24,7 +24,7 @@
 // member is one task of a gang during a start or a stop, with its worker.
 type member struct {
 	part
-	client   platform.Worker
+	client   remote.Worker
 	sent     bool // a start was sent
 	asked    bool // a checkpoint was asked for
 	err      error
@@ -40,12 +40,12 @@
 	reached bool // every checkpoint is taken
 }
 
-func (g *gang) task(m *member) platform.TaskID {
-	return platform.TaskID{Job: g.rec.Job.ID, Attempt: g.rec.Attempt, Task: m.Task}
+func (g *gang) task(m *member) remote.TaskID {
+	return remote.TaskID{Job: g.rec.Job.ID, Attempt: g.rec.Attempt, Task: m.Task}
 }
 
-func (g *gang) request(m *member) platform.TaskRequest {
-	return platform.TaskRequest{Token: g.o.token, Task: g.task(m)}
+func (g *gang) request(m *member) remote.TaskRequest {
+	return remote.TaskRequest{Token: g.o.token, Task: g.task(m)}
 }
 
 // each runs f for all members at the same time, each with its own timeout.
@@ -111,7 +111,7 @@
 	case err = <-intent:
 	}
 	// A refused write shows that the record is another one than this owner knows.
-	refused := errors.Is(err, errRecordTaken) || errors.Is(err, platform.ErrConflict)
+	refused := errors.Is(err, errRecordTaken) || errors.Is(err, remote.ErrConflict)
 	if err != nil && (!g.rec.Job.Idempotent || refused) {
 		return fmt.Errorf("intent: %w", err)
 	}
@@ -130,10 +130,10 @@
 }
 
 func (g *gang) reserve(ctx context.Context, m *member) error {
-	err := m.client.Reserve(ctx, platform.ReserveRequest{
+	err := m.client.Reserve(ctx, remote.ReserveRequest{
 		Token: g.o.token, Task: g.task(m), Resources: g.rec.Job.Shape.Task, TTLMillis: ReservationTTL.Milliseconds(),
 	})
-	m.reserved = err == nil || !platform.NotSent(err)
+	m.reserved = err == nil || !remote.NotSent(err)
 	m.leaseMax = time.Now().Add(ReservationTTL)
 	return err
 }
@@ -141,7 +141,7 @@
 func (g *gang) startOne(ctx context.Context, m *member) error {
 	m.sent = true
 	m.leaseMin = time.Now().Add(WorkerLease)
-	err := m.client.Start(ctx, platform.StartRequest{
+	err := m.client.Start(ctx, remote.StartRequest{
 		Token: g.o.token, Task: g.task(m), LeaseMillis: WorkerLease.Milliseconds(),
 		Resume: g.rec.Checkpoints > 0, Payload: g.rec.Job.Payload,
 	})
@@ -150,7 +150,7 @@
 	case err == nil:
 		m.state, m.reserved = partRunning, false
 		m.leaseMax = time.Now().Add(WorkerLease)
-	case platform.NotSent(err):
+	case remote.NotSent(err):
 		m.state = partNotStarted
 	default:
 		m.state = partUnknown
@@ -245,19 +245,19 @@
 	}
 	s := taskIn(status, g.task(m))
 	switch s.State {
-	case platform.TaskRunning, platform.TaskCheckpointed:
+	case remote.TaskRunning, remote.TaskCheckpointed:
 		m.state = partRunning // it ignored the stop
-	case platform.TaskReserved:
+	case remote.TaskReserved:
 		return m.client.Release(ctx, g.request(m))
-	case platform.TaskSucceeded:
+	case remote.TaskSucceeded:
 		m.state, m.answer = partSucceeded, s.Answer
-	case platform.TaskUnknown:
+	case remote.TaskUnknown:
 		if m.state == partUnknown && g.rec.Phase == structs.PhaseStarting {
 			m.state = partNotStarted // its start had no answer, and never took effect
 		} else {
 			m.state = partGone
 		}
-	case platform.TaskFailed:
+	case remote.TaskFailed:
 		m.state = partFailed
 	default:
 		m.state = partGone
@@ -266,13 +266,13 @@
 }
 
 // taskIn returns what a worker's status says of a task.
-func taskIn(status platform.WorkerStatus, id platform.TaskID) platform.TaskStatus {
+func taskIn(status remote.WorkerStatus, id remote.TaskID) remote.TaskStatus {
 	for _, s := range status.Tasks {
 		if s.Task == id {
 			return s
 		}
 	}
-	return platform.TaskStatus{Task: id, State: platform.TaskUnknown}
+	return remote.TaskStatus{Task: id, State: remote.TaskUnknown}
 }
 
 // checkpoint asks every part to save its state and waits until all have, or the grace ends.
@@ -285,13 +285,13 @@
 				return err
 			}
 			switch taskIn(status, g.task(m)).State {
-			case platform.TaskRunning:
+			case remote.TaskRunning:
 				if !m.asked {
 					err = m.client.Checkpoint(ctx, g.request(m))
 					m.asked = err == nil
 				}
 				return cmp.Or(err, errNotSaved)
-			case platform.TaskCheckpointed, platform.TaskSucceeded:
+			case remote.TaskCheckpointed, remote.TaskSucceeded:
 				return nil
 			}
 			return errNotSaved
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -17,7 +17,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/cyclamenyard/cyclamenyard/peer"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -169,7 +169,7 @@
 	g *gate
 }
 
-func (s gatedStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (s gatedStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease remote.LeaseID) (uint64, error) {
 	if err := s.g.pass(); err != nil {
 		return 0, err
 	}
@@ -181,28 +181,28 @@
 	g *gate
 }
 
-func (w gatedWorker) Reserve(ctx context.Context, r platform.ReserveRequest) error {
+func (w gatedWorker) Reserve(ctx context.Context, r remote.ReserveRequest) error {
 	if err := w.g.pass(); err != nil {
 		return err
 	}
 	return w.Worker.Reserve(ctx, r)
 }
 
-func (w gatedWorker) Start(ctx context.Context, r platform.StartRequest) error {
+func (w gatedWorker) Start(ctx context.Context, r remote.StartRequest) error {
 	if err := w.g.pass(); err != nil {
 		return err
 	}
 	return w.Worker.Start(ctx, r)
 }
 
-func (w gatedWorker) Renew(ctx context.Context, r platform.RenewRequest) (platform.RenewReply, error) {
+func (w gatedWorker) Renew(ctx context.Context, r remote.RenewRequest) (remote.RenewReply, error) {
 	if err := w.g.pass(); err != nil {
-		return platform.RenewReply{}, err
+		return remote.RenewReply{}, err
 	}
 	return w.Worker.Renew(ctx, r)
 }
 
-func (w gatedWorker) Stop(ctx context.Context, r platform.TaskRequest) error {
+func (w gatedWorker) Stop(ctx context.Context, r remote.TaskRequest) error {
 	if err := w.g.pass(); err != nil {
 		return err
 	}
@@ -215,7 +215,7 @@
 	in := &instance{name: name, logs: logs, gate: &gate{}, done: make(chan struct{})}
 	in.c = New(Options{
 		Instance: name, Store: gatedStore{s.store, in.gate}, List: s.list, Policy: s.policy, Gate: s, Destinations: s,
-		Dial:    func(w structs.Worker) platform.Worker { return gatedWorker{s.byID[w.ID], in.gate} },
+		Dial:    func(w structs.Worker) remote.Worker { return gatedWorker{s.byID[w.ID], in.gate} },
 		Log:     zap.New(core),
 		Metrics: metrics.NewRegistry(),
 	})
--- a/owner/health.go
+++ b/owner/health.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 )
 
 // maxEjectedPercent bounds the share of ejected workers: when more fail, the cause is not
@@ -112,15 +112,15 @@
 
 var errAbsent = errors.New("worker is not listed")
 
-func (absentWorker) Reserve(context.Context, platform.ReserveRequest) error { return errAbsent }
-func (absentWorker) Start(context.Context, platform.StartRequest) error     { return errAbsent }
-func (absentWorker) Renew(context.Context, platform.RenewRequest) (platform.RenewReply, error) {
-	return platform.RenewReply{}, errAbsent
+func (absentWorker) Reserve(context.Context, remote.ReserveRequest) error { return errAbsent }
+func (absentWorker) Start(context.Context, remote.StartRequest) error     { return errAbsent }
+func (absentWorker) Renew(context.Context, remote.RenewRequest) (remote.RenewReply, error) {
+	return remote.RenewReply{}, errAbsent
 }
-func (absentWorker) Release(context.Context, platform.TaskRequest) error      { return errAbsent }
-func (absentWorker) Checkpoint(context.Context, platform.TaskRequest) error   { return errAbsent }
-func (absentWorker) Throttle(context.Context, platform.ThrottleRequest) error { return errAbsent }
-func (absentWorker) Stop(context.Context, platform.TaskRequest) error         { return errAbsent }
-func (absentWorker) Status(context.Context, uint64) (platform.WorkerStatus, error) {
-	return platform.WorkerStatus{}, errAbsent
+func (absentWorker) Release(context.Context, remote.TaskRequest) error      { return errAbsent }
+func (absentWorker) Checkpoint(context.Context, remote.TaskRequest) error   { return errAbsent }
+func (absentWorker) Throttle(context.Context, remote.ThrottleRequest) error { return errAbsent }
+func (absentWorker) Stop(context.Context, remote.TaskRequest) error         { return errAbsent }
+func (absentWorker) Status(context.Context, uint64) (remote.WorkerStatus, error) {
+	return remote.WorkerStatus{}, errAbsent
 }
--- a/owner/job.go
+++ b/owner/job.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -69,7 +69,7 @@
 	adopted bool // the attempt was started by an earlier owner and is not settled yet
 
 	cancelStart  context.CancelFunc // starting: gives the start up
-	overtakenBy  *platform.KV       // starting: a late record of an earlier owner
+	overtakenBy  *remote.KV         // starting: a late record of an earlier owner
 	noRenew      bool               // stopping: leases may run out
 	parkedUntil  time.Time
 	parkedStore  bool          // parked until the store answers
@@ -99,13 +99,13 @@
 // live reports whether the job has neither ended nor left this owner.
 func (j *job) live() bool { return j.status != jobEnded && j.status != jobGone }
 
-func (j *job) taskID(task int) platform.TaskID {
-	return platform.TaskID{Job: j.id(), Attempt: j.rec.Attempt, Task: task}
+func (j *job) taskID(task int) remote.TaskID {
+	return remote.TaskID{Job: j.id(), Attempt: j.rec.Attempt, Task: task}
 }
 
 // partOf returns the part that a worker reports on, or nil when the task does not belong
 // to the current attempt on that worker.
-func (j *job) partOf(worker string, id platform.TaskID) *part {
+func (j *job) partOf(worker string, id remote.TaskID) *part {
 	if id.Attempt != j.rec.Attempt {
 		return nil
 	}
@@ -140,7 +140,7 @@
 
 func recordKey(id string) string { return "job/" + id }
 
-func decodeRecord(kv platform.KV) (structs.JobRecord, error) {
+func decodeRecord(kv remote.KV) (structs.JobRecord, error) {
 	var rec structs.JobRecord
 	err := json.Unmarshal(kv.Value, &rec)
 	return rec, err
--- a/owner/jobs.go
+++ b/owner/jobs.go
@@ -14,7 +14,7 @@
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -76,7 +76,7 @@
 	defer cancel()
 	if _, err := o.o.Store.Get(readCtx, recordKey(id)); err == nil {
 		return 0, errkind.New(errkind.DuplicateRequest, "job %s exists", id)
-	} else if !errors.Is(err, platform.ErrNotFound) {
+	} else if !errors.Is(err, remote.ErrNotFound) {
 		return 0, errkind.Wrap(errkind.StoreUnavailable, err, "job %s", id)
 	}
 	metrics.GetOrRegisterCounter("owner.record_writes", o.o.Metrics).Inc(1)
@@ -87,9 +87,9 @@
 	switch {
 	case err == nil:
 		return rev, nil
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, remote.ErrTooLarge):
 		return 0, errkind.Wrap(errkind.BadRequest, err, "job %s", id)
-	case platform.NotSent(err) && !errors.Is(err, platform.ErrConflict):
+	case remote.NotSent(err) && !errors.Is(err, remote.ErrConflict):
 		return 0, errkind.Wrap(errkind.StoreUnavailable, err, "job %s", id)
 	}
 	resolveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*storeTimeout)
@@ -118,7 +118,7 @@
 			return 0, o.withdrawCreate(id, kv.Revision, cause)
 		case err == nil:
 			return 0, errkind.New(errkind.DuplicateRequest, "job %s exists", id)
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, remote.ErrNotFound):
 			if rev, err := o.o.Store.CompareAndSwap(ctx, recordKey(id), 0, tombValue, 0); err == nil {
 				return 0, o.withdrawCreate(id, rev, cause)
 			}
@@ -201,7 +201,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	kv, err := o.o.Store.Get(ctx, recordKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, remote.ErrNotFound) {
 		return structs.JobRecord{}, errkind.New(errkind.JobUnknown, "no job %s", id)
 	}
 	if err != nil {
@@ -216,7 +216,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if kv, err := o.o.Store.Get(ctx, recordKey(id)); err == nil {
-		o.post(func() { o.loadNew([]platform.KV{kv}) })
+		o.post(func() { o.loadNew([]remote.KV{kv}) })
 	}
 }
 
@@ -293,7 +293,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
 		err := o.o.Store.Delete(ctx, recordKey(e.id), e.rev)
 		cancel()
-		if err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, remote.ErrNotFound) || errors.Is(err, remote.ErrConflict) {
 			o.records.forget(e.id)
 			continue
 		}
--- a/owner/lifecycle.go
+++ b/owner/lifecycle.go
@@ -10,7 +10,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -36,7 +36,7 @@
 }
 
 // clientOf returns the client of a worker, or one that never answers.
-func (o *DataCentreOwner) clientOf(id string) platform.Worker {
+func (o *DataCentreOwner) clientOf(id string) remote.Worker {
 	if w := o.workers[id]; w != nil {
 		return w.client
 	}
@@ -145,7 +145,7 @@
 func (o *DataCentreOwner) blameStart(j *job, g *gang, now time.Time) {
 	for i := range g.members {
 		m := &g.members[i]
-		if m.sent && m.state == partNotStarted && errors.Is(m.startErr, platform.ErrUnavailable) {
+		if m.sent && m.state == partNotStarted && errors.Is(m.startErr, remote.ErrUnavailable) {
 			o.blame(m.Worker, j, now)
 		}
 	}
--- a/owner/options.go
+++ b/owner/options.go
@@ -11,7 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -89,9 +89,9 @@
 // names the data centre.
 type Options struct {
 	Instance     string
-	Store        platform.Store
-	List         platform.InstanceList
-	Dial         func(structs.Worker) platform.Worker
+	Store        remote.Store
+	List         remote.InstanceList
+	Dial         func(structs.Worker) remote.Worker
 	Policy       scheduler.Policy
 	Gate         StartGate
 	Notifier     Notifier
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -13,7 +13,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/scheduler"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -71,7 +71,7 @@
 	}
 	w.ctx, w.cancel = context.WithCancel(parent)
 	w.records.fenced = &w.fenced
-	w.records.taken = func(id string, kv platform.KV) { w.post(func() { w.recordTaken(id, kv) }) }
+	w.records.taken = func(id string, kv remote.KV) { w.post(func() { w.recordTaken(id, kv) }) }
 	w.records.settled = func(id string) { w.post(func() { w.recordSettled(id) }) }
 	w.records.delayed = func(pending int, err error) {
 		w.post(func() {
@@ -364,7 +364,7 @@
 
 // workerRefused handles a stale token: a newer owner exists, and this one must not act.
 func (o *DataCentreOwner) workerRefused(worker string, err error) {
-	if errors.Is(err, platform.ErrStaleToken) && !o.fenced.Swap(true) {
+	if errors.Is(err, remote.ErrStaleToken) && !o.fenced.Swap(true) {
 		events.Warn(o.log, events.WorkerRefusedToken, zap.String("worker", worker), zap.Error(err))
 	}
 }
--- a/owner/records.go
+++ b/owner/records.go
@@ -15,7 +15,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -36,14 +36,14 @@
 // records writes the job records of one data centre. It keeps only the newest state per
 // job. A write is a compare-and-swap on the revision last known.
 type records struct {
-	store   platform.Store
+	store   remote.Store
 	dc      string
 	token   uint64
 	metrics metrics.Registry
 	limiter *rate.Limiter
 	fenced  *atomic.Bool
 	// taken is called when another owner has written the record.
-	taken func(id string, kv platform.KV)
+	taken func(id string, kv remote.KV)
 	// settled is called when the newest state of a record is in the store.
 	settled func(id string)
 	// delayed is called when an outage begins.
@@ -145,7 +145,7 @@
 	rec.Token = r.token
 	done := make(chan error, 1)
 	value, err := json.Marshal(rec)
-	if err == nil && len(value) > platform.MaxValueBytes {
+	if err == nil && len(value) > remote.MaxValueBytes {
 		rec.Answer, rec.Reason = nil, "the answer does not fit into the job's record"
 		value, err = json.Marshal(rec)
 	}
@@ -322,7 +322,7 @@
 	e.notify(errkind.Wrap(errkind.StoreUnavailable, err, "record of job %s", e.id))
 	e.refused = nil
 	e.tries++
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, remote.ErrConflict) {
 		e.refused = err // the store answers, with an old value: this is no outage
 	} else if !r.down {
 		r.down = true
@@ -347,7 +347,7 @@
 }
 
 // takenError carries the record that another owner has written.
-type takenError struct{ kv platform.KV }
+type takenError struct{ kv remote.KV }
 
 func (e *takenError) Error() string { return errRecordTaken.Error() }
 
@@ -363,8 +363,8 @@
 		}
 		kv, getErr := r.store.Get(ctx, recordKey(id))
 		switch {
-		case errors.Is(getErr, platform.ErrNotFound) && expect != 0 && errors.Is(err, platform.ErrConflict):
-			return 0, &takenError{kv: platform.KV{Key: recordKey(id), Revision: expect}}
+		case errors.Is(getErr, remote.ErrNotFound) && expect != 0 && errors.Is(err, remote.ErrConflict):
+			return 0, &takenError{kv: remote.KV{Key: recordKey(id), Revision: expect}}
 		case getErr != nil:
 			return 0, err
 		case bytes.Equal(kv.Value, value):
--- a/owner/recover.go
+++ b/owner/recover.go
@@ -10,7 +10,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -78,8 +78,8 @@
 }
 
 // listRecords pages through all job records.
-func (o *DataCentreOwner) listRecords(ctx context.Context) ([]platform.KV, error) {
-	var entries []platform.KV
+func (o *DataCentreOwner) listRecords(ctx context.Context) ([]remote.KV, error) {
+	var entries []remote.KV
 	after, size := "", pageSize
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -102,12 +102,12 @@
 
 // askAll asks every worker for its tasks, which fences earlier owners, and renews them.
 // Tasks that turn out to be orphans are stopped later.
-func (o *DataCentreOwner) askAll() map[string]platform.WorkerStatus {
+func (o *DataCentreOwner) askAll() map[string]remote.WorkerStatus {
 	ctx, cancel := context.WithTimeout(o.ctx, firstRound)
 	defer cancel()
 	type answer struct {
 		id     string
-		status platform.WorkerStatus
+		status remote.WorkerStatus
 		err    error
 	}
 	var asked int
@@ -119,7 +119,7 @@
 			o.goRun(func() {
 				status, err := client.Status(ctx, o.token)
 				if running := runningTasks(status); err == nil && len(running) > 0 {
-					_, err = client.Renew(ctx, platform.RenewRequest{Token: o.token, Tasks: running, LeaseMillis: WorkerLease.Milliseconds()})
+					_, err = client.Renew(ctx, remote.RenewRequest{Token: o.token, Tasks: running, LeaseMillis: WorkerLease.Milliseconds()})
 				}
 				select {
 				case answers <- answer{id, status, err}:
@@ -128,7 +128,7 @@
 			})
 		}
 	})
-	reports := map[string]platform.WorkerStatus{}
+	reports := map[string]remote.WorkerStatus{}
 	for range asked {
 		select {
 		case a := <-answers:
@@ -143,10 +143,10 @@
 	return reports
 }
 
-func runningTasks(status platform.WorkerStatus) []platform.TaskID {
-	var ids []platform.TaskID
+func runningTasks(status remote.WorkerStatus) []remote.TaskID {
+	var ids []remote.TaskID
 	for _, t := range status.Tasks {
-		if t.State == platform.TaskRunning || t.State == platform.TaskCheckpointed {
+		if t.State == remote.TaskRunning || t.State == remote.TaskCheckpointed {
 			ids = append(ids, t.Task)
 		}
 	}
@@ -154,7 +154,7 @@
 }
 
 // loadAll takes over the records and the workers' reports, and lets decisions begin.
-func (o *DataCentreOwner) loadAll(entries []platform.KV, reports map[string]platform.WorkerStatus) {
+func (o *DataCentreOwner) loadAll(entries []remote.KV, reports map[string]remote.WorkerStatus) {
 	now := time.Now()
 	for _, kv := range entries {
 		o.load(kv, reports, now)
@@ -168,7 +168,7 @@
 }
 
 // loadNew takes over records that appeared since the last listing.
-func (o *DataCentreOwner) loadNew(entries []platform.KV) {
+func (o *DataCentreOwner) loadNew(entries []remote.KV) {
 	if o.stopping || o.fenced.Load() {
 		return
 	}
@@ -178,7 +178,7 @@
 }
 
 // load takes over one record, unless the job is known or belongs elsewhere.
-func (o *DataCentreOwner) load(kv platform.KV, reports map[string]platform.WorkerStatus, now time.Time) {
+func (o *DataCentreOwner) load(kv remote.KV, reports map[string]remote.WorkerStatus, now time.Time) {
 	rec, err := decodeRecord(kv)
 	if err != nil {
 		o.log.Error("job record cannot be read", zap.String("key", kv.Key), zap.Error(err))
@@ -210,7 +210,7 @@
 // loadQueued queues an accepted job. A former owner may have started an idempotent job
 // during an outage of the store without a record: a whole gang is adopted; of any other
 // the attempt number is not used again, and its tasks are stopped as orphans.
-func (o *DataCentreOwner) loadQueued(j *job, reports map[string]platform.WorkerStatus, now time.Time) {
+func (o *DataCentreOwner) loadQueued(j *job, reports map[string]remote.WorkerStatus, now time.Time) {
 	var placements []structs.Placement
 	attempt := j.rec.Attempt
 	for _, id := range sortedKeys(reports) {
@@ -221,7 +221,7 @@
 			if t.Task.Attempt > attempt {
 				attempt, placements = t.Task.Attempt, nil
 			}
-			running := t.State == platform.TaskRunning || t.State == platform.TaskCheckpointed
+			running := t.State == remote.TaskRunning || t.State == remote.TaskCheckpointed
 			if t.Task.Attempt == attempt && attempt > j.rec.Attempt && running {
 				placements = append(placements, structs.Placement{Task: t.Task.Task, Worker: id})
 			}
@@ -243,7 +243,7 @@
 }
 
 // adopt takes over an attempt that was started, or may have been.
-func (o *DataCentreOwner) adopt(j *job, placements []structs.Placement, reports map[string]platform.WorkerStatus, now time.Time) {
+func (o *DataCentreOwner) adopt(j *job, placements []structs.Placement, reports map[string]remote.WorkerStatus, now time.Time) {
 	j.rec.Placements = placements
 	j.parts = make([]part, len(placements))
 	until := now.Add(doubtTime)
@@ -286,7 +286,7 @@
 }
 
 // reported takes a worker's answer about all its tasks.
-func (o *DataCentreOwner) reported(w *worker, status platform.WorkerStatus, asked time.Time, err error) {
+func (o *DataCentreOwner) reported(w *worker, status remote.WorkerStatus, asked time.Time, err error) {
 	o.workerRefused(w.info.ID, err)
 	if err != nil || o.fenced.Load() {
 		return
@@ -316,7 +316,7 @@
 }
 
 // checkOrphan stops a task that belongs to no current attempt.
-func (o *DataCentreOwner) checkOrphan(w *worker, t platform.TaskStatus) {
+func (o *DataCentreOwner) checkOrphan(w *worker, t remote.TaskStatus) {
 	j := o.jobs[t.Task.Job]
 	if j != nil && j.live() && j.partOf(w.info.ID, t.Task) != nil {
 		return
@@ -324,7 +324,7 @@
 	if j != nil && t.Task.Attempt > j.rec.Attempt {
 		o.skipAttempt(j, t.Task.Attempt)
 	}
-	if t.State != platform.TaskRunning && t.State != platform.TaskCheckpointed && t.State != platform.TaskReserved {
+	if t.State != remote.TaskRunning && t.State != remote.TaskCheckpointed && t.State != remote.TaskReserved {
 		return
 	}
 	client := w.client
@@ -334,7 +334,7 @@
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		if err := client.Stop(ctx, platform.TaskRequest{Token: o.token, Task: t.Task}); err != nil {
+		if err := client.Stop(ctx, remote.TaskRequest{Token: o.token, Task: t.Task}); err != nil {
 			o.workerRefused(w.info.ID, err)
 		}
 		events.Info(o.log, events.OrphanStopped, zap.String("worker", w.info.ID), zap.String("job", t.Task.Job),
@@ -344,11 +344,11 @@
 
 // isOrphan looks for the record of a task whose job is not known. Without an answer of
 // the store the task is left alone; its lease runs out unless someone renews it.
-func (o *DataCentreOwner) isOrphan(id platform.TaskID) bool {
+func (o *DataCentreOwner) isOrphan(id remote.TaskID) bool {
 	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
 	defer cancel()
 	kv, err := o.o.Store.Get(ctx, recordKey(id.Job))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, remote.ErrNotFound) {
 		return true
 	}
 	if err != nil {
@@ -358,7 +358,7 @@
 	if err != nil || rec.DataCentre != o.dc || rec.Phase == structs.PhaseEnded || rec.Attempt != id.Attempt {
 		return true
 	}
-	o.post(func() { o.loadNew([]platform.KV{kv}) })
+	o.post(func() { o.loadNew([]remote.KV{kv}) })
 	return false
 }
 
@@ -375,7 +375,7 @@
 }
 
 // recordTaken is called when the store holds a record of another owner.
-func (o *DataCentreOwner) recordTaken(id string, kv platform.KV) {
+func (o *DataCentreOwner) recordTaken(id string, kv remote.KV) {
 	j := o.jobs[id]
 	if j == nil || j.status == jobGone {
 		return
@@ -391,7 +391,7 @@
 
 // overtaken handles a late write of an earlier owner. A queued job may have been started
 // by it, so that the record is taken over anew; a running attempt of this owner goes on.
-func (o *DataCentreOwner) overtaken(j *job, rec structs.JobRecord, kv platform.KV) {
+func (o *DataCentreOwner) overtaken(j *job, rec structs.JobRecord, kv remote.KV) {
 	if j.status != jobStarting {
 		o.records.track(j.id(), kv.Revision)
 	}
@@ -410,7 +410,7 @@
 }
 
 // reload takes a queued job's record over again.
-func (o *DataCentreOwner) reload(j *job, kv platform.KV) {
+func (o *DataCentreOwner) reload(j *job, kv remote.KV) {
 	if s := o.d.Job(j.id()); s != nil {
 		o.apply(state.JobEnded{Job: j.id()})
 	}
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -39,7 +39,7 @@
 // and client.
 type worker struct {
 	info     structs.Worker
-	client   platform.Worker
+	client   remote.Worker
 	answered bool // has answered under this owner's token, so that earlier owners are fenced
 	silent   int
 	leaving  bool
@@ -191,22 +191,22 @@
 
 // renewOnce renews every lease on a worker in one call.
 func (o *DataCentreOwner) renewOnce(ctx context.Context, w *worker) {
-	var ids []platform.TaskID
-	var client platform.Worker
+	var ids []remote.TaskID
+	var client remote.Worker
 	if o.ask(ctx, func() { ids, client = o.renewable(w), w.client }) != nil || o.fenced.Load() {
 		return
 	}
 	sent := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := client.Renew(callCtx, platform.RenewRequest{Token: o.token, Tasks: ids, LeaseMillis: WorkerLease.Milliseconds()})
+	reply, err := client.Renew(callCtx, remote.RenewRequest{Token: o.token, Tasks: ids, LeaseMillis: WorkerLease.Milliseconds()})
 	back := time.Now()
 	o.post(func() { o.renewed(w, ids, sent, back, reply, err) })
 }
 
 // askStatus asks a worker for all its tasks and reports whether it answered.
 func (o *DataCentreOwner) askStatus(ctx context.Context, w *worker) bool {
-	var client platform.Worker
+	var client remote.Worker
 	if o.ask(ctx, func() { client = w.client }) != nil || o.fenced.Load() {
 		return false
 	}
@@ -237,12 +237,12 @@
 
 // renewable returns the tasks on a worker that should go on. A reservation is not renewed:
 // its expiry bounds the time of a start.
-func (o *DataCentreOwner) renewable(w *worker) []platform.TaskID {
+func (o *DataCentreOwner) renewable(w *worker) []remote.TaskID {
 	s := o.d.Workers[w.info.ID]
 	if s == nil {
 		return nil
 	}
-	var ids []platform.TaskID
+	var ids []remote.TaskID
 	for _, t := range s.Tasks {
 		j := o.jobs[t.Job]
 		if j == nil || !j.live() || j.noRenew {
@@ -259,9 +259,9 @@
 }
 
 // renewed applies the answer to a renewal.
-func (o *DataCentreOwner) renewed(w *worker, ids []platform.TaskID, sent, back time.Time, reply platform.RenewReply, err error) {
+func (o *DataCentreOwner) renewed(w *worker, ids []remote.TaskID, sent, back time.Time, reply remote.RenewReply, err error) {
 	o.workerRefused(w.info.ID, err)
-	ended := map[platform.TaskID]platform.TaskStatus{}
+	ended := map[remote.TaskID]remote.TaskStatus{}
 	for _, s := range reply.Ended {
 		ended[s.Task] = s
 	}
@@ -314,19 +314,19 @@
 }
 
 // observe takes over what a worker says of the part's task.
-func (p *part) observe(s platform.TaskStatus, j *job) {
+func (p *part) observe(s remote.TaskStatus, j *job) {
 	switch s.State {
-	case platform.TaskRunning, platform.TaskCheckpointed:
+	case remote.TaskRunning, remote.TaskCheckpointed:
 		if p.state == partUnknown {
 			p.state = partRunning
 		}
-	case platform.TaskSucceeded:
+	case remote.TaskSucceeded:
 		p.state, p.answer = partSucceeded, s.Answer
-	case platform.TaskFailed:
+	case remote.TaskFailed:
 		p.state, p.answer = partFailed, []byte(s.Message)
-	case platform.TaskReserved:
+	case remote.TaskReserved:
 		p.state, p.reserved = partNotStarted, true
-	case platform.TaskUnknown:
+	case remote.TaskUnknown:
 		// A worker lists ended tasks for ten minutes, so it has never started this one,
 		// unless the record shows that it ran.
 		if p.state != partUnknown || j.rec.Phase == structs.PhaseRunning {
--- a/platform/http.go
+++ b/remote/http.go
@@ -1,4 +1,4 @@
-package platform
+package remote
 
 import (
 	"bytes"
--- a/platform/platform.go
+++ b/remote/platform.go
@@ -1,6 +1,6 @@
-// Package platform holds the interfaces of the platform's services: the key-value
+// Package remote holds the interfaces of the platform's services: the key-value
 // store, the list of instances and the workers, with clients over HTTP/JSON.
-package platform
+package remote
 
 import (
 	"context"
--- a/standin/http.go
+++ b/standin/http.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -38,7 +38,7 @@
 	rw.Header().Set("Content-Type", "application/json")
 	if err != nil {
 		rw.WriteHeader(http.StatusConflict)
-		out = platform.ErrorReply{Code: platform.ErrorCode(err), Message: err.Error()}
+		out = remote.ErrorReply{Code: remote.ErrorCode(err), Message: err.Error()}
 	}
 	// An error here means that the caller is gone.
 	_ = json.NewEncoder(rw).Encode(out)
@@ -49,29 +49,29 @@
 // PlatformHandler serves the store and the list over HTTP/JSON.
 func PlatformHandler(s *Store, l *List) http.Handler {
 	mux := http.NewServeMux()
-	route(mux, "store/get", func(ctx context.Context, b platform.GetBody) (platform.KV, error) { return s.Get(ctx, b.Key) })
-	route(mux, "store/list", func(ctx context.Context, b platform.ListBody) ([]platform.KV, error) {
+	route(mux, "store/get", func(ctx context.Context, b remote.GetBody) (remote.KV, error) { return s.Get(ctx, b.Key) })
+	route(mux, "store/list", func(ctx context.Context, b remote.ListBody) ([]remote.KV, error) {
 		return s.List(ctx, b.Prefix, b.After, b.Limit)
 	})
-	route(mux, "store/swap", func(ctx context.Context, b platform.SwapBody) (platform.KV, error) {
+	route(mux, "store/swap", func(ctx context.Context, b remote.SwapBody) (remote.KV, error) {
 		rev, err := s.CompareAndSwap(ctx, b.Key, b.Expect, b.Value, b.Lease)
-		return platform.KV{Key: b.Key, Revision: rev}, err
+		return remote.KV{Key: b.Key, Revision: rev}, err
 	})
-	route(mux, "store/delete", func(ctx context.Context, b platform.SwapBody) (none, error) {
+	route(mux, "store/delete", func(ctx context.Context, b remote.SwapBody) (none, error) {
 		return none{}, s.Delete(ctx, b.Key, b.Expect)
 	})
-	route(mux, "store/watch", func(ctx context.Context, b platform.WatchBody) (platform.WatchReply, error) {
+	route(mux, "store/watch", func(ctx context.Context, b remote.WatchBody) (remote.WatchReply, error) {
 		kvs, rev, err := s.Watch(ctx, b.Prefix, b.After, time.Duration(b.WaitMillis)*time.Millisecond)
-		return platform.WatchReply{Entries: kvs, Revision: rev}, err
+		return remote.WatchReply{Entries: kvs, Revision: rev}, err
 	})
-	route(mux, "store/lease/grant", func(ctx context.Context, b platform.LeaseBody) (platform.LeaseBody, error) {
+	route(mux, "store/lease/grant", func(ctx context.Context, b remote.LeaseBody) (remote.LeaseBody, error) {
 		id, err := s.GrantLease(ctx, time.Duration(b.TTLMillis)*time.Millisecond)
-		return platform.LeaseBody{ID: id}, err
+		return remote.LeaseBody{ID: id}, err
 	})
-	route(mux, "store/lease/renew", func(ctx context.Context, b platform.LeaseBody) (none, error) {
+	route(mux, "store/lease/renew", func(ctx context.Context, b remote.LeaseBody) (none, error) {
 		return none{}, s.RenewLease(ctx, b.ID)
 	})
-	route(mux, "store/lease/revoke", func(ctx context.Context, b platform.LeaseBody) (none, error) {
+	route(mux, "store/lease/revoke", func(ctx context.Context, b remote.LeaseBody) (none, error) {
 		return none{}, s.RevokeLease(ctx, b.ID)
 	})
 	route(mux, "list/instances", func(ctx context.Context, _ none) ([]structs.Instance, error) { return l.Instances(ctx) })
@@ -89,7 +89,7 @@
 	routeNone(mux, "task/checkpoint", w.Checkpoint)
 	routeNone(mux, "task/throttle", w.Throttle)
 	routeNone(mux, "task/stop", w.Stop)
-	route(mux, "task/status", func(ctx context.Context, r platform.TaskRequest) (platform.WorkerStatus, error) {
+	route(mux, "task/status", func(ctx context.Context, r remote.TaskRequest) (remote.WorkerStatus, error) {
 		return w.Status(ctx, r.Token)
 	})
 	mux.HandleFunc("POST /v1/run", w.serveRun)
@@ -107,9 +107,9 @@
 		return
 	}
 	h := req.Header
-	attempt := h.Get(platform.HeaderAttempt)
-	token, _ := strconv.ParseUint(h.Get(platform.HeaderToken), 10, 64)
-	rw.Header().Set(platform.HeaderAttempt, attempt)
+	attempt := h.Get(remote.HeaderAttempt)
+	token, _ := strconv.ParseUint(h.Get(remote.HeaderToken), 10, 64)
+	rw.Header().Set(remote.HeaderAttempt, attempt)
 	if err := w.admitRun(token); err != nil {
 		if errors.Is(err, errWorkerSilent) {
 			panic(http.ErrAbortHandler)
@@ -117,7 +117,7 @@
 		writeReply(rw, nil, err)
 		return
 	}
-	answer, err := w.execute(h.Get(platform.HeaderWorkspace), h.Get(platform.HeaderRequest), body)
+	answer, err := w.execute(h.Get(remote.HeaderWorkspace), h.Get(remote.HeaderRequest), body)
 	w.mu.Lock()
 	f := w.faults
 	w.mu.Unlock()
@@ -130,13 +130,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.CrossAnswers {
-		rw.Header().Set(platform.HeaderAttempt, attempt+"-other")
+		rw.Header().Set(remote.HeaderAttempt, attempt+"-other")
 	}
 	if err != nil {
 		writeReply(rw, nil, err)
 		return
 	}
-	rw.Header().Set(platform.HeaderHash, platform.BodyHash(answer))
+	rw.Header().Set(remote.HeaderHash, remote.BodyHash(answer))
 	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if f.Truncate {
 		answer = answer[:len(answer)/2]
--- a/standin/list.go
+++ b/standin/list.go
@@ -8,7 +8,7 @@
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
-// List is a lagging list of instances and workers. It implements platform.InstanceList.
+// List is a lagging list of instances and workers. It implements remote.InstanceList.
 type List struct {
 	mu    sync.Mutex
 	lag   time.Duration
@@ -75,7 +75,7 @@
 	return l.views[0], nil
 }
 
-// Instances implements platform.InstanceList.
+// Instances implements remote.InstanceList.
 func (l *List) Instances(context.Context) ([]structs.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -83,7 +83,7 @@
 	return v.instances, err
 }
 
-// Workers implements platform.InstanceList.
+// Workers implements remote.InstanceList.
 func (l *List) Workers(context.Context) ([]structs.Worker, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standin/run.go
+++ b/standin/run.go
@@ -7,10 +7,10 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 )
 
-func compareTaskID(a, b platform.TaskID) int {
+func compareTaskID(a, b remote.TaskID) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Task, b.Task))
 }
 
@@ -25,11 +25,11 @@
 		return err
 	}
 	if w.leaving {
-		return platform.ErrLeaving
+		return remote.ErrLeaving
 	}
 	if w.used().Slots+w.slots >= w.info.Capacity.Slots {
 		w.refusals++
-		return platform.ErrNoRoom
+		return remote.ErrNoRoom
 	}
 	w.slots++
 	w.maxSlots = max(w.maxSlots, w.slots)
@@ -49,47 +49,47 @@
 	w.slots--
 	w.mu.Unlock()
 	if fail {
-		return nil, platform.ErrTaskFailed
+		return nil, remote.ErrTaskFailed
 	}
 	return append([]byte("done:"), body...), nil
 }
 
 // Upstream calls stand-in workers directly, without sockets. It implements
-// platform.Upstream for the workers by address.
+// remote.Upstream for the workers by address.
 type Upstream map[string]*Worker
 
-// Run implements platform.Upstream.
-func (u Upstream) Run(ctx context.Context, address string, r platform.RunRequest) (platform.RunReply, error) {
+// Run implements remote.Upstream.
+func (u Upstream) Run(ctx context.Context, address string, r remote.RunRequest) (remote.RunReply, error) {
 	w := u[address]
 	if w == nil {
-		return platform.RunReply{}, errkind.New(errkind.UpstreamRefused, "worker %s: no connection", address)
+		return remote.RunReply{}, errkind.New(errkind.UpstreamRefused, "worker %s: no connection", address)
 	}
 	if err := w.admitRun(r.Token); err != nil {
-		if platform.NotSent(err) {
-			return platform.RunReply{}, errkind.Wrap(errkind.UpstreamRefused, err, "worker %s", address)
+		if remote.NotSent(err) {
+			return remote.RunReply{}, errkind.Wrap(errkind.UpstreamRefused, err, "worker %s", address)
 		}
-		return platform.RunReply{}, errkind.Wrap(errkind.UpstreamUncertain, err, "worker %s", address)
+		return remote.RunReply{}, errkind.Wrap(errkind.UpstreamUncertain, err, "worker %s", address)
 	}
 	answer, err := w.execute(r.Workspace, r.RequestID, r.Body)
 	if err != nil {
-		return platform.RunReply{}, errkind.Wrap(errkind.UpstreamFailed, err, "worker %s", address)
+		return remote.RunReply{}, errkind.Wrap(errkind.UpstreamFailed, err, "worker %s", address)
 	}
 	w.mu.Lock()
 	f := w.faults
 	w.mu.Unlock()
 	if f.Late > 0 {
 		if !wait.For(ctx, f.Late) {
-			return platform.RunReply{}, errkind.Wrap(errkind.UpstreamUncertain, ctx.Err(), "worker %s", address)
+			return remote.RunReply{}, errkind.Wrap(errkind.UpstreamUncertain, ctx.Err(), "worker %s", address)
 		}
 	}
 	if f.CloseAfterRead {
-		return platform.RunReply{}, errkind.New(errkind.UpstreamUncertain, "worker %s: connection closed", address)
+		return remote.RunReply{}, errkind.New(errkind.UpstreamUncertain, "worker %s: connection closed", address)
 	}
 	if f.Truncate || f.CrossAnswers {
-		return platform.RunReply{}, errkind.New(errkind.AnswerInvalid, "worker %s: answer does not match", address)
+		return remote.RunReply{}, errkind.New(errkind.AnswerInvalid, "worker %s: answer does not match", address)
 	}
 	if int64(len(answer)) > r.MaxAnswer {
-		return platform.RunReply{}, errkind.New(errkind.AnswerTooLarge, "worker %s: answer above %d bytes", address, r.MaxAnswer)
+		return remote.RunReply{}, errkind.New(errkind.AnswerTooLarge, "worker %s: answer above %d bytes", address, r.MaxAnswer)
 	}
-	return platform.RunReply{Body: answer}, nil
+	return remote.RunReply{Body: answer}, nil
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 )
 
 // errNoAnswer is what a caller sees when the store does not answer. It leaves the
@@ -29,23 +29,23 @@
 	WatchLag   time.Duration // a change reaches watches this much later
 }
 
-// Store is an in-memory key-value store. It implements platform.Store.
+// Store is an in-memory key-value store. It implements remote.Store.
 type Store struct {
 	mu       sync.Mutex
 	faults   StoreFaults
 	revision uint64
 	entries  map[string]*storeEntry
-	leases   map[platform.LeaseID]*storeLease
-	nextID   platform.LeaseID
+	leases   map[remote.LeaseID]*storeLease
+	nextID   remote.LeaseID
 	changed  chan struct{} // closed and replaced at each change
 	calls    map[string]int
 }
 
 type storeEntry struct {
-	kv      platform.KV
+	kv      remote.KV
 	old     []byte // value before the last write
 	oldRev  uint64
-	lease   platform.LeaseID
+	lease   remote.LeaseID
 	deleted bool
 	at      time.Time
 }
@@ -59,7 +59,7 @@
 func NewStore() *Store {
 	return &Store{
 		entries: map[string]*storeEntry{},
-		leases:  map[platform.LeaseID]*storeLease{},
+		leases:  map[remote.LeaseID]*storeLease{},
 		changed: make(chan struct{}),
 		calls:   map[string]int{},
 	}
@@ -123,7 +123,7 @@
 	}
 }
 
-func (s *Store) dropLease(id platform.LeaseID) {
+func (s *Store) dropLease(id remote.LeaseID) {
 	delete(s.leases, id)
 	for _, e := range s.entries {
 		if e.lease == id && !e.deleted {
@@ -156,7 +156,7 @@
 }
 
 // read returns the entry as reads see it.
-func (s *Store) read(e *storeEntry) (platform.KV, bool) {
+func (s *Store) read(e *storeEntry) (remote.KV, bool) {
 	kv := e.kv
 	if s.faults.StaleReads && e.oldRev != 0 {
 		kv.Value, kv.Revision = e.old, e.oldRev
@@ -165,30 +165,30 @@
 	return kv, !e.deleted
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.KV, error) {
+// Get implements remote.Store.
+func (s *Store) Get(ctx context.Context, key string) (remote.KV, error) {
 	if err := s.begin(ctx, "get"); err != nil {
-		return platform.KV{}, err
+		return remote.KV{}, err
 	}
 	defer s.mu.Unlock()
 	e := s.entries[key]
 	if e == nil {
-		return platform.KV{}, platform.ErrNotFound
+		return remote.KV{}, remote.ErrNotFound
 	}
 	kv, ok := s.read(e)
 	if !ok {
-		return platform.KV{}, platform.ErrNotFound
+		return remote.KV{}, remote.ErrNotFound
 	}
 	return kv, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.KV, error) {
+// List implements remote.Store.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]remote.KV, error) {
 	if err := s.begin(ctx, "list"); err != nil {
 		return nil, err
 	}
 	defer s.mu.Unlock()
-	var kvs []platform.KV
+	var kvs []remote.KV
 	for key, e := range s.entries {
 		if !strings.HasPrefix(key, prefix) || key <= after {
 			continue
@@ -197,7 +197,7 @@
 			kvs = append(kvs, kv)
 		}
 	}
-	slices.SortFunc(kvs, func(a, b platform.KV) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(kvs, func(a, b remote.KV) int { return strings.Compare(a.Key, b.Key) })
 	return kvs[:min(len(kvs), limit)], nil
 }
 
@@ -216,8 +216,8 @@
 	return true
 }
 
-// CompareAndSwap implements platform.Store.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+// CompareAndSwap implements remote.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease remote.LeaseID) (uint64, error) {
 	if s.takeLate() {
 		<-ctx.Done()
 		time.AfterFunc(lateBy, func() { _, _ = s.swap(context.WithoutCancel(ctx), key, expect, value, lease) })
@@ -226,23 +226,23 @@
 	return s.swap(ctx, key, expect, value, lease)
 }
 
-func (s *Store) swap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (s *Store) swap(ctx context.Context, key string, expect uint64, value []byte, lease remote.LeaseID) (uint64, error) {
 	if err := s.begin(ctx, "swap"); err != nil {
 		return 0, err
 	}
 	defer s.mu.Unlock()
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > remote.MaxValueBytes {
+		return 0, remote.ErrTooLarge
 	}
 	if lease != 0 && s.leases[lease] == nil {
-		return 0, platform.ErrLeaseEnded
+		return 0, remote.ErrLeaseEnded
 	}
 	e := s.entries[key]
 	if e == nil {
-		e = &storeEntry{kv: platform.KV{Key: key}, deleted: true}
+		e = &storeEntry{kv: remote.KV{Key: key}, deleted: true}
 	}
 	if current := e.current(); current != expect {
-		return 0, platform.ErrConflict
+		return 0, remote.ErrConflict
 	}
 	s.entries[key] = e
 	e.lease = lease
@@ -260,7 +260,7 @@
 	return e.kv.Revision
 }
 
-// Delete implements platform.Store.
+// Delete implements remote.Store.
 func (s *Store) Delete(ctx context.Context, key string, expect uint64) error {
 	if err := s.begin(ctx, "delete"); err != nil {
 		return err
@@ -268,17 +268,17 @@
 	defer s.mu.Unlock()
 	e := s.entries[key]
 	if e == nil || e.deleted {
-		return platform.ErrNotFound
+		return remote.ErrNotFound
 	}
 	if e.kv.Revision != expect {
-		return platform.ErrConflict
+		return remote.ErrConflict
 	}
 	s.write(e, nil)
 	return s.writeAnswer()
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.KV, uint64, error) {
+// Watch implements remote.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]remote.KV, uint64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for first := true; ; first = false {
@@ -310,7 +310,7 @@
 	}
 }
 
-func (s *Store) watchEnd(after uint64) ([]platform.KV, uint64, error) {
+func (s *Store) watchEnd(after uint64) ([]remote.KV, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
@@ -322,20 +322,20 @@
 	return nil, s.revision, nil
 }
 
-func (s *Store) changes(prefix string, after uint64) []platform.KV {
+func (s *Store) changes(prefix string, after uint64) []remote.KV {
 	visible := time.Now().Add(-s.faults.WatchLag)
-	var kvs []platform.KV
+	var kvs []remote.KV
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) && e.kv.Revision > after && !e.at.After(visible) {
 			kvs = append(kvs, e.kv)
 		}
 	}
-	slices.SortFunc(kvs, func(a, b platform.KV) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(kvs, func(a, b remote.KV) int { return strings.Compare(a.Key, b.Key) })
 	return kvs
 }
 
-// GrantLease implements platform.Store.
-func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements remote.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (remote.LeaseID, error) {
 	if err := s.begin(ctx, "lease-grant"); err != nil {
 		return 0, err
 	}
@@ -345,28 +345,28 @@
 	return s.nextID, s.writeAnswer()
 }
 
-// RenewLease implements platform.Store.
-func (s *Store) RenewLease(ctx context.Context, id platform.LeaseID) error {
+// RenewLease implements remote.Store.
+func (s *Store) RenewLease(ctx context.Context, id remote.LeaseID) error {
 	if err := s.begin(ctx, "lease-renew"); err != nil {
 		return err
 	}
 	defer s.mu.Unlock()
 	l := s.leases[id]
 	if l == nil {
-		return platform.ErrLeaseEnded
+		return remote.ErrLeaseEnded
 	}
 	l.expires = time.Now().Add(l.ttl)
 	return s.writeAnswer()
 }
 
-// RevokeLease implements platform.Store.
-func (s *Store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements remote.Store.
+func (s *Store) RevokeLease(ctx context.Context, id remote.LeaseID) error {
 	if err := s.begin(ctx, "lease-revoke"); err != nil {
 		return err
 	}
 	defer s.mu.Unlock()
 	if s.leases[id] == nil {
-		return platform.ErrLeaseEnded
+		return remote.ErrLeaseEnded
 	}
 	s.dropLease(id)
 	return s.writeAnswer()
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/cyclamenyard/cyclamenyard/platform"
+	"github.com/cyclamenyard/cyclamenyard/remote"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -40,13 +40,13 @@
 
 // StartRecord notes one start of a task, for the checks of tests and the demo.
 type StartRecord struct {
-	Task  platform.TaskID
+	Task  remote.TaskID
 	Token uint64
 	At    time.Time
 	Until time.Time // zero while it runs
 }
 
-// Worker is an in-memory worker. It implements platform.Worker and, over HTTP, the run
+// Worker is an in-memory worker. It implements remote.Worker and, over HTTP, the run
 // protocol for short requests.
 type Worker struct {
 	info structs.Worker
@@ -54,7 +54,7 @@
 	mu     sync.Mutex
 	faults WorkerFaults
 	token  uint64
-	tasks  map[platform.TaskID]*task
+	tasks  map[remote.TaskID]*task
 	slots  int // of short requests that run
 	// RunTime is how long a short request takes.
 	runTime  time.Duration
@@ -69,7 +69,7 @@
 }
 
 type task struct {
-	status  platform.TaskStatus
+	status  remote.TaskStatus
 	expires time.Time // of the reservation or the lease
 	ends    time.Time // when the work is done
 	started time.Time
@@ -82,7 +82,7 @@
 func NewWorker(info structs.Worker, runTime time.Duration) *Worker {
 	return &Worker{
 		info: info, runTime: runTime,
-		tasks: map[platform.TaskID]*task{},
+		tasks: map[remote.TaskID]*task{},
 		runs:  map[string]int{},
 		saved: map[string]time.Duration{},
 	}
@@ -147,7 +147,7 @@
 
 func (w *Worker) checkToken(token uint64) error {
 	if token < w.token {
-		return fmt.Errorf("%w: %d is below %d", platform.ErrStaleToken, token, w.token)
+		return fmt.Errorf("%w: %d is below %d", remote.ErrStaleToken, token, w.token)
 	}
 	w.token = token
 	return nil
@@ -166,11 +166,11 @@
 func (w *Worker) advance(now time.Time) {
 	for id, t := range w.tasks {
 		switch t.status.State {
-		case platform.TaskReserved:
+		case remote.TaskReserved:
 			if !t.expires.After(now) {
 				delete(w.tasks, id)
 			}
-		case platform.TaskRunning, platform.TaskCheckpointed:
+		case remote.TaskRunning, remote.TaskCheckpointed:
 			w.advanceRunning(t, now)
 		default:
 			if now.Sub(t.ended) > endedKept {
@@ -188,18 +188,18 @@
 	lapsed := !t.expires.After(now)
 	switch {
 	case done && (!lapsed || t.ends.Before(t.expires)):
-		state := platform.TaskSucceeded
+		state := remote.TaskSucceeded
 		if t.payload.Fail || w.faults.FailAll {
-			state = platform.TaskFailed
+			state = remote.TaskFailed
 		}
 		t.status.Answer = []byte(t.payload.Answer)
 		w.finish(t, state, t.ends)
 	case lapsed:
-		w.finish(t, platform.TaskStopped, t.expires)
+		w.finish(t, remote.TaskStopped, t.expires)
 	}
 }
 
-func (w *Worker) finish(t *task, state platform.TaskState, at time.Time) {
+func (w *Worker) finish(t *task, state remote.TaskState, at time.Time) {
 	t.status.State = state
 	t.ended = at
 	w.starts[t.record].Until = at
@@ -218,14 +218,14 @@
 
 func (t *task) holdsRoom() bool {
 	switch t.status.State {
-	case platform.TaskReserved, platform.TaskRunning, platform.TaskCheckpointed:
+	case remote.TaskReserved, remote.TaskRunning, remote.TaskCheckpointed:
 		return true
 	}
 	return false
 }
 
-// Reserve implements platform.Worker.
-func (w *Worker) Reserve(_ context.Context, r platform.ReserveRequest) error {
+// Reserve implements remote.Worker.
+func (w *Worker) Reserve(_ context.Context, r remote.ReserveRequest) error {
 	if err := w.begin(); err != nil {
 		return err
 	}
@@ -234,28 +234,28 @@
 		return err
 	}
 	if w.leaving {
-		return platform.ErrLeaving
+		return remote.ErrLeaving
 	}
 	if t := w.tasks[r.Task]; t != nil {
-		if t.status.State != platform.TaskReserved {
-			return platform.ErrNoRoom
+		if t.status.State != remote.TaskReserved {
+			return remote.ErrNoRoom
 		}
 		return w.answer()
 	}
 	free := w.info.Capacity.Sub(w.used())
 	free.Slots -= w.slots
 	if !r.Resources.Fits(free) {
-		return platform.ErrNoRoom
+		return remote.ErrNoRoom
 	}
 	w.tasks[r.Task] = &task{
-		status:  platform.TaskStatus{Task: r.Task, State: platform.TaskReserved, Resources: r.Resources},
+		status:  remote.TaskStatus{Task: r.Task, State: remote.TaskReserved, Resources: r.Resources},
 		expires: time.Now().Add(time.Duration(r.TTLMillis) * time.Millisecond),
 	}
 	return w.answer()
 }
 
-// Start implements platform.Worker.
-func (w *Worker) Start(_ context.Context, r platform.StartRequest) error {
+// Start implements remote.Worker.
+func (w *Worker) Start(_ context.Context, r remote.StartRequest) error {
 	if err := w.begin(); err != nil {
 		return err
 	}
@@ -265,14 +265,14 @@
 	}
 	t := w.tasks[r.Task]
 	if t == nil {
-		return platform.ErrNoSuchTask
+		return remote.ErrNoSuchTask
 	}
-	if t.status.State != platform.TaskReserved {
+	if t.status.State != remote.TaskReserved {
 		return w.answer()
 	}
 	if w.faults.RefuseStart {
 		delete(w.tasks, r.Task)
-		return platform.ErrUnavailable
+		return remote.ErrUnavailable
 	}
 	if len(r.Payload) > 0 {
 		if err := json.Unmarshal(r.Payload, &t.payload); err != nil {
@@ -287,7 +287,7 @@
 	if w.faults.FailAll {
 		run = 0
 	}
-	t.status.State = platform.TaskRunning
+	t.status.State = remote.TaskRunning
 	t.started = now
 	t.ends = now.Add(run)
 	t.expires = now.Add(time.Duration(r.LeaseMillis) * time.Millisecond)
@@ -296,24 +296,24 @@
 	return w.answer()
 }
 
-func savedKey(id platform.TaskID) string {
+func savedKey(id remote.TaskID) string {
 	return fmt.Sprintf("%s/%d", id.Job, id.Task)
 }
 
-// Renew implements platform.Worker.
-func (w *Worker) Renew(_ context.Context, r platform.RenewRequest) (platform.RenewReply, error) {
+// Renew implements remote.Worker.
+func (w *Worker) Renew(_ context.Context, r remote.RenewRequest) (remote.RenewReply, error) {
 	if err := w.begin(); err != nil {
-		return platform.RenewReply{}, err
+		return remote.RenewReply{}, err
 	}
 	defer w.mu.Unlock()
 	if err := w.checkToken(r.Token); err != nil {
-		return platform.RenewReply{}, err
+		return remote.RenewReply{}, err
 	}
-	reply := platform.RenewReply{Leaving: w.leaving}
+	reply := remote.RenewReply{Leaving: w.leaving}
 	for _, id := range r.Tasks {
 		t := w.tasks[id]
 		if t == nil {
-			reply.Ended = append(reply.Ended, platform.TaskStatus{Task: id, State: platform.TaskUnknown})
+			reply.Ended = append(reply.Ended, remote.TaskStatus{Task: id, State: remote.TaskUnknown})
 			continue
 		}
 		if !t.holdsRoom() {
@@ -325,8 +325,8 @@
 	return reply, w.answer()
 }
 
-// Release implements platform.Worker.
-func (w *Worker) Release(_ context.Context, r platform.TaskRequest) error {
+// Release implements remote.Worker.
+func (w *Worker) Release(_ context.Context, r remote.TaskRequest) error {
 	if err := w.begin(); err != nil {
 		return err
 	}
@@ -334,30 +334,30 @@
 	if err := w.checkToken(r.Token); err != nil {
 		return err
 	}
-	if t := w.tasks[r.Task]; t != nil && t.status.State == platform.TaskReserved {
+	if t := w.tasks[r.Task]; t != nil && t.status.State == remote.TaskReserved {
 		delete(w.tasks, r.Task)
 	}
 	return w.answer()
 }
 
-// Checkpoint implements platform.Worker.
-func (w *Worker) Checkpoint(_ context.Context, r platform.TaskRequest) error {
+// Checkpoint implements remote.Worker.
+func (w *Worker) Checkpoint(_ context.Context, r remote.TaskRequest) error {
 	t, unlock, err := w.taskOf(r)
 	if err != nil {
 		return err
 	}
 	defer unlock()
-	if t.holdsRoom() && t.status.State != platform.TaskReserved {
+	if t.holdsRoom() && t.status.State != remote.TaskReserved {
 		w.saved[savedKey(r.Task)] += time.Since(t.started)
 		t.started = time.Now()
-		t.status.State = platform.TaskCheckpointed
+		t.status.State = remote.TaskCheckpointed
 	}
 	return w.answer()
 }
 
-// Throttle implements platform.Worker.
-func (w *Worker) Throttle(_ context.Context, r platform.ThrottleRequest) error {
-	_, unlock, err := w.taskOf(platform.TaskRequest{Token: r.Token, Task: r.Task})
+// Throttle implements remote.Worker.
+func (w *Worker) Throttle(_ context.Context, r remote.ThrottleRequest) error {
+	_, unlock, err := w.taskOf(remote.TaskRequest{Token: r.Token, Task: r.Task})
 	if err != nil {
 		return err
 	}
@@ -365,10 +365,10 @@
 	return w.answer()
 }
 
-// Stop implements platform.Worker. Stopping an unknown task succeeds.
-func (w *Worker) Stop(_ context.Context, r platform.TaskRequest) error {
+// Stop implements remote.Worker. Stopping an unknown task succeeds.
+func (w *Worker) Stop(_ context.Context, r remote.TaskRequest) error {
 	t, unlock, err := w.taskOf(r)
-	if errors.Is(err, platform.ErrNoSuchTask) {
+	if errors.Is(err, remote.ErrNoSuchTask) {
 		return nil
 	}
 	if err != nil {
@@ -376,17 +376,17 @@
 	}
 	defer unlock()
 	switch {
-	case t.status.State == platform.TaskReserved:
+	case t.status.State == remote.TaskReserved:
 		delete(w.tasks, r.Task)
 	case w.faults.IgnoreStop || !t.holdsRoom():
 	default:
-		w.finish(t, platform.TaskStopped, time.Now())
+		w.finish(t, remote.TaskStopped, time.Now())
 	}
 	return w.answer()
 }
 
 // taskOf returns the task with the lock held, and how to release it.
-func (w *Worker) taskOf(r platform.TaskRequest) (*task, func(), error) {
+func (w *Worker) taskOf(r remote.TaskRequest) (*task, func(), error) {
 	if err := w.begin(); err != nil {
 		return nil, nil, err
 	}
@@ -397,25 +397,25 @@
 	t := w.tasks[r.Task]
 	if t == nil {
 		w.mu.Unlock()
-		return nil, nil, platform.ErrNoSuchTask
+		return nil, nil, remote.ErrNoSuchTask
 	}
 	return t, w.mu.Unlock, nil
 }
 
-// Status implements platform.Worker.
-func (w *Worker) Status(_ context.Context, token uint64) (platform.WorkerStatus, error) {
+// Status implements remote.Worker.
+func (w *Worker) Status(_ context.Context, token uint64) (remote.WorkerStatus, error) {
 	if err := w.begin(); err != nil {
-		return platform.WorkerStatus{}, err
+		return remote.WorkerStatus{}, err
 	}
 	defer w.mu.Unlock()
 	if err := w.checkToken(token); err != nil {
-		return platform.WorkerStatus{}, err
+		return remote.WorkerStatus{}, err
 	}
-	s := platform.WorkerStatus{Worker: w.info.ID, Leaving: w.leaving, Token: w.token, Usage: w.usage, SlotsUsed: w.slots}
+	s := remote.WorkerStatus{Worker: w.info.ID, Leaving: w.leaving, Token: w.token, Usage: w.usage, SlotsUsed: w.slots}
 	for _, t := range w.tasks {
 		s.Tasks = append(s.Tasks, t.status)
 	}
-	slices.SortFunc(s.Tasks, func(a, b platform.TaskStatus) int {
+	slices.SortFunc(s.Tasks, func(a, b remote.TaskStatus) int {
 		return compareTaskID(a.Task, b.Task)
 	})
 	return s, w.answer()
