--- a/cli/cli.go
+++ b/cli/cli.go
@@ -88,6 +88,7 @@
 	}
 	root := parser.Command
 	add(root, "serve", "run an entry instance", "Runs an entry instance until SIGTERM or SIGINT; a second signal stops it at once.", &serveCommand{output: o})
+	add(root, "platform", "run an instance on the users' platform", "Runs an instance that schedules jobs over the platform's store, until SIGTERM; SIGHUP reads the settings again.", &platformCommand{output: o})
 	add(root, "demo", "run a whole system on loopback and check it", "Runs stand-ins, three instances and a fleet in one process, takes a data centre out and back, and checks the outcome.", &demoCommand{output: o})
 	add(root, "standin", "run stand-ins of the platform and of workers", "Runs an in-memory platform and the workers of a manifest's fleet, for trying out separate processes.", &standinCommand{output: o})
 	m := add(root, "manifest", "check, apply and show the manifest", "Checks, applies and shows the operators' manifest.", &struct{}{})
--- /dev/null
+++ b/cli/platform.go
@@ -0,0 +1,130 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/logsink"
+	"github.com/cyclamenyard/cyclamenyard/node"
+	"github.com/cyclamenyard/cyclamenyard/placement"
+	"github.com/cyclamenyard/cyclamenyard/platform"
+)
+
+// platformCommand runs an instance on the users' platform.
+type platformCommand struct {
+	output
+	Settings string `long:"settings" env:"CYCLAMENYARD_CONFIG" description:"path of the platform's settings file"`
+	LogLevel string `long:"log-level" env:"CYCLAMENYARD_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+}
+
+// memoryShare is the share of the memory limit at which the runtime collects garbage
+// harder.
+const memoryShare = 0.7
+
+// Execute implements flags.Commander.
+func (c *platformCommand) Execute([]string) error {
+	level, err := zapcore.ParseLevel(c.LogLevel)
+	if err != nil {
+		return usageError(fmt.Errorf("--log-level %q: must be debug, info, warn or error", c.LogLevel))
+	}
+	settings, err := c.load()
+	if err != nil {
+		return usageError(err)
+	}
+	runtime.GOMAXPROCS(max(1, int(settings.CPUShare)))
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
+	}
+	sink := logsink.New(os.Stdout, func(n int64) []byte {
+		return logsink.Report(int(events.LinesDropped), events.Message(events.LinesDropped), n)
+	})
+	defer sink.Close()
+	log := newPlatformLogger(sink, level).With(zap.String("instance", settings.Instance))
+	return c.run(settings, log)
+}
+
+func newPlatformLogger(sink *logsink.Sink, level zapcore.Level) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, level))
+}
+
+func (c *platformCommand) load() (*platform.Settings, error) {
+	if c.Settings == "" {
+		return nil, errors.New("--settings: must name the platform's settings file")
+	}
+	raw, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("--settings %q: %w", c.Settings, err)
+	}
+	return platform.DecodeSettings(raw)
+}
+
+func (c *platformCommand) run(s *platform.Settings, log *zap.Logger) error {
+	registry := metrics.NewRegistry()
+	options := node.Options{
+		Instance: s.Instance, DataCentre: s.DataCentre, CPUShare: s.CPUShare,
+		MaxLease: s.MaxLease, Grace: s.Grace, KeepEnded: s.KeepEnded,
+		Placement: placement.Options{FarFactor: s.FarFactor, StopTimeout: s.StopTimeout},
+		Adapter:   newAdapter(s, registry), Log: log, Metrics: registry,
+	}
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&options.Callers, s.Callers}, {&options.Ready, s.Ready}, {&options.Peers, s.Peers}, {&options.Admin, s.Admin}} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", l.address, err)
+		}
+		*l.listener = listener
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go c.reload(ctx, log)
+	events.Info(log, events.ProcessStarted, zap.String("version", Version), zap.Any("settings", s))
+	err := node.New(options).Run(ctx)
+	events.Info(log, events.ProcessStopped, zap.Error(err))
+	return err
+}
+
+// reload reads the settings again at SIGHUP. Addresses and limits of a process do not
+// change while it runs; a file that breaks a rule is reported and has no effect.
+func (c *platformCommand) reload(ctx context.Context, log *zap.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		s, err := c.load()
+		if err != nil {
+			events.Warn(log, events.SettingsReloaded, zap.Error(err))
+			continue
+		}
+		events.Info(log, events.SettingsReloaded, zap.Any("settings", s))
+	}
+}
+
+func newAdapter(s *platform.Settings, registry metrics.Registry) node.Adapter {
+	return node.Adapter{
+		Store: platform.NewStore(s.Store, registry), Workers: platform.NewWorkers(registry), Wire: platform.Front{},
+		OperatorPrefix: platform.OperatorPrefix, WorkersPrefix: platform.WorkersPrefix, ReadyPath: platform.ReadyPath,
+		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, Evacuated: platform.EvacuatedZone,
+		DecodeWorker: platform.DecodeWorker, WorkerID: platform.WorkerID,
+	}
+}
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -49,6 +49,10 @@
 	ManifestInvalid   Kind = "manifest_invalid"
 	ManifestConflict  Kind = "manifest_conflict"
 	StaleToken        Kind = "stale_token"
+	UnknownKey        Kind = "unknown_key"
+	UnknownRoute      Kind = "unknown_route"
+	SubmitUncertain   Kind = "submit_uncertain"
+	StateUnavailable  Kind = "state_unavailable"
 	Internal          Kind = "internal"
 )
 
@@ -86,6 +90,10 @@
 	ManifestInvalid:   {http.StatusUnprocessableEntity, NotRun, false, "the manifest breaks a rule, which the message names"},
 	ManifestConflict:  {http.StatusConflict, NotRun, false, "another commit came first; the message says what it changed"},
 	StaleToken:        {http.StatusConflict, NotRun, true, "a newer owner of the data centre exists"},
+	UnknownKey:        {http.StatusUnauthorized, NotRun, false, "the configuration in force has no such key"},
+	UnknownRoute:      {http.StatusNotFound, NotRun, false, "the configuration in force has no such route"},
+	SubmitUncertain:   {http.StatusGatewayTimeout, MayHaveRun, true, "the store did not confirm the submission; the same id may be sent again"},
+	StateUnavailable:  {http.StatusServiceUnavailable, MayHaveRun, true, "neither the owner nor the store could be asked in time"},
 	Internal:          {http.StatusInternalServerError, MayHaveRun, false, "a fault in the system itself"},
 }
 
--- /dev/null
+++ b/jobfront/jobfront.go
@@ -0,0 +1,131 @@
+// Package jobfront serves the callers' job calls over HTTP: each call passes a chain of
+// filters and ends at the job service. What the calls look like on the wire is up to a
+// Wire.
+package jobfront
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	httptransport "github.com/go-kit/kit/transport/http"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Wire translates between HTTP and the job model.
+type Wire interface {
+	// Credentials returns the caller's key and how long it waits; 0 if it does not say.
+	Credentials(h http.Header) (key string, deadline time.Duration)
+	// DecodeJob parses a submission. ID, queue and workspace are set by the caller.
+	DecodeJob(body []byte) (workload.Submission, error)
+	// CheckID returns an error if the id cannot name a job.
+	CheckID(id string) error
+	EncodeState(state workload.State) []byte
+	EncodePending(n int) []byte
+	Status(kind errkind.Kind) int
+}
+
+// Jobs is the job service.
+type Jobs interface {
+	Submit(ctx context.Context, job *workload.Submission) error
+	Cancel(ctx context.Context, id string) error
+	State(ctx context.Context, id string) (workload.State, error)
+	Pending(ctx context.Context, route string) (int, error)
+}
+
+// Options configures a Server.
+type Options struct {
+	Wire Wire
+	Jobs Jobs
+	// Config returns the configuration in force, nil before the first one, and the time of
+	// the last contact with its source.
+	Config  func() (*workload.Config, time.Time)
+	Log     *zap.Logger
+	Metrics metrics.Registry
+}
+
+// Server is the HTTP handler of one instance.
+type Server struct {
+	o        Options
+	handlers map[string]http.Handler // by method
+	draining atomic.Bool
+	latency  map[string]metrics.Histogram
+	refused  metrics.Counter
+	answered metrics.Counter
+}
+
+// latencySamples is how many latencies a histogram keeps.
+const latencySamples = 512
+
+// New returns a server.
+func New(o Options) *Server {
+	s := &Server{o: o, handlers: map[string]http.Handler{}, latency: map[string]metrics.Histogram{},
+		refused: metrics.GetOrRegisterCounter("front.refused", o.Metrics), answered: metrics.GetOrRegisterCounter("front.answered", o.Metrics)}
+	for method, final := range map[string]endpoint.Endpoint{
+		http.MethodPost: s.submit, http.MethodGet: s.query, http.MethodDelete: s.cancel,
+	} {
+		s.latency[method] = metrics.GetOrRegisterHistogram("front.latency_us."+method, o.Metrics, metrics.NewUniformSample(latencySamples))
+		chain := endpoint.Chain(s.observe, s.configured, s.route, s.identify, s.deadline)
+		s.handlers[method] = httptransport.NewServer(chain(final), decodeCall, s.encode, httptransport.ServerErrorEncoder(s.encodeError))
+	}
+	return s
+}
+
+// Drain makes answers ask callers to open new connections elsewhere.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	handler := s.handlers[r.Method]
+	if handler == nil {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	handler.ServeHTTP(w, r)
+}
+
+// call is a request on its way through the filters.
+type call struct {
+	http     *http.Request
+	method   string
+	arrived  time.Time
+	config   *workload.Config
+	age      time.Duration // of the configuration's last confirmation
+	route    *workload.Route
+	id       string // of the job; empty for a count
+	space    string // workspace
+	deadline time.Duration
+	key      string
+}
+
+func decodeCall(_ context.Context, r *http.Request) (any, error) {
+	return &call{http: r, method: r.Method, arrived: time.Now()}, nil
+}
+
+// answer is what a final endpoint returns.
+type answer struct{ body []byte }
+
+func (s *Server) encode(_ context.Context, w http.ResponseWriter, response any) error {
+	s.answered.Inc(1)
+	body := response.(*answer).body
+	w.Header()["Content-Type"] = contentTypeJSON
+	if body == nil {
+		body = emptyBody
+	}
+	_, err := w.Write(body)
+	return err
+}
+
+var (
+	contentTypeJSON = []string{"application/json"}
+	emptyBody       = []byte("{}")
+)
--- /dev/null
+++ b/jobowner/agent.go
@@ -0,0 +1,206 @@
+package jobowner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+)
+
+const (
+	// holdWait is how long a worker may wait for an end before it reports.
+	holdWait = 2 * time.Second
+	// holdSlack is how much longer a report may take before its connection is taken for dead.
+	holdSlack = 700 * time.Millisecond
+	// firstHoldBound is the longest wait for the first report of a worker.
+	firstHoldBound = 700 * time.Millisecond
+	// holdRetryPause is the pause after a report that failed.
+	holdRetryPause = 250 * time.Millisecond
+	// ackWait is how long reports pause for the store to take note of ends.
+	ackWait = time.Second
+	// suspectAfterSilence is how long a worker that did not answer gets no new work.
+	suspectAfterSilence = 1500 * time.Millisecond
+)
+
+// agent keeps the lease of one life of a worker and collects its reports.
+type agent struct {
+	t      *Term
+	worker *jobstate.Worker
+	wake   chan struct{}
+	cancel context.CancelFunc
+
+	// Guarded by the term's lock.
+	applied   int64 // newest end that the state has taken in
+	stored    int64 // newest end whose effect is in the store
+	clock     int64 // of the worker, milliseconds, when it was last heard
+	clockAt   time.Time
+	failures  int
+	lastHeard time.Time
+}
+
+// ensureAgent starts an agent for the worker unless it has one.
+func (t *Term) ensureAgent(w *jobstate.Worker) *agent {
+	if a := t.agents[w.ID]; a != nil {
+		if a.worker == w {
+			return a
+		}
+		a.cancel()
+	}
+	a := &agent{t: t, worker: w, wake: make(chan struct{}, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	t.agents[w.ID] = a
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		a.run(ctx)
+	}()
+	return a
+}
+
+func (a *agent) nudge() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// acknowledge lets the worker forget its ends up to n. The caller holds the term's lock.
+func (a *agent) acknowledge(n int64) {
+	a.stored = max(a.stored, n)
+	a.nudge()
+}
+
+// run asks for reports as long as the worker has runs or has not been heard.
+func (a *agent) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !a.wanted() {
+			a.rest(ctx, time.Hour)
+			continue
+		}
+		a.awaitStored(ctx)
+		if err := a.hold(ctx); err != nil && ctx.Err() == nil {
+			a.rest(ctx, holdRetryPause)
+		}
+	}
+}
+
+// rest waits for a nudge.
+func (a *agent) rest(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-a.wake:
+	case <-timer.C:
+	}
+}
+
+// awaitStored waits until the ends that were reported are in the store, so that the next
+// report need not repeat them.
+func (a *agent) awaitStored(ctx context.Context) {
+	deadline := time.Now().Add(ackWait)
+	for ctx.Err() == nil {
+		a.t.mu.Lock()
+		behind := a.applied > a.stored
+		a.t.mu.Unlock()
+		left := time.Until(deadline)
+		if !behind || left <= 0 {
+			return
+		}
+		a.rest(ctx, left)
+	}
+}
+
+func (a *agent) wanted() bool {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	w := a.worker
+	return !w.Heard || len(w.Runs) > 0 || len(w.Strays) > 0 || a.applied > a.stored
+}
+
+// workerClock estimates the worker's clock, in milliseconds. The caller holds the lock.
+func (a *agent) workerClock(now time.Time) int64 {
+	return a.clock + now.Sub(a.clockAt).Milliseconds()
+}
+
+// leaseUntil returns the end of a lease that is ordered now, on the worker's clock, and
+// notes when it will surely have run out. The caller holds the lock.
+func (a *agent) leaseUntil(now time.Time) int64 {
+	max := a.t.o.MaxLease
+	drift := time.Duration(clockDrift * float64(max+now.Sub(a.clockAt)))
+	if ends := now.Add(max + drift + leaseMargin); ends.After(a.worker.LeaseEnds) {
+		a.worker.LeaseEnds = ends
+	}
+	return a.workerClock(now) + max.Milliseconds()
+}
+
+func (a *agent) target() workerapi.Target {
+	return workerapi.Target{ID: a.worker.ID, Address: a.worker.Address}
+}
+
+// hold renews the lease and applies the report.
+func (a *agent) hold(ctx context.Context) error {
+	t := a.t
+	t.mu.Lock()
+	now := time.Now()
+	order := workerapi.Hold{Token: t.o.Token, Seen: a.stored}
+	bound := firstHoldBound
+	if !a.clockAt.IsZero() && t.o.InTouch() {
+		order.LeaseUntil = a.leaseUntil(now)
+	}
+	if a.worker.Heard && a.applied == a.stored {
+		order.Wait = holdWait
+		bound = holdWait + holdSlack
+	}
+	target := a.target()
+	t.mu.Unlock()
+
+	call, cancel := context.WithTimeout(ctx, bound)
+	report, err := t.o.Workers.Hold(call, target, order)
+	cancel()
+	if err != nil {
+		a.silent(err)
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.agents[a.worker.ID] == a {
+		a.apply(report, now)
+	}
+	return nil
+}
+
+// silent notes a report that failed.
+func (a *agent) silent(err error) {
+	t := a.t
+	if errors.Is(err, workerapi.ErrFenced) {
+		t.over("worker " + a.worker.ID + " has seen a higher token")
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.agents[a.worker.ID] != a || errors.Is(err, context.Canceled) {
+		return
+	}
+	now := time.Now()
+	if a.failures++; a.failures == 1 {
+		events.Warn(t.o.Log, events.WorkerSilent, zap.String("worker", a.worker.ID), zap.Int("runs", len(a.worker.Runs)), zap.Error(err))
+	}
+	a.worker.Suspect = later(a.worker.Suspect, now.Add(suspectAfterSilence))
+	if errors.Is(err, workerapi.ErrOtherLife) {
+		t.dropWorker(a.worker, "another life answers at its address", now)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/jobowner/fleet.go
@@ -0,0 +1,124 @@
+package jobowner
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+)
+
+// OnWorker applies an entry of the platform's list of workers.
+func (t *Term) OnWorker(e workerapi.Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	w := t.cluster.Worker(e.Worker.ID, e.Life, now)
+	if w.Life != e.Life {
+		return // an older life
+	}
+	t.dropSameAddress(w, e, now)
+	first := !w.Listed
+	w.Address, w.Service, w.Zone, w.Rack = e.Worker.Address, e.Service, e.Zone, e.Rack
+	w.Labels, w.Capacity = e.Labels, e.Capacity
+	w.Listed = true
+	if e.Draining && !w.Draining {
+		w.LeavesAt = now.Add(e.Leaves)
+	}
+	w.Draining = e.Draining
+	delete(t.missing, w)
+	if first {
+		events.Info(t.o.Log, events.WorkerListed, zap.String("worker", w.ID), zap.Int64("life", w.Life),
+			zap.String("zone", w.Zone), zap.Bool("draining", w.Draining))
+	}
+	a := t.ensureAgent(w)
+	if a.clockAt.IsZero() && w.LeaseEnds.IsZero() {
+		w.LeaseEnds = t.began.Add(t.unheardLease())
+	}
+	a.nudge()
+	t.kick()
+}
+
+// unheardLease is how long after the start of the term a worker that has not been heard may
+// still run what a former owner ordered.
+func (t *Term) unheardLease() time.Duration {
+	return predecessorHold + t.o.MaxLease + time.Duration(clockDrift*float64(t.o.MaxLease)) + leaseMargin
+}
+
+// dropSameAddress drops workers that another one has replaced at its address.
+func (t *Term) dropSameAddress(w *jobstate.Worker, e workerapi.Entry, now time.Time) {
+	for _, other := range t.cluster.Workers {
+		if other != w && other.Address == e.Worker.Address && other.Life < e.Life && other.Address != "" {
+			t.dropWorker(other, "replaced at its address by "+w.ID, now)
+		}
+	}
+}
+
+// OnWorkerGone notes that the worker's entry has been removed.
+func (t *Term) OnWorkerGone(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.cluster.Workers[id]
+	if w == nil || !w.Listed {
+		return
+	}
+	w.Listed = false
+	t.missing[w] = time.Now()
+	events.Info(t.o.Log, events.WorkerUnlisted, zap.String("worker", w.ID), zap.Bool("draining", w.Draining), zap.Int("runs", len(w.Runs)))
+	t.kick()
+}
+
+// checkWorkers drops workers that are gone and ends runs whose leases have run out. The
+// caller holds the lock.
+func (t *Term) checkWorkers(now time.Time) {
+	for _, w := range t.cluster.Workers {
+		if w.LeaseEnds.IsZero() && len(w.Runs) > 0 {
+			w.LeaseEnds = t.began.Add(t.unheardLease()) // known from records only
+		}
+		if since, ok := t.missing[w]; ok && t.gone(w, since, now) {
+			t.dropWorker(w, "no entry and no answer", now)
+			continue
+		}
+		if len(w.Runs) > 0 && now.After(w.LeaseEnds) && t.mayRun(w) {
+			events.Warn(t.o.Log, events.LeaseLapsed, zap.String("worker", w.ID), zap.Int("runs", len(w.Runs)))
+			t.cluster.Lapse(w, now)
+			w.Heard = false
+		}
+	}
+}
+
+// mayRun reports whether the worker has runs other than planned ones.
+func (t *Term) mayRun(w *jobstate.Worker) bool {
+	for r := range w.Runs {
+		if r.Phase != jobstate.Planned {
+			return true
+		}
+	}
+	return false
+}
+
+// gone reports whether a worker without an entry has surely left: it was draining and does
+// not answer, or it runs nothing.
+func (t *Term) gone(w *jobstate.Worker, since, now time.Time) bool {
+	a := t.agents[w.ID]
+	answers := a != nil && a.lastHeard.After(since) && a.failures == 0
+	if answers || now.Sub(since) < missingGrace {
+		return false
+	}
+	return len(w.Runs) == 0 || (w.Draining && now.After(w.LeavesAt))
+}
+
+// dropWorker forgets a life of a worker that is over. The caller holds the lock.
+func (t *Term) dropWorker(w *jobstate.Worker, reason string, now time.Time) {
+	events.Info(t.o.Log, events.WorkerDropped, zap.String("worker", w.ID), zap.Int64("life", w.Life),
+		zap.Int("runs", len(w.Runs)), zap.String("reason", reason))
+	if a := t.agents[w.ID]; a != nil && a.worker == w {
+		a.cancel()
+		delete(t.agents, w.ID)
+	}
+	delete(t.missing, w)
+	t.cluster.Drop(w, now)
+	t.kick()
+}
--- /dev/null
+++ b/jobowner/intake.go
@@ -0,0 +1,118 @@
+package jobowner
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Keys of jobs in the store.
+const (
+	IntakePrefix = "cy/in/"  // submissions and cancellations, written by any instance
+	RecordPrefix = "cy/run/" // records, written by the owner
+
+	jobSuffix    = "/j"
+	cancelSuffix = "/c"
+)
+
+// JobKey is the key of the job's submission.
+func JobKey(id string) string { return IntakePrefix + id + jobSuffix }
+
+// CancelKey is the key of the job's cancellation.
+func CancelKey(id string) string { return IntakePrefix + id + cancelSuffix }
+
+// RecordKey is the key of the job's record.
+func RecordKey(id string) string { return RecordPrefix + id }
+
+// OnIntake applies a change under IntakePrefix.
+func (t *Term) OnIntake(change metastore.Change) {
+	if change.Removed {
+		return // the owner itself removes jobs that ended long ago
+	}
+	rest := strings.TrimPrefix(change.Key, IntakePrefix)
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case strings.HasSuffix(rest, jobSuffix):
+		t.addJob(strings.TrimSuffix(rest, jobSuffix), change, now)
+	case strings.HasSuffix(rest, cancelSuffix):
+		t.cancelJob(strings.TrimSuffix(rest, cancelSuffix), now)
+	}
+	t.kick()
+}
+
+func (t *Term) addJob(id string, change metastore.Change, now time.Time) {
+	if t.cluster.Jobs[id] != nil {
+		return
+	}
+	s, err := workload.DecodeSubmission(change.Value)
+	if err != nil {
+		t.o.Log.Error("submission unreadable", zap.String("job", id), zap.Error(err))
+		return
+	}
+	j := t.cluster.AddJob(s, now)
+	t.refreshRoute(j)
+	if stored, ok := t.records[id]; ok {
+		delete(t.records, id)
+		t.cluster.Restore(j, stored.record, stored.revision, now)
+	}
+	events.Info(t.o.Log, events.JobTaken, zap.String("job", id), zap.String("route", s.Queue.Name),
+		zap.Int("steps", len(s.Steps)), zap.String("state", string(j.State)), zap.Uint64("revision", change.Revision))
+	if t.early[id] {
+		delete(t.early, id)
+		t.cancelJob(id, now)
+	}
+	t.openDue(j, now)
+}
+
+// refreshRoute follows changes of the job's route; a removed route stays as it was.
+func (t *Term) refreshRoute(j *jobstate.Job) {
+	if config := t.o.Config(); config != nil {
+		if route := config.Route(j.Queue()); route != nil {
+			j.Route = *route
+		}
+	}
+}
+
+func (t *Term) cancelJob(id string, now time.Time) {
+	j := t.cluster.Jobs[id]
+	if j == nil {
+		t.early[id] = true
+		return
+	}
+	if j.State.Ended() {
+		return
+	}
+	j.Cancel(now)
+	events.Info(t.o.Log, events.JobCancelTaken, zap.String("job", id))
+}
+
+// openDue opens the occurrences that are due and notes when the next one is.
+func (t *Term) openDue(j *jobstate.Job, now time.Time) {
+	if j.State.Ended() {
+		return
+	}
+	due := j.OpenDue(t.o.Wall().UnixMilli(), now)
+	if due != 0 && (t.nextDue == 0 || due < t.nextDue) {
+		t.nextDue = due
+	}
+}
+
+// OnConfig follows a new configuration.
+func (t *Term) OnConfig() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, j := range t.cluster.Jobs {
+		if !j.State.Ended() {
+			t.refreshRoute(j)
+		}
+	}
+	t.kick()
+}
--- /dev/null
+++ b/jobowner/orders.go
@@ -0,0 +1,193 @@
+package jobowner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+)
+
+const (
+	// orderBound is the longest wait for the answer to one order.
+	orderBound = 600 * time.Millisecond
+	// startTries is how often a start without an answer is sent before the run is given up.
+	startTries = 3
+	// orderRetryPause is the pause before an order is sent again.
+	orderRetryPause = 100 * time.Millisecond
+	// maxOrderRetryPause bounds the pause, which doubles.
+	maxOrderRetryPause = time.Second
+	// refusedPause is how long a worker that refused a start gets no other.
+	refusedPause = time.Second
+	// restartPause is how long a step waits after a start that failed.
+	restartPause = 100 * time.Millisecond
+)
+
+// orderStart sends a start that is in the store. The caller holds the lock.
+func (t *Term) orderStart(ctx context.Context, r *jobstate.Run, now time.Time) {
+	w := r.Worker
+	a := t.agents[w.ID]
+	if a == nil || a.worker != w || !t.cluster.Accepts(w, now) || t.fenced {
+		t.cluster.End(r, jobstate.EndVoid, "", now)
+		return
+	}
+	r.Phase = jobstate.Ordered
+	r.Sent = true
+	s := r.Task.Step
+	events.Info(t.o.Log, events.RunOrdered, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
+		zap.String("worker", w.ID), zap.String("zone", w.Zone), zap.String("rack", w.Rack),
+		zap.Duration("waited", now.Sub(s.ReadyAt)), zap.Duration("worker_heard_ago", now.Sub(a.lastHeard)))
+	order := workerapi.Start{
+		Task: r.Task.Name().String(), Run: r.Number, Payload: s.Occurrence.Job.Submission.Payload,
+		Token: t.o.Token, Checkpoint: s.StartFrom(r.Task),
+	}
+	a.nudge()
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		t.start(ctx, a, r, order)
+	}()
+}
+
+// start sends the order until its outcome is known, or gives the run up.
+func (t *Term) start(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Start) {
+	uncertain := false
+	for try := 1; ctx.Err() == nil; try++ {
+		t.mu.Lock()
+		if r.Phase == jobstate.Stopping || t.agents[a.worker.ID] != a {
+			t.mu.Unlock()
+			return
+		}
+		now := time.Now()
+		order.LeaseUntil = a.leaseUntil(now)
+		target := a.target()
+		t.mu.Unlock()
+
+		call, cancel := context.WithTimeout(ctx, orderBound)
+		clock, err := t.o.Workers.Start(call, target, order)
+		cancel()
+		if err == nil {
+			t.startConfirmed(a, r, clock)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, workerapi.ErrFenced) {
+			t.over("worker " + a.worker.ID + " has seen a higher token")
+			return
+		}
+		if workerapi.Definite(err) && !uncertain {
+			t.startRefused(a, r, err)
+			return
+		}
+		uncertain = true
+		if errors.Is(err, workerapi.ErrOldRun) || try == startTries || workerapi.Definite(err) {
+			t.startUncertain(ctx, a, r, err)
+			return
+		}
+		wait.For(ctx, orderRetryPause)
+	}
+}
+
+func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	a.heard(clock, now)
+	if r.Worker == a.worker && r.StartedAt.IsZero() {
+		if _, there := a.worker.Runs[r]; there {
+			t.confirm(r, now)
+			t.kick()
+		}
+	}
+}
+
+// startRefused ends a run that was surely never started.
+func (t *Term) startRefused(a *agent, r *jobstate.Run, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, there := a.worker.Runs[r]; !there {
+		return
+	}
+	now := time.Now()
+	events.Warn(t.o.Log, events.StartRefused, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
+		zap.String("worker", a.worker.ID), zap.Error(err))
+	a.worker.Suspect = later(a.worker.Suspect, now.Add(refusedPause))
+	r.Task.Step.NotBefore = now.Add(restartPause)
+	if errors.Is(err, workerapi.ErrOtherLife) {
+		t.dropWorker(a.worker, "another life answers at its address", now)
+		t.kick()
+		return
+	}
+	t.cluster.End(r, jobstate.EndVoid, "", now)
+	t.kick()
+}
+
+// startUncertain stops a run that may have been started, or may be started later.
+func (t *Term) startUncertain(ctx context.Context, a *agent, r *jobstate.Run, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, there := a.worker.Runs[r]; !there || r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() {
+		return
+	}
+	now := time.Now()
+	events.Warn(t.o.Log, events.StartUncertain, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
+		zap.String("worker", a.worker.ID), zap.Error(err))
+	a.worker.Suspect = later(a.worker.Suspect, now.Add(suspectAfterSilence))
+	r.Phase = jobstate.Stopping
+	r.StopReason = "start without an answer"
+	t.orderStop(ctx, r)
+	t.kick()
+}
+
+// orderStop sends a stop until the worker answers or its lease has run out. The caller
+// holds the lock and has set the phase of the run to Stopping.
+func (t *Term) orderStop(ctx context.Context, r *jobstate.Run) {
+	w := r.Worker
+	a := t.agents[w.ID]
+	if a == nil || a.worker != w {
+		return
+	}
+	t.stopped.Inc(1)
+	order := workerapi.Stop{Task: r.Task.Name().String(), Run: r.Number, Token: t.o.Token}
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		t.stop(ctx, a, r, order)
+	}()
+}
+
+func (t *Term) stop(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Stop) {
+	pause := orderRetryPause
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		_, there := a.worker.Runs[r]
+		target := a.target()
+		t.mu.Unlock()
+		if !there {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, orderBound)
+		_, err := t.o.Workers.Stop(call, target, order)
+		cancel()
+		if err == nil {
+			t.mu.Lock()
+			r.Rejected = time.Now()
+			a.nudge()
+			t.mu.Unlock()
+			return
+		}
+		if errors.Is(err, workerapi.ErrFenced) {
+			t.over("worker " + a.worker.ID + " has seen a higher token")
+			return
+		}
+		wait.For(ctx, pause)
+		pause = min(2*pause, maxOrderRetryPause)
+	}
+}
--- /dev/null
+++ b/jobowner/report.go
@@ -0,0 +1,178 @@
+package jobowner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// runKey names a run on a worker.
+type runKey struct {
+	task   string
+	number int
+}
+
+// apply takes a report in. sent is when it was asked for. The caller holds the lock.
+func (a *agent) apply(report workerapi.Report, sent time.Time) {
+	t, w, now := a.t, a.worker, time.Now()
+	if report.Life != 0 && w.Life != 0 && report.Life != w.Life {
+		t.dropWorker(w, "report of another life", now)
+		return
+	}
+	a.heard(report.Clock, now)
+	runs := make(map[runKey]*jobstate.Run, len(w.Runs))
+	for r := range w.Runs {
+		runs[runKey{r.Task.Name().String(), r.Number}] = r
+	}
+	present := make(map[*jobstate.Run]bool, len(report.Running))
+	strays := map[string]bool{}
+	for n := range report.Running {
+		row := &report.Running[n]
+		if r := runs[runKey{row.Task, row.Run}]; r != nil {
+			present[r] = true
+			t.noteRunning(r, row, now)
+			continue
+		}
+		strays[row.Task] = true
+		t.stopStray(a, row.Task, row.Run)
+	}
+	for _, e := range report.Ended {
+		if e.Sequence <= a.applied {
+			continue
+		}
+		a.applied = e.Sequence
+		if r := runs[runKey{e.Task, e.Run}]; r != nil {
+			t.noteEnd(r, e, now)
+		}
+	}
+	for task := range w.Strays {
+		if !strays[task] {
+			w.RemoveStray(task)
+		}
+	}
+	t.noteAbsent(w, present, sent, now)
+	t.kick()
+}
+
+// heard notes an answer of the worker. The caller holds the lock.
+func (a *agent) heard(clock int64, now time.Time) {
+	if !a.worker.Heard {
+		a.worker.Heard = true
+		events.Info(a.t.o.Log, events.WorkerHeard, zap.String("worker", a.worker.ID), zap.Int64("life", a.worker.Life))
+	}
+	a.failures = 0
+	a.lastHeard = now
+	if a.clockAt.IsZero() || clock > a.clock {
+		a.clock, a.clockAt = clock, now
+	}
+}
+
+func (t *Term) noteRunning(r *jobstate.Run, row *workerapi.RunStatus, now time.Time) {
+	if r.StartedAt.IsZero() {
+		t.confirm(r, now)
+	}
+	if row.Percent != r.Percent {
+		r.Percent = row.Percent
+		r.PercentAt = now
+	}
+	r.Load = row.Load
+	r.Task.NoteCheckpoint(row.Checkpoint)
+}
+
+// confirm notes that the worker has started the run.
+func (t *Term) confirm(r *jobstate.Run, now time.Time) {
+	r.Confirm(now)
+	t.started.Inc(1)
+	t.startWait.Update(now.Sub(r.Task.Step.ReadyAt))
+}
+
+func (t *Term) noteEnd(r *jobstate.Run, e workerapi.EndedRun, now time.Time) {
+	if r.StartedAt.IsZero() {
+		t.confirm(r, now)
+	}
+	events.Info(t.o.Log, events.RunEnded, zap.String("task", e.Task), zap.Int("run", e.Run), zap.String("worker", r.Worker.ID),
+		zap.String("how", string(e.How)), zap.Duration("after", now.Sub(r.StartedAt)))
+	t.judge(r, e.How, now)
+	t.cluster.End(r, e.How, e.Checkpoint, now)
+}
+
+// judge keeps count of failures of the worker that follow each other.
+func (t *Term) judge(r *jobstate.Run, how jobstate.End, now time.Time) {
+	w := r.Worker
+	switch how {
+	case jobstate.EndDone:
+		w.FailStreak = 0
+	case jobstate.EndFailed:
+		w.FailStreak++
+		if w.FailStreak >= failuresToAvoid {
+			pause := min(avoidPause<<(w.FailStreak-failuresToAvoid), maxAvoidPause)
+			w.Suspect = later(w.Suspect, now.Add(pause))
+			events.Warn(t.o.Log, events.WorkerAvoided, zap.String("worker", w.ID), zap.Int("failures", w.FailStreak), zap.Duration("for", pause))
+		}
+	}
+}
+
+const (
+	// failuresToAvoid is how many failed runs in a row make a worker suspect.
+	failuresToAvoid = 2
+	// avoidPause is how long a suspect worker gets no work at first; it doubles with each
+	// further failure.
+	avoidPause = 2 * time.Second
+	// maxAvoidPause bounds the pause.
+	maxAvoidPause = 16 * time.Second
+)
+
+// noteAbsent ends runs that the worker does not know. Only runs whose fate was settled
+// before the report was asked for count: answers may overtake each other.
+func (t *Term) noteAbsent(w *jobstate.Worker, present map[*jobstate.Run]bool, sent, now time.Time) {
+	for r := range w.Runs {
+		if present[r] || r.Phase == jobstate.Planned {
+			continue
+		}
+		switch {
+		case !r.Rejected.IsZero() && r.Rejected.Before(sent):
+			t.endAbsent(r, jobstate.EndVoid, now)
+		case !r.Sent && r.StartedAt.IsZero():
+			// Ordered by a former owner, whose token the worker does not accept any more.
+			t.endAbsent(r, jobstate.EndVoid, now)
+		case !r.StartedAt.IsZero() && r.StartedAt.Before(sent):
+			t.endAbsent(r, jobstate.EndLapsed, now)
+		}
+	}
+}
+
+func (t *Term) endAbsent(r *jobstate.Run, how jobstate.End, now time.Time) {
+	events.Info(t.o.Log, events.RunAbsent, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
+		zap.String("worker", r.Worker.ID), zap.String("taken_for", string(how)))
+	t.cluster.End(r, how, "", now)
+}
+
+// stopStray stops a run that belongs to no current run of this state, and accounts for its
+// room until it is gone. The caller holds the lock.
+func (t *Term) stopStray(a *agent, task string, number int) {
+	var room workload.Amount
+	if name, err := workload.ParseTaskName(task); err == nil {
+		if j := t.cluster.Jobs[name.Job]; j != nil && name.Step < len(j.Submission.Steps) {
+			room = j.Submission.Steps[name.Step].Room()
+		}
+	}
+	a.worker.AddStray(task, room)
+	events.Warn(t.o.Log, events.StrayRun, zap.String("task", task), zap.Int("run", number), zap.String("worker", a.worker.ID))
+	order := workerapi.Stop{Task: task, Run: number, Token: t.o.Token}
+	target := a.target()
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), orderBound)
+		defer cancel()
+		if _, err := t.o.Workers.Stop(ctx, target, order); err != nil {
+			t.o.Log.Debug("stray run not stopped", zap.String("task", task), zap.Error(err))
+		}
+	}()
+}
--- /dev/null
+++ b/jobowner/term.go
@@ -0,0 +1,236 @@
+// Package jobowner runs the jobs of a domain during one term of ownership: it follows the
+// accepted jobs and the workers, lets the policy decide, writes each decision to the store
+// before it gives the order, and keeps the leases of the workers.
+package jobowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/placement"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Options configures a Term.
+type Options struct {
+	Store   metastore.Store
+	Workers workerapi.Client
+	Log     *zap.Logger
+	Metrics metrics.Registry
+
+	Token      uint64              // fencing token of the term
+	Fence      metastore.Condition // holds as long as the term is not over
+	Config     func() *workload.Config
+	InTouch    func() bool // whether the ownership was confirmed recently enough to renew leases
+	Wall       func() time.Time
+	MaxLease   time.Duration // longest lease of a worker
+	Placement  placement.Options
+	KeepEnded  time.Duration // how long an ended job stays known
+	StoreBound time.Duration // longest wait for one answer of the store
+}
+
+// Timing of a term.
+const (
+	// decisionInterval is the least time between two decisions; what arrives meanwhile is
+	// decided and written together, which keeps the writes to the store few.
+	decisionInterval = 10 * time.Millisecond
+	// idleInterval is the longest time between two decisions.
+	idleInterval = 250 * time.Millisecond
+	// clockDrift is by how much a worker's clock may be slow.
+	clockDrift = 0.02
+	// leaseMargin is added to each estimate of when a lease has run out.
+	leaseMargin = 250 * time.Millisecond
+	// predecessorHold is how long after the start of a term a former owner that is cut off
+	// from the store may still renew leases.
+	predecessorHold = RenewWithout
+	// RenewWithout is how long an owner renews leases of workers without being confirmed by
+	// the store. It bridges an outage of the store together with the length of the lease.
+	RenewWithout = 6 * time.Second
+	// missingGrace is how long a worker without an entry may be between two entries: entries
+	// that lapsed in an outage of the store are back within two seconds of its return.
+	missingGrace = 2500 * time.Millisecond
+)
+
+// Term is one term of ownership.
+type Term struct {
+	o      Options
+	policy *placement.Policy
+	began  time.Time
+
+	mu      sync.Mutex
+	cluster *jobstate.Cluster
+	agents  map[string]*agent
+	missing map[*jobstate.Worker]time.Time // since when a worker has no entry
+	records map[string]storedRecord        // read at the start, of jobs that are not known yet
+	early   map[string]bool                // cancelled before the job was known
+	nextDue int64                          // Unix milliseconds of the next occurrence; 0 for none
+	fenced  bool
+	loaded  bool
+
+	wake   chan struct{}
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	decisions metrics.Timer
+	commits   metrics.Timer
+	startWait metrics.Timer
+	started   metrics.Counter
+	stopped   metrics.Counter
+}
+
+type storedRecord struct {
+	record   *workload.Record
+	revision uint64
+}
+
+// New returns a term that Run begins.
+func New(o Options) *Term {
+	return &Term{
+		o: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
+		agents: map[string]*agent{}, missing: map[*jobstate.Worker]time.Time{},
+		records: map[string]storedRecord{}, early: map[string]bool{},
+		wake:      make(chan struct{}, 1),
+		decisions: metrics.GetOrRegisterTimer("owner.decision", o.Metrics),
+		commits:   metrics.GetOrRegisterTimer("owner.commit", o.Metrics),
+		startWait: metrics.GetOrRegisterTimer("owner.accepted_to_started", o.Metrics),
+		started:   metrics.GetOrRegisterCounter("owner.runs_started", o.Metrics),
+		stopped:   metrics.GetOrRegisterCounter("owner.runs_stopped", o.Metrics),
+	}
+}
+
+// Run reads the stored progress, follows jobs through the mirror options that Jobs returns
+// and decides until ctx ends or the term is over. All calls have returned when it returns.
+func (t *Term) Run(ctx context.Context, follow ...func(context.Context)) error {
+	ctx, t.cancel = context.WithCancel(ctx)
+	defer t.cancel()
+	t.began = time.Now()
+	if err := t.load(ctx); err != nil {
+		return err
+	}
+	for _, f := range follow {
+		t.tasks.Add(1)
+		go func() {
+			defer t.tasks.Done()
+			f(ctx)
+		}()
+	}
+	t.loop(ctx)
+	t.cancel()
+	t.tasks.Wait()
+	return nil
+}
+
+// load reads the records of all jobs. They do not change any more: every write of a former
+// owner has the condition that its term is not over.
+func (t *Term) load(ctx context.Context) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, 2*t.o.StoreBound)
+		items, _, err := metastore.RangeAll(call, t.o.Store, RecordPrefix)
+		cancel()
+		if err == nil {
+			t.keepRecords(items)
+			return nil
+		}
+		t.o.Log.Warn("records not read", zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (t *Term) keepRecords(items []metastore.Item) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, item := range items {
+		id := item.Key[len(RecordPrefix):]
+		record, err := workload.DecodeRecord(item.Value)
+		if err != nil {
+			t.o.Log.Error("job record unreadable", zap.String("job", id), zap.Error(err))
+			continue
+		}
+		t.records[id] = storedRecord{record, item.Revision}
+	}
+}
+
+// kick makes the loop decide soon.
+func (t *Term) kick() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// over ends the term: another owner has a higher token.
+func (t *Term) over(reason string) {
+	t.mu.Lock()
+	first := !t.fenced
+	t.fenced = true
+	t.mu.Unlock()
+	if first {
+		events.Warn(t.o.Log, events.TermOver, zap.Uint64("token", t.o.Token), zap.String("reason", reason))
+	}
+	t.cancel()
+}
+
+// Cluster calls f with the state, which f must not keep.
+func (t *Term) Cluster(f func(*jobstate.Cluster)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(t.cluster)
+}
+
+// State returns what the store shows of the job.
+func (t *Term) State(id string) (workload.State, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	j := t.cluster.Jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.Shown, true
+}
+
+// Loaded notes that all jobs that were accepted before the term are known.
+func (t *Term) Loaded(time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loaded = true
+}
+
+// Pending returns how many accepted jobs of the route have not begun. ok is false until
+// the term knows all jobs.
+func (t *Term) Pending(route string) (n int, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.loaded {
+		return 0, false
+	}
+	for _, j := range t.cluster.Jobs {
+		if j.Queue() == route && !j.Started && !j.State.Ended() {
+			n++
+		}
+	}
+	return n, true
+}
+
+// Evacuate sets whether the data centre gets no new work.
+func (t *Term) Evacuate(dataCentre string, evacuated bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if evacuated {
+		t.cluster.Evacuated[dataCentre] = true
+	} else {
+		delete(t.cluster.Evacuated, dataCentre)
+	}
+	t.kick()
+}
--- /dev/null
+++ b/jobservice/peer.go
@@ -0,0 +1,32 @@
+package jobservice
+
+import (
+	"context"
+
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
+	"github.com/cyclamenyard/cyclamenyard/relay"
+)
+
+// Query implements the peer protocol: it answers as owner or not at all.
+func (s *Service) Query(_ context.Context, q *relay.QueryRequest) (*relay.QueryReply, error) {
+	term := s.o.Term()
+	if term == nil {
+		return &relay.QueryReply{}, nil
+	}
+	if q.Job == "" {
+		n, ok := term.Pending(q.Route)
+		return &relay.QueryReply{Owner: ok, Pending: int64(n)}, nil
+	}
+	state, known := term.State(q.Job)
+	return &relay.QueryReply{Owner: true, Known: known, State: string(state)}, nil
+}
+
+// SubmitFor implements the peer protocol.
+func (s *Service) SubmitFor(ctx context.Context, r *relay.SubmitRequest) (*relay.OutcomeReply, error) {
+	return &relay.OutcomeReply{Outcome: s.write(ctx, jobowner.JobKey(r.Job), r.Submission)}, nil
+}
+
+// CancelFor implements the peer protocol.
+func (s *Service) CancelFor(ctx context.Context, r *relay.CancelRequest) (*relay.OutcomeReply, error) {
+	return &relay.OutcomeReply{Outcome: s.writeCancel(ctx, r.Job)}, nil
+}
--- /dev/null
+++ b/metastore/mirror.go
@@ -0,0 +1,196 @@
+package metastore
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
+)
+
+const (
+	// answerSlack is how much longer than its wait a watch may take before its connection
+	// is taken for dead. It covers a store that answers 60 times slower than its 4 ms.
+	answerSlack = 900 * time.Millisecond
+	// retryPause is the pause after a failed call. Calls are priced, refused ones too.
+	retryPause = 150 * time.Millisecond
+	// maxRetryPause bounds the pause, so that a change is seen soon after an outage.
+	maxRetryPause = 400 * time.Millisecond
+)
+
+// MirrorOptions configures a Mirror.
+type MirrorOptions struct {
+	Store  Store
+	Prefix string
+	Wait   time.Duration // of one watch call
+	Log    *zap.Logger
+	// Apply gets each change once, in the order of revisions of a key. first is true for
+	// the changes of the first full read.
+	Apply func(change Change)
+	// Synced is called after each successful call, with the time at which it was sent.
+	Synced func(sent time.Time)
+}
+
+// Mirror follows the keys with a prefix. It reads the range once and then watches; after
+// a compacted history it reads the range again and reports what was removed meanwhile.
+// Revisions of a key never go back.
+type Mirror struct {
+	o MirrorOptions
+
+	mu        sync.Mutex
+	revisions map[string]uint64
+	reachable bool
+	contact   time.Time // start of the last call that was answered
+}
+
+// NewMirror returns a mirror that Run fills.
+func NewMirror(o MirrorOptions) *Mirror {
+	return &Mirror{o: o, revisions: make(map[string]uint64), reachable: true}
+}
+
+// Reachable reports whether the last call was answered.
+func (m *Mirror) Reachable() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reachable
+}
+
+// Contact returns when the last answered call was sent.
+func (m *Mirror) Contact() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.contact
+}
+
+// Run follows the range until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	var after uint64
+	loaded := false
+	failures := 0
+	for ctx.Err() == nil {
+		var err error
+		if !loaded {
+			after, err = m.load(ctx)
+			loaded = err == nil
+		} else {
+			after, err = m.watch(ctx, after)
+			if errors.Is(err, ErrCompacted) {
+				loaded, err = false, nil
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		m.note(err)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		failures++
+		pause := min(retryPause*time.Duration(failures), maxRetryPause)
+		wait.For(ctx, pause/2+rand.N(pause))
+	}
+}
+
+func (m *Mirror) load(ctx context.Context) (uint64, error) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, m.o.Wait+answerSlack)
+	defer cancel()
+	items, asOf, err := RangeAll(ctx, m.o.Store, m.o.Prefix)
+	if err != nil {
+		return 0, err
+	}
+	m.Merge(items, asOf)
+	m.synced(sent)
+	return asOf, nil
+}
+
+// Merge takes in all items of the range as of a revision.
+func (m *Mirror) Merge(items []Item, asOf uint64) {
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		present[item.Key] = true
+		m.apply(Change{Item: item})
+	}
+	for _, key := range m.missing(present, asOf) {
+		m.apply(Change{Item: Item{Key: key, Revision: asOf}, Removed: true})
+	}
+}
+
+// missing returns the known keys that a full read as of the revision did not hold.
+func (m *Mirror) missing(present map[string]bool, asOf uint64) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var keys []string
+	for key, revision := range m.revisions {
+		if !present[key] && revision <= asOf {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func (m *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
+	sent := time.Now()
+	call, cancel := context.WithTimeout(ctx, m.o.Wait+answerSlack)
+	defer cancel()
+	changes, asOf, err := m.o.Store.Watch(call, m.o.Prefix, after, m.o.Wait)
+	if err != nil {
+		return after, err
+	}
+	for _, change := range changes {
+		m.apply(change)
+		asOf = max(asOf, change.Revision)
+	}
+	m.synced(sent)
+	return max(after, asOf), nil
+}
+
+// apply passes a change on unless a newer one of its key is known.
+func (m *Mirror) apply(change Change) {
+	m.mu.Lock()
+	known, ok := m.revisions[change.Key]
+	if ok && change.Revision <= known && !(change.Removed && change.Revision == known) {
+		m.mu.Unlock()
+		return
+	}
+	if change.Removed {
+		delete(m.revisions, change.Key)
+	} else {
+		m.revisions[change.Key] = change.Revision
+	}
+	m.mu.Unlock()
+	if change.Removed && !ok {
+		return
+	}
+	m.o.Apply(change)
+}
+
+func (m *Mirror) synced(sent time.Time) {
+	m.mu.Lock()
+	m.contact = sent
+	m.mu.Unlock()
+	if m.o.Synced != nil {
+		m.o.Synced(sent)
+	}
+}
+
+func (m *Mirror) note(err error) {
+	m.mu.Lock()
+	changed := m.reachable != (err == nil)
+	m.reachable = err == nil
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	if err != nil {
+		events.Warn(m.o.Log, events.StoreUnreachable, zap.String("prefix", m.o.Prefix), zap.Error(err))
+		return
+	}
+	events.Info(m.o.Log, events.StoreReachable, zap.String("prefix", m.o.Prefix))
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,178 @@
+// Package node is one instance that schedules jobs over the platform's store: it serves
+// callers, follows the operator's configuration, takes part in the election of the owner
+// and, when elected, runs the jobs.
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/jobfront"
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
+	"github.com/cyclamenyard/cyclamenyard/jobservice"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/ownership"
+	"github.com/cyclamenyard/cyclamenyard/peer"
+	"github.com/cyclamenyard/cyclamenyard/placement"
+	"github.com/cyclamenyard/cyclamenyard/relay"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Adapter is the platform as the product sees it.
+type Adapter struct {
+	Store   metastore.Store
+	Workers workerapi.Client
+	Wire    jobfront.Wire
+
+	OperatorPrefix string // keys that the operator writes
+	WorkersPrefix  string // keys that workers write
+	IsConfig       func(key string) bool
+	DecodeConfig   func(value []byte) (*workload.Config, error)
+	Evacuated      func(key string) (dataCentre string, ok bool)
+	DecodeWorker   func(key string, value []byte) (workerapi.Entry, error)
+	WorkerID       func(key string) string
+	ReadyPath      string
+}
+
+// Options configures a Node.
+type Options struct {
+	Adapter    Adapter
+	Instance   string
+	DataCentre string
+	CPUShare   float64 // cores
+
+	Callers, Ready, Peers, Admin net.Listener
+
+	MaxLease  time.Duration // longest lease of a worker
+	Grace     time.Duration // between the order to stop and the end of the process
+	KeepEnded time.Duration // how long an ended job stays known
+	Placement placement.Options
+
+	Log     *zap.Logger
+	Metrics metrics.Registry
+}
+
+// Timing of an instance.
+const (
+	// watchWait is how long a watch may wait. A connection that went silent is noticed after
+	// that, well within the time in which a configuration must be in force.
+	watchWait = 2 * time.Second
+	// storeBound is the longest wait of the owner for one answer of the store.
+	storeBound = 700 * time.Millisecond
+)
+
+// Node is one instance.
+type Node struct {
+	o        Options
+	log      *zap.Logger
+	operator *operator
+	elector  *ownership.Elector
+	members  *metastore.Mirror
+	jobs     *jobservice.Service
+	front    *jobfront.Server
+	clients  *peer.Clients
+	term     atomic.Pointer[jobowner.Term]
+	draining atomic.Bool
+}
+
+// New returns a node that Run starts.
+func New(o Options) *Node {
+	n := &Node{o: o, log: o.Log, clients: peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})}
+	n.operator = newOperator(n)
+	n.elector = ownership.New(ownership.Options{
+		Store: o.Adapter.Store, Self: ownership.Instance{Name: o.Instance, Address: o.Peers.Addr().String()},
+		CPUShare: o.CPUShare, Log: o.Log, Lead: n.lead,
+	})
+	n.members = metastore.NewMirror(metastore.MirrorOptions{
+		Store: o.Adapter.Store, Prefix: ownership.Prefix, Wait: watchWait, Log: o.Log,
+		Apply: n.elector.Apply, Synced: n.elector.Synced,
+	})
+	n.jobs = jobservice.New(jobservice.Options{
+		Store: o.Adapter.Store, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
+		Term: n.currentTerm,
+		Peer: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
+	})
+	n.front = jobfront.New(jobfront.Options{Wire: o.Adapter.Wire, Jobs: n.jobs, Config: n.operator.current, Log: o.Log, Metrics: o.Metrics})
+	return n
+}
+
+func (n *Node) currentTerm() jobservice.Term {
+	if t := n.term.Load(); t != nil {
+		return t
+	}
+	return nil
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	run := func(f func(context.Context), ctx context.Context) {
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			f(ctx)
+		}()
+	}
+	run(n.operator.run, background)
+	run(n.members.Run, background)
+	run(n.elector.Announce, background)
+	run(n.elector.Run, ctx) // hands the ownership over as soon as the node is to stop
+	run(n.servePeers, background)
+	err := n.serve(ctx)
+	stopBackground()
+	tasks.Wait()
+	if closeErr := n.clients.Close(); closeErr != nil {
+		n.log.Debug("connections to peers not closed", zap.Error(closeErr))
+	}
+	return err
+}
+
+// lead runs one term of ownership.
+func (n *Node) lead(ctx context.Context, token uint64, fence metastore.Condition) {
+	a := n.o.Adapter
+	term := jobowner.New(jobowner.Options{
+		Store: a.Store, Workers: a.Workers, Log: n.log, Metrics: n.o.Metrics, Token: token, Fence: fence,
+		Config: n.operator.config, Wall: time.Now, MaxLease: n.o.MaxLease, Placement: n.o.Placement,
+		InTouch:   func() bool { return n.elector.ConfirmedWithin(jobowner.RenewWithout) },
+		KeepEnded: n.o.KeepEnded, StoreBound: storeBound,
+	})
+	n.operator.attach(term)
+	n.term.Store(term)
+	defer func() {
+		n.term.Store(nil)
+		n.operator.attach(nil)
+	}()
+	intake := metastore.NewMirror(metastore.MirrorOptions{
+		Store: a.Store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Apply: term.OnIntake, Synced: term.Loaded,
+	})
+	workers := metastore.NewMirror(metastore.MirrorOptions{
+		Store: a.Store, Prefix: a.WorkersPrefix, Wait: watchWait, Log: n.log,
+		Apply: func(change metastore.Change) { n.onWorker(term, change) },
+	})
+	if err := term.Run(ctx, intake.Run, workers.Run); err != nil && ctx.Err() == nil {
+		n.log.Error("term ended", zap.Error(err))
+	}
+}
+
+func (n *Node) onWorker(term *jobowner.Term, change metastore.Change) {
+	id := n.o.Adapter.WorkerID(change.Key)
+	if change.Removed {
+		term.OnWorkerGone(id)
+		return
+	}
+	entry, err := n.o.Adapter.DecodeWorker(change.Key, change.Value)
+	if err != nil {
+		n.log.Warn("entry names no worker to use", zap.Error(err))
+		term.OnWorkerGone(id)
+		return
+	}
+	term.OnWorker(entry)
+}
--- /dev/null
+++ b/node/operator.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/relay"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+const (
+	// askInterval is the time between two questions to peers while the store turns this
+	// instance away.
+	askInterval = 400 * time.Millisecond
+	// askBound is the longest wait for a peer's answer.
+	askBound = 300 * time.Millisecond
+)
+
+// operator follows what the operator writes: through the store or, while the store turns
+// this instance away, through peers. Versions never go back.
+type operator struct {
+	n      *Node
+	mirror *metastore.Mirror
+	// inForce is read without the lock: a term reads it under its own lock, while changes
+	// are passed to the term under the lock below.
+	inForce atomic.Pointer[workload.Config]
+
+	mu        sync.Mutex
+	items     map[string]metastore.Item
+	asOf      uint64
+	evacuated map[string]bool
+	term      *jobowner.Term
+	contact   time.Time
+}
+
+func newOperator(n *Node) *operator {
+	o := &operator{n: n, items: map[string]metastore.Item{}, evacuated: map[string]bool{}}
+	o.mirror = metastore.NewMirror(metastore.MirrorOptions{
+		Store: n.o.Adapter.Store, Prefix: n.o.Adapter.OperatorPrefix, Wait: watchWait, Log: n.log,
+		Apply: o.apply, Synced: o.synced,
+	})
+	return o
+}
+
+func (o *operator) run(ctx context.Context) {
+	var asking sync.WaitGroup
+	asking.Go(func() { o.askWhileCutOff(ctx) })
+	o.mirror.Run(ctx)
+	asking.Wait()
+}
+
+func (o *operator) synced(sent time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.contact = sent
+}
+
+// config returns the configuration in force, or nil.
+func (o *operator) config() *workload.Config {
+	return o.inForce.Load()
+}
+
+func (o *operator) current() (*workload.Config, time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.inForce.Load(), o.contact
+}
+
+// attach tells the term what is in force now and what changes later.
+func (o *operator) attach(term *jobowner.Term) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.term = term
+	if term == nil {
+		return
+	}
+	for zone := range o.evacuated {
+		term.Evacuate(zone, true)
+	}
+}
+
+func (o *operator) apply(change metastore.Change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.asOf = max(o.asOf, change.Revision)
+	if change.Removed {
+		delete(o.items, change.Key)
+	} else {
+		o.items[change.Key] = change.Item
+	}
+	if zone, ok := o.n.o.Adapter.Evacuated(change.Key); ok {
+		o.evacuate(zone, !change.Removed, change.Revision)
+		return
+	}
+	if o.n.o.Adapter.IsConfig(change.Key) && !change.Removed {
+		o.install(change.Item)
+	}
+}
+
+func (o *operator) evacuate(zone string, out bool, revision uint64) {
+	if out {
+		o.evacuated[zone] = true
+	} else {
+		delete(o.evacuated, zone)
+	}
+	events.Info(o.n.log, events.ConfigInForce, zap.Uint64("revision", revision), zap.String("data_centre", zone), zap.Bool("evacuated", out))
+	if o.term != nil {
+		o.term.Evacuate(zone, out)
+	}
+}
+
+func (o *operator) install(item metastore.Item) {
+	config, err := o.n.o.Adapter.DecodeConfig(item.Value)
+	if err != nil {
+		events.Warn(o.n.log, events.ConfigUnreadable, zap.String("key", item.Key), zap.Uint64("revision", item.Revision), zap.Error(err))
+		return
+	}
+	if old := o.inForce.Load(); old != nil && config.Version < old.Version {
+		events.Warn(o.n.log, events.StaleReadIgnored, zap.Int64("version", config.Version), zap.Int64("in_force", old.Version))
+		return
+	}
+	o.inForce.Store(config)
+	events.Info(o.n.log, events.ConfigInForce, zap.Int64("version", config.Version), zap.Uint64("revision", item.Revision),
+		zap.Int("routes", len(config.Routes)), zap.Int("workspaces", len(config.Workspaces)))
+	if o.term != nil {
+		o.term.OnConfig()
+	}
+}
+
+// snapshot returns what a peer needs that has read up to the revision.
+func (o *operator) snapshot(after uint64) *relay.OperatorReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	reply := &relay.OperatorReply{Revision: o.asOf, AgeMs: time.Since(o.contact).Milliseconds()}
+	if o.asOf <= after || o.inForce.Load() == nil {
+		return reply
+	}
+	for _, key := range slices.Sorted(maps.Keys(o.items)) {
+		item := o.items[key]
+		reply.Items = append(reply.Items, &relay.OperatorItem{Key: key, Value: item.Value, Revision: item.Revision})
+	}
+	return reply
+}
+
+// askWhileCutOff asks peers for what the operator wrote as long as the store does not
+// answer this instance.
+func (o *operator) askWhileCutOff(ctx context.Context) {
+	for wait.For(ctx, askInterval) {
+		if o.mirror.Reachable() {
+			continue
+		}
+		for _, p := range o.n.elector.Peers() {
+			if ctx.Err() != nil || o.askPeer(ctx, p.Address) {
+				break
+			}
+		}
+	}
+}
+
+// askPeer takes in what the peer knows. It returns whether the peer is in contact with the
+// store itself.
+func (o *operator) askPeer(ctx context.Context, address string) bool {
+	o.mu.Lock()
+	after := o.asOf
+	o.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, askBound)
+	defer cancel()
+	reply, err := relay.NewDRPCRelayClient(o.n.clients.Conn(address)).Operator(call, &relay.OperatorRequest{After: after})
+	if err != nil {
+		o.n.log.Debug("peer not asked for the configuration", zap.String("peer", address), zap.Error(err))
+		return false
+	}
+	if len(reply.Items) > 0 {
+		items := make([]metastore.Item, len(reply.Items))
+		for n, i := range reply.Items {
+			items[n] = metastore.Item{Key: i.Key, Value: i.Value, Revision: i.Revision}
+		}
+		o.mirror.Merge(items, reply.Revision)
+	}
+	return reply.AgeMs < (watchWait + time.Second).Milliseconds()
+}
--- /dev/null
+++ b/ownership/ownership.go
@@ -0,0 +1,379 @@
+// Package ownership elects one instance as owner of the domain. The owner holds a key in
+// the platform's store under a lease; the revision at which the key was created is its
+// fencing token. Safety does not depend on any timer: workers refuse older tokens, and each
+// write of an owner has the condition that its key is still there.
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+)
+
+// Keys of the members.
+const (
+	Prefix       = "cy/member/"
+	ownerKey     = Prefix + "owner"
+	instancesKey = Prefix + "instance/"
+)
+
+// Timing of elections.
+const (
+	// ownerTTL bounds how long a dead owner blocks its successor.
+	ownerTTL = 2 * time.Second
+	// renewInterval leaves two further tries before the lease ends.
+	renewInterval = 600 * time.Millisecond
+	// callBound is the longest wait for one answer of the store.
+	callBound = 600 * time.Millisecond
+	// retryPause is the pause after a failed try.
+	retryPause = 200 * time.Millisecond
+	// instanceTTL bounds how long a dead instance is listed.
+	instanceTTL = 10 * time.Second
+	// instanceInterval is the time between renewals of an instance's own entry.
+	instanceInterval = 3 * time.Second
+	// handicap delays the candidacy of an instance, divided by its share of a core, so that
+	// instances on strong machines win.
+	handicap = 8 * time.Millisecond
+	// maxJitter spreads candidates of equal strength.
+	maxJitter = 15 * time.Millisecond
+)
+
+// Instance is a member of the system.
+type Instance struct {
+	Name    string `json:"name"`
+	Address string `json:"address"` // for calls of other instances
+}
+
+// Owner is the elected instance.
+type Owner struct {
+	Instance
+	Token uint64 `json:"-"` // fencing token
+}
+
+type ownerValue struct {
+	Instance
+	Nonce uint64 `json:"nonce"` // tells a lost answer from another candidate's success
+}
+
+// Options configures an Elector.
+type Options struct {
+	Store    metastore.Store
+	Self     Instance
+	CPUShare float64 // cores that this instance may use
+	Log      *zap.Logger
+	// Lead runs one term. It returns when its context ends or the term is over.
+	Lead func(ctx context.Context, token uint64, fence metastore.Condition)
+}
+
+// Elector follows the members and stands for election whenever there is no owner.
+type Elector struct {
+	o Options
+
+	mu        sync.Mutex
+	known     bool // the members were read at least once
+	owner     Owner
+	instances map[string]Instance
+	confirmed time.Time // when the newest successful renewal was sent
+	wake      chan struct{}
+}
+
+// New returns an elector. Its mirror feeds Apply.
+func New(o Options) *Elector {
+	return &Elector{o: o, instances: map[string]Instance{}, wake: make(chan struct{}, 1)}
+}
+
+// Apply takes in a change under Prefix.
+func (e *Elector) Apply(change metastore.Change) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if change.Key == ownerKey {
+		e.applyOwner(change)
+		e.kick()
+		return
+	}
+	if change.Removed {
+		delete(e.instances, change.Key)
+		return
+	}
+	var i Instance
+	if err := json.Unmarshal(change.Value, &i); err != nil {
+		e.o.Log.Warn("entry of an instance unreadable", zap.String("key", change.Key), zap.Error(err))
+		return
+	}
+	e.instances[change.Key] = i
+}
+
+func (e *Elector) applyOwner(change metastore.Change) {
+	if change.Removed {
+		e.owner = Owner{}
+		return
+	}
+	var v ownerValue
+	if err := json.Unmarshal(change.Value, &v); err != nil {
+		e.o.Log.Warn("entry of the owner unreadable", zap.Error(err))
+		return
+	}
+	e.owner = Owner{Instance: v.Instance, Token: change.Created}
+	events.Info(e.o.Log, events.OwnerSeen, zap.String("owner", v.Name), zap.Uint64("token", change.Created))
+}
+
+// Synced notes that the members have been read.
+func (e *Elector) Synced(time.Time) {
+	e.mu.Lock()
+	first := !e.known
+	e.known = true
+	e.mu.Unlock()
+	if first {
+		e.kick()
+	}
+}
+
+func (e *Elector) kick() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Owner returns the owner as far as it is known.
+func (e *Elector) Owner() (Owner, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.owner, e.owner.Token != 0
+}
+
+// Peers returns the other instances.
+func (e *Elector) Peers() []Instance {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var peers []Instance
+	for _, i := range e.instances {
+		if i.Name != e.o.Self.Name {
+			peers = append(peers, i)
+		}
+	}
+	return peers
+}
+
+// ConfirmedWithin reports whether the store confirmed the ownership within d.
+func (e *Elector) ConfirmedWithin(d time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.confirmed) < d
+}
+
+// Run stands for election until ctx ends. A term in progress is handed over then.
+func (e *Elector) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !e.vacant() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-e.wake:
+			}
+			continue
+		}
+		wait.For(ctx, e.delay())
+		if ctx.Err() == nil && e.vacant() {
+			e.stand(ctx)
+		}
+	}
+}
+
+func (e *Elector) delay() time.Duration {
+	share := max(e.o.CPUShare, 0.05)
+	return time.Duration(float64(handicap)/share) + rand.N(maxJitter)
+}
+
+func (e *Elector) vacant() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known && e.owner.Token == 0
+}
+
+// stand tries to become the owner and serves the term.
+func (e *Elector) stand(ctx context.Context) {
+	sent := time.Now()
+	lease, token, err := e.win(ctx)
+	if err != nil {
+		events.Info(e.o.Log, events.OwnershipTried, zap.Error(err))
+		wait.For(ctx, retryPause)
+		return
+	}
+	e.mu.Lock()
+	e.confirmed = sent
+	e.owner = Owner{Instance: e.o.Self, Token: token}
+	e.mu.Unlock()
+	e.serve(ctx, lease, token)
+}
+
+var errLost = errors.New("another instance won")
+
+// win writes the owner's key. A lost answer is resolved by reading the key back.
+func (e *Elector) win(ctx context.Context) (lease int64, token uint64, err error) {
+	call, cancel := context.WithTimeout(ctx, callBound)
+	lease, err = e.o.Store.Grant(call, ownerTTL)
+	cancel()
+	if err != nil {
+		return 0, 0, err
+	}
+	mine := ownerValue{Instance: e.o.Self, Nonce: rand.Uint64()}
+	value, err := json.Marshal(mine)
+	if err != nil {
+		return 0, 0, err
+	}
+	call, cancel = context.WithTimeout(ctx, callBound)
+	token, err = e.o.Store.Commit(call, metastore.Txn{
+		If:   []metastore.Condition{{Key: ownerKey}},
+		Puts: []metastore.Put{{Key: ownerKey, Value: value, Lease: lease}},
+	})
+	cancel()
+	if err == nil {
+		return lease, token, nil
+	}
+	if errors.Is(err, metastore.ErrRefused) || errors.Is(err, metastore.ErrNoLease) {
+		return 0, 0, err
+	}
+	token, readErr := e.readBack(ctx, mine.Nonce)
+	if readErr != nil {
+		e.endLease(lease)
+		return 0, 0, errors.Join(err, readErr)
+	}
+	return lease, token, nil
+}
+
+func (e *Elector) readBack(ctx context.Context, nonce uint64) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	item, err := e.o.Store.Get(call, ownerKey)
+	if err != nil {
+		return 0, err
+	}
+	var v ownerValue
+	if err := json.Unmarshal(item.Value, &v); err != nil {
+		return 0, err
+	}
+	if v.Nonce != nonce {
+		return 0, errLost
+	}
+	return item.Created, nil
+}
+
+// serve runs a term and renews its lease meanwhile.
+func (e *Elector) serve(ctx context.Context, lease int64, token uint64) {
+	events.Info(e.o.Log, events.TermBegan, zap.Uint64("token", token), zap.String("instance", e.o.Self.Name))
+	term, stop := context.WithCancel(ctx)
+	var renewing sync.WaitGroup
+	renewing.Add(1)
+	go func() {
+		defer renewing.Done()
+		e.renew(term, stop, lease, token)
+	}()
+	e.o.Lead(term, token, metastore.Condition{Key: ownerKey, Revision: token})
+	stop()
+	renewing.Wait()
+	e.resign(lease, token)
+}
+
+// renew keeps the lease until the term ends, and ends the term when the store has another
+// owner or none.
+func (e *Elector) renew(ctx context.Context, stop context.CancelFunc, lease int64, token uint64) {
+	failed := false
+	for ctx.Err() == nil {
+		wait.For(ctx, renewInterval)
+		if owner, ok := e.Owner(); ctx.Err() == nil && (!ok || owner.Token != token) {
+			events.Warn(e.o.Log, events.TermOver, zap.Uint64("token", token), zap.String("reason", "the store shows another owner or none"))
+			stop()
+			return
+		}
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, callBound)
+		err := e.o.Store.KeepAlive(call, lease)
+		cancel()
+		if errors.Is(err, metastore.ErrNoLease) {
+			events.Warn(e.o.Log, events.TermOver, zap.Uint64("token", token), zap.String("reason", "lease ended"))
+			e.mu.Lock()
+			if e.owner.Token == token {
+				e.owner = Owner{}
+			}
+			e.mu.Unlock()
+			stop()
+			return
+		}
+		if err == nil {
+			e.mu.Lock()
+			e.confirmed = sent
+			e.mu.Unlock()
+		} else if !failed && ctx.Err() == nil {
+			events.Warn(e.o.Log, events.OwnershipUnconfirmed, zap.Uint64("token", token), zap.Error(err))
+		}
+		failed = err != nil
+	}
+}
+
+// resign gives the ownership up so that a successor need not wait for the lease to end.
+func (e *Elector) resign(lease int64, token uint64) {
+	e.endLease(lease)
+	e.mu.Lock()
+	if e.owner.Token == token {
+		e.owner = Owner{}
+	}
+	e.mu.Unlock()
+	e.kick()
+}
+
+func (e *Elector) endLease(lease int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), callBound)
+	defer cancel()
+	if err := e.o.Store.Revoke(ctx, lease); err != nil && !errors.Is(err, metastore.ErrNoLease) {
+		e.o.Log.Warn("lease not ended", zap.Int64("lease", lease), zap.Error(err))
+	}
+}
+
+// Announce keeps this instance's entry among the members until ctx ends.
+func (e *Elector) Announce(ctx context.Context) {
+	var lease int64
+	value, err := json.Marshal(e.o.Self)
+	if err != nil {
+		e.o.Log.Error("own entry not encoded", zap.Error(err))
+		return
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callBound)
+		if lease == 0 {
+			lease, err = e.enter(call, value)
+		} else if err = e.o.Store.KeepAlive(call, lease); errors.Is(err, metastore.ErrNoLease) {
+			lease = 0
+		}
+		cancel()
+		pause := instanceInterval
+		if err != nil {
+			pause = instanceInterval / 3
+		}
+		wait.For(ctx, pause)
+	}
+	if lease != 0 {
+		e.endLease(lease)
+	}
+}
+
+func (e *Elector) enter(ctx context.Context, value []byte) (int64, error) {
+	lease, err := e.o.Store.Grant(ctx, instanceTTL)
+	if err != nil {
+		return 0, err
+	}
+	_, err = e.o.Store.Commit(ctx, metastore.Txn{Puts: []metastore.Put{{Key: instancesKey + e.o.Self.Name, Value: value, Lease: lease}}})
+	if err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -82,6 +82,12 @@
 
 // Client returns a client of the peer at an IP address and port. It opens no connection.
 func (c *Clients) Client(address string) DRPCPeerClient {
+	return NewDRPCPeerClient(c.Conn(address))
+}
+
+// Conn returns a connection to the peer for clients of other services. Its calls share the
+// pool and the bounds of Client. It opens no connection.
+func (c *Clients) Conn(address string) drpc.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	limit := c.limits[address]
@@ -89,7 +95,7 @@
 		limit = semaphore.NewWeighted(callsPerPeer)
 		c.limits[address] = limit
 	}
-	return NewDRPCPeerClient(&clientConn{clients: c, address: address, limit: limit})
+	return &clientConn{clients: c, address: address, limit: limit}
 }
 
 // Forget drops what is kept about a peer that has left.
--- a/peer/server.go
+++ b/peer/server.go
@@ -30,6 +30,8 @@
 // ServerOptions configures a Server.
 type ServerOptions struct {
 	Handler DRPCPeerServer
+	// Register adds the calls of other services. Handler may be nil then.
+	Register func(drpc.Mux) error
 	Log     *zap.Logger
 	Metrics metrics.Registry // nil for the default registry
 }
@@ -48,8 +50,15 @@
 	if s.log == nil {
 		s.log = zap.NewNop()
 	}
-	if err := DRPCRegisterPeer(s.mux, o.Handler); err != nil {
-		return nil, err
+	if o.Handler != nil {
+		if err := DRPCRegisterPeer(s.mux, o.Handler); err != nil {
+			return nil, err
+		}
+	}
+	if o.Register != nil {
+		if err := o.Register(s.mux); err != nil {
+			return nil, err
+		}
 	}
 	return s, nil
 }
--- /dev/null
+++ b/placement/fit.go
@@ -0,0 +1,174 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// patience is the share of a step's objective that it waits for a place where it is not
+// slowed down, before it takes a slow one.
+const patience = 0.35
+
+// impatient reports whether the unit takes a place where it runs FarFactor times as long.
+func (r *round) impatient(u *unit) bool {
+	objective := u.deadline.Sub(u.step.ReadyAt)
+	return r.now.Sub(u.step.ReadyAt) >= time.Duration(patience*float64(objective))
+}
+
+// fitGang finds places for all waiting tasks of the gang.
+func (r *round) fitGang(u *unit, workers []*jobstate.Worker) ([]slot, bool) {
+	spec := u.step.Spec
+	if !spec.SameRack && spec.DataRack == "" {
+		return r.pack(u, workers)
+	}
+	if slots, ok := r.bestRack(u, workers); ok {
+		return slots, true
+	}
+	if !r.impatient(u) {
+		return nil, false
+	}
+	return r.pack(u, workers)
+}
+
+// bestRack returns places in the rack that is left with the least room. A rack with the
+// data goes first; without SameRack only that one counts.
+func (r *round) bestRack(u *unit, workers []*jobstate.Worker) ([]slot, bool) {
+	spec := u.step.Spec
+	racks := byRack(workers)
+	if spec.DataRack != "" {
+		if slots, ok := r.pack(u, racks[spec.DataRack]); ok {
+			return slots, true
+		}
+		if !r.impatient(u) {
+			return nil, false
+		}
+	}
+	if !spec.SameRack {
+		return nil, false
+	}
+	var best []slot
+	bestRoom := 0
+	for _, rack := range sortedKeys(racks) {
+		slots, ok := r.pack(u, racks[rack])
+		if !ok {
+			continue
+		}
+		room := 0
+		for _, w := range racks[rack] {
+			room += r.free(w).Accelerators
+		}
+		if best == nil || room < bestRoom {
+			best, bestRoom = slots, room
+		}
+	}
+	return best, best != nil
+}
+
+func byRack(workers []*jobstate.Worker) map[string][]*jobstate.Worker {
+	racks := map[string][]*jobstate.Worker{}
+	for _, w := range workers {
+		racks[w.Rack] = append(racks[w.Rack], w)
+	}
+	return racks
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// pack finds places for all waiting tasks, on the workers with the least room first.
+func (r *round) pack(u *unit, workers []*jobstate.Worker) ([]slot, bool) {
+	type candidate struct {
+		slot
+		left workload.Amount
+	}
+	candidates := make([]candidate, 0, len(workers))
+	total := 0
+	for _, w := range workers {
+		free := r.free(w)
+		n := countIn(u.step, free, present(u.step, w))
+		if n == 0 {
+			continue
+		}
+		total += n
+		candidates = append(candidates, candidate{slot{w, n}, free})
+	}
+	if total < len(u.waiting) {
+		return nil, false
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
+			cmp.Compare(a.left.MilliCPU, b.left.MilliCPU),
+			cmp.Compare(a.worker.ID, b.worker.ID),
+		)
+	})
+	need := len(u.waiting)
+	var slots []slot
+	for _, c := range candidates {
+		n := min(need, c.count)
+		slots = append(slots, slot{c.worker, n})
+		if need -= n; need == 0 {
+			break
+		}
+	}
+	return slots, true
+}
+
+// best returns the worker for one task of a step that is not a gang, or nil.
+func (r *round) best(u *unit, t *jobstate.Task, workers []*jobstate.Worker) *jobstate.Worker {
+	spec := u.step.Spec
+	room := spec.Room()
+	preferred := preferredRack(u.step)
+	near := preferred == "" || r.impatient(u)
+	var best *jobstate.Worker
+	var bestKey [4]int
+	for _, w := range workers {
+		free := r.free(w)
+		if !room.Fits(free) || countIn(u.step, free, present(u.step, w)) == 0 {
+			continue
+		}
+		far := 0
+		if preferred != "" && w.Rack != preferred {
+			if !near {
+				continue
+			}
+			far = 1
+		}
+		failed := 0
+		if t.FailedOn == w.ID {
+			failed = 1
+		}
+		key := [4]int{failed, far, free.Accelerators, free.MilliCPU}
+		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
+			best, bestKey = w, key
+		}
+	}
+	return best
+}
+
+// preferredRack returns the rack of the data, or that of the step's other tasks if they
+// belong in one rack.
+func preferredRack(s *jobstate.Step) string {
+	if s.Spec.DataRack != "" {
+		return s.Spec.DataRack
+	}
+	if !s.Spec.SameRack {
+		return ""
+	}
+	for _, t := range s.Tasks {
+		if t.Run != nil {
+			return t.Run.Worker.Rack
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,299 @@
+// Package placement decides which tasks start on which workers and which runs are stopped
+// for them. It reads and changes a jobstate.Cluster, performs no I/O and takes time as an
+// argument, so that the same code runs in tests, in fuzzing and in operation.
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Options states what the policy may assume of the workers.
+type Options struct {
+	FarFactor   float64       // run time on another rack relative to the preferred one
+	StopTimeout time.Duration // longest time that a stop takes
+}
+
+// Plan is the outcome of a decision. The runs to start are already in the cluster.
+type Plan struct {
+	Starts []*jobstate.Run
+	Stops  []*jobstate.Run // their phase is Stopping
+	Blocks []Block
+}
+
+// Block explains why a step did not start.
+type Block struct {
+	Step   *jobstate.Step
+	Reason string
+}
+
+// Policy holds what is learned from one decision to the next.
+type Policy struct {
+	o Options
+}
+
+// New returns a policy.
+func New(o Options) *Policy { return &Policy{o: o} }
+
+// unit is a step with waiting tasks, considered as a whole.
+type unit struct {
+	step       *jobstate.Step
+	job        *jobstate.Job
+	priority   int
+	guaranteed bool // within the guarantee of its workspace
+	lateness   int  // 0: can meet its objective, 1: can still be of use, 2: neither
+	deadline   time.Time
+	waiting    []*jobstate.Task
+}
+
+// round is one decision.
+type round struct {
+	*Policy
+	c        *jobstate.Cluster
+	now      time.Time
+	workers  map[string][]*jobstate.Worker // that accept work, by service
+	reserved map[*jobstate.Worker]workload.Amount
+	plan     Plan
+}
+
+// Decide plans starts and stops. guarantee returns the guaranteed accelerators of a
+// workspace.
+func (p *Policy) Decide(c *jobstate.Cluster, guarantee func(workspace string) int, now time.Time) Plan {
+	r := &round{Policy: p, c: c, now: now, reserved: map[*jobstate.Worker]workload.Amount{}}
+	units := r.units(guarantee)
+	if len(units) == 0 {
+		return r.plan
+	}
+	r.workers = map[string][]*jobstate.Worker{}
+	for _, w := range c.Workers {
+		if c.Accepts(w, now) {
+			r.workers[w.Service] = append(r.workers[w.Service], w)
+		}
+	}
+	for _, ws := range r.workers {
+		slices.SortFunc(ws, func(a, b *jobstate.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	for n := range units {
+		r.serve(&units[n])
+	}
+	return r.plan
+}
+
+// units returns the steps with waiting tasks in the order in which they are served.
+func (r *round) units(guarantee func(string) int) []unit {
+	within := r.withinGuarantee(guarantee)
+	var units []unit
+	for _, j := range r.c.Jobs {
+		if j.State.Ended() {
+			continue
+		}
+		for _, o := range j.Occurrences {
+			if o.Done() {
+				continue
+			}
+			for _, s := range o.Steps {
+				if u, ok := r.unit(j, s); ok {
+					u.guaranteed = j.Route.Priority == 0 && within[j.Submission.Workspace]
+					units = append(units, u)
+				}
+			}
+		}
+	}
+	slices.SortFunc(units, compareUnits)
+	return units
+}
+
+func (r *round) unit(j *jobstate.Job, s *jobstate.Step) (unit, bool) {
+	if s.ReadyAt.IsZero() || s.Done() || s.Waiting() == 0 || r.now.Before(s.NotBefore) {
+		return unit{}, false
+	}
+	if s.Spec.Gang && s.Waiting() < len(s.Tasks) {
+		return unit{}, false // members of an earlier run are still there
+	}
+	u := unit{step: s, job: j, priority: j.Route.Priority}
+	for _, t := range s.Tasks {
+		if !t.Done && t.Run == nil {
+			u.waiting = append(u.waiting, t)
+		}
+	}
+	u.deadline, u.lateness = r.objective(j, s)
+	return u, true
+}
+
+// lateFactor is up to how many times its objective a job is still worth a part.
+const lateFactor = 3
+
+// objective returns until when the step should have ended, and how late it is. The chain
+// of a job is estimated from this step alone.
+func (r *round) objective(j *jobstate.Job, s *jobstate.Step) (time.Time, int) {
+	length := time.Duration(float64(s.Spec.Estimate)*max(1, j.Route.Stretch)) + j.Route.Target
+	deadline := s.ReadyAt.Add(length)
+	end := r.now.Add(s.Spec.Estimate)
+	switch {
+	case !end.After(deadline):
+		return deadline, 0
+	case !end.After(s.ReadyAt.Add(lateFactor * length)):
+		return deadline, 1
+	}
+	return deadline, 2
+}
+
+func compareUnits(a, b unit) int {
+	if d := cmp.Compare(a.priority, b.priority); d != 0 {
+		return d
+	}
+	if a.guaranteed != b.guaranteed {
+		if a.guaranteed {
+			return -1
+		}
+		return 1
+	}
+	if d := cmp.Compare(a.lateness, b.lateness); d != 0 {
+		return d
+	}
+	if d := a.deadline.Compare(b.deadline); d != 0 {
+		return d
+	}
+	if d := cmp.Compare(a.job.Submission.ID, b.job.Submission.ID); d != 0 {
+		return d
+	}
+	return cmp.Compare(a.step.Number, b.step.Number)
+}
+
+// withinGuarantee returns the workspaces whose unfinished jobs of priority 0 need no more
+// accelerators than are guaranteed to them.
+func (r *round) withinGuarantee(guarantee func(string) int) map[string]bool {
+	need := map[string]int{}
+	for _, j := range r.c.Jobs {
+		if j.Route.Priority == 0 && !j.State.Ended() {
+			need[j.Submission.Workspace] += accelerators(j)
+		}
+	}
+	within := map[string]bool{}
+	for workspace, n := range need {
+		within[workspace] = n <= guarantee(workspace)
+	}
+	return within
+}
+
+// accelerators returns what all steps of the job need that are not done.
+func accelerators(j *jobstate.Job) int {
+	n := 0
+	for s := range j.Submission.Steps {
+		spec := &j.Submission.Steps[s]
+		n += spec.Tasks * spec.Demand.Accelerators
+	}
+	return n
+}
+
+// serve starts as much of the unit as fits, or makes room for it.
+func (r *round) serve(u *unit) {
+	if u.step.Spec.Gang {
+		r.serveGang(u)
+		return
+	}
+	r.serveTasks(u)
+}
+
+func (r *round) serveGang(u *unit) {
+	workers := r.eligible(u)
+	if slots, ok := r.fitGang(u, workers); ok {
+		r.startGang(u, slots)
+		return
+	}
+	r.makeRoom(u, workers)
+}
+
+func (r *round) startGang(u *unit, slots []slot) {
+	number := u.step.NextRun(nil)
+	n := 0
+	for _, s := range slots {
+		for range s.count {
+			r.plan.Starts = append(r.plan.Starts, r.c.Place(u.waiting[n], s.worker, number, r.now))
+			n++
+		}
+	}
+}
+
+func (r *round) serveTasks(u *unit) {
+	workers := r.eligible(u)
+	placed := 0
+	for _, t := range u.waiting {
+		w := r.best(u, t, workers)
+		if w == nil {
+			break
+		}
+		r.plan.Starts = append(r.plan.Starts, r.c.Place(t, w, u.step.NextRun(t), r.now))
+		placed++
+	}
+	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 {
+		r.makeRoom(u, workers)
+	}
+}
+
+// eligible returns the workers that may run the step's tasks, with room or without.
+func (r *round) eligible(u *unit) []*jobstate.Worker {
+	spec := u.step.Spec
+	var list []*jobstate.Worker
+	for _, w := range r.workers[u.job.Route.Service] {
+		if w.HasLabel(spec.Label) && spec.Room().Fits(w.Capacity) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// free returns the room on the worker that no unit ahead has reserved.
+func (r *round) free(w *jobstate.Worker) workload.Amount {
+	free := w.Free()
+	if reserved, ok := r.reserved[w]; ok {
+		free = free.Sub(reserved)
+	}
+	return free
+}
+
+// slot is a number of tasks of one step for a worker.
+type slot struct {
+	worker *jobstate.Worker
+	count  int
+}
+
+// countIn returns how many tasks of the step fit into the room, with others of the step
+// already on the worker.
+func countIn(s *jobstate.Step, free workload.Amount, present int) int {
+	room := s.Spec.Room()
+	n := len(s.Tasks)
+	limit := func(need, have int) {
+		if need > 0 {
+			n = min(n, max(0, have)/need)
+		}
+	}
+	limit(room.MilliCPU, free.MilliCPU)
+	limit(room.MemoryMB, free.MemoryMB)
+	limit(room.Accelerators, free.Accelerators)
+	if free.MilliCPU < 0 || free.MemoryMB < 0 || free.Accelerators < 0 {
+		return 0
+	}
+	if s.Spec.MaxPerWorker > 0 {
+		n = min(n, s.Spec.MaxPerWorker-present)
+	}
+	return max(0, n)
+}
+
+// present returns how many runs of the step are on the worker.
+func present(s *jobstate.Step, w *jobstate.Worker) int {
+	if s.Spec.MaxPerWorker == 0 {
+		return 0
+	}
+	n := 0
+	for run := range w.Runs {
+		if run.Task.Step == s {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/workerapi/workerapi.go
@@ -0,0 +1,124 @@
+// Package workerapi describes the orders that an owner gives to workers that run tasks
+// under a lease, and their reports.
+package workerapi
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Definite answers of a worker. After every other error the order may have been carried
+// out, or may still be.
+var (
+	ErrFenced     = errors.New("worker has seen a higher fencing token")
+	ErrOldRun     = errors.New("run has been stopped or has ended there")
+	ErrLate       = errors.New("lease of the order has run out")
+	ErrNoRoom     = errors.New("no room on the worker")
+	ErrTicket     = errors.New("ticket is not valid")
+	ErrOtherLife  = errors.New("another life of the worker answered")
+	ErrUnhealthy  = errors.New("worker is unhealthy and did nothing")
+	ErrBadOrder   = errors.New("worker does not understand the order")
+	ErrNotReached = errors.New("no connection to the worker")
+)
+
+// Definite reports whether err states that the order was not and will not be carried out.
+func Definite(err error) bool {
+	for _, e := range []error{ErrFenced, ErrLate, ErrNoRoom, ErrTicket, ErrOtherLife, ErrUnhealthy, ErrBadOrder, ErrNotReached} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// Target names one worker.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Start orders a run.
+type Start struct {
+	Task       string
+	Run        int
+	Payload    string
+	LeaseUntil int64 // on the worker's clock, milliseconds
+	Token      uint64
+	Checkpoint string // empty to start from the beginning
+	Ticket     string // empty where no advice is needed
+}
+
+// Stop ends a run, or makes the worker refuse it if it has not arrived yet.
+type Stop struct {
+	Task  string
+	Run   int
+	Token uint64
+}
+
+// Pace limits the share at which a task works.
+type Pace struct {
+	Task    string
+	Run     int
+	Percent int
+	Token   uint64
+}
+
+// Hold renews the lease of everything on the worker and asks for a report.
+type Hold struct {
+	Token      uint64
+	LeaseUntil int64 // on the worker's clock, milliseconds; 0 to leave the lease as it is
+	Seen       int64 // ends up to this number are in the store and may be forgotten
+	Wait       time.Duration
+}
+
+// RunStatus is a run that is on a worker.
+type RunStatus struct {
+	Task       string
+	Run        int
+	Checkpoint string
+	Percent    float64
+	Load       float64 // tail in milliseconds of a serving task, cores in use of another
+}
+
+// EndedRun is a run that has ended on a worker.
+type EndedRun struct {
+	Sequence   int64 // rises within a life of the worker
+	Task       string
+	Run        int
+	How        jobstate.End
+	Checkpoint string
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	Clock   int64 // milliseconds, steady within a life of the worker
+	Life    int64 // start of the worker, Unix milliseconds; 0 if it was not said
+	Running []RunStatus
+	Ended   []EndedRun
+}
+
+// Entry is what the platform lists of a worker.
+type Entry struct {
+	Worker   Target
+	Life     int64 // start of the worker, Unix milliseconds
+	Service  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity workload.Amount
+	Draining bool
+	Leaves   time.Duration // a draining worker stays at least that long
+	Clock    int64         // milliseconds
+}
+
+// Client gives orders to workers.
+type Client interface {
+	Start(ctx context.Context, w Target, o Start) (clock int64, err error)
+	Stop(ctx context.Context, w Target, o Stop) (clock int64, err error)
+	Pace(ctx context.Context, w Target, o Pace) error
+	Hold(ctx context.Context, w Target, o Hold) (Report, error)
+}
