jobowner: ask workers for reports once all jobs are known

Change: the list of workers is followed only after the first full read of the intake. Conclusion: ends that a predecessor did not see are taken in.

--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -73,7 +73,9 @@
 	early   map[string]bool                // cancelled before the job was known
 	nextDue int64                          // Unix milliseconds of the next occurrence; 0 for none
 	fenced  bool
-	loaded  bool
+
+	loaded   chan struct{} // closed when all jobs are known
+	loadOnce sync.Once
 
 	wake   chan struct{}
 	cancel context.CancelFunc
@@ -97,6 +99,7 @@
 		o: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, missing: map[*jobstate.Worker]time.Time{},
 		records: map[string]storedRecord{}, early: map[string]bool{},
+		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		decisions: metrics.GetOrRegisterTimer("owner.decision", o.Metrics),
 		commits:   metrics.GetOrRegisterTimer("owner.commit", o.Metrics),
@@ -106,28 +109,37 @@
 	}
 }
 
-// Run reads the stored progress, follows jobs through the mirror options that Jobs returns
-// and decides until ctx ends or the term is over. All calls have returned when it returns.
-func (t *Term) Run(ctx context.Context, follow ...func(context.Context)) error {
+// Run reads the stored progress and decides until ctx ends or the term is over. jobs
+// follows the intake and calls Loaded; workers follows the platform's list of workers and is
+// started once all jobs are known, because a report of a worker is only understood then. All
+// calls have returned when Run returns.
+func (t *Term) Run(ctx context.Context, jobs, workers func(context.Context)) error {
 	ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
 	t.began = time.Now()
 	if err := t.load(ctx); err != nil {
 		return err
 	}
-	for _, f := range follow {
-		t.tasks.Add(1)
-		go func() {
-			defer t.tasks.Done()
-			f(ctx)
-		}()
+	t.follow(ctx, jobs)
+	select {
+	case <-ctx.Done():
+	case <-t.loaded:
+		t.follow(ctx, workers)
+		t.loop(ctx)
 	}
-	t.loop(ctx)
 	t.cancel()
 	t.tasks.Wait()
 	return nil
 }
 
+func (t *Term) follow(ctx context.Context, f func(context.Context)) {
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		f(ctx)
+	}()
+}
+
 // load reads the records of all jobs. They do not change any more: every write of a former
 // owner has the condition that its term is not over.
 func (t *Term) load(ctx context.Context) error {
@@ -202,9 +214,7 @@
 
 // Loaded notes that all jobs that were accepted before the term are known.
 func (t *Term) Loaded(time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.loaded = true
+	t.loadOnce.Do(func() { close(t.loaded) })
 }
 
 // Pending returns how many accepted jobs of the route have not begun. ok is false until
@@ -212,7 +222,9 @@
 func (t *Term) Pending(route string) (n int, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.loaded {
+	select {
+	case <-t.loaded:
+	default:
 		return 0, false
 	}
 	for _, j := range t.cluster.Jobs {
