jobowner: leases of idle workers, stops of restored runs, agents that outlive their term

(3) a process outlived the grace time: agents of workers went on after the term and the term waited for them. Change: the estimate of the lease is extended with the decision to order; a stop that could not be sent is sent when the worker is known; agents end with their term.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -52,7 +52,7 @@
 		a.cancel()
 	}
 	a := &agent{t: t, worker: w, wake: make(chan struct{}, 1)}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(t.ctx)
 	a.cancel = cancel
 	t.agents[w.ID] = a
 	t.tasks.Add(1)
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -54,7 +54,7 @@
 	t.mu.Lock()
 	t.housekeep(now)
 	plan := t.policy.Decide(t.cluster, t.guarantee, now)
-	stops := append(plan.Stops, t.endedRuns()...)
+	stops := t.runsToStop()
 	batch, more := t.nextBatch()
 	t.decisions.UpdateSince(now)
 	t.logPlan(plan)
@@ -98,13 +98,16 @@
 	t.forgetEnded(now)
 }
 
-// endedRuns marks the runs of jobs that have ended, and of gangs that have lost a member,
-// to be stopped.
-func (t *Term) endedRuns() []*jobstate.Run {
+// runsToStop marks the runs of jobs that have ended, and of gangs that have lost a member,
+// to be stopped. It returns all runs whose stop has not been ordered.
+func (t *Term) runsToStop() []*jobstate.Run {
 	var stops []*jobstate.Run
 	broken := t.brokenGangs()
 	for _, w := range t.cluster.Workers {
 		for r := range w.Runs {
+			if r.Phase == jobstate.Stopping && !r.StopSent {
+				stops = append(stops, r) // its worker was not known before
+			}
 			if r.Phase == jobstate.Stopping || r.Task.Run != r {
 				continue
 			}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -38,6 +38,7 @@
 	}
 	r.Phase = jobstate.Ordered
 	r.Sent = true
+	a.leaseUntil(now) // from now on the worker may run something
 	s := r.Task.Step
 	events.Info(t.o.Log, events.RunOrdered, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 		zap.String("worker", w.ID), zap.String("zone", w.Zone), zap.String("rack", w.Rack),
@@ -154,6 +155,7 @@
 	if a == nil || a.worker != w {
 		return
 	}
+	r.StopSent = true
 	t.stopped.Inc(1)
 	order := workerapi.Stop{Task: r.Task.Name().String(), Run: r.Number, Token: t.o.Token}
 	t.tasks.Add(1)
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -78,6 +78,7 @@
 	loadOnce sync.Once
 
 	wake   chan struct{}
+	ctx    context.Context // ends with the term
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
 
@@ -114,8 +115,9 @@
 // started once all jobs are known, because a report of a worker is only understood then. All
 // calls have returned when Run returns.
 func (t *Term) Run(ctx context.Context, jobs, workers func(context.Context)) error {
-	ctx, t.cancel = context.WithCancel(ctx)
+	t.ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
+	ctx = t.ctx
 	t.began = time.Now()
 	if err := t.load(ctx); err != nil {
 		return err
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -47,6 +47,7 @@
 	Load       float64   // tail in milliseconds of a serving task, cores in use of another
 	StopReason string
 	Sent       bool      // this owner has ordered the start
+	StopSent   bool      // the stop is being ordered, or has been
 	Rejected   time.Time // since when the worker will not start it any more; zero if it may
 	Pace       int // percent that was ordered; 100 without an order
 }
