jobowner: tests over stand-ins; count a gang's end once; let the lease of a silent worker run out

(1) each member of a gang that ended as done counted its step as done, so that a job with further steps was shown as completed early. (2) renewals that were repeated to a worker that does not answer moved the end of its lease on, so that its tasks never started elsewhere while it was cut off. Change: a step is counted once; a worker that is silent is only looked at until it answers; a lease is at most its longest length from the first answer on. Histograms replace timers (their goroutine does not end). internal/testplatform: store and fleet with an oracle; 12 tests in jobowner.

--- /dev/null
+++ b/internal/testplatform/store.go
@@ -0,0 +1,358 @@
+// Package testplatform holds in-memory stand-ins of the users' platform for tests: a store
+// with transactions, leases and watches, and a fleet of workers that checks the rules of
+// running tasks while it carries orders out. Both take their time from package time, so
+// that they work inside testing/synctest.
+package testplatform
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+)
+
+// ErrNoAnswer is what a caller sees when an answer does not come.
+var ErrNoAnswer = errors.New("no answer")
+
+// Fault is what happens to one call.
+type Fault int
+
+// The faults of a call.
+const (
+	None     Fault = iota
+	Refused        // answered with a refusal; nothing was done
+	Lost           // carried out, not answered
+	Late           // not answered, carried out seconds later
+	Silent         // neither carried out nor answered
+	Isolated       // as Silent, for the workers' calls as well
+)
+
+const (
+	// latency is how long the store takes for an answer.
+	latency = 4 * time.Millisecond
+	// lateBy is how much later a late write is carried out.
+	lateBy = 3 * time.Second
+)
+
+// Store is an in-memory key-value store.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	floor    uint64 // changes up to this revision are forgotten
+	items    map[string]metastore.Item
+	leases   map[int64]*lease
+	owners   map[string]int64 // lease of a key
+	history  []metastore.Change
+	changed  chan struct{}
+	next     int64
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, owners: map[string]int64{}, changed: make(chan struct{})}
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floor = s.revision
+	s.history = nil
+	s.notify()
+}
+
+// Put writes a key as the operator or a worker does.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(key, value)
+}
+
+// Remove removes a key as the operator or a worker does.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+}
+
+// Value returns the value of the key.
+func (s *Store) Value(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	item, ok := s.items[key]
+	return item.Value, ok
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) put(key string, value []byte) {
+	created := s.revision
+	if old, ok := s.items[key]; ok {
+		created = old.Created
+	}
+	item := metastore.Item{Key: key, Value: value, Revision: s.revision, Created: created}
+	s.items[key] = item
+	delete(s.owners, key)
+	s.history = append(s.history, metastore.Change{Item: item})
+	s.notify()
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	delete(s.owners, key)
+	s.history = append(s.history, metastore.Change{Item: metastore.Item{Key: key, Revision: s.revision}, Removed: true})
+	s.notify()
+}
+
+// expire ends leases that have run out. The caller holds the lock.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id int64) {
+	delete(s.leases, id)
+	for _, key := range slices.Sorted(maps.Keys(s.owners)) {
+		if s.owners[key] == id {
+			s.revision++
+			s.remove(key)
+		}
+	}
+}
+
+func (s *Store) commit(txn metastore.Txn) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	holds := true
+	conflict := &metastore.ConflictError{}
+	for _, c := range txn.If {
+		item, ok := s.items[c.Key]
+		holds = holds && item.Revision == c.Revision
+		if ok {
+			conflict.Current = append(conflict.Current, item)
+		}
+	}
+	if !holds {
+		return 0, conflict
+	}
+	for _, p := range txn.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return 0, metastore.ErrNoLease
+		}
+	}
+	s.revision++
+	for _, p := range txn.Puts {
+		s.put(p.Key, p.Value)
+		if p.Lease != 0 {
+			s.owners[p.Key] = p.Lease
+		}
+	}
+	for _, key := range txn.Remove {
+		s.remove(key)
+	}
+	return s.revision, nil
+}
+
+// Client is the store as one instance reaches it. It implements metastore.Store.
+type Client struct {
+	store *Store
+	// Fault decides the fate of each call.
+	Fault func(call string) Fault
+}
+
+var _ metastore.Store = (*Client)(nil)
+
+// NewClient returns a client without faults.
+func (s *Store) NewClient() *Client {
+	return &Client{store: s, Fault: func(string) Fault { return None }}
+}
+
+// do carries a call out with its fault.
+func (c *Client) do(ctx context.Context, call string, f func() error) error {
+	if !wait.For(ctx, latency) {
+		return ctx.Err()
+	}
+	switch c.Fault(call) {
+	case Refused:
+		return metastore.ErrRefused
+	case Silent, Isolated:
+		<-ctx.Done()
+		return ctx.Err()
+	case Lost:
+		if err := f(); errors.Is(err, metastore.ErrNotFound) {
+			return err
+		}
+		return ErrNoAnswer
+	case Late:
+		time.AfterFunc(lateBy, func() { _ = f() }) // nobody waits for this answer
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return f()
+}
+
+// Get implements metastore.Store.
+func (c *Client) Get(ctx context.Context, key string) (item metastore.Item, err error) {
+	err = c.do(ctx, "get", func() error {
+		s := c.store
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		var ok bool
+		if item, ok = s.items[key]; !ok {
+			return metastore.ErrNotFound
+		}
+		return nil
+	})
+	return item, err
+}
+
+// pageSize is how many items a page holds.
+const pageSize = 20
+
+// Range implements metastore.Store.
+func (c *Client) Range(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
+	err = c.do(ctx, "range", func() error {
+		s := c.store
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		page = metastore.Page{AsOf: s.revision}
+		for _, key := range slices.Sorted(maps.Keys(s.items)) {
+			if !strings.HasPrefix(key, prefix) || key <= after {
+				continue
+			}
+			if len(page.Items) == pageSize {
+				page.More = true
+				break
+			}
+			page.Items = append(page.Items, s.items[key])
+		}
+		return nil
+	})
+	return page, err
+}
+
+// Watch implements metastore.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, waitFor time.Duration) (changes []metastore.Change, asOf uint64, err error) {
+	deadline := time.Now().Add(waitFor)
+	err = c.do(ctx, "watch", func() error {
+		for {
+			var changed chan struct{}
+			if changes, asOf, changed, err = c.store.since(prefix, after); err != nil || len(changes) > 0 {
+				return err
+			}
+			timer := time.NewTimer(min(time.Until(deadline), leaseTick))
+			select {
+			case <-ctx.Done():
+				timer.Stop()
+				return ctx.Err()
+			case <-changed:
+			case <-timer.C:
+			}
+			timer.Stop()
+			if !time.Now().Before(deadline) {
+				return nil
+			}
+		}
+	})
+	return changes, asOf, err
+}
+
+// leaseTick is how often a waiting watch looks for leases that have run out.
+const leaseTick = 100 * time.Millisecond
+
+func (s *Store) since(prefix string, after uint64) ([]metastore.Change, uint64, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if after < s.floor {
+		return nil, 0, nil, metastore.ErrCompacted
+	}
+	var changes []metastore.Change
+	for _, change := range s.history {
+		if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
+			changes = append(changes, change)
+		}
+	}
+	return changes, s.revision, s.changed, nil
+}
+
+// Commit implements metastore.Store.
+func (c *Client) Commit(ctx context.Context, txn metastore.Txn) (revision uint64, err error) {
+	err = c.do(ctx, "commit", func() error {
+		var err error
+		revision, err = c.store.commit(txn)
+		return err
+	})
+	return revision, err
+}
+
+// Grant implements metastore.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (id int64, err error) {
+	err = c.do(ctx, "grant", func() error {
+		s := c.store
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.next++
+		id = s.next
+		s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
+		return nil
+	})
+	return id, err
+}
+
+// KeepAlive implements metastore.Store.
+func (c *Client) KeepAlive(ctx context.Context, id int64) error {
+	return c.do(ctx, "keepalive", func() error {
+		s := c.store
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		l := s.leases[id]
+		if l == nil {
+			return metastore.ErrNoLease
+		}
+		l.expires = time.Now().Add(l.ttl)
+		return nil
+	})
+}
+
+// Revoke implements metastore.Store.
+func (c *Client) Revoke(ctx context.Context, id int64) error {
+	return c.do(ctx, "revoke", func() error {
+		s := c.store
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.leases[id] == nil {
+			return metastore.ErrNoLease
+		}
+		s.end(id)
+		return nil
+	})
+}
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -132,12 +132,9 @@
 // leaseUntil returns the end of a lease that is ordered now, on the worker's clock, and
 // notes when it will surely have run out. The caller holds the lock.
 func (a *agent) leaseUntil(now time.Time) int64 {
-	max := a.t.o.MaxLease
-	drift := time.Duration(clockDrift * float64(max+now.Sub(a.clockAt)))
-	if ends := now.Add(max + drift + leaseMargin); ends.After(a.worker.LeaseEnds) {
-		a.worker.LeaseEnds = ends
-	}
-	return a.workerClock(now) + max.Milliseconds()
+	drift := time.Duration(clockDrift * float64(now.Sub(a.clockAt)))
+	a.worker.LeaseEnds = later(a.worker.LeaseEnds, now.Add(drift+a.t.longestLease()))
+	return a.workerClock(now) + a.t.o.MaxLease.Milliseconds()
 }
 
 func (a *agent) target() workerapi.Target {
@@ -151,7 +148,9 @@
 	now := time.Now()
 	order := workerapi.Hold{Token: t.o.Token, Seen: a.stored}
 	bound := firstHoldBound
-	if !a.clockAt.IsZero() && t.o.InTouch() {
+	// A renewal without an answer may have taken effect. Repeating it would keep the lease
+	// of a worker that is cut off from ever being known to have run out.
+	if !a.clockAt.IsZero() && a.failures == 0 && t.o.InTouch() {
 		order.LeaseUntil = a.leaseUntil(now)
 	}
 	if a.worker.Heard && a.applied == a.stored {
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -88,7 +88,7 @@
 // store confirms it, the term is over or ctx ends.
 func (t *Term) commit(ctx context.Context, b *batch) bool {
 	start := time.Now()
-	defer t.commits.UpdateSince(start)
+	defer func() { t.commits.Update(time.Since(start).Microseconds()) }()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		txn := metastore.Txn{If: []metastore.Condition{t.o.Fence}, Puts: b.puts}
 		for n, j := range b.jobs {
--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -44,7 +44,13 @@
 // unheardLease is how long after the start of the term a worker that has not been heard may
 // still run what a former owner ordered.
 func (t *Term) unheardLease() time.Duration {
-	return predecessorHold + t.o.MaxLease + time.Duration(clockDrift*float64(t.o.MaxLease)) + leaseMargin
+	return predecessorHold + t.longestLease()
+}
+
+// longestLease is how long a lease that a worker has just taken in may last by this
+// process's clock.
+func (t *Term) longestLease() time.Duration {
+	return t.o.MaxLease + time.Duration(clockDrift*float64(t.o.MaxLease)) + leaseMargin
 }
 
 // dropSameAddress drops workers that another one has replaced at its address.
--- /dev/null
+++ b/jobowner/harness_test.go
@@ -0,0 +1,207 @@
+package jobowner_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/ownership"
+	"github.com/cyclamenyard/cyclamenyard/placement"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+const workersPrefix = "workers/"
+
+var room = workload.Amount{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}
+
+// system is a store, a fleet and some instances that stand for election.
+type system struct {
+	store  *testplatform.Store
+	fleet  *testplatform.Fleet
+	config *workload.Config
+
+	mu        sync.Mutex
+	instances map[string]*candidate
+}
+
+type candidate struct {
+	client *testplatform.Client
+	term   *jobowner.Term
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newSystem() *system {
+	s := &system{store: testplatform.NewStore(), fleet: testplatform.NewFleet(), instances: map[string]*candidate{}}
+	s.config = workload.NewConfig(workload.Config{Version: 1, Routes: []workload.Route{
+		{Name: "urgent", Service: "service", Priority: 0, MaxAttempts: 3, Stretch: 1.5, Target: time.Second},
+		{Name: "batch", Service: "service", Priority: 1, MaxAttempts: 3, Stretch: 3, Target: time.Second},
+	}})
+	return s
+}
+
+// addWorker starts a worker, or a new life of it, and lists it.
+func (s *system) addWorker(id string, rack int) {
+	s.list(s.fleet.Add(id, fmt.Sprint("zone-", rack%2), fmt.Sprint("rack-", rack), room))
+}
+
+func (s *system) list(entry workerapi.Entry) {
+	raw, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	s.store.Put(workersPrefix+entry.Worker.ID, raw)
+}
+
+// start starts an instance.
+func (s *system) start(name string) *candidate {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &candidate{client: s.store.NewClient(), cancel: cancel, done: make(chan struct{})}
+	log := testLog()
+	var elector *ownership.Elector
+	lead := func(ctx context.Context, token uint64, fence metastore.Condition) {
+		term := jobowner.New(jobowner.Options{
+			Store: c.client, Workers: s.fleet, Log: log, Metrics: metrics.NewRegistry(), Token: token, Fence: fence,
+			Config: func() *workload.Config { return s.config }, Wall: time.Now, MaxLease: testplatform.MaxLease,
+			InTouch:   func() bool { return elector.ConfirmedWithin(jobowner.RenewWithout) },
+			Placement: placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
+			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond,
+		})
+		s.mu.Lock()
+		c.term = term
+		s.mu.Unlock()
+		mirror := func(prefix string, apply func(metastore.Change), synced func(time.Time)) func(context.Context) {
+			return metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: prefix, Wait: 2 * time.Second, Log: log, Apply: apply, Synced: synced}).Run
+		}
+		err := term.Run(ctx, mirror(jobowner.IntakePrefix, term.OnIntake, term.Loaded), mirror(workersPrefix, func(change metastore.Change) {
+			id := change.Key[len(workersPrefix):]
+			var entry workerapi.Entry
+			if change.Removed || json.Unmarshal(change.Value, &entry) != nil {
+				term.OnWorkerGone(id)
+				return
+			}
+			term.OnWorker(entry)
+		}, nil))
+		if err != nil && ctx.Err() == nil {
+			panic(err)
+		}
+	}
+	elector = ownership.New(ownership.Options{Store: c.client, Self: ownership.Instance{Name: name}, CPUShare: 1, Log: log, Lead: lead})
+	members := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.Prefix, Wait: 2 * time.Second, Log: log, Apply: elector.Apply, Synced: elector.Synced})
+	s.mu.Lock()
+	s.instances[name] = c
+	s.mu.Unlock()
+	go func() {
+		defer close(c.done)
+		var running sync.WaitGroup
+		running.Go(func() { members.Run(ctx) })
+		elector.Run(ctx)
+		running.Wait()
+	}()
+	return c
+}
+
+// kill ends an instance at once: the store and the workers get nothing more from it.
+func (s *system) kill(name string) {
+	s.mu.Lock()
+	c := s.instances[name]
+	delete(s.instances, name)
+	s.mu.Unlock()
+	if c == nil {
+		return
+	}
+	c.client.Fault = func(string) testplatform.Fault { return testplatform.Silent }
+	c.cancel()
+	<-c.done
+}
+
+// stop ends all instances.
+func (s *system) stop() {
+	for name := range s.instances {
+		s.kill(name)
+	}
+}
+
+// submit stores a job as an entry instance does.
+func (s *system) submit(id, route string, steps ...workload.Step) *workload.Submission {
+	job := &workload.Submission{ID: id, Queue: *s.config.Route(route), Workspace: "team", Payload: "payload of " + id, Steps: steps, AcceptedAt: time.Now().UnixMilli()}
+	return s.submitJob(job)
+}
+
+func (s *system) submitJob(job *workload.Submission) *workload.Submission {
+	raw, err := json.Marshal(job)
+	if err != nil {
+		panic(err)
+	}
+	s.fleet.Accept(job)
+	s.store.Put(jobowner.JobKey(job.ID), raw)
+	return job
+}
+
+func (s *system) cancelJob(id string) {
+	s.store.Put(jobowner.CancelKey(id), []byte("{}"))
+	s.fleet.Cancel(id)
+}
+
+// state returns what the store shows of the job.
+func (s *system) state(id string) workload.State {
+	raw, ok := s.store.Value(jobowner.RecordKey(id))
+	if !ok {
+		return workload.Queued
+	}
+	record, err := workload.DecodeRecord(raw)
+	if err != nil {
+		panic(err)
+	}
+	return record.State
+}
+
+// settle waits until the job has ended.
+func (s *system) settle(t *testing.T, id string, limit time.Duration) workload.State {
+	t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if state := s.state(id); state.Ended() {
+			return state
+		}
+	}
+	return s.state(id)
+}
+
+func (s *system) requireRules(t *testing.T) {
+	t.Helper()
+	require.Empty(t, s.fleet.Violations())
+}
+
+func tasks(n, accelerators int) workload.Step {
+	return workload.Step{Tasks: n, Demand: workload.Amount{MilliCPU: 1000 * accelerators, MemoryMB: 100, Accelerators: accelerators}, Estimate: time.Second}
+}
+
+func gang(n, accelerators int) workload.Step {
+	s := tasks(n, accelerators)
+	s.Gang = true
+	return s
+}
+
+// testLog returns a log that writes to the terminal when JOBOWNER_TEST_LOG is set.
+func testLog() *zap.Logger {
+	if os.Getenv("JOBOWNER_TEST_LOG") == "" {
+		return zap.NewNop()
+	}
+	log, err := zap.NewDevelopment()
+	if err != nil {
+		panic(err)
+	}
+	return log
+}
--- /dev/null
+++ b/jobowner/jobowner_test.go
@@ -0,0 +1,304 @@
+package jobowner_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Guards against a path that does not serve a calm day: steps in order, gangs together,
+// the state shown in the end.
+func TestCalmDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		for n := range 4 {
+			s.addWorker(fmt.Sprint("w", n), n/2)
+		}
+		s.start("a")
+		s.start("b")
+		time.Sleep(time.Second)
+		second := tasks(6, 1)
+		second.After = []int{0}
+		s.submit("chain", "batch", gang(4, 4), second)
+		s.submit("single", "urgent", tasks(1, 8))
+		assert.Equal(t, workload.Completed, s.settle(t, "chain", 10*time.Second))
+		assert.Equal(t, workload.Completed, s.settle(t, "single", 10*time.Second))
+		assert.Equal(t, 11, s.fleet.Starts)
+		s.requireRules(t)
+	})
+}
+
+// Guards against a lease that counts as run out on a worker that was idle for longer than a
+// lease: the run would be started a second time while the first order is under way.
+func TestStartOnWorkerThatWasIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		s.addWorker("w1", 0)
+		s.start("a")
+		time.Sleep(40 * time.Second)
+		s.submit("late", "batch", tasks(8, 1))
+		assert.Equal(t, workload.Completed, s.settle(t, "late", 10*time.Second))
+		assert.Equal(t, 8, s.fleet.Starts)
+		s.requireRules(t)
+	})
+}
+
+// Guards against reports that are acknowledged before the jobs are known: the ends that a
+// predecessor did not see would be lost and the tasks started again.
+func TestEndsWhileNoOwnerLives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		for n := range 4 {
+			s.addWorker(fmt.Sprint("w", n), 0)
+		}
+		s.start("a")
+		time.Sleep(time.Second)
+		for n := range 60 { // more than a page of the store
+			s.submit(fmt.Sprint("job", n), "batch", tasks(1, 0))
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.kill("a")
+		time.Sleep(3 * time.Second) // the runs end
+		s.start("b")
+		for n := range 60 {
+			assert.Equal(t, workload.Completed, s.settle(t, fmt.Sprint("job", n), 20*time.Second))
+		}
+		assert.Equal(t, 60, s.fleet.Starts)
+		s.requireRules(t)
+	})
+}
+
+// Guards against a stop that is wanted before the worker of the run is known to the new
+// owner and is never sent.
+func TestCancelBetweenOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("long", "batch", tasks(3, 1))
+		time.Sleep(time.Second)
+		s.kill("a")
+		s.cancelJob("long")
+		s.start("b")
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, workload.Cancelled, s.state("long"))
+		assert.Zero(t, s.fleet.Running())
+		s.requireRules(t)
+	})
+}
+
+// Guards against a start whose answer is lost being given up without a stop, so that the
+// task runs on two workers.
+func TestLateStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		s.addWorker("w1", 1)
+		late := 3
+		s.fleet.Fault = func(worker, call string) testplatform.Fault {
+			if call == "start" && late > 0 {
+				late--
+				return testplatform.Late
+			}
+			return testplatform.None
+		}
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(1, 1))
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 20*time.Second))
+		time.Sleep(5 * time.Second)
+		assert.Zero(t, s.fleet.Running())
+		s.requireRules(t)
+	})
+}
+
+// Guards against a commit whose answer is lost being taken for a conflict with another
+// owner, or its late repetition undoing newer records.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	for _, fault := range []testplatform.Fault{testplatform.Lost, testplatform.Late, testplatform.Refused} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem()
+				defer s.stop()
+				s.addWorker("w0", 0)
+				c := s.start("a")
+				time.Sleep(time.Second)
+				calls := 0
+				c.client.Fault = func(call string) testplatform.Fault {
+					if calls++; call == "commit" && calls%2 == 0 {
+						return fault
+					}
+					return testplatform.None
+				}
+				for n := range 5 {
+					s.submit(fmt.Sprint("job", n), "batch", tasks(2, 1))
+				}
+				for n := range 5 {
+					assert.Equal(t, workload.Completed, s.settle(t, fmt.Sprint("job", n), 30*time.Second))
+				}
+				assert.Equal(t, 10, s.fleet.Starts)
+				s.requireRules(t)
+			})
+		})
+	}
+}
+
+// Guards against a worker that was cut off and comes back as a new life under its old id:
+// what ran there must start again, once.
+func TestWorkerIsRebornUnderItsId(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 4 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", gang(2, 2))
+		time.Sleep(time.Second)
+		s.addWorker("w0", 0)
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 20*time.Second))
+		assert.Equal(t, 4, s.fleet.Starts)
+		s.requireRules(t)
+	})
+}
+
+// Guards against runs on a worker that is cut off being started elsewhere before its lease
+// has run out, and against never starting them again.
+func TestWorkerIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 30 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(2, 1))
+		time.Sleep(time.Second)
+		s.fleet.Fault = func(worker, _ string) testplatform.Fault {
+			if worker == "w0" {
+				return testplatform.Silent
+			}
+			return testplatform.None
+		}
+		s.addWorker("w1", 1)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, 2, s.fleet.Starts, "the lease has not run out")
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, 4, s.fleet.Starts)
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 40*time.Second))
+		s.requireRules(t)
+	})
+}
+
+// Guards against work that is thrown away by an outage of the store shorter than a lease
+// and the time in which an owner renews without being confirmed.
+func TestOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 20 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		a, b := s.start("a"), s.start("b")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", gang(4, 2))
+		time.Sleep(time.Second)
+		down := func(string) testplatform.Fault { return testplatform.Silent }
+		a.client.Fault, b.client.Fault = down, down
+		time.Sleep(9 * time.Second)
+		up := func(string) testplatform.Fault { return testplatform.None }
+		a.client.Fault, b.client.Fault = up, up
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 40*time.Second))
+		assert.Equal(t, 4, s.fleet.Starts)
+		s.requireRules(t)
+	})
+}
+
+// Guards against a job that fails for ever, and against counting a gang's failure once for
+// each member.
+func TestAttemptsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(name workload.TaskName, run int) (time.Duration, jobstate.End) {
+			if name.Job == "twice" && run > 2 {
+				return time.Second, jobstate.EndDone
+			}
+			return time.Second, jobstate.EndFailed
+		}
+		s.addWorker("w0", 0)
+		s.addWorker("w1", 0)
+		s.addWorker("w2", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("poison", "batch", tasks(1, 1))
+		s.submit("twice", "batch", gang(3, 1))
+		assert.Equal(t, workload.Failed, s.settle(t, "poison", 90*time.Second))
+		assert.Equal(t, workload.Completed, s.settle(t, "twice", 90*time.Second))
+		s.requireRules(t)
+	})
+}
+
+// Guards against occurrences that start early, are skipped, or wait for each other.
+func TestSchedule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 3 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submitJob(&workload.Submission{ID: "timed", Queue: *s.config.Route("batch"), Steps: []workload.Step{tasks(1, 1)},
+			Schedule: workload.Schedule{Occurrences: 4, First: time.Now().Add(2 * time.Second).UnixMilli(), Interval: time.Second}})
+		time.Sleep(1900 * time.Millisecond)
+		assert.Zero(t, s.fleet.Starts)
+		time.Sleep(3500 * time.Millisecond)
+		assert.Equal(t, 4, s.fleet.Starts)
+		assert.Equal(t, workload.Completed, s.settle(t, "timed", 20*time.Second))
+		s.requireRules(t)
+	})
+}
+
+// Guards against a long-running task that is not restarted, or whose failures fail its job.
+func TestLongRunningTasksAreRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(_ workload.TaskName, run int) (time.Duration, jobstate.End) {
+			if run < 6 {
+				return time.Second, jobstate.EndFailed
+			}
+			return time.Hour, jobstate.EndDone
+		}
+		for n := range 8 {
+			s.addWorker(fmt.Sprint("w", n), 0)
+		}
+		s.start("a")
+		time.Sleep(time.Second)
+		step := tasks(1, 1)
+		step.LongRunning = true
+		s.submit("serving", "batch", step)
+		time.Sleep(60 * time.Second)
+		assert.Equal(t, workload.Running, s.state("serving"))
+		assert.Equal(t, 1, s.fleet.Running())
+		s.cancelJob("serving")
+		assert.Equal(t, workload.Cancelled, s.settle(t, "serving", 5*time.Second))
+		time.Sleep(time.Second)
+		assert.Zero(t, s.fleet.Running())
+		s.requireRules(t)
+	})
+}
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -56,7 +56,7 @@
 	plan := t.policy.Decide(t.cluster, t.guarantee, now)
 	stops := t.runsToStop()
 	batch, more := t.nextBatch()
-	t.decisions.UpdateSince(now)
+	t.decisions.Update(time.Since(now).Microseconds())
 	t.logPlan(plan)
 	for _, run := range stops {
 		t.orderStop(ctx, run)
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -64,6 +64,7 @@
 func (a *agent) heard(clock int64, now time.Time) {
 	if !a.worker.Heard {
 		a.worker.Heard = true
+		a.worker.LeaseEnds = now.Add(a.t.longestLease()) // no former owner can renew it any more
 		events.Info(a.t.o.Log, events.WorkerHeard, zap.String("worker", a.worker.ID), zap.Int64("life", a.worker.Life))
 	}
 	a.failures = 0
@@ -89,7 +90,7 @@
 func (t *Term) confirm(r *jobstate.Run, now time.Time) {
 	r.Confirm(now)
 	t.started.Inc(1)
-	t.startWait.Update(now.Sub(r.Task.Step.ReadyAt))
+	t.startWait.Update(now.Sub(r.Task.Step.ReadyAt).Microseconds())
 }
 
 func (t *Term) noteEnd(r *jobstate.Run, e workerapi.EndedRun, now time.Time) {
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -82,9 +82,9 @@
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
 
-	decisions metrics.Timer
-	commits   metrics.Timer
-	startWait metrics.Timer
+	decisions metrics.Histogram // microseconds, as the next two
+	commits   metrics.Histogram
+	startWait metrics.Histogram
 	started   metrics.Counter
 	stopped   metrics.Counter
 }
@@ -94,6 +94,13 @@
 	revision uint64
 }
 
+// histogramSamples is how many values a histogram keeps.
+const histogramSamples = 512
+
+func histogram(name string, registry metrics.Registry) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, registry, metrics.NewUniformSample(histogramSamples))
+}
+
 // New returns a term that Run begins.
 func New(o Options) *Term {
 	return &Term{
@@ -102,9 +109,9 @@
 		records: map[string]storedRecord{}, early: map[string]bool{},
 		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
-		decisions: metrics.GetOrRegisterTimer("owner.decision", o.Metrics),
-		commits:   metrics.GetOrRegisterTimer("owner.commit", o.Metrics),
-		startWait: metrics.GetOrRegisterTimer("owner.accepted_to_started", o.Metrics),
+		decisions: histogram("owner.decision_us", o.Metrics),
+		commits:   histogram("owner.commit_us", o.Metrics),
+		startWait: histogram("owner.ready_to_started_us", o.Metrics),
 		started:   metrics.GetOrRegisterCounter("owner.runs_started", o.Metrics),
 		stopped:   metrics.GetOrRegisterCounter("owner.runs_stopped", o.Metrics),
 	}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -331,6 +331,9 @@
 }
 
 func (s *Step) finish(t *Task, now time.Time) {
+	if s.Done() {
+		return // each member of a gang reports the end
+	}
 	tasks := []*Task{t}
 	if s.Spec.Gang {
 		tasks = s.Tasks
