jobowner: orders that may reach the next life of a worker; stateful fuzz with an oracle

Change: runs without a report since their start move to the next life and are stopped there before their tasks start again; restored runs are settled by the first report of the newer life. Conclusion: settled by reports and never by the assumption that a new life is empty.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -32,11 +32,15 @@
 	// Fate decides how long a run works and how it ends.
 	Fate func(task workload.TaskName, run int) (time.Duration, jobstate.End)
 
+	// Calm reports whether the rules that hold only without a disruption near apply.
+	Calm func() bool
+
 	mu         sync.Mutex
 	workers    map[string]*worker
 	jobs       map[string]*workload.Submission
 	cancelled  map[string]time.Time
-	done       map[string]bool // tasks whose end as done has been taken note of
+	ended      map[string]bool // tasks of which a run has ended as done
+	done       map[string]bool // those whose end has been taken note of
 	failures   map[string]int  // by task
 	Starts     int
 	violations []string
@@ -50,6 +54,7 @@
 	lease   time.Time
 	runs    map[string]*run // by task
 	ended   []workerapi.EndedRun
+	void    int64          // ends up to this number do not count: the lease ran out before they were taken note of
 	refused map[string]int // highest run that was stopped or ended, by task
 	number  int64
 	changed chan struct{}
@@ -70,8 +75,9 @@
 	return &Fleet{
 		Fault:   func(string, string) Fault { return None },
 		Fate:    func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Second, jobstate.EndDone },
+		Calm:    func() bool { return true },
 		workers: map[string]*worker{}, jobs: map[string]*workload.Submission{}, cancelled: map[string]time.Time{},
-		done: map[string]bool{}, failures: map[string]int{},
+		ended: map[string]bool{}, done: map[string]bool{}, failures: map[string]int{},
 	}
 }
 
@@ -161,7 +167,9 @@
 				m.atWork, m.finish = true, now.Add(time.Until(r.finish))
 			}
 		} else if now.Sub(r.started) > gangTimeout {
-			f.violate("GANG", "%s run %d ended alone", task, r.number)
+			if f.Calm() {
+				f.violate("GANG", "%s run %d ended alone", task, r.number)
+			}
 			f.end(w, task, jobstate.EndAlone)
 		}
 		return
@@ -195,6 +203,9 @@
 	w.number++
 	w.ended = append(w.ended, workerapi.EndedRun{Sequence: w.number, Task: task, Run: r.number, How: how, Checkpoint: fmt.Sprint("cp-", task, "-", r.number)})
 	w.notify()
+	if how == jobstate.EndDone {
+		f.ended[task] = true
+	}
 	if !f.jobs[r.name.Job].Steps[r.name.Step].Gang {
 		return
 	}
@@ -234,13 +245,27 @@
 		}
 		return ErrNoAnswer
 	case Late:
-		time.AfterFunc(lateBy, func() { _ = locked() }) // nobody waits for this answer
+		life := f.life(id)
+		time.AfterFunc(lateBy, func() {
+			if f.life(id) == life { // an order that has arrived ends with the life of its worker
+				_ = locked() // nobody waits for this answer
+			}
+		})
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	return locked()
 }
 
+func (f *Fleet) life(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; w != nil {
+		return w.entry.Life
+	}
+	return 0
+}
+
 // reach returns the worker that the target names. The caller holds the lock.
 func (f *Fleet) reach(t workerapi.Target, token uint64) (*worker, error) {
 	w := f.workers[t.ID]
@@ -256,6 +281,9 @@
 
 // extend renews the lease up to a time on the worker's clock.
 func (w *worker) extend(until int64) {
+	if time.Now().After(w.lease) {
+		w.void = w.number
+	}
 	left := min(time.Duration(until-w.clock())*time.Millisecond, MaxLease)
 	if ends := time.Now().Add(left); ends.After(w.lease) {
 		w.lease = ends
@@ -368,7 +396,7 @@
 // forget drops ends that were taken note of and remembers the tasks that are done for good.
 func (f *Fleet) forget(w *worker, seen int64) {
 	for len(w.ended) > 0 && w.ended[0].Sequence <= seen {
-		if w.ended[0].How == jobstate.EndDone {
+		if w.ended[0].How == jobstate.EndDone && w.ended[0].Sequence > w.void {
 			f.done[w.ended[0].Task] = true
 		}
 		if w.ended[0].How == jobstate.EndFailed {
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -22,10 +22,11 @@
 func (a *agent) apply(report workerapi.Report, sent time.Time) {
 	t, w, now := a.t, a.worker, time.Now()
 	if report.Life != 0 && w.Life != 0 && report.Life != w.Life {
-		t.dropWorker(w, "report of another life", now)
+		t.replaceLife(w, report.Life, now)
 		return
 	}
 	a.heard(report.Clock, now)
+	w.ReportedAt = later(w.ReportedAt, sent)
 	runs := make(map[runKey]*jobstate.Run, len(w.Runs))
 	for r := range w.Runs {
 		runs[runKey{r.Task.Name().String(), r.Number}] = r
@@ -60,6 +61,22 @@
 	t.kick()
 }
 
+// replaceLife follows a worker that has started again under its id before its entry shows
+// it. It gets no new work until it is listed.
+func (t *Term) replaceLife(w *jobstate.Worker, life int64, now time.Time) {
+	if life < w.Life {
+		return // a late report of a former life
+	}
+	next := t.cluster.Worker(w.ID, life, now)
+	next.Address, next.Service, next.Zone, next.Rack = w.Address, w.Service, w.Zone, w.Rack
+	next.Labels, next.Capacity = w.Labels, w.Capacity
+	events.Info(t.o.Log, events.WorkerDropped, zap.String("worker", w.ID), zap.Int64("life", w.Life), zap.Int("runs", len(w.Runs)),
+		zap.String("reason", "report of another life"))
+	delete(t.missing, w)
+	t.ensureAgent(next)
+	t.kick()
+}
+
 // heard notes an answer of the worker. The caller holds the lock.
 func (a *agent) heard(clock int64, now time.Time) {
 	if !a.worker.Heard {
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -49,7 +49,7 @@
 	Sent       bool      // this owner has ordered the start
 	StopSent   bool      // the stop is being ordered, or has been
 	Rejected   time.Time // since when the worker will not start it any more; zero if it may
-	Pace       int // percent that was ordered; 100 without an order
+	Pace       int       // percent that was ordered; 100 without an order
 }
 
 // Task is one task of a step.
@@ -142,13 +142,14 @@
 	Capacity workload.Amount
 	Used     workload.Amount
 
-	Listed    bool // its entry is in the store
-	Draining  bool
-	Heard     bool      // it has answered this owner
-	Suspect   time.Time // gets no new work before
-	LeaseEnds time.Time // at the latest by this process's clock, if the worker is not heard again
-	LeavesAt  time.Time // a draining worker stays at least until then
-	Runs      map[*Run]struct{}
+	Listed     bool // its entry is in the store
+	Draining   bool
+	Heard      bool      // it has answered this owner
+	Suspect    time.Time // gets no new work before
+	ReportedAt time.Time // when its newest report was asked for
+	LeaseEnds  time.Time // at the latest by this process's clock, if the worker is not heard again
+	LeavesAt   time.Time // a draining worker stays at least until then
+	Runs       map[*Run]struct{}
 
 	Strays map[string]workload.Amount // tasks there that no run of this state accounts for
 
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -99,10 +99,8 @@
 		if tr.Worker == "" {
 			continue
 		}
+		// A newer life of the worker may have got the order: its first report tells.
 		w := c.Worker(tr.Worker, tr.Life, now)
-		if w.Life != tr.Life {
-			continue // that life of the worker is over
-		}
 		run := c.Place(t, w, tr.LastRun, now)
 		run.Phase = Ordered
 	}
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -13,12 +13,38 @@
 	if w != nil && (w.Life == life || life < w.Life) {
 		return w
 	}
+	next := &Worker{ID: id, Life: life, Runs: map[*Run]struct{}{}, Strays: map[string]workload.Amount{}, Speed: 1}
 	if w != nil {
+		c.handDoubtsOn(w, next)
 		c.Drop(w, now)
 	}
-	w = &Worker{ID: id, Life: life, Runs: map[*Run]struct{}{}, Strays: map[string]workload.Amount{}, Speed: 1}
-	c.Workers[id] = w
-	return w
+	c.Workers[id] = next
+	return next
+}
+
+// handDoubtsOn moves runs that the next life of their worker may have started: orders name
+// the id, and one that was under way may reach the next life. A run that this owner ordered
+// is to be stopped there before its task starts again; one that a former owner ordered is
+// settled by the first report, because the worker takes no older token after it.
+func (c *Cluster) handDoubtsOn(w, next *Worker) {
+	for r := range w.Runs {
+		if r.Phase == Planned || (!r.StartedAt.IsZero() && !r.StartedAt.After(w.ReportedAt)) {
+			continue
+		}
+		room := r.Task.Step.Spec.Room()
+		delete(w.Runs, r)
+		w.Used = w.Used.Sub(room)
+		next.Runs[r] = struct{}{}
+		next.Used = next.Used.Add(room)
+		r.Worker = next
+		if !r.Sent {
+			continue
+		}
+		r.Phase = Stopping
+		r.StopReason = "may have been started by the next life of the worker"
+		r.StopSent = false
+		r.Rejected = time.Time{}
+	}
 }
 
 // Drop removes a life of a worker. Its runs have surely ended.
