jobservice: write nothing while the store does not answer, settle uncertain writes

Whether the store answers was found out anew by each call. Change: a monitor notes the outcome of every call and probes while the store does not answer; a submission is then refused as not run, at once and truly, with Retry-After. A write that may have taken effect is repeated until its outcome is known.

--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -49,6 +49,7 @@
 // Options configures a Service.
 type Options struct {
 	Store   metastore.Store
+	Healthy func() bool // whether the store answers this instance
 	Elector *ownership.Elector
 	Self    string
 	Term    func() Term // nil when this instance is not the owner
@@ -148,15 +149,22 @@
 			doubt = true
 		}
 	}
-	if doubt {
-		if enough(ctx) && wait.For(ctx, retryPause) {
-			if out := direct(ctx); out == stored || out == noSuchJob {
-				return out
-			}
+	if !doubt {
+		return refused
+	}
+	return s.settle(ctx, direct)
+}
+
+// settle repeats a write that may have taken effect until its outcome is known or the
+// caller's deadline is near. No other answer than the outcome would help the caller: it may
+// not say that the write was refused.
+func (s *Service) settle(ctx context.Context, direct func(context.Context) outcome) outcome {
+	for enough(ctx) && wait.For(ctx, retryPause) {
+		if out := direct(ctx); out == stored || out == noSuchJob {
+			return out
 		}
-		return uncertain
 	}
-	return refused
+	return uncertain
 }
 
 // enough reports whether the caller still waits long enough for another try.
@@ -175,7 +183,11 @@
 }
 
 // write creates the key. A key that exists was written for the same job before.
+// Nothing is written while the store does not answer, so that the outcome is known.
 func (s *Service) write(ctx context.Context, key string, value []byte) outcome {
+	if !s.o.Healthy() {
+		return refused
+	}
 	call, cancel := context.WithTimeout(ctx, writeBound)
 	defer cancel()
 	_, err := s.o.Store.Commit(call, metastore.Txn{
@@ -193,6 +205,9 @@
 }
 
 func (s *Service) writeCancel(ctx context.Context, id string) outcome {
+	if !s.o.Healthy() {
+		return refused
+	}
 	call, cancel := context.WithTimeout(ctx, readBound)
 	_, err := s.o.Store.Get(call, jobowner.JobKey(id))
 	cancel()
@@ -263,6 +278,9 @@
 }
 
 func (s *Service) readState(ctx context.Context, id string) (workload.State, error) {
+	if !s.o.Healthy() {
+		return "", errkind.New(errkind.StateUnavailable, "the store does not answer")
+	}
 	call, cancel := context.WithTimeout(ctx, readBound)
 	defer cancel()
 	item, err := s.o.Store.Get(call, jobowner.RecordKey(id))
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -17,6 +17,8 @@
 	// answerSlack is how much longer than its wait a watch may take before its connection
 	// is taken for dead. It covers a store that answers 60 times slower than its 4 ms.
 	answerSlack = 900 * time.Millisecond
+	// firstWait is how long the first watch after a failure waits.
+	firstWait = 10 * time.Millisecond
 	// retryPause is the pause after a failed call. Calls are priced, refused ones too.
 	retryPause = 150 * time.Millisecond
 	// maxRetryPause bounds the pause, so that a change is seen soon after an outage.
@@ -137,9 +139,13 @@
 
 func (m *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
 	sent := time.Now()
-	call, cancel := context.WithTimeout(ctx, m.o.Wait+answerSlack)
+	waitFor := m.o.Wait
+	if !m.Reachable() {
+		waitFor = firstWait // to learn soon that the store is back
+	}
+	call, cancel := context.WithTimeout(ctx, waitFor+answerSlack)
 	defer cancel()
-	changes, asOf, err := m.o.Store.Watch(call, m.o.Prefix, after, m.o.Wait)
+	changes, asOf, err := m.o.Store.Watch(call, m.o.Prefix, after, waitFor)
 	if err != nil {
 		return after, err
 	}
--- /dev/null
+++ b/metastore/monitor.go
@@ -0,0 +1,123 @@
+package metastore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
+)
+
+const (
+	// probeInterval is the pause between two reads that find out whether the store is back.
+	probeInterval = 200 * time.Millisecond
+	// probeBound is the longest wait for such a read: a store that answers 60 times slower
+	// than its 4 ms is still of use.
+	probeBound = 600 * time.Millisecond
+	// probeKey is a key that need not exist.
+	probeKey = "cy/probe"
+)
+
+// Monitor is a Store that knows whether the store answers this instance. While it does not,
+// Run probes it, so that callers need not find out with calls of their own, whose outcome
+// would be unknown.
+type Monitor struct {
+	Store
+
+	mu       sync.Mutex
+	failing  bool
+	failedAt time.Time // when the newest failed call had been sent
+	wake     chan struct{}
+}
+
+// NewMonitor returns a monitor that takes the store for healthy.
+func NewMonitor(store Store) *Monitor {
+	return &Monitor{Store: store, wake: make(chan struct{}, 1)}
+}
+
+// Healthy reports whether the newest outcome of a call was an answer.
+func (m *Monitor) Healthy() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.failing
+}
+
+// Run probes the store while it does not answer, until ctx ends.
+func (m *Monitor) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if m.Healthy() {
+			select {
+			case <-ctx.Done():
+			case <-m.wake:
+			}
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, probeBound)
+		_, err := m.Get(call, probeKey)
+		cancel()
+		if err != nil && !errors.Is(err, ErrNotFound) {
+			wait.For(ctx, probeInterval)
+		}
+	}
+}
+
+// note takes in the outcome of a call.
+func (m *Monitor) note(ctx context.Context, sent time.Time, err error) {
+	var conflict *ConflictError
+	answered := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrNotFound) || errors.Is(err, ErrNoLease) || errors.Is(err, ErrCompacted)
+	if !answered && errors.Is(ctx.Err(), context.Canceled) {
+		return // given up by its caller, which says nothing of the store
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case answered:
+		m.failing = m.failing && m.failedAt.After(sent)
+	case !m.failing || sent.After(m.failedAt):
+		m.failing, m.failedAt = true, sent
+		select {
+		case m.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Get implements Store.
+func (m *Monitor) Get(ctx context.Context, key string) (Item, error) {
+	sent := time.Now()
+	item, err := m.Store.Get(ctx, key)
+	m.note(ctx, sent, err)
+	return item, err
+}
+
+// Range implements Store.
+func (m *Monitor) Range(ctx context.Context, prefix, after string) (Page, error) {
+	sent := time.Now()
+	page, err := m.Store.Range(ctx, prefix, after)
+	m.note(ctx, sent, err)
+	return page, err
+}
+
+// Watch implements Store. An answer shows that the store answered when it came.
+func (m *Monitor) Watch(ctx context.Context, prefix string, after uint64, waitFor time.Duration) ([]Change, uint64, error) {
+	changes, asOf, err := m.Store.Watch(ctx, prefix, after, waitFor)
+	m.note(ctx, time.Now(), err)
+	return changes, asOf, err
+}
+
+// Commit implements Store.
+func (m *Monitor) Commit(ctx context.Context, txn Txn) (uint64, error) {
+	sent := time.Now()
+	revision, err := m.Store.Commit(ctx, txn)
+	m.note(ctx, sent, err)
+	return revision, err
+}
+
+// KeepAlive implements Store.
+func (m *Monitor) KeepAlive(ctx context.Context, lease int64) error {
+	sent := time.Now()
+	err := m.Store.KeepAlive(ctx, lease)
+	m.note(ctx, sent, err)
+	return err
+}
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 type Node struct {
 	o        Options
 	log      *zap.Logger
+	store    *metastore.Monitor
 	operator *operator
 	elector  *ownership.Elector
 	members  *metastore.Mirror
@@ -85,17 +86,18 @@
 // New returns a node that Run starts.
 func New(o Options) *Node {
 	n := &Node{o: o, log: o.Log, clients: peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})}
+	n.store = metastore.NewMonitor(o.Adapter.Store)
 	n.operator = newOperator(n)
 	n.elector = ownership.New(ownership.Options{
-		Store: o.Adapter.Store, Self: ownership.Instance{Name: o.Instance, Address: o.Peers.Addr().String()},
+		Store: n.store, Self: ownership.Instance{Name: o.Instance, Address: o.Peers.Addr().String()},
 		CPUShare: o.CPUShare, Log: o.Log, Lead: n.lead,
 	})
 	n.members = metastore.NewMirror(metastore.MirrorOptions{
-		Store: o.Adapter.Store, Prefix: ownership.Prefix, Wait: watchWait, Log: o.Log,
+		Store: n.store, Prefix: ownership.Prefix, Wait: watchWait, Log: o.Log,
 		Apply: n.elector.Apply, Synced: n.elector.Synced,
 	})
 	n.jobs = jobservice.New(jobservice.Options{
-		Store: o.Adapter.Store, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
+		Store: n.store, Healthy: n.store.Healthy, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
 		Term: n.currentTerm,
 		Peer: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
 	})
@@ -121,6 +123,7 @@
 			f(ctx)
 		}()
 	}
+	run(n.store.Run, background)
 	run(n.operator.run, background)
 	run(n.members.Run, background)
 	run(n.elector.Announce, background)
@@ -139,7 +142,7 @@
 func (n *Node) lead(ctx context.Context, token uint64, fence metastore.Condition) {
 	a := n.o.Adapter
 	term := jobowner.New(jobowner.Options{
-		Store: a.Store, Workers: a.Workers, Log: n.log, Metrics: n.o.Metrics, Token: token, Fence: fence,
+		Store: n.store, Workers: a.Workers, Log: n.log, Metrics: n.o.Metrics, Token: token, Fence: fence,
 		Config: n.operator.config, Wall: time.Now, MaxLease: n.o.MaxLease, Placement: n.o.Placement,
 		InTouch:   func() bool { return n.elector.ConfirmedWithin(jobowner.RenewWithout) },
 		KeepEnded: n.o.KeepEnded, StoreBound: storeBound,
@@ -151,10 +154,10 @@
 		n.operator.attach(nil)
 	}()
 	intake := metastore.NewMirror(metastore.MirrorOptions{
-		Store: a.Store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Apply: term.OnIntake, Synced: term.Loaded,
+		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Apply: term.OnIntake, Synced: term.Loaded,
 	})
 	workers := metastore.NewMirror(metastore.MirrorOptions{
-		Store: a.Store, Prefix: a.WorkersPrefix, Wait: watchWait, Log: n.log,
+		Store: n.store, Prefix: a.WorkersPrefix, Wait: watchWait, Log: n.log,
 		Apply: func(change metastore.Change) { n.onWorker(term, change) },
 	})
 	if err := term.Run(ctx, intake.Run, workers.Run); err != nil && ctx.Err() == nil {
