Completed is shown once its ends are known; Retry-After grows with the outage; laggards; promised room

Rooms chosen by preemption were chosen anew each round, so that other units took parts of them; wide gangs waited behind streams of small tasks (first start after 5.8 s and 15.3 s). Runs on workers that stand still held their gangs (27% for 6 s). Change: the owner shows Completed as soon as all ends are known, unless one came from a worker that may leave: ends are acknowledged only once stored, so a successor finds them. Retry-After is half of the outage so far, 1 to 5 s. Promised room stays promised; two batch steps may have room reserved after a second, and stop others for at most 0.15 of their own work; urgent ones outside their guarantee for at most 5 times. Runs that would end sooner elsewhere are taken away.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -386,13 +386,21 @@
 		}
 		report = workerapi.Report{Clock: w.clock(), Life: w.entry.Life, Ended: slices.Clone(w.ended)}
 		for task, r := range w.runs {
-			report.Running = append(report.Running, workerapi.RunStatus{Task: task, Run: r.number})
+			report.Running = append(report.Running, workerapi.RunStatus{Task: task, Run: r.number, Percent: r.percent()})
 		}
 		return nil
 	})
 	return report, err
 }
 
+// percent returns how much of its work the run has done.
+func (r *run) percent() float64 {
+	if !r.atWork {
+		return 0
+	}
+	return 100 * float64(time.Since(r.started)) / float64(r.finish.Sub(r.started))
+}
+
 // forget drops ends that were taken note of and remembers the tasks that are done for good.
 func (f *Fleet) forget(w *worker, seen int64) {
 	for len(w.ended) > 0 && w.ended[0].Sequence <= seen {
--- a/jobfront/filters.go
+++ b/jobfront/filters.go
@@ -21,11 +21,20 @@
 const (
 	// defaultDeadline bounds a call whose caller and route name no limit.
 	defaultDeadline = 3 * time.Second
-	// retryAfter is what callers are told to wait when this instance cannot serve them: the
-	// time in which a new owner is elected and an instance learns the configuration.
-	retryAfter = time.Second
+	// minRetryAfter is what callers are told to wait at least when this instance cannot serve
+	// them: the time in which a new owner is elected and an instance learns the configuration.
+	minRetryAfter = time.Second
+	// maxRetryAfter bounds what callers are told to wait.
+	maxRetryAfter = 5 * time.Second
 )
 
+// retryAfter returns when callers may come back. The longer an outage has lasted, the longer
+// it is expected to last: callers try a few times only, and are not to use up their tries
+// before its end.
+func (s *Server) retryAfter() time.Duration {
+	return min(max(minRetryAfter, s.o.Outage()/2), maxRetryAfter)
+}
+
 // refusal is an error without a stack trace, so that a refusal under overload is cheap.
 type refusal struct {
 	kind    errkind.Kind
@@ -227,7 +236,7 @@
 	h["Content-Type"] = contentTypeJSON
 	status := s.o.Wire.Status(kind)
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		h["Retry-After"] = []string{strconv.Itoa(int(math.Ceil(retryAfter.Seconds())))}
+		h["Retry-After"] = []string{strconv.Itoa(int(math.Ceil(s.retryAfter().Seconds())))}
 	}
 	w.WriteHeader(status)
 	body := ErrorBody{Kind: kind, Message: err.Error(), RunState: errkind.AnswerOf(kind).RunState}
--- a/jobfront/jobfront.go
+++ b/jobfront/jobfront.go
@@ -45,7 +45,9 @@
 	Jobs Jobs
 	// Config returns the configuration in force, nil before the first one, and the time of
 	// the last contact with its source.
-	Config  func() (*workload.Config, time.Time)
+	Config func() (*workload.Config, time.Time)
+	// Outage returns for how long the store has not answered this instance; 0 if it does.
+	Outage  func() time.Duration
 	Log     *zap.Logger
 	Metrics metrics.Registry
 }
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -14,7 +14,10 @@
 
 const (
 	// holdWait is how long a worker may wait for an end before it reports.
-	holdWait = 2 * time.Second
+	holdWait = time.Second
+	// urgentHoldWait is the same for workers with runs of urgent jobs: runs that lag are
+	// noticed while their jobs can still meet their objective.
+	urgentHoldWait = 400 * time.Millisecond
 	// holdSlack is how much longer a report may take before its connection is taken for dead.
 	holdSlack = 700 * time.Millisecond
 	// firstHoldBound is the longest wait for the first report of a worker.
@@ -154,8 +157,8 @@
 		order.LeaseUntil = a.leaseUntil(now)
 	}
 	if a.worker.Heard && a.applied == a.stored {
-		order.Wait = holdWait
-		bound = holdWait + holdSlack
+		order.Wait = a.reportInterval()
+		bound = order.Wait + holdSlack
 	}
 	target := a.target()
 	t.mu.Unlock()
@@ -175,6 +178,17 @@
 	return nil
 }
 
+// reportInterval returns how long the worker may wait with its next report. The caller holds
+// the lock.
+func (a *agent) reportInterval() time.Duration {
+	for r := range a.worker.Runs {
+		if r.Task.Step.Occurrence.Job.Route.Priority == 0 {
+			return urgentHoldWait
+		}
+	}
+	return holdWait
+}
+
 // silent notes a report that failed.
 func (a *agent) silent(err error) {
 	t := a.t
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -160,6 +160,7 @@
 				zap.Duration("after", now.Sub(j.ArrivedAt)))
 		}
 		j.Shown = b.states[n]
+		j.Fragile = j.Fragile && j.Dirty
 		for _, r := range j.Runs() {
 			if r.Phase == jobstate.Planned {
 				t.orderStart(ctx, r, now)
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -95,10 +95,7 @@
 	if r.StartedAt.IsZero() {
 		t.confirm(r, now)
 	}
-	if row.Percent != r.Percent {
-		r.Percent = row.Percent
-		r.PercentAt = now
-	}
+	r.Observe(row.Percent, now)
 	r.Load = row.Load
 	r.Task.NoteCheckpoint(row.Checkpoint)
 }
@@ -125,7 +122,7 @@
 	w := r.Worker
 	switch how {
 	case jobstate.EndDone:
-		w.FailStreak = 0
+		w.FailStreak, w.LagStreak = 0, 0
 	case jobstate.EndFailed:
 		w.FailStreak++
 		if w.FailStreak >= failuresToAvoid {
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -210,7 +210,7 @@
 	f(t.cluster)
 }
 
-// State returns what the store shows of the job.
+// State returns what callers may be told of the job.
 func (t *Term) State(id string) (workload.State, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -218,7 +218,7 @@
 	if j == nil {
 		return "", false
 	}
-	return j.Shown, true
+	return j.Visible(), true
 }
 
 // Loaded notes that all jobs that were accepted before the term are known.
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -42,9 +42,12 @@
 	Phase      Phase
 	Since      time.Time // of the decision
 	StartedAt  time.Time // when the worker confirmed it
-	Percent    float64
-	PercentAt  time.Time // when the percentage last changed
-	Load       float64   // tail in milliseconds of a serving task, cores in use of another
+	Percent    float64   // of its work
+	Rate       float64   // percent a second over the newest interval; valid if Rated
+	Rated      bool
+	rateFrom   float64 // percent at the start of the interval that is being measured
+	rateSince  time.Time
+	Load       float64 // tail in milliseconds of a serving task, cores in use of another
 	StopReason string
 	Sent       bool      // this owner has ordered the start
 	StopSent   bool      // the stop is being ordered, or has been
@@ -84,6 +87,13 @@
 	ReadyAt    time.Time // when its tasks could first start; zero while it waits for other steps
 	NotBefore  time.Time // no start before, after a failed start
 	Reclaimed  time.Time // when runs were last preempted for it
+	Promised   []Promise // room that was chosen for it then
+}
+
+// Promise is room on a worker for a number of tasks of a step.
+type Promise struct {
+	Worker *Worker
+	Tasks  int
 }
 
 // Done reports whether all tasks are done.
@@ -125,6 +135,7 @@
 	Revision   uint64 // of the stored record; 0 before the first write
 	Sequence   uint64 // of the stored record
 	Dirty      bool   // the record differs from the stored one
+	Fragile    bool   // an end that is not stored was reported by a worker that may leave
 
 	Occurrences []*Occurrence // those that are due, by number
 	finished    int           // occurrences that are done
@@ -153,8 +164,8 @@
 
 	Strays map[string]workload.Amount // tasks there that no run of this state accounts for
 
-	FailStreak int     // failed runs in a row
-	Speed      float64 // run times of its tasks relative to those of others; 1 until known
+	FailStreak int // failed runs in a row
+	LagStreak  int // runs in a row that were taken away because they lagged
 }
 
 // Free returns the room that is left.
@@ -239,7 +250,7 @@
 
 // Place plans a run of the task on the worker.
 func (c *Cluster) Place(t *Task, w *Worker, number int, now time.Time) *Run {
-	r := &Run{Task: t, Number: number, Worker: w, Phase: Planned, Since: now, PercentAt: now, Pace: 100}
+	r := &Run{Task: t, Number: number, Worker: w, Phase: Planned, Since: now, Pace: 100}
 	t.Run = r
 	t.LastRun = number
 	t.Step.Active++
@@ -298,6 +309,26 @@
 	}
 }
 
+// rateInterval is the least time over which a rate of work is measured: a percent of a task
+// of some seconds.
+const rateInterval = 400 * time.Millisecond
+
+// Observe takes in how much of its work the run has done, as reported at now.
+func (r *Run) Observe(percent float64, now time.Time) {
+	r.Percent = percent
+	if r.rateSince.IsZero() {
+		r.rateFrom, r.rateSince = percent, now
+		return
+	}
+	interval := now.Sub(r.rateSince)
+	if interval < rateInterval {
+		return
+	}
+	r.Rate = (percent - r.rateFrom) / interval.Seconds()
+	r.Rated = true
+	r.rateFrom, r.rateSince = percent, now
+}
+
 // release takes the run off its worker.
 func (c *Cluster) release(r *Run) {
 	delete(r.Worker.Runs, r)
@@ -314,6 +345,7 @@
 	j := s.Occurrence.Job
 	c.release(r)
 	j.Dirty = true
+	j.Fragile = j.Fragile || r.Worker.Draining || !r.Worker.Listed
 	t.NoteCheckpoint(checkpoint)
 	switch how {
 	case EndDone:
@@ -409,5 +441,15 @@
 	return runs
 }
 
+// Visible returns the state that callers may be told: the stored one, or Completed as soon as
+// all ends are known. Ends are acknowledged to workers only once they are stored, so that a
+// new owner finds them there, unless their worker leaves meanwhile.
+func (j *Job) Visible() workload.State {
+	if j.State == workload.Completed && !j.Fragile {
+		return j.State
+	}
+	return j.Shown
+}
+
 // Queue returns the name of the route that the job was submitted to.
 func (j *Job) Queue() string { return j.Submission.Queue.Name }
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -13,7 +13,7 @@
 	if w != nil && (w.Life == life || life < w.Life) {
 		return w
 	}
-	next := &Worker{ID: id, Life: life, Runs: map[*Run]struct{}{}, Strays: map[string]workload.Amount{}, Speed: 1}
+	next := &Worker{ID: id, Life: life, Runs: map[*Run]struct{}{}, Strays: map[string]workload.Amount{}}
 	if w != nil {
 		c.handDoubtsOn(w, next)
 		c.Drop(w, now)
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -27,6 +27,7 @@
 
 	mu       sync.Mutex
 	failing  bool
+	since    time.Time // start of the first of the failed calls in a row
 	failedAt time.Time // when the newest failed call had been sent
 	wake     chan struct{}
 }
@@ -43,6 +44,16 @@
 	return !m.failing
 }
 
+// FailingFor returns for how long the store has not answered; 0 if it does.
+func (m *Monitor) FailingFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.failing {
+		return 0
+	}
+	return time.Since(m.since)
+}
+
 // Run probes the store while it does not answer, until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -75,6 +86,9 @@
 	case answered:
 		m.failing = m.failing && m.failedAt.After(sent)
 	case !m.failing || sent.After(m.failedAt):
+		if !m.failing {
+			m.since = sent
+		}
 		m.failing, m.failedAt = true, sent
 		select {
 		case m.wake <- struct{}{}:
--- a/node/node.go
+++ b/node/node.go
@@ -101,7 +101,7 @@
 		Term: n.currentTerm,
 		Peer: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
 	})
-	n.front = jobfront.New(jobfront.Options{Wire: o.Adapter.Wire, Jobs: n.jobs, Config: n.operator.current, Log: o.Log, Metrics: o.Metrics})
+	n.front = jobfront.New(jobfront.Options{Wire: o.Adapter.Wire, Jobs: n.jobs, Config: n.operator.current, Outage: n.store.FailingFor, Log: o.Log, Metrics: o.Metrics})
 	return n
 }
 
--- /dev/null
+++ b/placement/lag.go
@@ -0,0 +1,153 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+)
+
+const (
+	// lagObserved is how long a run works before it can lag.
+	lagObserved = 800 * time.Millisecond
+	// expectedStall is how much longer a run that stands still is expected to do so.
+	expectedStall = 5 * time.Second
+	// slowFactor is how many times slower than the usual rate a run must be. Workers differ in
+	// speed, and tasks of a step in length, by up to two times together.
+	slowFactor = 3
+	// lagFactor is how many times longer a run must take to end here than anew elsewhere
+	// before it is taken away.
+	lagFactor = 1.5
+	// restartCost is what a restart takes besides the work: stop, decision and start.
+	restartCost = 600 * time.Millisecond
+	// maxLagRuns bounds the runs of a task that are taken away because they lag.
+	maxLagRuns = 4
+	// lagPause is how long a worker gets no work after a run lagged there; it doubles.
+	lagPause = 3 * time.Second
+	// maxLagPause bounds the pause.
+	maxLagPause = 12 * time.Second
+	// stalledRate is the rate, in percent a second, below which a run stands still.
+	stalledRate = 0.5
+)
+
+// takeLaggards stops runs that would end sooner if they started again on another worker:
+// their worker is slow, or its tasks stand still, while its reports look healthy.
+func (r *round) takeLaggards() {
+	for _, j := range r.c.Jobs {
+		if j.State.Ended() {
+			continue
+		}
+		for _, o := range j.Occurrences {
+			for _, s := range o.Steps {
+				if s.Active > 0 && !s.Spec.LongRunning {
+					r.takeLaggardsOf(s)
+				}
+			}
+		}
+	}
+}
+
+func (r *round) takeLaggardsOf(s *jobstate.Step) {
+	var laggards []*jobstate.Run
+	for _, t := range s.Tasks {
+		if run := t.Run; run != nil && run.Number < maxLagRuns && r.lags(run) {
+			laggards = append(laggards, run)
+		}
+	}
+	for _, run := range laggards {
+		w := run.Worker
+		pause := min(lagPause<<min(w.LagStreak, 4), maxLagPause)
+		w.LagStreak++
+		w.Suspect = maxTime(w.Suspect, r.now.Add(pause))
+	}
+	for _, run := range laggards {
+		r.stop(run, "lags on its worker")
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// stop stops the run, and the whole gang if it belongs to one.
+func (r *round) stop(run *jobstate.Run, reason string) {
+	for _, member := range gangOf(run) {
+		if member.Phase == jobstate.Stopping {
+			continue
+		}
+		member.Phase = jobstate.Stopping
+		member.StopReason = reason
+		r.plan.Stops = append(r.plan.Stops, member)
+	}
+}
+
+// usualRate returns the median rate, in percent a second, of the runs of the step that have
+// their data as near as the run has. ok is false with fewer than two others that were
+// measured.
+func usualRate(run *jobstate.Run) (rate float64, ok bool) {
+	var rates []float64
+	for _, t := range run.Task.Step.Tasks {
+		other := t.Run
+		if other == nil || other == run || !other.Rated || other.Percent >= 100 || near(other) != near(run) {
+			continue
+		}
+		rates = append(rates, other.Rate)
+	}
+	if len(rates) < 2 {
+		return 0, false
+	}
+	slices.Sort(rates)
+	return rates[len(rates)/2], true
+}
+
+// near reports whether the run is in the rack of its data.
+func near(run *jobstate.Run) bool {
+	rack := run.Task.Step.Spec.DataRack
+	return rack == "" || run.Worker.Rack == rack
+}
+
+// lags reports whether the run would end sooner elsewhere.
+func (r *round) lags(run *jobstate.Run) bool {
+	if run.Phase != jobstate.Running || !run.Rated || run.Percent >= 100 || r.now.Sub(run.StartedAt) < lagObserved {
+		return false
+	}
+	if run.Rate <= stalledRate {
+		return stalled(run.Worker) && r.stallCostsMore(run)
+	}
+	usual, ok := usualRate(run)
+	if !ok || run.Rate*slowFactor > usual {
+		return false
+	}
+	left := 100 - run.Percent
+	return left/run.Rate > lagFactor*(restartCost.Seconds()+redo(run)/usual)
+}
+
+// stalled reports whether nothing that was measured on the worker moves.
+func stalled(w *jobstate.Worker) bool {
+	for run := range w.Runs {
+		if run.Rated && run.Rate > stalledRate && run.Percent < 100 {
+			return false
+		}
+	}
+	return true
+}
+
+// stallCostsMore reports whether waiting for the end of the stall is expected to cost more
+// than what the run has done so far.
+func (r *round) stallCostsMore(run *jobstate.Run) bool {
+	if run.Task.Step.Spec.Checkpointing {
+		return true
+	}
+	return run.Percent/100*run.Task.Step.Spec.Estimate.Seconds()+restartCost.Seconds() < expectedStall.Seconds()
+}
+
+// redo returns the percent that a restart has to do.
+func redo(run *jobstate.Run) float64 {
+	if run.Task.Step.Spec.Checkpointing {
+		return 100 - run.Percent
+	}
+	return 100
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,12 +58,15 @@
 	workers  map[string][]*jobstate.Worker // that accept work, by service
 	reserved map[*jobstate.Worker]workload.Amount
 	plan     Plan
+
+	reservations int // steps that are not urgent and have room reserved
 }
 
 // Decide plans starts and stops. guarantee returns the guaranteed accelerators of a
 // workspace.
 func (p *Policy) Decide(c *jobstate.Cluster, guarantee func(workspace string) int, now time.Time) Plan {
 	r := &round{Policy: p, c: c, now: now, reserved: map[*jobstate.Worker]workload.Amount{}}
+	r.takeLaggards()
 	units := r.units(guarantee)
 	if len(units) == 0 {
 		return r.plan
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -10,70 +11,89 @@
 )
 
 const (
-	// reclaimPause is how long a step waits for the runs that were stopped for it before
-	// others are stopped too. It covers a stop that is slow to be confirmed.
-	reclaimPause = 900 * time.Millisecond
+	// reclaimSlack is how much longer than a stop takes a step waits for the runs that were
+	// stopped for it before others are stopped too.
+	reclaimSlack = 300 * time.Millisecond
+	// batchPatience is how long a step that is not urgent waits before room is reserved.
+	batchPatience = time.Second
+	// maxReservations bounds the steps that are not urgent and have room reserved: reserved
+	// room stands idle until it is complete.
+	maxReservations = 2
+	// urgentLossShare and batchLossShare bound the work that is thrown away for a step, as a
+	// multiple of its own.
+	urgentLossShare = 5
+	batchLossShare  = 0.15
 	// spreadAfter is when an urgent gang gives up waiting for one rack.
-	spreadAfter = 400 * time.Millisecond
+	spreadAfter = 1200 * time.Millisecond
 	// restoreCost is the work, in core-seconds, that stopping a run with checkpoints costs.
 	restoreCost = 10
 )
 
-// makeRoom stops runs of less urgent jobs for the unit, and reserves their workers for it.
+// makeRoom chooses room for a unit that does not fit and reserves it. It stops runs of less
+// urgent jobs in that room if that is worth it.
 func (r *round) makeRoom(u *unit, workers []*jobstate.Worker) {
-	if u.priority > 0 {
+	if r.now.Sub(u.step.Reclaimed) < r.o.StopTimeout+reclaimSlack {
+		r.reserve(u.step)
+		return
+	}
+	if u.priority > 0 && (r.now.Sub(u.step.ReadyAt) < batchPatience || r.reservations >= maxReservations) {
 		return
 	}
-	targets := r.reclaim(u, workers)
+	targets, loss := r.cheapest(u, workers)
 	if targets == nil {
 		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "no room that could be reclaimed"})
 		return
 	}
-	room := u.step.Spec.Room()
+	u.step.Promised = u.step.Promised[:0]
 	for _, t := range targets {
-		sum := r.reserved[t.worker]
-		for range t.count {
-			sum = sum.Add(room)
-		}
-		r.reserved[t.worker] = sum
+		u.step.Promised = append(u.step.Promised, jobstate.Promise{Worker: t.worker, Tasks: t.count})
 	}
-}
-
-// target is room on one worker and what must be stopped for it.
-type target struct {
-	slot
-	victims []*jobstate.Run
-	cost    float64
-}
-
-// reclaim chooses workers for the waiting tasks and stops what is in their way.
-func (r *round) reclaim(u *unit, workers []*jobstate.Worker) []target {
-	targets := r.cheapest(u, workers)
-	if targets == nil {
-		return nil
+	r.reserve(u.step)
+	if u.priority > 0 {
+		r.reservations++
 	}
-	if r.now.Sub(u.step.Reclaimed) < reclaimPause {
-		return targets
+	if loss > lossLimit(u) {
+		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "room is reserved; stopping what runs there would cost too much"})
+		return
 	}
 	for _, t := range targets {
 		for _, victim := range t.victims {
-			r.preempt(victim, u)
+			r.stop(victim, "room for "+u.job.Submission.ID)
 		}
 	}
 	u.step.Reclaimed = r.now
-	return targets
 }
 
-// preempt stops the run, and the whole gang if it belongs to one.
-func (r *round) preempt(run *jobstate.Run, u *unit) {
-	for _, member := range gangOf(run) {
-		if member.Phase == jobstate.Stopping {
-			continue
+// reserve keeps the promised room from units that come later in this round.
+func (r *round) reserve(s *jobstate.Step) {
+	room := s.Spec.Room()
+	for _, p := range s.Promised {
+		sum := r.reserved[p.Worker]
+		for range p.Tasks {
+			sum = sum.Add(room)
 		}
-		member.Phase = jobstate.Stopping
-		member.StopReason = "room for " + u.job.Submission.ID
-		r.plan.Stops = append(r.plan.Stops, member)
+		r.reserved[p.Worker] = sum
+	}
+}
+
+// lossLimit returns how much work, in core-seconds, may be thrown away for the unit.
+func lossLimit(u *unit) float64 {
+	if u.guaranteed {
+		return math.Inf(1)
 	}
+	spec := u.step.Spec
+	work := float64(len(u.waiting)) * spec.Estimate.Seconds() * spec.Demand.Cores()
+	if u.priority == 0 {
+		return urgentLossShare * work
+	}
+	return batchLossShare * work
+}
+
+// target is room on one worker and what must be stopped for it.
+type target struct {
+	slot
+	victims []*jobstate.Run
+	cost    float64
 }
 
 func gangOf(run *jobstate.Run) []*jobstate.Run {
@@ -92,8 +112,8 @@
 
 // cheapest returns targets for all waiting tasks: in one rack if that is possible and
 // wanted, else anywhere.
-func (r *round) cheapest(u *unit, workers []*jobstate.Worker) []target {
-	if u.step.Spec.Gang && u.step.Spec.SameRack && r.now.Sub(u.step.ReadyAt) < spreadAfter {
+func (r *round) cheapest(u *unit, workers []*jobstate.Worker) ([]target, float64) {
+	if u.step.Spec.Gang && u.step.Spec.SameRack && (u.priority > 0 || r.now.Sub(u.step.ReadyAt) < spreadAfter) {
 		var best []target
 		bestCost := 0.0
 		racks := byRack(workers)
@@ -104,11 +124,10 @@
 			}
 		}
 		if best != nil {
-			return best
+			return best, bestCost
 		}
 	}
-	targets, _ := r.targets(u, workers)
-	return targets
+	return r.targets(u, workers)
 }
 
 // targets chooses, one task at a time, the worker where room costs the least.
@@ -212,16 +231,19 @@
 	return list
 }
 
-// lossOf returns the core-seconds that stopping the run, with its gang, throws away.
+// lossOf returns the core-seconds that stopping the run, with its gang, throws away. It
+// counts more for what was stopped before, so that the same job is not hit again and again.
 func (r *round) lossOf(run *jobstate.Run) float64 {
 	loss := 0.0
+	again := 1.0
 	for _, member := range gangOf(run) {
 		spec := member.Task.Step.Spec
+		again = max(again, float64(member.Number))
 		if spec.Checkpointing {
 			loss += restoreCost
 			continue
 		}
 		loss += r.now.Sub(member.Since).Seconds() * spec.Demand.Cores()
 	}
-	return loss
+	return loss * again
 }
