An owner that the store turns away hands over; states are shown early only in a shared outage

Change: Completed is shown before it is stored only while the store answers no instance, and a new owner asks its peers what a former one has seen completed. An owner that only it is turned away stops and has a peer end its ownership (relay.Depose). The owner's lease is 1.5 s. Waits for answers of the store follow their usual time, so that lost answers are noticed soon.

--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -20,7 +20,7 @@
 	maxBatch = (metastore.MaxTxnEntries - 2) / 2
 	// maxBatchBytes bounds the values of one transaction.
 	maxBatchBytes = 256 << 10
-	// retryPause is the pause after a write that the store did not confirm.
+	// retryPause is the pause after a call that the store refused.
 	retryPause = 100 * time.Millisecond
 )
 
@@ -94,7 +94,7 @@
 		for n, j := range b.jobs {
 			txn.If = append(txn.If, metastore.Condition{Key: b.puts[n].Key, Revision: j.Revision})
 		}
-		call, cancel := context.WithTimeout(ctx, t.o.StoreBound)
+		call, cancel := context.WithTimeout(ctx, t.o.Bound(attempt))
 		revision, err := t.o.Store.Commit(call, txn)
 		cancel()
 		if err == nil {
@@ -111,7 +111,9 @@
 		if attempt == 1 {
 			events.Warn(t.o.Log, events.RecordWriteDelayed, zap.Int("jobs", len(b.jobs)), zap.Error(err))
 		}
-		wait.For(ctx, retryPause)
+		if errors.Is(err, metastore.ErrRefused) {
+			wait.For(ctx, retryPause)
+		}
 	}
 	return false
 }
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,8 +33,11 @@
 	fleet  *testplatform.Fleet
 	config *workload.Config
 
+	outage atomic.Bool // the store answers no instance
+
 	mu        sync.Mutex
 	instances map[string]*candidate
+	former    []*jobowner.Term // terms of instances that live, newest last
 }
 
 type candidate struct {
@@ -78,9 +82,12 @@
 			InTouch:   func() bool { return elector.ConfirmedWithin(jobowner.RenewWithout) },
 			Placement: placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
 			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond,
+			Bound:  func(int) time.Duration { return 500 * time.Millisecond },
+			Outage: func() bool { return s.outage.Load() }, Completed: func(context.Context) []string { return s.completed() },
 		})
 		s.mu.Lock()
 		c.term = term
+		s.former = append(s.former, term)
 		s.mu.Unlock()
 		mirror := func(prefix string, apply func(metastore.Change), synced func(time.Time)) func(context.Context) {
 			return metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: prefix, Wait: 2 * time.Second, Log: log, Apply: apply, Synced: synced}).Run
@@ -98,7 +105,8 @@
 			panic(err)
 		}
 	}
-	elector = ownership.New(ownership.Options{Store: c.client, Self: ownership.Instance{Name: name}, CPUShare: 1, Log: log, Lead: lead})
+	elector = ownership.New(ownership.Options{Store: c.client, Self: ownership.Instance{Name: name}, CPUShare: 1, Log: log, Lead: lead,
+		CutOff: func() bool { return false }})
 	members := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.Prefix, Wait: 2 * time.Second, Log: log, Apply: elector.Apply, Synced: elector.Synced})
 	s.mu.Lock()
 	s.instances[name] = c
@@ -134,6 +142,17 @@
 	}
 }
 
+// completed returns what the former owners that live have seen completed.
+func (s *system) completed() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var jobs []string
+	for _, term := range s.former {
+		jobs = append(jobs, term.Unsaved()...)
+	}
+	return jobs
+}
+
 // submit stores a job as an entry instance does.
 func (s *system) submit(id, route string, steps ...workload.Step) *workload.Submission {
 	job := &workload.Submission{ID: id, Queue: *s.config.Route(route), Workspace: "team", Payload: "payload of " + id, Steps: steps, AcceptedAt: time.Now().UnixMilli()}
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -63,6 +63,9 @@
 		delete(t.records, id)
 		t.cluster.Restore(j, stored.record, stored.revision, now)
 	}
+	if t.finished[id] {
+		j.Complete(now)
+	}
 	events.Info(t.o.Log, events.JobTaken, zap.String("job", id), zap.String("route", s.Queue.Name),
 		zap.Int("steps", len(s.Steps)), zap.String("state", string(j.State)), zap.Uint64("revision", change.Revision))
 	if t.early[id] {
--- a/jobowner/jobowner_test.go
+++ b/jobowner/jobowner_test.go
@@ -302,3 +302,34 @@
 		s.requireRules(t)
 	})
 }
+
+// Guards against a caller that is told of a completed job whose task then starts again: the
+// end was shown during an outage of the store, its worker left, and another instance became
+// the owner after the outage.
+func TestCompletedInAnOutageStaysCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "urgent", tasks(1, 1))
+		time.Sleep(500 * time.Millisecond)
+		down := func(string) testplatform.Fault { return testplatform.Silent }
+		a.client.Fault = down
+		time.Sleep(time.Second)
+		state, _ := a.term.State("job")
+		assert.Equal(t, workload.Running, state, "the store may answer others")
+		s.outage.Store(true)
+		state, _ = a.term.State("job")
+		assert.Equal(t, workload.Completed, state)
+		s.fleet.Leave("w0")
+		s.store.Remove(workersPrefix + "w0")
+		s.addWorker("w1", 0)
+		s.outage.Store(false)
+		s.start("b")
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 20*time.Second))
+		assert.Equal(t, 1, s.fleet.Starts)
+		s.requireRules(t)
+	})
+}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -35,6 +35,13 @@
 	Placement  placement.Options
 	KeepEnded  time.Duration // how long an ended job stays known
 	StoreBound time.Duration // longest wait for one answer of the store
+
+	// Bound returns how long to wait for the answer to a write that is tried for the nth time.
+	Bound func(attempt int) time.Duration
+	// Outage reports whether the store answers no instance.
+	Outage func() bool
+	// Completed returns jobs that a former owner has seen completed and could not store.
+	Completed func(context.Context) []string
 }
 
 // Timing of a term.
@@ -65,14 +72,15 @@
 	policy *placement.Policy
 	began  time.Time
 
-	mu      sync.Mutex
-	cluster *jobstate.Cluster
-	agents  map[string]*agent
-	missing map[*jobstate.Worker]time.Time // since when a worker has no entry
-	records map[string]storedRecord        // read at the start, of jobs that are not known yet
-	early   map[string]bool                // cancelled before the job was known
-	nextDue int64                          // Unix milliseconds of the next occurrence; 0 for none
-	fenced  bool
+	mu       sync.Mutex
+	cluster  *jobstate.Cluster
+	agents   map[string]*agent
+	missing  map[*jobstate.Worker]time.Time // since when a worker has no entry
+	records  map[string]storedRecord        // read at the start, of jobs that are not known yet
+	early    map[string]bool                // cancelled before the job was known
+	finished map[string]bool                // completed, as a former owner has seen
+	nextDue  int64                          // Unix milliseconds of the next occurrence; 0 for none
+	fenced   bool
 
 	loaded   chan struct{} // closed when all jobs are known
 	loadOnce sync.Once
@@ -106,7 +114,7 @@
 	return &Term{
 		o: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, missing: map[*jobstate.Worker]time.Time{},
-		records: map[string]storedRecord{}, early: map[string]bool{},
+		records: map[string]storedRecord{}, early: map[string]bool{}, finished: map[string]bool{},
 		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		decisions: histogram("owner.decision_us", o.Metrics),
@@ -157,7 +165,7 @@
 		items, _, err := metastore.RangeAll(call, t.o.Store, RecordPrefix)
 		cancel()
 		if err == nil {
-			t.keepRecords(items)
+			t.keepRecords(items, t.o.Completed(ctx))
 			return nil
 		}
 		t.o.Log.Warn("records not read", zap.Error(err))
@@ -169,9 +177,12 @@
 	}
 }
 
-func (t *Term) keepRecords(items []metastore.Item) {
+func (t *Term) keepRecords(items []metastore.Item, finished []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, id := range finished {
+		t.finished[id] = true
+	}
 	for _, item := range items {
 		id := item.Key[len(RecordPrefix):]
 		record, err := workload.DecodeRecord(item.Value)
@@ -218,7 +229,23 @@
 	if j == nil {
 		return "", false
 	}
-	return j.Visible(), true
+	if j.State == workload.Completed && !j.Fragile && t.o.Outage() {
+		return j.State, true // its ends are at the workers until the store is back
+	}
+	return j.Shown, true
+}
+
+// Unsaved returns the jobs that are completed and not in the store as such.
+func (t *Term) Unsaved() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for id, j := range t.cluster.Jobs {
+		if j.State == workload.Completed && j.Shown != workload.Completed {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // Loaded notes that all jobs that were accepted before the term are known.
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// writeBound is the longest wait for the store's answer to one write.
-	writeBound = 700 * time.Millisecond
+	// writeTries is how often a write without an answer is sent before peers are asked.
+	writeTries = 2
 	// readBound is the longest wait for one read of the store.
 	readBound = 600 * time.Millisecond
 	// askBound is the longest wait for a peer that answers from memory.
@@ -50,6 +50,8 @@
 type Options struct {
 	Store   metastore.Store
 	Healthy func() bool // whether the store answers this instance
+	// Bound returns how long to wait for the answer to a write that is tried for the nth time.
+	Bound   func(attempt int) time.Duration
 	Elector *ownership.Elector
 	Self    string
 	Term    func() Term // nil when this instance is not the owner
@@ -188,7 +190,16 @@
 	if !s.o.Healthy() {
 		return refused
 	}
-	call, cancel := context.WithTimeout(ctx, writeBound)
+	for attempt := 1; ; attempt++ {
+		out := s.writeOnce(ctx, key, value, attempt)
+		if out != uncertain || attempt == writeTries || !enough(ctx) {
+			return out
+		}
+	}
+}
+
+func (s *Service) writeOnce(ctx context.Context, key string, value []byte, attempt int) outcome {
+	call, cancel := context.WithTimeout(ctx, s.o.Bound(attempt))
 	defer cancel()
 	_, err := s.o.Store.Commit(call, metastore.Txn{
 		If:   []metastore.Condition{{Key: key}},
@@ -198,7 +209,7 @@
 	switch {
 	case err == nil, errors.As(err, &conflict):
 		return stored
-	case errors.Is(err, metastore.ErrRefused):
+	case errors.Is(err, metastore.ErrRefused) && attempt == 1:
 		return refused
 	}
 	return uncertain
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -426,6 +426,9 @@
 // Cancel ends the job unless it has ended. Its runs must be stopped.
 func (j *Job) Cancel(now time.Time) { j.end(workload.Cancelled, now) }
 
+// Complete ends the job as completed, on the word of a former owner.
+func (j *Job) Complete(now time.Time) { j.end(workload.Completed, now) }
+
 // Runs returns the runs of the job that may exist.
 func (j *Job) Runs() []*Run {
 	var runs []*Run
@@ -441,15 +444,5 @@
 	return runs
 }
 
-// Visible returns the state that callers may be told: the stored one, or Completed as soon as
-// all ends are known. Ends are acknowledged to workers only once they are stored, so that a
-// new owner finds them there, unless their worker leaves meanwhile.
-func (j *Job) Visible() workload.State {
-	if j.State == workload.Completed && !j.Fragile {
-		return j.State
-	}
-	return j.Shown
-}
-
 // Queue returns the name of the route that the job was submitted to.
 func (j *Job) Queue() string { return j.Submission.Queue.Name }
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -15,6 +15,14 @@
 	// probeBound is the longest wait for such a read: a store that answers 60 times slower
 	// than its 4 ms is still of use.
 	probeBound = 600 * time.Millisecond
+	// boundFactor and boundSlack make the bound of a call from the usual time of an answer.
+	boundFactor = 4
+	boundSlack  = 80 * time.Millisecond
+	// MinBound and MaxBound limit the bound of a call.
+	MinBound = 120 * time.Millisecond
+	MaxBound = 700 * time.Millisecond
+	// usualWeight is the weight of a new answer in the usual time of an answer.
+	usualWeight = 0.2
 	// probeKey is a key that need not exist.
 	probeKey = "cy/probe"
 )
@@ -27,8 +35,9 @@
 
 	mu       sync.Mutex
 	failing  bool
-	since    time.Time // start of the first of the failed calls in a row
-	failedAt time.Time // when the newest failed call had been sent
+	since    time.Time     // start of the first of the failed calls in a row
+	failedAt time.Time     // when the newest failed call had been sent
+	usual    time.Duration // moving average of the time of an answer
 	wake     chan struct{}
 }
 
@@ -54,6 +63,16 @@
 	return time.Since(m.since)
 }
 
+// Bound returns how long to wait for the answer of a call that is tried for the attempt'th
+// time, from 1. An answer that is lost is noticed soon; a store that became slow is given
+// longer with each attempt.
+func (m *Monitor) Bound(attempt int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	bound := max(boundFactor*m.usual+boundSlack, MinBound)
+	return min(bound<<min(attempt-1, 4), MaxBound)
+}
+
 // Run probes the store while it does not answer, until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -73,8 +92,8 @@
 	}
 }
 
-// note takes in the outcome of a call.
-func (m *Monitor) note(ctx context.Context, sent time.Time, err error) {
+// note takes in the outcome of a call. long marks calls that wait for changes.
+func (m *Monitor) note(ctx context.Context, sent time.Time, err error, long bool) {
 	var conflict *ConflictError
 	answered := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrNotFound) || errors.Is(err, ErrNoLease) || errors.Is(err, ErrCompacted)
 	if !answered && errors.Is(ctx.Err(), context.Canceled) {
@@ -84,6 +103,9 @@
 	defer m.mu.Unlock()
 	switch {
 	case answered:
+		if took := time.Since(sent); !long {
+			m.usual += time.Duration(usualWeight * float64(took-m.usual))
+		}
 		m.failing = m.failing && m.failedAt.After(sent)
 	case !m.failing || sent.After(m.failedAt):
 		if !m.failing {
@@ -101,7 +123,7 @@
 func (m *Monitor) Get(ctx context.Context, key string) (Item, error) {
 	sent := time.Now()
 	item, err := m.Store.Get(ctx, key)
-	m.note(ctx, sent, err)
+	m.note(ctx, sent, err, false)
 	return item, err
 }
 
@@ -109,14 +131,14 @@
 func (m *Monitor) Range(ctx context.Context, prefix, after string) (Page, error) {
 	sent := time.Now()
 	page, err := m.Store.Range(ctx, prefix, after)
-	m.note(ctx, sent, err)
+	m.note(ctx, sent, err, false)
 	return page, err
 }
 
 // Watch implements Store. An answer shows that the store answered when it came.
 func (m *Monitor) Watch(ctx context.Context, prefix string, after uint64, waitFor time.Duration) ([]Change, uint64, error) {
 	changes, asOf, err := m.Store.Watch(ctx, prefix, after, waitFor)
-	m.note(ctx, time.Now(), err)
+	m.note(ctx, time.Now(), err, true)
 	return changes, asOf, err
 }
 
@@ -124,7 +146,7 @@
 func (m *Monitor) Commit(ctx context.Context, txn Txn) (uint64, error) {
 	sent := time.Now()
 	revision, err := m.Store.Commit(ctx, txn)
-	m.note(ctx, sent, err)
+	m.note(ctx, sent, err, false)
 	return revision, err
 }
 
@@ -132,6 +154,6 @@
 func (m *Monitor) KeepAlive(ctx context.Context, lease int64) error {
 	sent := time.Now()
 	err := m.Store.KeepAlive(ctx, lease)
-	m.note(ctx, sent, err)
+	m.note(ctx, sent, err, false)
 	return err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,8 @@
 	watchWait = 2 * time.Second
 	// storeBound is the longest wait of the owner for one answer of the store.
 	storeBound = 700 * time.Millisecond
+	// handOverBound is the longest wait of a new owner for its peers.
+	handOverBound = 150 * time.Millisecond
 )
 
 // Node is one instance.
@@ -80,6 +83,7 @@
 	front    *jobfront.Server
 	clients  *peer.Clients
 	term     atomic.Pointer[jobowner.Term]
+	former   atomic.Pointer[jobowner.Term] // the newest term that has ended here
 	draining atomic.Bool
 }
 
@@ -91,13 +95,14 @@
 	n.elector = ownership.New(ownership.Options{
 		Store: n.store, Self: ownership.Instance{Name: o.Instance, Address: o.Peers.Addr().String()},
 		CPUShare: o.CPUShare, Log: o.Log, Lead: n.lead,
+		CutOff: n.operator.elsewhere.Load, DeposeElsewhere: n.deposeElsewhere,
 	})
 	n.members = metastore.NewMirror(metastore.MirrorOptions{
 		Store: n.store, Prefix: ownership.Prefix, Wait: watchWait, Log: o.Log,
 		Apply: n.elector.Apply, Synced: n.elector.Synced,
 	})
 	n.jobs = jobservice.New(jobservice.Options{
-		Store: n.store, Healthy: n.store.Healthy, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
+		Store: n.store, Healthy: n.store.Healthy, Bound: n.store.Bound, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
 		Term: n.currentTerm,
 		Peer: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
 	})
@@ -146,10 +151,12 @@
 		Config: n.operator.config, Wall: time.Now, MaxLease: n.o.MaxLease, Placement: n.o.Placement,
 		InTouch:   func() bool { return n.elector.ConfirmedWithin(jobowner.RenewWithout) },
 		KeepEnded: n.o.KeepEnded, StoreBound: storeBound,
+		Bound: n.store.Bound, Outage: n.operator.shared.Load, Completed: n.completedElsewhere,
 	})
 	n.operator.attach(term)
 	n.term.Store(term)
 	defer func() {
+		n.former.Store(term)
 		n.term.Store(nil)
 		n.operator.attach(nil)
 	}()
@@ -165,6 +172,50 @@
 	}
 }
 
+// deposeElsewhere asks peers, one after the other, to end the ownership with the token.
+func (n *Node) deposeElsewhere(ctx context.Context, token uint64) error {
+	err := errors.New("no peer is known")
+	for _, p := range n.elector.Peers() {
+		call, cancel := context.WithTimeout(ctx, handOverBound)
+		var reply *relay.OutcomeReply
+		reply, err = relay.NewDRPCRelayClient(n.clients.Conn(p.Address)).Depose(call, &relay.DeposeRequest{Token: token})
+		cancel()
+		if err == nil && reply.Outcome == relay.OutcomeReply_STORED {
+			return nil
+		}
+	}
+	return err
+}
+
+// completedElsewhere asks the peers for jobs that a former owner has shown as completed and
+// could not store.
+func (n *Node) completedElsewhere(ctx context.Context) []string {
+	ctx, cancel := context.WithTimeout(ctx, handOverBound)
+	defer cancel()
+	var (
+		mu   sync.Mutex
+		jobs []string
+		asks sync.WaitGroup
+	)
+	for _, p := range n.elector.Peers() {
+		asks.Go(func() {
+			reply, err := relay.NewDRPCRelayClient(n.clients.Conn(p.Address)).Completed(ctx, &relay.CompletedRequest{})
+			if err != nil {
+				n.log.Debug("peer not asked for completed jobs", zap.String("peer", p.Name), zap.Error(err))
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			jobs = append(jobs, reply.Jobs...)
+		})
+	}
+	asks.Wait()
+	if own := n.former.Load(); own != nil {
+		jobs = append(jobs, own.Unsaved()...)
+	}
+	return jobs
+}
+
 func (n *Node) onWorker(term *jobowner.Term, change metastore.Change) {
 	id := n.o.Adapter.WorkerID(change.Key)
 	if change.Removed {
--- a/node/operator.go
+++ b/node/operator.go
@@ -21,9 +21,11 @@
 const (
 	// askInterval is the time between two questions to peers while the store turns this
 	// instance away.
-	askInterval = 400 * time.Millisecond
+	askInterval = 150 * time.Millisecond
 	// askBound is the longest wait for a peer's answer.
 	askBound = 300 * time.Millisecond
+	// enoughPeers is how many peers that the store does not answer either show an outage.
+	enoughPeers = 3
 )
 
 // operator follows what the operator writes: through the store or, while the store turns
@@ -35,6 +37,9 @@
 	// are passed to the term under the lock below.
 	inForce atomic.Pointer[workload.Config]
 
+	shared    atomic.Bool // the store answers no instance that could be asked
+	elsewhere atomic.Bool // the store answers a peer and does not answer this instance
+
 	mu        sync.Mutex
 	items     map[string]metastore.Item
 	asOf      uint64
@@ -141,7 +146,7 @@
 func (o *operator) snapshot(after uint64) *relay.OperatorReply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	reply := &relay.OperatorReply{Revision: o.asOf, AgeMs: time.Since(o.contact).Milliseconds()}
+	reply := &relay.OperatorReply{Revision: o.asOf, Reachable: o.n.store.Healthy()}
 	if o.asOf <= after || o.inForce.Load() == nil {
 		return reply
 	}
@@ -153,23 +158,37 @@
 }
 
 // askWhileCutOff asks peers for what the operator wrote as long as the store does not
-// answer this instance.
+// answer this instance, and notes whether the store answers none of them either.
 func (o *operator) askWhileCutOff(ctx context.Context) {
 	for wait.For(ctx, askInterval) {
-		if o.mirror.Reachable() {
+		if o.n.store.Healthy() {
+			o.shared.Store(false)
+			o.elsewhere.Store(false)
 			continue
 		}
+		answered, reachable := 0, false
 		for _, p := range o.n.elector.Peers() {
-			if ctx.Err() != nil || o.askPeer(ctx, p.Address) {
+			peerReaches, err := o.askPeer(ctx, p.Address)
+			if err != nil {
+				o.n.log.Debug("peer not asked for the configuration", zap.String("peer", p.Name), zap.Error(err))
+				continue
+			}
+			answered++
+			if peerReaches {
+				reachable = true
+				break
+			}
+			if answered == enoughPeers {
 				break
 			}
 		}
+		o.shared.Store(answered > 0 && !reachable)
+		o.elsewhere.Store(reachable)
 	}
 }
 
-// askPeer takes in what the peer knows. It returns whether the peer is in contact with the
-// store itself.
-func (o *operator) askPeer(ctx context.Context, address string) bool {
+// askPeer takes in what the peer knows. It returns whether the store answers the peer.
+func (o *operator) askPeer(ctx context.Context, address string) (bool, error) {
 	o.mu.Lock()
 	after := o.asOf
 	o.mu.Unlock()
@@ -177,8 +196,7 @@
 	defer cancel()
 	reply, err := relay.NewDRPCRelayClient(o.n.clients.Conn(address)).Operator(call, &relay.OperatorRequest{After: after})
 	if err != nil {
-		o.n.log.Debug("peer not asked for the configuration", zap.String("peer", address), zap.Error(err))
-		return false
+		return false, err
 	}
 	if len(reply.Items) > 0 {
 		items := make([]metastore.Item, len(reply.Items))
@@ -187,5 +205,5 @@
 		}
 		o.mirror.Merge(items, reply.Revision)
 	}
-	return reply.AgeMs < (watchWait + time.Second).Milliseconds()
+	return reply.Reachable, nil
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/relay"
 )
@@ -152,6 +153,28 @@
 	return p.n.jobs.CancelFor(ctx, r)
 }
 
+// Depose implements relay.DRPCRelayServer.
+func (p peerServer) Depose(ctx context.Context, r *relay.DeposeRequest) (*relay.OutcomeReply, error) {
+	if !p.n.store.Healthy() {
+		return &relay.OutcomeReply{Outcome: relay.OutcomeReply_REFUSED}, nil
+	}
+	if err := p.n.elector.Depose(ctx, r.Token); err != nil {
+		return nil, err
+	}
+	return &relay.OutcomeReply{Outcome: relay.OutcomeReply_STORED}, nil
+}
+
+// Completed implements relay.DRPCRelayServer.
+func (p peerServer) Completed(context.Context, *relay.CompletedRequest) (*relay.CompletedReply, error) {
+	reply := &relay.CompletedReply{}
+	for _, term := range []*jobowner.Term{p.n.former.Load(), p.n.term.Load()} {
+		if term != nil {
+			reply.Jobs = append(reply.Jobs, term.Unsaved()...)
+		}
+	}
+	return reply, nil
+}
+
 // Operator implements relay.DRPCRelayServer.
 func (p peerServer) Operator(_ context.Context, r *relay.OperatorRequest) (*relay.OperatorReply, error) {
 	return p.n.operator.snapshot(r.After), nil
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -29,11 +29,13 @@
 // Timing of elections.
 const (
 	// ownerTTL bounds how long a dead owner blocks its successor.
-	ownerTTL = 2 * time.Second
+	ownerTTL = 1500 * time.Millisecond
 	// renewInterval leaves two further tries before the lease ends.
-	renewInterval = 600 * time.Millisecond
+	renewInterval = 400 * time.Millisecond
 	// callBound is the longest wait for one answer of the store.
 	callBound = 600 * time.Millisecond
+	// cutOffInterval is how often an owner checks whether the store turns only it away.
+	cutOffInterval = 100 * time.Millisecond
 	// retryPause is the pause after a failed try.
 	retryPause = 200 * time.Millisecond
 	// instanceTTL bounds how long a dead instance is listed.
@@ -70,6 +72,10 @@
 	Self     Instance
 	CPUShare float64 // cores that this instance may use
 	Log      *zap.Logger
+	// CutOff reports whether the store answers a peer and does not answer this instance.
+	CutOff func() bool
+	// DeposeElsewhere asks a peer to end the ownership with the token in the store.
+	DeposeElsewhere func(ctx context.Context, token uint64) error
 	// Lead runs one term. It returns when its context ends or the term is over.
 	Lead func(ctx context.Context, token uint64, fence metastore.Condition)
 }
@@ -197,7 +203,7 @@
 func (e *Elector) vacant() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.known && e.owner.Token == 0
+	return e.known && e.owner.Token == 0 && !e.o.CutOff()
 }
 
 // stand tries to become the owner and serves the term.
@@ -273,11 +279,8 @@
 	events.Info(e.o.Log, events.TermBegan, zap.Uint64("token", token), zap.String("instance", e.o.Self.Name))
 	term, stop := context.WithCancel(ctx)
 	var renewing sync.WaitGroup
-	renewing.Add(1)
-	go func() {
-		defer renewing.Done()
-		e.renew(term, stop, lease, token)
-	}()
+	renewing.Go(func() { e.renew(term, stop, lease, token) })
+	renewing.Go(func() { e.stopWhenCutOff(term, stop, token) })
 	e.o.Lead(term, token, metastore.Condition{Key: ownerKey, Revision: token})
 	stop()
 	renewing.Wait()
@@ -320,9 +323,38 @@
 	}
 }
 
+// stopWhenCutOff ends the term when the store turns only this instance away: a peer can do
+// what this instance cannot.
+func (e *Elector) stopWhenCutOff(ctx context.Context, stop context.CancelFunc, token uint64) {
+	for wait.For(ctx, cutOffInterval) {
+		if e.o.CutOff() {
+			events.Warn(e.o.Log, events.TermOver, zap.Uint64("token", token), zap.String("reason", "the store turns only this instance away"))
+			stop()
+			return
+		}
+	}
+}
+
+// Depose ends the ownership with the token, on behalf of its holder, which has stopped.
+func (e *Elector) Depose(ctx context.Context, token uint64) error {
+	_, err := e.o.Store.Commit(ctx, metastore.Txn{
+		If:     []metastore.Condition{{Key: ownerKey, Revision: token}},
+		Remove: []string{ownerKey},
+	})
+	return err
+}
+
 // resign gives the ownership up so that a successor need not wait for the lease to end.
 func (e *Elector) resign(lease int64, token uint64) {
-	e.endLease(lease)
+	if e.o.CutOff() {
+		ctx, cancel := context.WithTimeout(context.Background(), callBound)
+		if err := e.o.DeposeElsewhere(ctx, token); err != nil {
+			e.o.Log.Warn("no peer could end the ownership; its lease will", zap.Error(err))
+		}
+		cancel()
+	} else {
+		e.endLease(lease)
+	}
 	e.mu.Lock()
 	if e.owner.Token == token {
 		e.owner = Owner{}
