--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -24,6 +24,9 @@
 )
 
 const (
+	// freshContact is how old the newest answer of the store may be for a write without a
+	// read before it. An outage is then found out by a read, and the write surely not made.
+	freshContact = 200 * time.Millisecond
 	// writeTries is how often a write without an answer is sent before peers are asked.
 	writeTries = 2
 	// readBound is the longest wait for one read of the store.
@@ -50,6 +53,8 @@
 type Options struct {
 	Store   metastore.Store
 	Healthy func() bool // whether the store answers this instance
+	// Check asks the store whether it answers unless it has done so within the time.
+	Check func(ctx context.Context, fresh time.Duration) bool
 	// Bound returns how long to wait for the answer to a write that is tried for the nth time.
 	Bound   func(attempt int) time.Duration
 	Elector *ownership.Elector
@@ -187,7 +192,7 @@
 // write creates the key. A key that exists was written for the same job before.
 // Nothing is written while the store does not answer, so that the outcome is known.
 func (s *Service) write(ctx context.Context, key string, value []byte) outcome {
-	if !s.o.Healthy() {
+	if !s.o.Check(ctx, freshContact) {
 		return refused
 	}
 	for attempt := 1; ; attempt++ {
--- /dev/null
+++ b/metastore/metastore_test.go
@@ -0,0 +1,164 @@
+package metastore_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+)
+
+// follower keeps what a mirror has applied.
+type follower struct {
+	mu     sync.Mutex
+	values map[string]string
+	cancel context.CancelFunc
+	mirror *metastore.Mirror
+	client *testplatform.Client
+}
+
+func follow(s *testplatform.Store) *follower {
+	f := &follower{values: map[string]string{}, client: s.NewClient()}
+	f.mirror = metastore.NewMirror(metastore.MirrorOptions{Store: f.client, Prefix: "p/", Wait: 2 * time.Second, Log: zap.NewNop(),
+		Apply: func(change metastore.Change) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if change.Removed {
+				delete(f.values, change.Key)
+				return
+			}
+			f.values[change.Key] = string(change.Value)
+		}})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go f.mirror.Run(ctx)
+	return f
+}
+
+func (f *follower) get(key string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.values[key]
+}
+
+// Guards against changes that a mirror misses, also over more than one page.
+func TestMirrorFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		for n := range 50 {
+			s.Put("p/"+string(rune('A'+n)), []byte("old"))
+		}
+		f := follow(s)
+		defer f.cancel()
+		time.Sleep(time.Second)
+		assert.Len(t, f.values, 50)
+		s.Put("p/A", []byte("new"))
+		s.Remove("p/B")
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, "new", f.get("p/A"))
+		assert.Empty(t, f.get("p/B"))
+	})
+}
+
+// Guards against changes that are lost with a compacted history, removals included.
+func TestMirrorSurvivesCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		s.Put("p/a", []byte("1"))
+		s.Put("p/b", []byte("1"))
+		f := follow(s)
+		defer f.cancel()
+		time.Sleep(time.Second)
+		f.client.Fault = func(string) testplatform.Fault { return testplatform.Refused }
+		time.Sleep(3 * time.Second)
+		s.Put("p/a", []byte("2"))
+		s.Remove("p/b")
+		s.Compact()
+		f.client.Fault = func(string) testplatform.Fault { return testplatform.None }
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, "2", f.get("p/a"))
+		assert.Empty(t, f.get("p/b"))
+	})
+}
+
+// Guards against a connection that goes silent: a change must be seen within the time in
+// which a configuration has to be in force.
+func TestMirrorNoticesASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		f := follow(s)
+		defer f.cancel()
+		time.Sleep(time.Second)
+		silent := 1
+		f.client.Fault = func(string) testplatform.Fault {
+			if silent--; silent >= 0 {
+				return testplatform.Silent
+			}
+			return testplatform.None
+		}
+		time.Sleep(1500 * time.Millisecond) // the silent watch has begun
+		s.Put("p/a", []byte("1"))
+		time.Sleep(3500 * time.Millisecond)
+		assert.Equal(t, "1", f.get("p/a"))
+	})
+}
+
+// Guards against an older value that a peer hands over replacing a newer one.
+func TestMirrorNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		s.Put("p/a", []byte("1"))
+		f := follow(s)
+		defer f.cancel()
+		time.Sleep(time.Second)
+		s.Put("p/a", []byte("2"))
+		time.Sleep(time.Second)
+		f.mirror.Merge([]metastore.Item{{Key: "p/a", Value: []byte("1"), Revision: 2}}, 2)
+		assert.Equal(t, "2", f.get("p/a"))
+		f.mirror.Merge([]metastore.Item{{Key: "p/a", Value: []byte("9"), Revision: 90}}, 90)
+		assert.Equal(t, "9", f.get("p/a"))
+	})
+}
+
+// Guards against writes that are tried while the store does not answer, and against an
+// instance that goes on refusing after its return.
+func TestMonitor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testplatform.NewStore().NewClient()
+		m := metastore.NewMonitor(client)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go m.Run(ctx)
+		assert.True(t, m.Check(ctx, time.Second))
+		client.Fault = func(string) testplatform.Fault { return testplatform.Silent }
+		assert.True(t, m.Check(ctx, time.Second), "it has answered a moment ago")
+		time.Sleep(time.Second)
+		assert.False(t, m.Check(ctx, 200*time.Millisecond))
+		assert.False(t, m.Healthy())
+		time.Sleep(3 * time.Second)
+		assert.InDelta(t, 3, m.FailingFor().Seconds(), 0.5)
+		client.Fault = func(string) testplatform.Fault { return testplatform.None }
+		time.Sleep(time.Second)
+		assert.True(t, m.Healthy())
+		assert.Zero(t, m.FailingFor())
+	})
+}
+
+// Guards against a lost answer that is waited for as long as a slow one.
+func TestBoundFollowsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := metastore.NewMonitor(testplatform.NewStore().NewClient())
+		for range 20 {
+			_, _ = m.Get(context.Background(), "k") // only its duration matters
+		}
+		assert.Equal(t, metastore.MinBound, m.Bound(1))
+		assert.Equal(t, 2*metastore.MinBound, m.Bound(2))
+		assert.Equal(t, metastore.MaxBound, m.Bound(9))
+	})
+}
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -15,6 +15,8 @@
 	// probeBound is the longest wait for such a read: a store that answers 60 times slower
 	// than its 4 ms is still of use.
 	probeBound = 600 * time.Millisecond
+	// checkAttempt selects the bound of a check: it is not repeated.
+	checkAttempt = 2
 	// boundFactor and boundSlack make the bound of a call from the usual time of an answer.
 	boundFactor = 4
 	boundSlack  = 80 * time.Millisecond
@@ -38,6 +40,7 @@
 	since    time.Time     // start of the first of the failed calls in a row
 	failedAt time.Time     // when the newest failed call had been sent
 	usual    time.Duration // moving average of the time of an answer
+	answered time.Time     // when the newest answered call had been sent
 	wake     chan struct{}
 }
 
@@ -63,6 +66,21 @@
 	return time.Since(m.since)
 }
 
+// Check reports whether the store answers, and asks it unless it has answered within fresh.
+// A read that is not answered leaves no doubt, as a write would.
+func (m *Monitor) Check(ctx context.Context, fresh time.Duration) bool {
+	m.mu.Lock()
+	failing, recent := m.failing, time.Since(m.answered) < fresh
+	m.mu.Unlock()
+	if failing || recent {
+		return !failing
+	}
+	call, cancel := context.WithTimeout(ctx, m.Bound(checkAttempt))
+	defer cancel()
+	_, err := m.Get(call, probeKey)
+	return err == nil || errors.Is(err, ErrNotFound)
+}
+
 // Bound returns how long to wait for the answer of a call that is tried for the attempt'th
 // time, from 1. An answer that is lost is noticed soon; a store that became slow is given
 // longer with each attempt.
@@ -103,6 +121,9 @@
 	defer m.mu.Unlock()
 	switch {
 	case answered:
+		if sent.After(m.answered) {
+			m.answered = sent
+		}
 		if took := time.Since(sent); !long {
 			m.usual += time.Duration(usualWeight * float64(took-m.usual))
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -102,7 +102,7 @@
 		Apply: n.elector.Apply, Synced: n.elector.Synced,
 	})
 	n.jobs = jobservice.New(jobservice.Options{
-		Store: n.store, Healthy: n.store.Healthy, Bound: n.store.Bound, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
+		Store: n.store, Healthy: n.store.Healthy, Check: n.store.Check, Bound: n.store.Bound, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
 		Term: n.currentTerm,
 		Peer: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
 	})
--- /dev/null
+++ b/ownership/ownership_test.go
@@ -0,0 +1,162 @@
+package ownership_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/ownership"
+)
+
+// candidate is an instance that stands for election.
+type candidate struct {
+	name    string
+	client  *testplatform.Client
+	elector *ownership.Elector
+	leading atomic.Uint64 // token of its term
+	cutOff  atomic.Bool
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func stand(s *testplatform.Store, name string, share float64, peer func() *ownership.Elector) *candidate {
+	c := &candidate{name: name, client: s.NewClient()}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.elector = ownership.New(ownership.Options{
+		Store: c.client, Self: ownership.Instance{Name: name}, CPUShare: share, Log: zap.NewNop(), CutOff: c.cutOff.Load,
+		DeposeElsewhere: func(ctx context.Context, token uint64) error { return peer().Depose(ctx, token) },
+		Lead: func(ctx context.Context, token uint64, _ metastore.Condition) {
+			c.leading.Store(token)
+			<-ctx.Done()
+			c.leading.Store(0)
+		},
+	})
+	mirror := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.Prefix, Wait: 2 * time.Second, Log: zap.NewNop(),
+		Apply: c.elector.Apply, Synced: c.elector.Synced})
+	c.done.Go(func() { mirror.Run(ctx) })
+	c.done.Go(func() { c.elector.Run(ctx) })
+	c.done.Go(func() { c.elector.Announce(ctx) })
+	return c
+}
+
+func (c *candidate) silence() {
+	c.client.Fault = func(string) testplatform.Fault { return testplatform.Silent }
+}
+
+func (c *candidate) stop() {
+	c.cancel()
+	c.done.Wait()
+}
+
+func owners(cs ...*candidate) (names []string) {
+	for _, c := range cs {
+		if c.leading.Load() != 0 {
+			names = append(names, c.name)
+		}
+	}
+	return names
+}
+
+// Guards against two owners, none, or the weaker machine being chosen.
+func TestOneOwnerOnTheStrongestInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		weak, strong := stand(s, "weak", 0.1, nil), stand(s, "strong", 0.8, nil)
+		defer weak.stop()
+		defer strong.stop()
+		time.Sleep(time.Second)
+		assert.Equal(t, []string{"strong"}, owners(weak, strong))
+		assert.Len(t, weak.elector.Peers(), 1)
+	})
+}
+
+// Guards against a service without an owner for longer than its lease after the owner's
+// death, and for longer than a moment after its resignation. Tokens rise.
+func TestSuccession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		a, b := stand(s, "a", 0.8, nil), stand(s, "b", 0.4, nil)
+		defer b.stop()
+		time.Sleep(time.Second)
+		first := a.leading.Load()
+		a.silence() // as if it had lost power
+		time.Sleep(2 * time.Second)
+		assert.Greater(t, b.leading.Load(), first)
+		a.stop()
+		c := stand(s, "c", 0.8, nil)
+		defer c.stop()
+		time.Sleep(time.Second)
+		second := b.leading.Load()
+		b.cancel()
+		time.Sleep(300 * time.Millisecond)
+		assert.Greater(t, c.leading.Load(), second)
+	})
+}
+
+// Guards against an outage of the store ending a term whose lease is only paused, and
+// against an owner that does not learn that another one was elected.
+func TestOwnerDuringAndAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		a, b := stand(s, "a", 0.8, nil), stand(s, "b", 0.4, nil)
+		defer a.stop()
+		defer b.stop()
+		time.Sleep(time.Second)
+		a.silence()
+		b.silence()
+		time.Sleep(time.Second)
+		assert.Equal(t, []string{"a"}, owners(a, b))
+		assert.True(t, a.elector.ConfirmedWithin(2*time.Second))
+		time.Sleep(5 * time.Second)
+		assert.False(t, a.elector.ConfirmedWithin(2*time.Second))
+		up := func(string) testplatform.Fault { return testplatform.None }
+		a.client.Fault, b.client.Fault = up, up
+		time.Sleep(3 * time.Second)
+		assert.Len(t, owners(a, b), 1)
+	})
+}
+
+// Guards against waiting for the lease when the store turns away the owner alone.
+func TestOwnerThatIsCutOffHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		var a, b *candidate
+		a = stand(s, "a", 0.8, func() *ownership.Elector { return b.elector })
+		b = stand(s, "b", 0.4, nil)
+		defer a.stop()
+		defer b.stop()
+		time.Sleep(time.Second)
+		a.silence()
+		a.cutOff.Store(true)
+		time.Sleep(400 * time.Millisecond)
+		assert.Equal(t, []string{"b"}, owners(a, b))
+	})
+}
+
+// Guards against a won election that counts as lost because its answer did not come.
+func TestLostAnswerOfAnElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		a := stand(s, "a", 0.8, nil)
+		defer a.stop()
+		lost := 0
+		a.client.Fault = func(call string) testplatform.Fault {
+			if call == "commit" && lost < 2 {
+				lost++
+				return testplatform.Lost
+			}
+			return testplatform.None
+		}
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, []string{"a"}, owners(a))
+	})
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,329 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/placement"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// world is a cluster with a policy and a clock.
+type world struct {
+	c         *jobstate.Cluster
+	p         *placement.Policy
+	now       time.Time
+	guarantee map[string]int
+	next      int
+}
+
+const (
+	urgent = 0
+	draft  = 1
+	batch  = 2
+)
+
+// newWorld returns racks of workers with 8 accelerators and 128 cores each.
+func newWorld(racks, perRack int) *world {
+	w := &world{c: jobstate.New(), now: time.Unix(1000, 0), guarantee: map[string]int{},
+		p: placement.New(placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond})}
+	for r := range racks {
+		for n := range perRack {
+			worker := w.c.Worker(fmt.Sprintf("r%d-%d", r, n), 1, w.now)
+			worker.Rack, worker.Zone, worker.Service = fmt.Sprint("r", r), fmt.Sprint("z", r%2), "service"
+			worker.Capacity = workload.Amount{MilliCPU: 128_000, MemoryMB: 256_000, Accelerators: 8}
+			worker.Listed, worker.Heard = true, true
+		}
+	}
+	return w
+}
+
+func step(n, accelerators int, estimate time.Duration) workload.Step {
+	return workload.Step{Tasks: n, Estimate: estimate, Demand: workload.Amount{MilliCPU: 11_000, MemoryMB: 16_000, Accelerators: accelerators}}
+}
+
+func gang(n, accelerators int, estimate time.Duration) workload.Step {
+	s := step(n, accelerators, estimate)
+	s.Gang, s.SameRack = true, true
+	return s
+}
+
+func (w *world) submit(priority int, workspace string, steps ...workload.Step) *jobstate.Job {
+	w.next++
+	stretch := 3.0
+	if priority == urgent {
+		stretch = 1.5
+	}
+	j := w.c.AddJob(&workload.Submission{ID: fmt.Sprintf("job%03d", w.next), Workspace: workspace, Steps: steps,
+		Queue: workload.Route{Name: fmt.Sprint("p", priority), Service: "service", Priority: priority, Stretch: stretch, Target: 250 * time.Millisecond, MaxAttempts: 3}}, w.now)
+	j.OpenDue(w.now.UnixMilli(), w.now)
+	return j
+}
+
+func (w *world) decide() placement.Plan {
+	return w.p.Decide(w.c, func(workspace string) int { return w.guarantee[workspace] }, w.now)
+}
+
+// run confirms what was planned and lets time pass.
+func (w *world) run(d time.Duration) placement.Plan {
+	plan := w.decide()
+	for _, r := range plan.Starts {
+		r.Confirm(w.now)
+	}
+	w.now = w.now.Add(d)
+	return plan
+}
+
+// stopped ends the runs that the plan stops.
+func (w *world) stopped(plan placement.Plan) {
+	for _, r := range plan.Stops {
+		w.c.End(r, jobstate.EndStopped, "", w.now)
+	}
+}
+
+func (w *world) requireRoom(t *testing.T) {
+	t.Helper()
+	for _, worker := range w.c.Workers {
+		require.True(t, worker.Used.Fits(worker.Capacity), "%s: %+v of %+v", worker.ID, worker.Used, worker.Capacity)
+	}
+}
+
+func racks(runs []*jobstate.Run) map[string]int {
+	n := map[string]int{}
+	for _, r := range runs {
+		n[r.Worker.Rack]++
+	}
+	return n
+}
+
+// Load: an urgent gang on an idle service. Guards against a gang that is spread over racks,
+// where it would take three times as long.
+func TestGangStaysInOneRack(t *testing.T) {
+	w := newWorld(3, 4)
+	w.submit(urgent, "a", gang(4, 8, time.Second))
+	plan := w.run(0)
+	require.Len(t, plan.Starts, 4)
+	assert.Len(t, racks(plan.Starts), 1)
+	w.requireRoom(t)
+}
+
+// Load: streams of small tasks beside gangs of whole workers. Guards against small tasks
+// that take one accelerator of each worker.
+func TestSmallTasksArePacked(t *testing.T) {
+	w := newWorld(2, 4)
+	w.submit(batch, "a", step(8, 1, 10*time.Second))
+	plan := w.run(0)
+	require.Len(t, plan.Starts, 8)
+	workers := map[string]bool{}
+	for _, r := range plan.Starts {
+		workers[r.Worker.ID] = true
+	}
+	assert.Len(t, workers, 1)
+}
+
+// Load: an urgent gang within the guarantee of its workspace on a service that is full of
+// batch tasks. Guards against a guarantee that cannot be reclaimed in one stop.
+func TestGuaranteedGangReclaimsAFullService(t *testing.T) {
+	w := newWorld(2, 4)
+	w.guarantee["a"] = 32
+	w.submit(batch, "b", step(64, 1, 10*time.Second))
+	w.run(3 * time.Second)
+	j := w.submit(urgent, "a", gang(3, 8, 2*time.Second))
+	plan := w.run(150 * time.Millisecond)
+	require.NotEmpty(t, plan.Stops)
+	assert.Len(t, plan.Stops, 24, "no more than the gang needs")
+	w.stopped(plan)
+	plan = w.run(0)
+	require.Len(t, plan.Starts, 3)
+	assert.Len(t, racks(plan.Starts), 1)
+	assert.Equal(t, j, plan.Starts[0].Task.Step.Occurrence.Job)
+	w.requireRoom(t)
+}
+
+// Load: a burst of urgent jobs while others wait. Guards against room that was freed for an
+// urgent gang and is taken by a less urgent one before the last stop is confirmed.
+func TestPromisedRoomIsNotTaken(t *testing.T) {
+	w := newWorld(1, 3)
+	w.guarantee["a"] = 16
+	w.submit(batch, "b", step(24, 1, 10*time.Second))
+	w.run(time.Second)
+	w.submit(urgent, "a", gang(2, 8, 2*time.Second))
+	plan := w.run(100 * time.Millisecond)
+	require.Len(t, plan.Stops, 16)
+	w.submit(draft, "b", step(4, 4, 5*time.Second))
+	for _, r := range plan.Stops[:12] { // the others are not confirmed yet
+		w.c.End(r, jobstate.EndStopped, "", w.now)
+	}
+	assert.Empty(t, w.run(50*time.Millisecond).Starts)
+	for _, r := range plan.Stops[12:] {
+		w.c.End(r, jobstate.EndStopped, "", w.now)
+	}
+	plan = w.run(0)
+	require.NotEmpty(t, plan.Starts)
+	assert.Equal(t, urgent, plan.Starts[0].Task.Step.Occurrence.Job.Route.Priority)
+	assert.Equal(t, 2, len(plan.Starts))
+}
+
+// Load: an urgent job beyond the guarantee against long batch work without checkpoints.
+// Guards against throwing away far more work than the urgent job is worth.
+func TestLossIsBoundedOutsideTheGuarantee(t *testing.T) {
+	w := newWorld(1, 2)
+	w.submit(batch, "b", step(16, 1, 100*time.Second))
+	w.run(60 * time.Second)
+	w.submit(urgent, "a", gang(1, 8, time.Second))
+	assert.Empty(t, w.run(0).Stops)
+}
+
+// Load: as above, with checkpoints: a stop costs next to nothing.
+func TestCheckpointedWorkGivesWay(t *testing.T) {
+	w := newWorld(1, 2)
+	s := step(16, 1, 100*time.Second)
+	s.Checkpointing = true
+	w.submit(batch, "b", s)
+	w.run(60 * time.Second)
+	w.submit(urgent, "a", gang(1, 8, 2*time.Second))
+	assert.Len(t, w.run(0).Stops, 8)
+}
+
+// Load: a wide gang of drafts behind a stream of small batch tasks. Guards against a gang
+// that never starts because each hole is filled at once.
+func TestWideGangGetsAReservation(t *testing.T) {
+	w := newWorld(1, 4)
+	w.submit(batch, "b", step(32, 1, 10*time.Second))
+	first := w.run(1500 * time.Millisecond).Starts
+	require.Len(t, first, 32)
+	wide := w.submit(draft, "a", gang(2, 8, 5*time.Second))
+	w.submit(batch, "b", step(200, 1, 10*time.Second))
+	w.run(1500 * time.Millisecond)
+	started := time.Time{}
+	for _, r := range first { // the first tasks end one by one
+		w.c.End(r, jobstate.EndDone, "", w.now)
+		for _, s := range w.run(250 * time.Millisecond).Starts {
+			if s.Task.Step.Occurrence.Job == wide && started.IsZero() {
+				started = w.now
+			}
+		}
+		w.requireRoom(t)
+	}
+	assert.False(t, started.IsZero(), "the gang has started while the stream went on")
+}
+
+// Load: tasks on some workers stand still. Guards against a gang that waits for a member
+// that does not move, and against the worker getting the next one.
+func TestStalledRunIsTakenAway(t *testing.T) {
+	w := newWorld(2, 4)
+	w.submit(urgent, "a", gang(3, 8, 2*time.Second))
+	runs := w.run(0).Starts
+	for n := range 5 {
+		w.now = w.now.Add(450 * time.Millisecond)
+		runs[0].Observe(5, w.now)
+		runs[1].Observe(float64(20*n), w.now)
+		runs[2].Observe(float64(20*n), w.now)
+		if plan := w.decide(); len(plan.Stops) > 0 {
+			require.Len(t, plan.Stops, 3)
+			w.stopped(plan)
+			for _, r := range w.run(0).Starts {
+				assert.NotEqual(t, runs[0].Worker, r.Worker)
+			}
+			return
+		}
+	}
+	t.Fatal("the gang was left on the worker that stands still")
+}
+
+// Guards against taking runs away from workers of ordinary speed, or from racks without
+// their data, where all of them take longer.
+func TestOrdinaryDifferencesAreLeft(t *testing.T) {
+	w := newWorld(2, 6)
+	s := step(6, 8, 4*time.Second)
+	s.DataRack = "r0"
+	w.submit(batch, "a", s)
+	w.submit(draft, "a", step(6, 8, 4*time.Second))
+	w.run(0)
+	for n := range 8 {
+		w.now = w.now.Add(450 * time.Millisecond)
+		for _, worker := range w.c.Workers {
+			for r := range worker.Runs {
+				speed := 10.0
+				if r.Worker.ID[3] == '0' {
+					speed = 5
+				}
+				r.Observe(float64(n)*speed, w.now)
+			}
+		}
+		require.Empty(t, w.decide().Stops)
+	}
+}
+
+// Load: workers that fail all they start. Guards against a worker that looks free because
+// it fails quickly and so attracts the next task; the retry of a task goes elsewhere.
+func TestRetryAvoidsTheWorkerThatFailed(t *testing.T) {
+	w := newWorld(1, 2)
+	w.submit(batch, "a", step(1, 1, time.Second))
+	first := w.run(time.Second).Starts[0]
+	w.c.End(first, jobstate.EndFailed, "", w.now)
+	second := w.run(0).Starts[0]
+	assert.NotEqual(t, first.Worker, second.Worker)
+}
+
+// Guards against starts on workers that drain, are not listed, have not answered, or are in
+// a data centre that operators have taken out.
+func TestStartsOnlyWhereTheyAreAccepted(t *testing.T) {
+	w := newWorld(2, 2)
+	w.c.Workers["r0-0"].Draining = true
+	w.c.Workers["r0-1"].Heard = false
+	w.c.Workers["r1-0"].Listed = false
+	w.c.Evacuated["z1"] = true
+	w.submit(batch, "a", step(4, 1, time.Second))
+	assert.Empty(t, w.run(0).Starts)
+	delete(w.c.Evacuated, "z1")
+	for _, r := range w.run(0).Starts {
+		assert.Equal(t, "r1-1", r.Worker.ID)
+	}
+}
+
+// Guards against more tasks of a step on a worker than its limit allows.
+func TestMaxPerWorker(t *testing.T) {
+	w := newWorld(1, 2)
+	s := step(6, 1, time.Second)
+	s.MaxPerWorker = 2
+	w.submit(batch, "a", s)
+	assert.Len(t, w.run(0).Starts, 4)
+	assert.Empty(t, w.run(0).Starts)
+}
+
+// Guards against a task on a worker without the label that it requires.
+func TestLabel(t *testing.T) {
+	w := newWorld(1, 2)
+	w.c.Workers["r0-1"].Labels = []string{"b", "r0"}
+	s := step(2, 1, time.Second)
+	s.Label = "b"
+	w.submit(batch, "a", s)
+	for _, r := range w.run(0).Starts {
+		assert.Equal(t, "r0-1", r.Worker.ID)
+	}
+}
+
+// Load: a tenant of a few large jobs beside many small ones. Guards against the largest gang
+// of a kind never starting while smaller ones pass it.
+func TestLargestGangIsServed(t *testing.T) {
+	w := newWorld(2, 4)
+	large := w.submit(draft, "large", gang(4, 8, 5*time.Second))
+	var running []*jobstate.Run
+	for range 60 {
+		w.submit(draft, "small", gang(1, 4, 2*time.Second))
+		running = append(running, w.run(500*time.Millisecond).Starts...)
+		for len(running) > 10 {
+			if running[0].Task.Run == running[0] {
+				w.c.End(running[0], jobstate.EndDone, "", w.now)
+			}
+			running = running[1:]
+		}
+	}
+	assert.True(t, large.Started)
+}
