--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -42,6 +42,7 @@
 	ended      map[string]bool // tasks of which a run has ended as done
 	done       map[string]bool // those whose end has been taken note of
 	failures   map[string]int  // by task
+	begun      map[string]bool // jobs of which a task was started
 	Starts     int
 	violations []string
 	lives      int64
@@ -77,7 +78,7 @@
 		Fate:    func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Second, jobstate.EndDone },
 		Calm:    func() bool { return true },
 		workers: map[string]*worker{}, jobs: map[string]*workload.Submission{}, cancelled: map[string]time.Time{},
-		ended: map[string]bool{}, done: map[string]bool{}, failures: map[string]int{},
+		ended: map[string]bool{}, done: map[string]bool{}, failures: map[string]int{}, begun: map[string]bool{},
 	}
 }
 
@@ -327,6 +328,7 @@
 		return
 	}
 	f.Starts++
+	f.begun[name.Job] = true
 	r := &run{number: o.Run, name: name, started: time.Now(), how: how, finish: time.Now().Add(duration), restored: o.Checkpoint}
 	r.atWork = !job.Steps[name.Step].Gang
 	w.runs[o.Task] = r
--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -104,3 +104,35 @@
 	defer f.mu.Unlock()
 	delete(f.workers, id)
 }
+
+// Done reports whether all tasks of the job have ended as done.
+func (f *Fleet) Done(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	job := f.jobs[id]
+	if job == nil {
+		return false
+	}
+	for n, step := range job.Steps {
+		for i := range step.Tasks {
+			if !f.endedDone(workload.TaskName{Job: id, Step: n, Index: i}, step.Gang) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Started reports whether a task of the job was ever started.
+func (f *Fleet) Started(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.begun[id]
+}
+
+// StartCount returns how many runs were started.
+func (f *Fleet) StartCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Starts
+}
