Advice, pace of fillers, headroom for urgent jobs

Cause: the contracts advice and sharing were open: a queue that needs advice got starts that its workers refuse, and fillers were left at full speed beside serving tasks. Change: tickets are asked for one step at a time and kept for their life; fillers are halved above 0.8 of a target and raised by 10 below 0.5; long-running tasks are not preempted; batch work without checkpoints leaves half of what urgent jobs used lately free.

--- a/events/events.go
+++ b/events/events.go
@@ -79,6 +79,8 @@
 	LeaseLapsed          ID = 237
 	TermOver             ID = 238
 	TermBegan            ID = 239
+	AdviceTaken          ID = 240
+	FillerPaced          ID = 241
 	OwnerSeen            ID = 420
 	OwnershipTried       ID = 421
 	OwnershipUnconfirmed ID = 422
@@ -166,6 +168,8 @@
 	LeaseLapsed:          {"LeaseLapsed", "lease of a worker has surely run out"},
 	TermOver:             {"TermOver", "term of ownership over"},
 	TermBegan:            {"TermBegan", "term of ownership began"},
+	AdviceTaken:          {"AdviceTaken", "advice on workers taken"},
+	FillerPaced:          {"FillerPaced", "filler paced"},
 	OwnerSeen:            {"OwnerSeen", "owner changed"},
 	OwnershipTried:       {"OwnershipTried", "ownership not won"},
 	OwnershipUnconfirmed: {"OwnershipUnconfirmed", "ownership not confirmed by the store"},
--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,9 @@
 	// Fate decides how long a run works and how it ends.
 	Fate func(task workload.TaskName, run int) (time.Duration, jobstate.End)
 
+	// Load is the tail, in milliseconds, that every run reports, given the paces that were
+	// ordered, by task. nil reports none.
+	Load func(paces map[string]int) float64
 	// Calm reports whether the rules that hold only without a disruption near apply.
 	Calm func() bool
 
@@ -42,6 +46,7 @@
 	ended      map[string]bool // tasks of which a run has ended as done
 	done       map[string]bool // those whose end has been taken note of
 	failures   map[string]int  // by task
+	paces      map[string]int
 	begun      map[string]bool // jobs of which a task was started
 	Starts     int
 	violations []string
@@ -78,7 +83,7 @@
 		Fate:    func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Second, jobstate.EndDone },
 		Calm:    func() bool { return true },
 		workers: map[string]*worker{}, jobs: map[string]*workload.Submission{}, cancelled: map[string]time.Time{},
-		ended: map[string]bool{}, done: map[string]bool{}, failures: map[string]int{}, begun: map[string]bool{},
+		ended: map[string]bool{}, done: map[string]bool{}, failures: map[string]int{}, begun: map[string]bool{}, paces: map[string]int{},
 	}
 }
 
@@ -355,10 +360,20 @@
 func (f *Fleet) Pace(ctx context.Context, t workerapi.Target, o workerapi.Pace) error {
 	return f.do(ctx, t.ID, "pace", func() error {
 		_, err := f.reach(t, o.Token)
+		if err == nil {
+			f.paces[o.Task] = o.Percent
+		}
 		return err
 	})
 }
 
+// Paces returns the paces that were ordered, by task.
+func (f *Fleet) Paces() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.paces)
+}
+
 // pollInterval is how often a waiting report looks for ends.
 const pollInterval = 50 * time.Millisecond
 
@@ -387,8 +402,12 @@
 			f.advance()
 		}
 		report = workerapi.Report{Clock: w.clock(), Life: w.entry.Life, Ended: slices.Clone(w.ended)}
+		load := 0.0
+		if f.Load != nil {
+			load = f.Load(f.paces)
+		}
 		for task, r := range w.runs {
-			report.Running = append(report.Running, workerapi.RunStatus{Task: task, Run: r.number, Percent: r.percent()})
+			report.Running = append(report.Running, workerapi.RunStatus{Task: task, Run: r.number, Percent: r.percent(), Load: load})
 		}
 		return nil
 	})
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -44,6 +44,7 @@
 	clockAt   time.Time
 	failures  int
 	lastHeard time.Time
+	pacedAt   time.Time // when fillers on the worker were paced last
 }
 
 // ensureAgent starts an agent for the worker unless it has one.
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -33,7 +33,8 @@
 	fleet  *testplatform.Fleet
 	config *workload.Config
 
-	outage atomic.Bool // the store answers no instance
+	advisor workerapi.Advisor // nil if no queue needs advice
+	outage  atomic.Bool       // the store answers no instance
 
 	mu        sync.Mutex
 	instances map[string]*candidate
@@ -77,7 +78,7 @@
 	var elector *ownership.Elector
 	lead := func(ctx context.Context, token uint64, fence metastore.Condition) {
 		term := jobowner.New(jobowner.Options{
-			Store: c.client, Workers: s.fleet, Log: log, Metrics: metrics.NewRegistry(), Token: token, Fence: fence,
+			Store: c.client, Workers: s.fleet, Advisor: s.advisor, Log: log, Metrics: metrics.NewRegistry(), Token: token, Fence: fence,
 			Config: func() *workload.Config { return s.config }, Wall: time.Now, MaxLease: testplatform.MaxLease,
 			InTouch:   func() bool { return elector.ConfirmedWithin(jobowner.RenewWithout) },
 			Placement: placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
--- a/jobowner/jobowner_test.go
+++ b/jobowner/jobowner_test.go
@@ -1,7 +1,9 @@
 package jobowner_test
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -333,3 +335,86 @@
 		s.requireRules(t)
 	})
 }
+
+// advisor knows one worker that may run all steps. It counts its calls.
+type advisor struct {
+	mu    sync.Mutex
+	good  string
+	calls int
+	valid time.Duration
+}
+
+func (a *advisor) Advise(_ context.Context, step string, workers []string) (map[string]string, time.Duration, error) {
+	time.Sleep(20 * time.Millisecond)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	tickets := map[string]string{}
+	for _, w := range workers {
+		if w == a.good {
+			tickets[w] = "ticket for " + step
+		}
+	}
+	return tickets, a.valid, nil
+}
+
+// Guards against starts without a ticket on queues whose policy excludes workers, and
+// against asking again while tickets are valid.
+func TestAdvice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		a := &advisor{good: "w2", valid: 3 * time.Second}
+		s.advisor = a
+		for n := range 4 {
+			s.addWorker(fmt.Sprint("w", n), 0)
+		}
+		s.start("a")
+		time.Sleep(time.Second)
+		job := &workload.Submission{ID: "advised", Queue: *s.config.Route("batch"), Steps: []workload.Step{tasks(12, 1)}}
+		job.Queue.Name, job.Queue.Advice = "advised", &workload.Advice{Decision: 20 * time.Millisecond, Valid: 3 * time.Second}
+		var starts []string
+		s.fleet.Fault = func(worker, call string) testplatform.Fault {
+			if call == "start" {
+				starts = append(starts, worker)
+			}
+			return testplatform.None
+		}
+		s.submitJob(job)
+		assert.Equal(t, workload.Completed, s.settle(t, "advised", 20*time.Second))
+		for _, w := range starts {
+			assert.Equal(t, "w2", w)
+		}
+		assert.Len(t, starts, 12)
+		assert.LessOrEqual(t, a.calls, 2)
+		s.requireRules(t)
+	})
+}
+
+// Guards against tasks that fill disturbing tasks that serve for longer than they may.
+func TestFillersArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Hour, jobstate.EndDone }
+		s.fleet.Load = func(paces map[string]int) float64 { // the tail grows with what the fillers do
+			sum := 200
+			for _, p := range paces {
+				sum -= 100 - p
+			}
+			return 20 + float64(sum)/2
+		}
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		serving := tasks(1, 1)
+		serving.LongRunning, serving.TailTarget = true, 50*time.Millisecond
+		filler := tasks(2, 0)
+		filler.Filler = true
+		s.submit("serving", "urgent", serving)
+		s.submit("filler", "batch", filler)
+		time.Sleep(10 * time.Second)
+		assert.Less(t, s.fleet.Load(s.fleet.Paces()), 50.0)
+		assert.Len(t, s.fleet.Paces(), 2)
+	})
+}
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -58,6 +58,7 @@
 	batch, more := t.nextBatch()
 	t.decisions.Update(time.Since(now).Microseconds())
 	t.logPlan(plan)
+	t.askAdvice(plan.Asks)
 	for _, run := range stops {
 		t.orderStop(ctx, run)
 	}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -45,7 +45,7 @@
 		zap.Duration("waited", now.Sub(s.ReadyAt)), zap.Duration("worker_heard_ago", now.Sub(a.lastHeard)))
 	order := workerapi.Start{
 		Task: r.Task.Name().String(), Run: r.Number, Payload: s.Occurrence.Job.Submission.Payload,
-		Token: t.o.Token, Checkpoint: s.StartFrom(r.Task),
+		Token: t.o.Token, Checkpoint: s.StartFrom(r.Task), Ticket: s.Tickets[w.ID].Value,
 	}
 	a.nudge()
 	t.tasks.Add(1)
@@ -126,6 +126,9 @@
 		t.kick()
 		return
 	}
+	if errors.Is(err, workerapi.ErrTicket) {
+		delete(r.Task.Step.Tickets, a.worker.ID)
+	}
 	t.cluster.End(r, jobstate.EndVoid, "", now)
 	t.kick()
 }
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -58,6 +58,7 @@
 		}
 	}
 	t.noteAbsent(w, present, sent, now)
+	t.pace(a, now)
 	t.kick()
 }
 
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -23,6 +23,7 @@
 type Options struct {
 	Store   metastore.Store
 	Workers workerapi.Client
+	Advisor workerapi.Advisor // may be nil if no queue needs advice
 	Log     *zap.Logger
 	Metrics metrics.Registry
 
@@ -82,7 +83,8 @@
 	nextDue  int64                          // Unix milliseconds of the next occurrence; 0 for none
 	fenced   bool
 
-	loaded   chan struct{} // closed when all jobs are known
+	asks     chan *jobstate.Step // that wait for advice
+	loaded   chan struct{}       // closed when all jobs are known
 	loadOnce sync.Once
 
 	wake   chan struct{}
@@ -115,6 +117,7 @@
 		o: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, missing: map[*jobstate.Worker]time.Time{},
 		records: map[string]storedRecord{}, early: map[string]bool{}, finished: map[string]bool{},
+		asks:      make(chan *jobstate.Step, maxAdviceQueue),
 		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		decisions: histogram("owner.decision_us", o.Metrics),
@@ -142,6 +145,7 @@
 	case <-ctx.Done():
 	case <-t.loaded:
 		t.follow(ctx, workers)
+		t.follow(ctx, t.advise)
 		t.loop(ctx)
 	}
 	t.cancel()
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -4,6 +4,7 @@
 package jobstate
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/workload"
@@ -84,10 +85,38 @@
 	Failures   int // of a gang
 	failedRun  int // newest run number that was counted in Failures
 	Checkpoint string
-	ReadyAt    time.Time // when its tasks could first start; zero while it waits for other steps
-	NotBefore  time.Time // no start before, after a failed start
-	Reclaimed  time.Time // when runs were last preempted for it
-	Promised   []Promise // room that was chosen for it then
+	ReadyAt    time.Time         // when its tasks could first start; zero while it waits for other steps
+	NotBefore  time.Time         // no start before, after a failed start
+	Reclaimed  time.Time         // when runs were last preempted for it
+	Promised   []Promise         // room that was chosen for it then
+	Tickets    map[string]Ticket // by worker; of queues that need advice
+	Asking     bool              // advice is being asked for
+}
+
+// Ticket is what is known of a worker for a step of a queue that needs advice.
+type Ticket struct {
+	Value   string
+	Good    bool // the worker may run the step; this does not change
+	Life    int64
+	Expires time.Time
+}
+
+// Admits reports whether the queue's policy lets the worker run the step now.
+func (s *Step) Admits(w *Worker, now time.Time) bool {
+	if s.Occurrence.Job.Route.Advice == nil {
+		return true
+	}
+	ticket, ok := s.Tickets[w.ID]
+	return ok && ticket.Good && ticket.Life == w.Life && now.Add(ticketMargin).Before(ticket.Expires)
+}
+
+// ticketMargin is how long before its end a ticket is not used any more: a start takes that
+// long to arrive.
+const ticketMargin = 300 * time.Millisecond
+
+// Name returns the step's name: JOB.OCCURRENCE.STEP.
+func (s *Step) Name() string {
+	return s.Occurrence.Job.Submission.ID + "." + strconv.Itoa(s.Occurrence.Number) + "." + strconv.Itoa(s.Number)
 }
 
 // Promise is room on a worker for a number of tasks of a step.
@@ -216,7 +245,7 @@
 	o := &Occurrence{Job: j, Number: k}
 	for n := range j.Submission.Steps {
 		spec := &j.Submission.Steps[n]
-		step := &Step{Occurrence: o, Number: n, Spec: spec, Tasks: make([]*Task, spec.Tasks)}
+		step := &Step{Occurrence: o, Number: n, Spec: spec, Tasks: make([]*Task, spec.Tasks), Tickets: map[string]Ticket{}}
 		for i := range step.Tasks {
 			step.Tasks[i] = &Task{Step: step, Index: i}
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 type Adapter struct {
 	Store   metastore.Store
 	Workers workerapi.Client
+	Advisor workerapi.Advisor
 	Wire    jobfront.Wire
 
 	OperatorPrefix string // keys that the operator writes
@@ -147,7 +148,7 @@
 func (n *Node) lead(ctx context.Context, token uint64, fence metastore.Condition) {
 	a := n.o.Adapter
 	term := jobowner.New(jobowner.Options{
-		Store: n.store, Workers: a.Workers, Log: n.log, Metrics: n.o.Metrics, Token: token, Fence: fence,
+		Store: n.store, Workers: a.Workers, Advisor: a.Advisor, Log: n.log, Metrics: n.o.Metrics, Token: token, Fence: fence,
 		Config: n.operator.config, Wall: time.Now, MaxLease: n.o.MaxLease, Placement: n.o.Placement,
 		InTouch:   func() bool { return n.elector.ConfirmedWithin(jobowner.RenewWithout) },
 		KeepEnded: n.o.KeepEnded, StoreBound: storeBound,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,7 @@
 	Starts []*jobstate.Run
 	Stops  []*jobstate.Run // their phase is Stopping
 	Blocks []Block
+	Asks   []*jobstate.Step // that need advice before they can start
 }
 
 // Block explains why a step did not start.
@@ -34,6 +35,9 @@
 // Policy holds what is learned from one decision to the next.
 type Policy struct {
 	o Options
+
+	level   float64 // accelerators that urgent jobs used lately
+	levelAt time.Time
 }
 
 // New returns a policy.
@@ -59,7 +63,8 @@
 	reserved map[*jobstate.Worker]workload.Amount
 	plan     Plan
 
-	reservations int // steps that are not urgent and have room reserved
+	freeAccelerators int
+	reservations     int // steps that are not urgent and have room reserved
 }
 
 // Decide plans starts and stops. guarantee returns the guaranteed accelerators of a
@@ -80,6 +85,7 @@
 	for _, ws := range r.workers {
 		slices.SortFunc(ws, func(a, b *jobstate.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	r.measure()
 	for n := range units {
 		r.serve(&units[n])
 	}
@@ -204,6 +210,10 @@
 
 func (r *round) serveGang(u *unit) {
 	workers := r.eligible(u)
+	if len(workers) == 0 && u.job.Route.Advice != nil {
+		r.plan.Asks = append(r.plan.Asks, u.step)
+		return
+	}
 	if slots, ok := r.fitGang(u, workers); ok {
 		r.startGang(u, slots)
 		return
@@ -224,12 +234,20 @@
 
 func (r *round) serveTasks(u *unit) {
 	workers := r.eligible(u)
+	if len(workers) == 0 && u.job.Route.Advice != nil {
+		r.plan.Asks = append(r.plan.Asks, u.step)
+		return
+	}
 	placed := 0
 	for _, t := range u.waiting {
+		if !r.leavesHeadroom(u) {
+			break
+		}
 		w := r.best(u, t, workers)
 		if w == nil {
 			break
 		}
+		r.freeAccelerators -= u.step.Spec.Demand.Accelerators
 		r.plan.Starts = append(r.plan.Starts, r.c.Place(t, w, u.step.NextRun(t), r.now))
 		placed++
 	}
@@ -243,7 +261,7 @@
 	spec := u.step.Spec
 	var list []*jobstate.Worker
 	for _, w := range r.workers[u.job.Route.Service] {
-		if w.HasLabel(spec.Label) && spec.Room().Fits(w.Capacity) {
+		if w.HasLabel(spec.Label) && spec.Room().Fits(w.Capacity) && u.step.Admits(w, r.now) {
 			list = append(list, w)
 		}
 	}
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -220,8 +220,8 @@
 		if stopped[run] || run.Phase == jobstate.Stopping || run.Phase == jobstate.Planned || run.Task.Run != run {
 			continue
 		}
-		if run.Task.Step.Occurrence.Job.Route.Priority <= u.priority {
-			continue
+		if run.Task.Step.Occurrence.Job.Route.Priority <= u.priority || run.Task.Step.Spec.LongRunning {
+			continue // what serves users of its own is not taken away
 		}
 		list = append(list, victim{run, r.lossOf(run)})
 	}
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -115,6 +115,13 @@
 	Clock    int64         // milliseconds
 }
 
+// Advisor knows which workers may run the steps of queues whose policy excludes some.
+type Advisor interface {
+	// Advise returns tickets, by worker, for those of the named workers that may run the
+	// step, and how long the tickets are valid. Unlisted workers may not.
+	Advise(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
+}
+
 // Client gives orders to workers.
 type Client interface {
 	Start(ctx context.Context, w Target, o Start) (clock int64, err error)
