placement: long, paced and filler tasks do not lag

Reading on: a task that runs for hours moves its percentage once a minute and counted as standing still, too. Change: rates are measured over a tenth of the estimate or more; paced tasks and fillers never lag. Figures: TestFillersArePaced, TestLongTasksAreLeft pass; the latter fails without the change. Conclusion: laggards are found among tasks of seconds and of hours alike.

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -45,6 +45,7 @@
 	StartedAt  time.Time // when the worker confirmed it
 	Percent    float64   // of its work
 	Rate       float64   // percent a second over the newest interval; valid if Rated
+	Stalled    bool      // no percent was done over the newest interval
 	Rated      bool
 	rateFrom   float64 // percent at the start of the interval that is being measured
 	rateSince  time.Time
@@ -338,9 +339,15 @@
 	}
 }
 
-// rateInterval is the least time over which a rate of work is measured: a percent of a task
-// of some seconds.
-const rateInterval = 400 * time.Millisecond
+const (
+	// minRateInterval is the least time over which a rate of work is measured.
+	minRateInterval = 400 * time.Millisecond
+	// rateShare is the least share of a task's estimate over which its rate is measured: a task
+	// that takes ten times its estimate does a percent of its work meanwhile.
+	rateShare = 0.1
+	// stalledGain is the gain in percent below which a run stands still.
+	stalledGain = 0.5
+)
 
 // Observe takes in how much of its work the run has done, as reported at now.
 func (r *Run) Observe(percent float64, now time.Time) {
@@ -350,10 +357,11 @@
 		return
 	}
 	interval := now.Sub(r.rateSince)
-	if interval < rateInterval {
+	if interval < max(minRateInterval, time.Duration(rateShare*float64(r.Task.Step.Spec.Estimate))) {
 		return
 	}
 	r.Rate = (percent - r.rateFrom) / interval.Seconds()
+	r.Stalled = percent-r.rateFrom < stalledGain
 	r.Rated = true
 	r.rateFrom, r.rateSince = percent, now
 }
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -26,8 +26,6 @@
 	lagPause = 3 * time.Second
 	// maxLagPause bounds the pause.
 	maxLagPause = 12 * time.Second
-	// stalledRate is the rate, in percent a second, below which a run stands still.
-	stalledRate = 0.5
 )
 
 // takeLaggards stops runs that would end sooner if they started again on another worker:
@@ -114,7 +112,10 @@
 	if run.Phase != jobstate.Running || !run.Rated || run.Percent >= 100 || r.now.Sub(run.StartedAt) < lagObserved {
 		return false
 	}
-	if run.Rate <= stalledRate {
+	if run.Task.Step.Spec.Filler || run.Pace < 100 || run.Task.Step.Spec.Estimate <= 0 {
+		return false // its rate is not its own, or not known
+	}
+	if run.Stalled {
 		return stalled(run.Worker) && r.stallCostsMore(run)
 	}
 	usual, ok := usualRate(run)
@@ -128,7 +129,7 @@
 // stalled reports whether nothing that was measured on the worker moves.
 func stalled(w *jobstate.Worker) bool {
 	for run := range w.Runs {
-		if run.Rated && run.Rate > stalledRate && run.Percent < 100 {
+		if run.Rated && !run.Stalled && run.Percent < 100 {
 			return false
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -260,6 +260,21 @@
 	}
 }
 
+// Load: jobs that run for hours. Guards against taking a task for one that stands still
+// because its percentage moves once a minute.
+func TestLongTasksAreLeft(t *testing.T) {
+	w := newWorld(1, 4)
+	w.submit(batch, "a", step(4, 8, 2*time.Hour))
+	runs := w.run(0).Starts
+	for n := range 1200 {
+		w.now = w.now.Add(time.Second)
+		for _, r := range runs {
+			r.Observe(float64(n/144), w.now) // twice its estimate
+		}
+		require.Empty(t, w.decide().Stops, "after %d s", n)
+	}
+}
+
 // Load: workers that fail all they start. Guards against a worker that looks free because
 // it fails quickly and so attracts the next task; the retry of a task goes elsewhere.
 func TestRetryAvoidsTheWorkerThatFailed(t *testing.T) {
