--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -30,7 +30,10 @@
 	Store  Store
 	Prefix string
 	Wait   time.Duration // of one watch call
-	Log    *zap.Logger
+	// Pause is the least time between two watch calls. Keys that change all the time are then
+	// read together; each call has its price.
+	Pause time.Duration
+	Log   *zap.Logger
 	// Apply gets each change once, in the order of revisions of a key. first is true for
 	// the changes of the first full read.
 	Apply func(change Change)
@@ -91,6 +94,7 @@
 		m.note(err)
 		if err == nil {
 			failures = 0
+			wait.For(ctx, m.o.Pause)
 			continue
 		}
 		failures++
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,9 @@
 	// watchWait is how long a watch may wait. A connection that went silent is noticed after
 	// that, well within the time in which a configuration must be in force.
 	watchWait = 2 * time.Second
+	// workersPause is the least time between two reads of the workers' entries, each of which
+	// changes with every heartbeat. It is short beside the time that a worker drains.
+	workersPause = 400 * time.Millisecond
 	// storeBound is the longest wait of the owner for one answer of the store.
 	storeBound = 700 * time.Millisecond
 	// handOverBound is the longest wait of a new owner for its peers.
@@ -165,7 +168,7 @@
 		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Apply: term.OnIntake, Synced: term.Loaded,
 	})
 	workers := metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: a.WorkersPrefix, Wait: watchWait, Log: n.log,
+		Store: n.store, Prefix: a.WorkersPrefix, Wait: watchWait, Pause: workersPause, Log: n.log,
 		Apply: func(change metastore.Change) { n.onWorker(term, change) },
 	})
 	if err := term.Run(ctx, intake.Run, workers.Run); err != nil && ctx.Err() == nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -32,8 +32,8 @@
 	Handler DRPCPeerServer
 	// Register adds the calls of other services. Handler may be nil then.
 	Register func(drpc.Mux) error
-	Log     *zap.Logger
-	Metrics metrics.Registry // nil for the default registry
+	Log      *zap.Logger
+	Metrics  metrics.Registry // nil for the default registry
 }
 
 // Server serves the calls of peers.
