A fleet that starts at once stays below the store's rates

Change: the owner's key has a watch of its own; instances' entries are read at most every 3 s and announced over 1.5 s; candidates are spread by the number of instances; the operator's keys are read at most every 0.15 s; a new owner asks 48 idle workers at a time, after those with runs. Conclusion: calls at the start grow with the fleet and not with its square.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -20,6 +20,9 @@
 	urgentHoldWait = 400 * time.Millisecond
 	// holdSlack is how much longer a report may take before its connection is taken for dead.
 	holdSlack = 700 * time.Millisecond
+	// maxFirstLooks is how many workers without recorded runs are asked for their first report
+	// at a time, so that those with runs are heard first in a large fleet.
+	maxFirstLooks = 48
 	// firstHoldBound is the longest wait for the first report of a worker.
 	firstHoldBound = 700 * time.Millisecond
 	// holdRetryPause is the pause after a report that failed.
@@ -82,6 +85,17 @@
 
 // run asks for reports as long as the worker has runs or has not been heard.
 func (a *agent) run(ctx context.Context) {
+	if !a.busy() {
+		select {
+		case <-ctx.Done():
+			return
+		case a.t.looks <- struct{}{}:
+		}
+		if err := a.hold(ctx); err != nil && ctx.Err() == nil {
+			a.t.o.Log.Debug("first look failed", zap.String("worker", a.worker.ID), zap.Error(err))
+		}
+		<-a.t.looks
+	}
 	for ctx.Err() == nil {
 		if !a.wanted() {
 			a.rest(ctx, time.Hour)
@@ -121,6 +135,13 @@
 	}
 }
 
+// busy reports whether the worker may have runs.
+func (a *agent) busy() bool {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	return len(a.worker.Runs) > 0
+}
+
 func (a *agent) wanted() bool {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
--- a/jobowner/jobowner_test.go
+++ b/jobowner/jobowner_test.go
@@ -376,7 +376,9 @@
 		var starts []string
 		s.fleet.Fault = func(worker, call string) testplatform.Fault {
 			if call == "start" {
+				a.mu.Lock()
 				starts = append(starts, worker)
+				a.mu.Unlock()
 			}
 			return testplatform.None
 		}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -84,6 +84,7 @@
 	fenced   bool
 
 	asks     chan *jobstate.Step // that wait for advice
+	looks    chan struct{}       // one for each first look at a worker that is under way
 	loaded   chan struct{}       // closed when all jobs are known
 	loadOnce sync.Once
 
@@ -117,6 +118,7 @@
 		o: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, missing: map[*jobstate.Worker]time.Time{},
 		records: map[string]storedRecord{}, early: map[string]bool{}, finished: map[string]bool{},
+		looks:     make(chan struct{}, maxFirstLooks),
 		asks:      make(chan *jobstate.Step, maxAdviceQueue),
 		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
--- a/node/node.go
+++ b/node/node.go
@@ -69,6 +69,12 @@
 	// workersPause is the least time between two reads of the workers' entries, each of which
 	// changes with every heartbeat. It is short beside the time that a worker drains.
 	workersPause = 400 * time.Millisecond
+	// membersPause is the least time between two reads of the instances' entries, which serve
+	// to find peers.
+	membersPause = 3 * time.Second
+	// operatorPause is the least time between two reads of what the operator wrote: changes in
+	// quick succession are read together by each instance of a large fleet.
+	operatorPause = 150 * time.Millisecond
 	// storeBound is the longest wait of the owner for one answer of the store.
 	storeBound = 700 * time.Millisecond
 	// handOverBound is the longest wait of a new owner for its peers.
@@ -82,6 +88,7 @@
 	store    *metastore.Monitor
 	operator *operator
 	elector  *ownership.Elector
+	owner    *metastore.Mirror
 	members  *metastore.Mirror
 	jobs     *jobservice.Service
 	front    *jobfront.Server
@@ -101,10 +108,13 @@
 		CPUShare: o.CPUShare, Log: o.Log, Lead: n.lead,
 		Bound: n.store.Bound, CutOff: n.operator.elsewhere.Load, DeposeElsewhere: n.deposeElsewhere,
 	})
-	n.members = metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: ownership.Prefix, Wait: watchWait, Log: o.Log,
+	n.owner = metastore.NewMirror(metastore.MirrorOptions{
+		Store: n.store, Prefix: ownership.OwnerPrefix, Wait: watchWait, Log: o.Log,
 		Apply: n.elector.Apply, Synced: n.elector.Synced,
 	})
+	n.members = metastore.NewMirror(metastore.MirrorOptions{
+		Store: n.store, Prefix: ownership.InstancesPrefix, Wait: watchWait, Pause: membersPause, Log: o.Log, Apply: n.elector.Apply,
+	})
 	n.jobs = jobservice.New(jobservice.Options{
 		Store: n.store, Healthy: n.store.Healthy, Check: n.store.Check, Bound: n.store.Bound, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
 		Term: n.currentTerm,
@@ -134,6 +144,7 @@
 	}
 	run(n.store.Run, background)
 	run(n.operator.run, background)
+	run(n.owner.Run, background)
 	run(n.members.Run, background)
 	run(n.elector.Announce, background)
 	run(n.elector.Run, ctx) // hands the ownership over as soon as the node is to stop
--- a/node/operator.go
+++ b/node/operator.go
@@ -54,7 +54,7 @@
 func newOperator(n *Node) *operator {
 	o := &operator{n: n, items: map[string]metastore.Item{}, evacuated: map[string]bool{}}
 	o.mirror = metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: n.o.Adapter.OperatorPrefix, Wait: watchWait, Log: n.log,
+		Store: n.store, Prefix: n.o.Adapter.OperatorPrefix, Wait: watchWait, Pause: operatorPause, Log: n.log,
 		Apply: o.apply, Synced: o.synced,
 	})
 	return o
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -21,9 +21,10 @@
 
 // Keys of the members.
 const (
-	Prefix       = "cy/member/"
-	ownerKey     = Prefix + "owner"
-	instancesKey = Prefix + "instance/"
+	OwnerPrefix     = "cy/owner"     // the owner's key alone: every instance waits for its changes
+	InstancesPrefix = "cy/instance/" // changes often in a large fleet and is read now and then
+
+	ownerKey = OwnerPrefix
 )
 
 // Timing of elections.
@@ -47,8 +48,13 @@
 	// handicap delays the candidacy of an instance, divided by its share of a core, so that
 	// instances on strong machines win.
 	handicap = 8 * time.Millisecond
-	// maxJitter spreads candidates of equal strength.
-	maxJitter = 15 * time.Millisecond
+	// jitterPerPeer spreads candidates of equal strength over the time in which the news of a
+	// winner reaches the others, so that a large fleet does not stand all at once.
+	jitterPerPeer = 2 * time.Millisecond
+	// minJitter is the least time over which candidates are spread.
+	minJitter = 15 * time.Millisecond
+	// firstAnnouncement spreads the entries of instances that start together.
+	firstAnnouncement = 1500 * time.Millisecond
 )
 
 // Instance is a member of the system.
@@ -101,7 +107,7 @@
 	return &Elector{o: o, instances: map[string]Instance{}, wake: make(chan struct{}, 1)}
 }
 
-// Apply takes in a change under Prefix.
+// Apply takes in a change of the owner or of an instance.
 func (e *Elector) Apply(change metastore.Change) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -136,7 +142,7 @@
 	events.Info(e.o.Log, events.OwnerSeen, zap.String("owner", v.Name), zap.Uint64("token", change.Created))
 }
 
-// Synced notes that the members have been read.
+// Synced notes that the owner has been read.
 func (e *Elector) Synced(time.Time) {
 	e.mu.Lock()
 	first := !e.known
@@ -201,7 +207,10 @@
 
 func (e *Elector) delay() time.Duration {
 	share := max(e.o.CPUShare, 0.05)
-	return time.Duration(float64(handicap)/share) + rand.N(maxJitter)
+	e.mu.Lock()
+	spread := max(minJitter, jitterPerPeer*time.Duration(len(e.instances)))
+	e.mu.Unlock()
+	return time.Duration(float64(handicap)/share) + rand.N(spread)
 }
 
 func (e *Elector) vacant() bool {
@@ -389,6 +398,7 @@
 		e.o.Log.Error("own entry not encoded", zap.Error(err))
 		return
 	}
+	wait.For(ctx, rand.N(firstAnnouncement))
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callBound)
 		if lease == 0 {
@@ -399,7 +409,7 @@
 		cancel()
 		pause := instanceInterval
 		if err != nil {
-			pause = instanceInterval / 3
+			pause = instanceInterval/3 + rand.N(instanceInterval/3)
 		}
 		wait.For(ctx, pause)
 	}
@@ -413,7 +423,7 @@
 	if err != nil {
 		return 0, err
 	}
-	_, err = e.o.Store.Commit(ctx, metastore.Txn{Puts: []metastore.Put{{Key: instancesKey + e.o.Self.Name, Value: value, Lease: lease}}})
+	_, err = e.o.Store.Commit(ctx, metastore.Txn{Puts: []metastore.Put{{Key: InstancesPrefix + e.o.Self.Name, Value: value, Lease: lease}}})
 	if err != nil {
 		return 0, err
 	}
