--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -28,8 +28,6 @@
 // Fleet is the workers, with the oracle that checks the rules of running tasks. It
 // implements workerapi.Client.
 type Fleet struct {
-	// Fault decides the fate of each order to a worker.
-	Fault func(worker, call string) Fault
 	// Fate decides how long a run works and how it ends.
 	Fate func(task workload.TaskName, run int) (time.Duration, jobstate.End)
 
@@ -39,6 +37,9 @@
 	// Calm reports whether the rules that hold only without a disruption near apply.
 	Calm func() bool
 
+	faultMu sync.Mutex // calls of the function follow each other
+	fault   func(worker, call string) Fault
+
 	mu         sync.Mutex
 	workers    map[string]*worker
 	jobs       map[string]*workload.Submission
@@ -48,7 +49,7 @@
 	failures   map[string]int  // by task
 	paces      map[string]int
 	begun      map[string]bool // jobs of which a task was started
-	Starts     int
+	starts     int
 	violations []string
 	lives      int64
 }
@@ -78,13 +79,27 @@
 
 // NewFleet returns a fleet without workers.
 func NewFleet() *Fleet {
-	return &Fleet{
-		Fault:   func(string, string) Fault { return None },
+	f := &Fleet{
 		Fate:    func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Second, jobstate.EndDone },
 		Calm:    func() bool { return true },
 		workers: map[string]*worker{}, jobs: map[string]*workload.Submission{}, cancelled: map[string]time.Time{},
 		ended: map[string]bool{}, done: map[string]bool{}, failures: map[string]int{}, begun: map[string]bool{}, paces: map[string]int{},
 	}
+	f.SetFault(func(string, string) Fault { return None })
+	return f
+}
+
+// SetFault replaces the function that decides the fate of each order to a worker.
+func (f *Fleet) SetFault(fault func(worker, call string) Fault) {
+	f.faultMu.Lock()
+	defer f.faultMu.Unlock()
+	f.fault = fault
+}
+
+func (f *Fleet) fate(worker, call string) Fault {
+	f.faultMu.Lock()
+	defer f.faultMu.Unlock()
+	return f.fault(worker, call)
 }
 
 // Add starts a worker and returns its entry. A worker with the id is replaced by a new life.
@@ -239,7 +254,7 @@
 		f.advance()
 		return order()
 	}
-	switch f.Fault(id, call) {
+	switch f.fate(id, call) {
 	case Refused:
 		return workerapi.ErrUnhealthy
 	case Silent, Isolated:
@@ -332,7 +347,7 @@
 	if job == nil {
 		return
 	}
-	f.Starts++
+	f.starts++
 	f.begun[name.Job] = true
 	r := &run{number: o.Run, name: name, started: time.Now(), how: how, finish: time.Now().Add(duration), restored: o.Checkpoint}
 	r.atWork = !job.Steps[name.Step].Gang
--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -134,5 +134,5 @@
 func (f *Fleet) StartCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.Starts
+	return f.starts
 }
--- a/internal/testplatform/store.go
+++ b/internal/testplatform/store.go
@@ -181,23 +181,39 @@
 // Client is the store as one instance reaches it. It implements metastore.Store.
 type Client struct {
 	store *Store
-	// Fault decides the fate of each call.
-	Fault func(call string) Fault
+
+	faultMu sync.Mutex // calls of the function follow each other
+	fault   func(call string) Fault
 }
 
 var _ metastore.Store = (*Client)(nil)
 
 // NewClient returns a client without faults.
 func (s *Store) NewClient() *Client {
-	return &Client{store: s, Fault: func(string) Fault { return None }}
+	c := &Client{store: s}
+	c.SetFault(func(string) Fault { return None })
+	return c
+}
+
+// SetFault replaces the function that decides the fate of each call.
+func (c *Client) SetFault(f func(call string) Fault) {
+	c.faultMu.Lock()
+	defer c.faultMu.Unlock()
+	c.fault = f
+}
+
+func (c *Client) fate(call string) Fault {
+	c.faultMu.Lock()
+	defer c.faultMu.Unlock()
+	return c.fault(call)
 }
 
-// do carries a call out with its fault.
-func (c *Client) do(ctx context.Context, call string, f func() error) error {
+// do carries a call out with its fault. late is what a write does when nobody waits for it.
+func (c *Client) do(ctx context.Context, call string, late func(), f func() error) error {
 	if !wait.For(ctx, latency) {
 		return ctx.Err()
 	}
-	switch c.Fault(call) {
+	switch c.fate(call) {
 	case Refused:
 		return metastore.ErrRefused
 	case Silent, Isolated:
@@ -209,7 +225,9 @@
 		}
 		return ErrNoAnswer
 	case Late:
-		time.AfterFunc(lateBy, func() { _ = f() }) // nobody waits for this answer
+		if late != nil {
+			time.AfterFunc(lateBy, late)
+		}
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -218,7 +236,7 @@
 
 // Get implements metastore.Store.
 func (c *Client) Get(ctx context.Context, key string) (item metastore.Item, err error) {
-	err = c.do(ctx, "get", func() error {
+	err = c.do(ctx, "get", nil, func() error {
 		s := c.store
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -237,7 +255,7 @@
 
 // Range implements metastore.Store.
 func (c *Client) Range(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
-	err = c.do(ctx, "range", func() error {
+	err = c.do(ctx, "range", nil, func() error {
 		s := c.store
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -261,7 +279,7 @@
 // Watch implements metastore.Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, waitFor time.Duration) (changes []metastore.Change, asOf uint64, err error) {
 	deadline := time.Now().Add(waitFor)
-	err = c.do(ctx, "watch", func() error {
+	err = c.do(ctx, "watch", nil, func() error {
 		for {
 			var changed chan struct{}
 			if changes, asOf, changed, err = c.store.since(prefix, after); err != nil || len(changes) > 0 {
@@ -305,7 +323,7 @@
 
 // Commit implements metastore.Store.
 func (c *Client) Commit(ctx context.Context, txn metastore.Txn) (revision uint64, err error) {
-	err = c.do(ctx, "commit", func() error {
+	err = c.do(ctx, "commit", func() { _, _ = c.store.commit(txn) }, func() error {
 		var err error
 		revision, err = c.store.commit(txn)
 		return err
@@ -315,7 +333,7 @@
 
 // Grant implements metastore.Store.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (id int64, err error) {
-	err = c.do(ctx, "grant", func() error {
+	err = c.do(ctx, "grant", nil, func() error {
 		s := c.store
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -329,23 +347,25 @@
 
 // KeepAlive implements metastore.Store.
 func (c *Client) KeepAlive(ctx context.Context, id int64) error {
-	return c.do(ctx, "keepalive", func() error {
-		s := c.store
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.expire()
-		l := s.leases[id]
-		if l == nil {
-			return metastore.ErrNoLease
-		}
-		l.expires = time.Now().Add(l.ttl)
-		return nil
-	})
+	renew := func() error { return c.store.renew(id) }
+	return c.do(ctx, "keepalive", func() { _ = renew() }, renew) // nobody waits for a late one
+}
+
+func (s *Store) renew(id int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := s.leases[id]
+	if l == nil {
+		return metastore.ErrNoLease
+	}
+	l.expires = time.Now().Add(l.ttl)
+	return nil
 }
 
 // Revoke implements metastore.Store.
 func (c *Client) Revoke(ctx context.Context, id int64) error {
-	return c.do(ctx, "revoke", func() error {
+	return c.do(ctx, "revoke", nil, func() error {
 		s := c.store
 		s.mu.Lock()
 		defer s.mu.Unlock()
