--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -168,7 +168,6 @@
 	Fragile    bool   // an end that is not stored was reported by a worker that may leave
 
 	Occurrences []*Occurrence // those that are due, by number
-	finished    int           // occurrences that are done
 }
 
 // Worker is one life of a worker.
