--- /dev/null
+++ b/internal/testplatform/oracle_test.go
@@ -0,0 +1,120 @@
+package testplatform
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// orders gives orders to a fleet of two workers, right and wrong ones.
+type orders struct {
+	t     *testing.T
+	fleet *Fleet
+}
+
+func newOrders(t *testing.T) *orders {
+	f := NewFleet()
+	for _, id := range []string{"w0", "w1"} {
+		f.Add(id, "z", "r", workload.Amount{MilliCPU: 4000, MemoryMB: 4000, Accelerators: 4})
+	}
+	one := workload.Step{Tasks: 3, Demand: workload.Amount{MilliCPU: 1000, MemoryMB: 100, Accelerators: 2}}
+	second := one
+	second.After = []int{0}
+	gang := one
+	gang.Gang = true
+	queue := workload.Route{MaxAttempts: 1}
+	f.Accept(&workload.Submission{ID: "plain", Payload: "p", Steps: []workload.Step{one, second}, Queue: queue})
+	f.Accept(&workload.Submission{ID: "gang", Payload: "p", Steps: []workload.Step{gang}, Queue: queue})
+	f.Accept(&workload.Submission{ID: "timed", Payload: "p", Steps: []workload.Step{one}, Queue: queue,
+		Schedule: workload.Schedule{Occurrences: 2, First: time.Now().Add(time.Minute).UnixMilli(), Interval: time.Minute}})
+	return &orders{t, f}
+}
+
+func (o *orders) start(worker, task string, run int) {
+	o.t.Helper()
+	_, err := o.fleet.Start(context.Background(), workerapi.Target{ID: worker}, workerapi.Start{Task: task, Run: run, Payload: "p", LeaseUntil: 60_000, Token: 1})
+	require.NoError(o.t, err)
+}
+
+// hold takes note of all ends of the worker.
+func (o *orders) hold(worker string) {
+	report, err := o.fleet.Hold(context.Background(), workerapi.Target{ID: worker}, workerapi.Hold{Token: 1, LeaseUntil: 60_000})
+	require.NoError(o.t, err)
+	seen := int64(0)
+	for _, e := range report.Ended {
+		seen = e.Sequence
+	}
+	_, err = o.fleet.Hold(context.Background(), workerapi.Target{ID: worker}, workerapi.Hold{Token: 1, Seen: seen, LeaseUntil: 60_000})
+	require.NoError(o.t, err)
+}
+
+// Guards against an oracle that cannot fail: each rule is broken once on purpose.
+func TestOracleSeesEachBrokenRule(t *testing.T) {
+	for rule, broken := range map[string]func(o *orders){
+		"": func(o *orders) { // nothing is broken
+			o.start("w0", "plain.0.0.0", 1)
+			o.start("w0", "plain.0.0.1", 1)
+			time.Sleep(1100 * time.Millisecond)
+			o.hold("w0")
+		},
+		"TWICE": func(o *orders) {
+			o.start("w0", "plain.0.0.0", 1)
+			o.start("w1", "plain.0.0.0", 2)
+		},
+		"TWICE: plain.0.0.0 run 2 after": func(o *orders) {
+			o.start("w0", "plain.0.0.0", 1)
+			time.Sleep(1100 * time.Millisecond)
+			o.hold("w0")
+			o.start("w1", "plain.0.0.0", 2)
+		},
+		"LIMIT": func(o *orders) {
+			for _, task := range []string{"plain.0.0.0", "plain.0.0.1", "plain.0.0.2"} {
+				o.start("w0", task, 1)
+			}
+		},
+		"ORDER: plain": func(o *orders) { o.start("w0", "plain.0.1.0", 1) },
+		"ORDER: timed": func(o *orders) { o.start("w0", "timed.1.0.0", 1) },
+		"BUDGET": func(o *orders) {
+			o.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Second, jobstate.EndFailed }
+			o.start("w0", "plain.0.0.0", 1)
+			time.Sleep(1100 * time.Millisecond)
+			o.hold("w0")
+			o.start("w1", "plain.0.0.0", 2)
+		},
+		"GANG": func(o *orders) {
+			o.start("w0", "gang.0.0.0", 1)
+			time.Sleep(gangTimeout + time.Second)
+			o.hold("w0")
+		},
+		"UNASKED: plain.0.0.7": func(o *orders) { o.start("w0", "plain.0.0.7", 1) },
+		"UNASKED: nobody":      func(o *orders) { o.start("w0", "nobody.0.0.0", 1) },
+		"UNASKED: plain.0.0.0": func(o *orders) {
+			o.fleet.Cancel("plain")
+			time.Sleep(cancelBound + time.Second)
+			o.start("w0", "plain.0.0.0", 1)
+		},
+	} {
+		t.Run(rule, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOrders(t)
+				broken(o)
+				violations := o.fleet.Violations()
+				if rule == "" {
+					assert.Empty(t, violations)
+					return
+				}
+				require.NotEmpty(t, violations)
+				assert.True(t, strings.HasPrefix(violations[len(violations)-1], rule), "%q", violations)
+			})
+		})
+	}
+}
