--- a/jobfront/session_test.go
+++ b/jobfront/session_test.go
@@ -115,7 +115,9 @@
 func TestSession(t *testing.T) {
 	f := newFront(t)
 	var out bytes.Buffer
-	call := func(method, path, key, body string) { out.WriteString(f.send(t, method, path, "rota.example", key, body)) }
+	call := func(method, path, key, body string) {
+		out.WriteString(f.send(t, method, path, "rota.example", key, body))
+	}
 	call("POST", "/rota/"+id, "key-1", body) // no configuration yet
 	f.config = config()
 	call("POST", "/rota/"+id, "key-1", body)
