--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -94,7 +94,9 @@
 		m.note(err)
 		if err == nil {
 			failures = 0
-			wait.For(ctx, m.o.Pause)
+			if m.o.Pause > 0 {
+				wait.For(ctx, m.o.Pause)
+			}
 			continue
 		}
 		failures++
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -289,7 +289,7 @@
 
 // serve runs a term and renews its lease meanwhile.
 func (e *Elector) serve(ctx context.Context, lease int64, token uint64) {
-	events.Info(e.o.Log, events.TermBegan, zap.Uint64("token", token), zap.String("instance", e.o.Self.Name))
+	events.Info(e.o.Log, events.TermBegan, zap.Uint64("token", token))
 	term, stop := context.WithCancel(ctx)
 	var renewing sync.WaitGroup
 	renewing.Go(func() { e.renew(term, stop, lease, token) })
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -201,19 +201,18 @@
 
 // serve starts as much of the unit as fits, or makes room for it.
 func (r *round) serve(u *unit) {
-	if u.step.Spec.Gang {
-		r.serveGang(u)
-		return
-	}
-	r.serveTasks(u)
-}
-
-func (r *round) serveGang(u *unit) {
 	workers := r.eligible(u)
-	if len(workers) == 0 && u.job.Route.Advice != nil {
+	switch {
+	case len(workers) == 0 && u.job.Route.Advice != nil:
 		r.plan.Asks = append(r.plan.Asks, u.step)
-		return
+	case u.step.Spec.Gang:
+		r.serveGang(u, workers)
+	default:
+		r.serveTasks(u, workers)
 	}
+}
+
+func (r *round) serveGang(u *unit, workers []*jobstate.Worker) {
 	if slots, ok := r.fitGang(u, workers); ok {
 		r.startGang(u, slots)
 		return
@@ -232,12 +231,7 @@
 	}
 }
 
-func (r *round) serveTasks(u *unit) {
-	workers := r.eligible(u)
-	if len(workers) == 0 && u.job.Route.Advice != nil {
-		r.plan.Asks = append(r.plan.Asks, u.step)
-		return
-	}
+func (r *round) serveTasks(u *unit, workers []*jobstate.Worker) {
 	placed := 0
 	for _, t := range u.waiting {
 		if !r.leavesHeadroom(u) {
