--- a/node/node.go
+++ b/node/node.go
@@ -45,10 +45,9 @@
 
 // Options configures a Node.
 type Options struct {
-	Adapter    Adapter
-	Instance   string
-	DataCentre string
-	CPUShare   float64 // cores
+	Adapter  Adapter
+	Instance string
+	CPUShare float64 // cores
 
 	Callers, Ready, Peers, Admin net.Listener
 
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -10,13 +10,14 @@
 )
 
 // patience is the share of a step's objective that it waits for a place where it is not
-// slowed down, before it takes a slow one.
+// slowed down, before it takes a slow one. It waits no longer than that place saves.
 const patience = 0.35
 
 // impatient reports whether the unit takes a place where it runs FarFactor times as long.
 func (r *round) impatient(u *unit) bool {
-	objective := u.deadline.Sub(u.step.ReadyAt)
-	return r.now.Sub(u.step.ReadyAt) >= time.Duration(patience*float64(objective))
+	wait := patience * float64(u.deadline.Sub(u.step.ReadyAt))
+	saved := (r.o.FarFactor - 1) * float64(u.step.Spec.Estimate)
+	return r.now.Sub(u.step.ReadyAt) >= time.Duration(min(wait, saved))
 }
 
 // fitGang finds places for all waiting tasks of the gang.
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -112,7 +112,6 @@
 	Capacity workload.Amount
 	Draining bool
 	Leaves   time.Duration // a draining worker stays at least that long
-	Clock    int64         // milliseconds
 }
 
 // Advisor knows which workers may run the steps of queues whose policy excludes some.
