jobowner: runs on workers that left while no owner lived start again sooner

Its worker had been taken away during an outage, and the new owner (about 36 s) waited 16.5 s for a lease that a former owner might have renewed. Change: an owner renews for 3.5 s without being confirmed (6 s before), and a new one allows for 2.5 s of it: 13 s in all. Running work survives an outage of 13.5 s (16 s before).

--- a/jobowner/jobowner_test.go
+++ b/jobowner/jobowner_test.go
@@ -232,6 +232,32 @@
 	})
 }
 
+// Guards against work that waits for a worker that left while no owner lived: callers would
+// ask for jobs that have nothing running. The bound is the users' time after the end of a
+// day at which jobs are asked for.
+func TestRunOnAWorkerThatLeftMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 20 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(2, 1))
+		time.Sleep(time.Second)
+		s.kill("a")
+		s.fleet.Leave("w0")
+		s.store.Remove(workersPrefix + "w0")
+		s.addWorker("w1", 1)
+		time.Sleep(2 * time.Second)
+		s.start("b")
+		time.Sleep(14 * time.Second)
+		assert.Equal(t, 4, s.fleet.StartCount())
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 40*time.Second))
+		s.requireRules(t)
+	})
+}
+
 // Guards against a job that fails for ever, and against counting a gang's failure once for
 // each member.
 func TestAttemptsAreBounded(t *testing.T) {
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -57,11 +57,12 @@
 	// leaseMargin is added to each estimate of when a lease has run out.
 	leaseMargin = 250 * time.Millisecond
 	// predecessorHold is how long after the start of a term a former owner that is cut off
-	// from the store may still renew leases.
-	predecessorHold = RenewWithout
+	// from the store may still renew leases: its last confirmation is older than the start by
+	// the time in which its own lease ran out.
+	predecessorHold = RenewWithout - time.Second
 	// RenewWithout is how long an owner renews leases of workers without being confirmed by
 	// the store. It bridges an outage of the store together with the length of the lease.
-	RenewWithout = 6 * time.Second
+	RenewWithout = 3500 * time.Millisecond
 	// missingGrace is how long a worker without an entry may be between two entries: entries
 	// that lapsed in an outage of the store are back within two seconds of its return.
 	missingGrace = 2500 * time.Millisecond
