ownership: a restarted owner ends the ownership of its former process

Cause: after a kill or loss of power the restarted owner saw its own former key and waited up to 1.5 s for its lease, with every other instance; ends of running work were shown, and new jobs started, only after that.

Change: between terms, an owner's key with this instance's own name and address belongs to a process that has ended, since this one listens there. It is removed on condition of its token (event 423).

Test first failed: owners after 200 ms were none.

--- a/events/events.go
+++ b/events/events.go
@@ -84,6 +84,7 @@
 	OwnerSeen            ID = 420
 	OwnershipTried       ID = 421
 	OwnershipUnconfirmed ID = 422
+	OwnershipLeftBehind  ID = 423
 	SettingsReloaded     ID = 510
 	LinesDropped         ID = 511
 	ConfigInForce        ID = 512
@@ -173,6 +174,7 @@
 	OwnerSeen:            {"OwnerSeen", "owner changed"},
 	OwnershipTried:       {"OwnershipTried", "ownership not won"},
 	OwnershipUnconfirmed: {"OwnershipUnconfirmed", "ownership not confirmed by the store"},
+	OwnershipLeftBehind:  {"OwnershipLeftBehind", "ownership of an earlier process ended"},
 	SettingsReloaded:     {"SettingsReloaded", "settings read again"},
 	LinesDropped:         {"LinesDropped", "log lines dropped"},
 	ConfigInForce:        {"ConfigInForce", "configuration in force"},
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -190,6 +190,10 @@
 // Run stands for election until ctx ends. A term in progress is handed over then.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if token, ok := e.leftBehind(); ok {
+			e.endLeftBehind(ctx, token)
+			continue
+		}
 		if !e.vacant() {
 			select {
 			case <-ctx.Done():
@@ -219,6 +223,32 @@
 	return e.known && e.owner.Token == 0 && !e.o.CutOff()
 }
 
+// leftBehind returns the token of an ownership that an earlier process of this instance left
+// behind. It has ended: this process listens at its address. Run calls it between terms.
+func (e *Elector) leftBehind() (token uint64, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.owner.Token, e.owner.Token != 0 && e.owner.Instance == e.o.Self
+}
+
+// endLeftBehind ends an ownership that nobody exercises, so that nobody waits for its lease.
+func (e *Elector) endLeftBehind(ctx context.Context, token uint64) {
+	call, cancel := context.WithTimeout(ctx, callBound)
+	err := e.Depose(call, token)
+	cancel()
+	events.Info(e.o.Log, events.OwnershipLeftBehind, zap.Uint64("token", token), zap.Error(err))
+	var conflict *metastore.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		wait.For(ctx, retryPause)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.owner.Token == token {
+		e.owner = Owner{}
+	}
+}
+
 // stand tries to become the owner and serves the term.
 func (e *Elector) stand(ctx context.Context) {
 	sent := time.Now()
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -104,6 +104,25 @@
 	})
 }
 
+// Guards against a restarted owner that waits for the lease of the process that it replaces.
+func TestRestartedOwnerDoesNotWaitForItsFormerLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		a := stand(s, "a", 0.8, nil)
+		time.Sleep(time.Second)
+		first := a.leading.Load()
+		a.silence()
+		a.stop()
+		b := stand(s, "b", 0.1, nil)
+		defer b.stop()
+		a = stand(s, "a", 0.8, nil)
+		defer a.stop()
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, []string{"a"}, owners(a, b))
+		assert.Greater(t, a.leading.Load(), first)
+	})
+}
+
 // Guards against an outage of the store ending a term whose lease is only paused, and
 // against an owner that does not learn that another one was elected.
 func TestOwnerDuringAndAfterAnOutage(t *testing.T) {
