jobowner: the line of a job taken over says what its steps ask for

Cause: from the logs alone nobody could tell why an urgent gang waited: event 220 had the number of steps only.

Change: event 220 lists each step as "4x8 gang rack".

--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -67,7 +67,7 @@
 		j.Complete(now)
 	}
 	events.Info(t.o.Log, events.JobTaken, zap.String("job", id), zap.String("route", s.Queue.Name),
-		zap.Int("steps", len(s.Steps)), zap.String("state", string(j.State)), zap.Uint64("revision", change.Revision))
+		zap.Stringers("steps", stepsOf(s)), zap.String("state", string(j.State)), zap.Uint64("revision", change.Revision))
 	if t.early[id] {
 		delete(t.early, id)
 		t.cancelJob(id, now)
@@ -75,6 +75,14 @@
 	t.openDue(j, now)
 }
 
+func stepsOf(s *workload.Submission) []*workload.Step {
+	steps := make([]*workload.Step, len(s.Steps))
+	for n := range s.Steps {
+		steps[n] = &s.Steps[n]
+	}
+	return steps
+}
+
 // refreshRoute follows changes of the job's route; a removed route stays as it was.
 func (t *Term) refreshRoute(j *jobstate.Job) {
 	if config := t.o.Config(); config != nil {
--- a/workload/job.go
+++ b/workload/job.go
@@ -69,6 +69,24 @@
 	return room
 }
 
+// String describes what the step asks for, for log lines: "4x8 gang rack" is a gang of four
+// tasks with eight accelerators each that belongs in one rack.
+func (s *Step) String() string {
+	text := strconv.Itoa(s.Tasks) + "x" + strconv.Itoa(s.Demand.Accelerators)
+	for _, trait := range []struct {
+		has  bool
+		name string
+	}{
+		{s.Gang, "gang"}, {s.SameRack, "rack"}, {s.DataRack != "", "data=" + s.DataRack}, {s.Label != "", "label=" + s.Label},
+		{s.Checkpointing, "checkpoints"}, {s.LongRunning, "long"}, {s.Filler, "filler"}, {s.Speculative, "speculative"},
+	} {
+		if trait.has {
+			text += " " + trait.name
+		}
+	}
+	return text
+}
+
 // Schedule makes the steps of a job run several times. The zero value runs them once.
 type Schedule struct {
 	Occurrences int           `json:"n,omitempty"`
