placement: promised room that another step has taken is replaced at once

Change: within the time of a promise the room is checked; if it no longer fits, other room is chosen in the same decision.

TestTakenPromiseIsReplaced first failed: the second gang had not started.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -169,6 +169,34 @@
 	assert.Equal(t, 2, len(plan.Starts))
 }
 
+// Load: two urgent gangs within a moment on a service full of batch tasks. Guards against the
+// second one waiting for room that was freed for it and that the first one has taken, because
+// its objective ends sooner.
+func TestTakenPromiseIsReplaced(t *testing.T) {
+	w := newWorld(1, 6)
+	w.submit(batch, "b", step(48, 1, 10*time.Second))
+	w.run(time.Second)
+	slow := w.submit(urgent, "a", gang(2, 8, 6*time.Second))
+	first := w.run(10 * time.Millisecond)
+	require.Len(t, first.Stops, 16)
+	quick := w.submit(urgent, "a", gang(2, 8, time.Second))
+	second := w.decide()
+	w.stopped(first) // the room that was freed for the slow one
+	for _, run := range w.run(10 * time.Millisecond).Starts {
+		require.Equal(t, quick, run.Task.Step.Occurrence.Job)
+	}
+	w.stopped(second)
+	var started []*jobstate.Run
+	for range 3 {
+		plan := w.run(10 * time.Millisecond)
+		started = append(started, plan.Starts...)
+		w.stopped(plan)
+	}
+	require.Len(t, started, 2, "the slow one has got other room")
+	assert.Equal(t, slow, started[0].Task.Step.Occurrence.Job)
+	w.requireRoom(t)
+}
+
 // Load: an urgent job beyond the guarantee against long batch work without checkpoints.
 // Guards against throwing away far more work than the urgent job is worth.
 func TestLossIsBoundedOutsideTheGuarantee(t *testing.T) {
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -32,7 +32,7 @@
 // makeRoom chooses room for a unit that does not fit and reserves it. It stops runs of less
 // urgent jobs in that room if that is worth it.
 func (r *round) makeRoom(u *unit, workers []*jobstate.Worker) {
-	if r.now.Sub(u.step.Reclaimed) < r.o.StopTimeout+reclaimSlack {
+	if r.now.Sub(u.step.Reclaimed) < r.o.StopTimeout+reclaimSlack && r.promiseHolds(u.step) {
 		r.reserve(u.step)
 		return
 	}
@@ -64,15 +64,42 @@
 	u.step.Reclaimed = r.now
 }
 
+// promiseHolds reports whether the promised room is still free or becoming free. A unit that
+// goes first may have taken it.
+func (r *round) promiseHolds(s *jobstate.Step) bool {
+	for _, p := range s.Promised {
+		if !r.c.Accepts(p.Worker, r.now) || !roomFor(s, p.Tasks).Fits(r.freeing(p.Worker, nil)) {
+			return false
+		}
+	}
+	return true
+}
+
+// freeing returns the room on the worker that is free or will be once the runs that are being
+// stopped, and those in stopped, have ended.
+func (r *round) freeing(w *jobstate.Worker, stopped map[*jobstate.Run]bool) workload.Amount {
+	free := r.free(w)
+	for run := range w.Runs {
+		if stopped[run] || run.Phase == jobstate.Stopping {
+			free = free.Add(run.Task.Step.Spec.Room())
+		}
+	}
+	return free
+}
+
+// roomFor returns the room that a number of tasks of the step takes.
+func roomFor(s *jobstate.Step, tasks int) workload.Amount {
+	var need workload.Amount
+	for range tasks {
+		need = need.Add(s.Spec.Room())
+	}
+	return need
+}
+
 // reserve keeps the promised room from units that come later in this round.
 func (r *round) reserve(s *jobstate.Step) {
-	room := s.Spec.Room()
 	for _, p := range s.Promised {
-		sum := r.reserved[p.Worker]
-		for range p.Tasks {
-			sum = sum.Add(room)
-		}
-		r.reserved[p.Worker] = sum
+		r.reserved[p.Worker] = r.reserved[p.Worker].Add(roomFor(s, p.Tasks))
 	}
 }
 
@@ -184,16 +211,8 @@
 	if limit := u.step.Spec.MaxPerWorker; limit > 0 && next.count+present(u.step, w) > limit {
 		return nil
 	}
-	free := r.free(w)
-	for run := range w.Runs {
-		if stopped[run] || run.Phase == jobstate.Stopping {
-			free = free.Add(run.Task.Step.Spec.Room())
-		}
-	}
-	var need workload.Amount
-	for range next.count {
-		need = need.Add(u.step.Spec.Room())
-	}
+	free := r.freeing(w, stopped)
+	need := roomFor(u.step, next.count)
 	if need.Fits(free) {
 		return &next
 	}
