jobservice: the owner is told of submissions by the instance that stored them

Change: the instance whose write succeeded calls the owner (relay.Announce) without delaying its caller's answer. The owner ignores it until all jobs and their records are known. The watch stays what is relied on.

Without the guard TestAnnouncementBeforeTheRecordsAreRead runs a job twice.

--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -30,6 +30,17 @@
 // RecordKey is the key of the job's record.
 func RecordKey(id string) string { return RecordPrefix + id }
 
+// OnAnnounced applies a change under IntakePrefix that an instance has told of. Before all
+// jobs and their records are known it would take a known job for a new one, and is ignored:
+// the store shows it, too.
+func (t *Term) OnAnnounced(change metastore.Change) {
+	select {
+	case <-t.loaded:
+		t.OnIntake(change)
+	default:
+	}
+}
+
 // OnIntake applies a change under IntakePrefix.
 func (t *Term) OnIntake(change metastore.Change) {
 	if change.Removed {
--- /dev/null
+++ b/jobowner/intake_test.go
@@ -0,0 +1,84 @@
+package jobowner_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// termOf returns the newest term of the instance, or nil.
+func (s *system) termOf(c *candidate) *jobowner.Term {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.term
+}
+
+// announce tells a term of the job, as the instance that stored it does.
+func (s *system) announce(c *candidate, id string) {
+	raw, _ := s.store.Value(jobowner.JobKey(id))
+	s.termOf(c).OnAnnounced(metastore.Change{Item: metastore.Item{Key: jobowner.JobKey(id), Value: raw, Revision: 1}})
+}
+
+// Load: urgent jobs while the store drops its history and its watches are silent. Guards
+// against jobs that wait for the watch, and against a second job when the watch delivers it.
+func TestAnnouncedJobStartsWhileTheWatchIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		a.client.SetFault(func(call string) testplatform.Fault {
+			if call == "watch" {
+				return testplatform.Silent
+			}
+			return testplatform.None
+		})
+		time.Sleep(3 * time.Second)
+		s.submit("job", "urgent", tasks(2, 1))
+		s.announce(a, "job")
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, 2, s.fleet.StartCount())
+		a.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 5*time.Second))
+		assert.Equal(t, 2, s.fleet.StartCount())
+		s.requireRules(t)
+	})
+}
+
+// Guards against a job that is announced again to a new owner which has not read its record
+// yet: it would be taken for a new one and run twice.
+func TestAnnouncementBeforeTheRecordsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(2, 1))
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 5*time.Second))
+		s.kill("a")
+		b := s.start("b")
+		b.client.SetFault(func(call string) testplatform.Fault {
+			if call == "range" && s.termOf(b) != nil {
+				return testplatform.Refused
+			}
+			return testplatform.None
+		})
+		time.Sleep(3 * time.Second)
+		s.announce(b, "job")
+		time.Sleep(time.Second)
+		b.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, workload.Completed, s.state("job"))
+		assert.Equal(t, 2, s.fleet.StartCount())
+		s.requireRules(t)
+	})
+}
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -47,6 +47,9 @@
 type Term interface {
 	State(id string) (workload.State, bool)
 	Pending(route string) (n int, ok bool)
+	// OnAnnounced takes in a change of the intake that may not have come through the store's
+	// watch yet.
+	OnAnnounced(change metastore.Change)
 }
 
 // Options configures a Service.
@@ -206,13 +209,19 @@
 func (s *Service) writeOnce(ctx context.Context, key string, value []byte, attempt int) outcome {
 	call, cancel := context.WithTimeout(ctx, s.o.Bound(attempt))
 	defer cancel()
-	_, err := s.o.Store.Commit(call, metastore.Txn{
+	revision, err := s.o.Store.Commit(call, metastore.Txn{
 		If:   []metastore.Condition{{Key: key}},
 		Puts: []metastore.Put{{Key: key, Value: value}},
 	})
 	var conflict *metastore.ConflictError
 	switch {
-	case err == nil, errors.As(err, &conflict):
+	case err == nil:
+		s.announce(metastore.Item{Key: key, Value: value, Revision: revision})
+		return stored
+	case errors.As(err, &conflict):
+		if item, ok := conflict.Find(key); ok {
+			s.announce(item)
+		}
 		return stored
 	case errors.Is(err, metastore.ErrRefused) && attempt == 1:
 		return refused
@@ -220,6 +229,27 @@
 	return uncertain
 }
 
+// announce tells the owner of a change of the intake. It does not delay the caller's answer,
+// and nothing depends on it: the owner watches the intake as well.
+func (s *Service) announce(item metastore.Item) {
+	if term := s.o.Term(); term != nil {
+		term.OnAnnounced(metastore.Change{Item: item})
+		return
+	}
+	owner, ok := s.o.Elector.Owner()
+	if !ok || owner.Name == s.o.Self {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askBound)
+		defer cancel()
+		_, err := s.o.Peer(owner.Address).Announce(ctx, &relay.AnnounceRequest{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		if err != nil {
+			s.o.Log.Debug("owner not told", zap.String("key", item.Key), zap.String("owner", owner.Name), zap.Error(err))
+		}
+	}()
+}
+
 func (s *Service) writeCancel(ctx context.Context, id string) outcome {
 	if !s.o.Healthy() {
 		return refused
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -40,10 +40,15 @@
 	return p.service.Query(ctx, r)
 }
 
+func (p peerOf) Announce(ctx context.Context, r *relay.AnnounceRequest) (*relay.AnnounceReply, error) {
+	return p.service.Announced(ctx, r)
+}
+
 // instance is a service with its own way to the store.
 type instance struct {
 	*jobservice.Service
-	client *testplatform.Client
+	client  *testplatform.Client
+	elector *ownership.Elector
 }
 
 // newInstance returns an instance that knows the given peer, which may be nil.
@@ -54,6 +59,7 @@
 	if peer != nil {
 		elector.Apply(metastore.Change{Item: metastore.Item{Key: ownership.InstancesPrefix + "peer", Value: []byte(`{"name":"peer","address":"peer"}`)}})
 	}
+	i.elector = elector
 	i.Service = jobservice.New(jobservice.Options{Store: monitor, Healthy: monitor.Healthy, Check: monitor.Check, Bound: monitor.Bound,
 		Elector: elector, Self: "self", Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
 		Term: func() jobservice.Term { return term },
@@ -165,6 +171,7 @@
 
 func (t term) State(job string) (workload.State, bool) { return t.state, job == id }
 func (t term) Pending(string) (int, bool)              { return 3, true }
+func (t term) OnAnnounced(metastore.Change)            {}
 
 // Guards against 410 for an accepted job, and against a state that is not known being made up.
 func TestState(t *testing.T) {
@@ -196,6 +203,35 @@
 	})
 }
 
+// Guards against an owner that learns of a job only when the store's watch delivers it, which
+// may be seconds late while the store drops its history.
+func TestOwnerIsToldOfSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		told := &told{}
+		owner := newInstance(s, told, nil)
+		i := newInstance(s, nil, owner)
+		i.elector.Apply(metastore.Change{Item: metastore.Item{Key: ownership.OwnerPrefix, Value: []byte(`{"name":"peer","address":"peer"}`), Created: 7}})
+		ctx, cancel := deadline()
+		defer cancel()
+		assert.NoError(t, i.Submit(ctx, job()))
+		assert.NoError(t, i.Cancel(ctx, id))
+		synctest.Wait()
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, []string{jobowner.JobKey(id), jobowner.CancelKey(id)}, told.keys)
+		assert.NoError(t, owner.Submit(ctx, job()))
+		assert.Len(t, told.keys, 3, "also when the owner itself accepts it, or the write is repeated")
+	})
+}
+
+// told is a term that keeps what it was told of.
+type told struct {
+	term
+	keys []string
+}
+
+func (t *told) OnAnnounced(change metastore.Change) { t.keys = append(t.keys, change.Key) }
+
 // Guards against the cancellation of a job that nobody submitted.
 func TestCancelUnknownJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/jobservice/peer.go
+++ b/jobservice/peer.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
 	"github.com/cyclamenyard/cyclamenyard/relay"
 )
 
@@ -30,3 +31,12 @@
 func (s *Service) CancelFor(ctx context.Context, r *relay.CancelRequest) (*relay.OutcomeReply, error) {
 	return &relay.OutcomeReply{Outcome: s.writeCancel(ctx, r.Job)}, nil
 }
+
+// Announced implements the peer protocol: a change is taken in by the owner and ignored by
+// every other instance.
+func (s *Service) Announced(_ context.Context, r *relay.AnnounceRequest) (*relay.AnnounceReply, error) {
+	if term := s.o.Term(); term != nil {
+		term.OnAnnounced(metastore.Change{Item: metastore.Item{Key: r.Key, Value: r.Value, Revision: r.Revision}})
+	}
+	return &relay.AnnounceReply{}, nil
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -153,6 +153,11 @@
 	return p.n.jobs.CancelFor(ctx, r)
 }
 
+// Announce implements relay.DRPCRelayServer.
+func (p peerServer) Announce(ctx context.Context, r *relay.AnnounceRequest) (*relay.AnnounceReply, error) {
+	return p.n.jobs.Announced(ctx, r)
+}
+
 // Depose implements relay.DRPCRelayServer.
 func (p peerServer) Depose(ctx context.Context, r *relay.DeposeRequest) (*relay.OutcomeReply, error) {
 	if !p.n.store.Healthy() {
