jobowner: a new owner sees that workers known from records were replaced

Change: a task's record holds the address of its worker, so that the rule "replaced at its address" applies to workers known from records.

--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -40,7 +40,7 @@
 		}
 		tr := workload.TaskRecord{Index: t.Index, LastRun: t.LastRun, Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint}
 		if t.Run != nil {
-			tr.Worker, tr.Life = t.Run.Worker.ID, t.Run.Worker.Life
+			tr.Worker, tr.Life, tr.Address = t.Run.Worker.ID, t.Run.Worker.Life, t.Run.Worker.Address
 		}
 		r.Tasks = append(r.Tasks, tr)
 	}
@@ -101,6 +101,9 @@
 		}
 		// A newer life of the worker may have got the order: its first report tells.
 		w := c.Worker(tr.Worker, tr.Life, now)
+		if w.Life == tr.Life && w.Address == "" {
+			w.Address = tr.Address
+		}
 		run := c.Place(t, w, tr.LastRun, now)
 		run.Phase = Ordered
 	}
--- a/workload/record.go
+++ b/workload/record.go
@@ -29,6 +29,7 @@
 	Checkpoint string `json:"c,omitempty"`
 	Worker     string `json:"w,omitempty"` // of the run that is not known to have ended
 	Life       int64  `json:"l,omitempty"` // of that worker
+	Address    string `json:"a,omitempty"` // of that worker; tells a later owner what has replaced it
 }
 
 // StepRecord is the stored progress of a step.
