placement: patience counts from the newest wait; stalled workers get no work

And a worker on which nothing moved was avoided only if its run was taken away, not if the run had done too much: the next urgent task went there.

Change: a step notes since when it waits; patience for a rack counts from there. A worker on which nothing moves gets no work until a report shows that something does (1.5 s after the newest that did not).

Both tests failed first.

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -87,6 +87,7 @@
 	failedRun  int // newest run number that was counted in Failures
 	Checkpoint string
 	ReadyAt    time.Time         // when its tasks could first start; zero while it waits for other steps
+	WaitsSince time.Time         // ReadyAt, or when the newest run ended that has to be repeated
 	NotBefore  time.Time         // no start before, after a failed start
 	Reclaimed  time.Time         // when runs were last preempted for it
 	Promised   []Promise         // room that was chosen for it then
@@ -260,7 +261,7 @@
 func (o *Occurrence) refresh(now time.Time) {
 	for _, s := range o.Steps {
 		if s.ReadyAt.IsZero() && o.Ready(s) {
-			s.ReadyAt = now
+			s.ReadyAt, s.WaitsSince = now, now
 		}
 	}
 }
@@ -383,6 +384,9 @@
 	j.Dirty = true
 	j.Fragile = j.Fragile || r.Worker.Draining || !r.Worker.Listed
 	t.NoteCheckpoint(checkpoint)
+	if how != EndDone {
+		s.WaitsSince = now
+	}
 	switch how {
 	case EndDone:
 		if s.Spec.LongRunning {
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -24,6 +24,9 @@
 	maxLagRuns = 4
 	// lagPause is how long a worker gets no work after a run lagged there; it doubles.
 	lagPause = 3 * time.Second
+	// stallPause is how long a worker gets no work after a report in which nothing moved. It
+	// covers the time to the next report.
+	stallPause = 1500 * time.Millisecond
 	// maxLagPause bounds the pause.
 	maxLagPause = 12 * time.Second
 )
@@ -48,8 +51,14 @@
 func (r *round) takeLaggardsOf(s *jobstate.Step) {
 	var laggards []*jobstate.Run
 	for _, t := range s.Tasks {
-		if run := t.Run; run != nil && run.Number < maxLagRuns && r.lags(run) {
+		run := t.Run
+		if run == nil || !r.measured(run) {
+			continue
+		}
+		if run.Number < maxLagRuns && r.lags(run) {
 			laggards = append(laggards, run)
+		} else if run.Stalled && stalled(run.Worker) {
+			r.avoidStalled(run.Worker)
 		}
 	}
 	for _, run := range laggards {
@@ -63,6 +72,12 @@
 	}
 }
 
+// avoidStalled keeps new work from a worker on which nothing moves, also when its runs have
+// done too much to be taken away.
+func (r *round) avoidStalled(w *jobstate.Worker) {
+	w.Suspect = maxTime(w.Suspect, r.now.Add(stallPause))
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -107,14 +122,16 @@
 	return rack == "" || run.Worker.Rack == rack
 }
 
-// lags reports whether the run would end sooner elsewhere.
-func (r *round) lags(run *jobstate.Run) bool {
+// measured reports whether the rate of the run is known and its own.
+func (r *round) measured(run *jobstate.Run) bool {
 	if run.Phase != jobstate.Running || !run.Rated || run.Percent >= 100 || r.now.Sub(run.StartedAt) < lagObserved {
 		return false
 	}
-	if run.Task.Step.Spec.Filler || run.Pace < 100 || run.Task.Step.Spec.Estimate <= 0 {
-		return false // its rate is not its own, or not known
-	}
+	return !run.Task.Step.Spec.Filler && run.Pace >= 100 && run.Task.Step.Spec.Estimate > 0
+}
+
+// lags reports whether the run, which has been measured, would end sooner elsewhere.
+func (r *round) lags(run *jobstate.Run) bool {
 	if run.Stalled {
 		return stalled(run.Worker) && r.stallCostsMore(run)
 	}
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -140,7 +140,7 @@
 // cheapest returns targets for all waiting tasks: in one rack if that is possible and
 // wanted, else anywhere.
 func (r *round) cheapest(u *unit, workers []*jobstate.Worker) ([]target, float64) {
-	if u.step.Spec.Gang && u.step.Spec.SameRack && (u.priority > 0 || r.now.Sub(u.step.ReadyAt) < spreadAfter) {
+	if u.step.Spec.Gang && u.step.Spec.SameRack && (u.priority > 0 || r.now.Sub(u.step.WaitsSince) < spreadAfter) {
 		var best []target
 		bestCost := 0.0
 		racks := byRack(workers)
--- /dev/null
+++ b/placement/sick_test.go
@@ -0,0 +1,63 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+)
+
+// Load: a gang whose worker fails, beside work that can be reclaimed. Guards against a gang
+// that starts again over several racks, three times slower, because it has become impatient
+// during its first run.
+func TestRestartedGangWaitsForARack(t *testing.T) {
+	w := newWorld(2, 2)
+	w.submit(urgent, "a", gang(2, 8, 4*time.Second))
+	runs := w.run(3500 * time.Millisecond).Starts
+	require.Len(t, racks(runs), 1)
+	other := "r0"
+	if runs[0].Worker.Rack == "r0" {
+		other = "r1"
+	}
+	w.submit(batch, "b", step(8, 1, 10*time.Second)) // one worker of the other rack is full
+	require.Len(t, w.run(100*time.Millisecond).Starts, 8)
+	w.c.Workers[runs[0].Worker.ID].Suspect = w.now.Add(time.Minute)
+	for _, r := range runs {
+		w.c.End(r, jobstate.EndFailed, "", w.now)
+	}
+	plan := w.run(100 * time.Millisecond)
+	require.Empty(t, plan.Starts, "a worker in each rack is free")
+	w.stopped(plan)
+	var again []*jobstate.Run
+	for _, r := range w.run(0).Starts {
+		if r.Task.Step == runs[0].Task.Step {
+			again = append(again, r)
+		}
+	}
+	require.Len(t, again, 2)
+	assert.Equal(t, map[string]int{other: 2}, racks(again))
+}
+
+// Load: workers on which tasks stand still for seconds while their reports look healthy.
+// Guards against new work for such a worker when its own runs have done too much to be taken
+// away, and against avoiding it for good.
+func TestWorkerOnWhichNothingMovesGetsNoWork(t *testing.T) {
+	w := newWorld(1, 2)
+	w.submit(draft, "a", step(1, 8, 10*time.Second))
+	run := w.run(0).Starts[0]
+	for n := range 7 {
+		w.now = w.now.Add(time.Second)
+		run.Observe(min(10*float64(n), 50), w.now)
+		require.Empty(t, w.decide().Stops, "half of the work is done")
+	}
+	w.c.End(run, jobstate.EndStopped, "", w.now) // its job was cancelled
+	w.submit(urgent, "a", step(2, 8, time.Second))
+	starts := w.run(100 * time.Millisecond).Starts
+	require.Len(t, starts, 1)
+	assert.NotEqual(t, run.Worker, starts[0].Worker)
+	w.now = w.now.Add(2 * time.Second)
+	assert.NotEmpty(t, w.run(0).Starts)
+}
