jobowner: a question for a state waits a moment for an end that is near

Cause: callers ask in the moment in which a job's last task ends.

Change: when only the ends of a job's runs are missing, the owner holds the answer for up to 80 ms, until the end is in the store. Nothing is shown before it is stored. Also mends a data race in TestOwnerIsToldOfSubmissions.

--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -156,8 +156,10 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	ended := false
 	for n, j := range b.jobs {
 		if j.Shown != b.states[n] && b.states[n].Ended() {
+			ended = true
 			events.Info(t.o.Log, events.JobConcluded, zap.String("job", j.Submission.ID), zap.String("state", string(b.states[n])),
 				zap.Duration("after", now.Sub(j.ArrivedAt)))
 		}
@@ -169,6 +171,9 @@
 			}
 		}
 	}
+	if ended {
+		t.showEnds()
+	}
 	b.acknowledge()
 }
 
--- a/jobowner/jobowner_test.go
+++ b/jobowner/jobowner_test.go
@@ -348,10 +348,10 @@
 		down := func(string) testplatform.Fault { return testplatform.Silent }
 		a.client.SetFault(down)
 		time.Sleep(time.Second)
-		state, _ := a.term.State("job")
+		state, _ := a.term.State(context.Background(), "job")
 		assert.Equal(t, workload.Running, state, "the store may answer others")
 		s.outage.Store(true)
-		state, _ = a.term.State("job")
+		state, _ = a.term.State(context.Background(), "job")
 		assert.Equal(t, workload.Completed, state)
 		s.fleet.Leave("w0")
 		s.store.Remove(workersPrefix + "w0")
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -89,6 +89,7 @@
 	loaded   chan struct{}       // closed when all jobs are known
 	loadOnce sync.Once
 
+	shown  chan struct{} // closed and replaced when an end of a job is shown
 	wake   chan struct{}
 	ctx    context.Context // ends with the term
 	cancel context.CancelFunc
@@ -122,6 +123,7 @@
 		looks:     make(chan struct{}, maxFirstLooks),
 		asks:      make(chan *jobstate.Step, maxAdviceQueue),
 		loaded:    make(chan struct{}),
+		shown:     make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		decisions: histogram("owner.decision_us", o.Metrics),
 		commits:   histogram("owner.commit_us", o.Metrics),
@@ -228,56 +230,11 @@
 	f(t.cluster)
 }
 
-// State returns what callers may be told of the job.
-func (t *Term) State(id string) (workload.State, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	j := t.cluster.Jobs[id]
-	if j == nil {
-		return "", false
-	}
-	if j.State == workload.Completed && !j.Fragile && t.o.Outage() {
-		return j.State, true // its ends are at the workers until the store is back
-	}
-	return j.Shown, true
-}
-
-// Unsaved returns the jobs that are completed and not in the store as such.
-func (t *Term) Unsaved() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var ids []string
-	for id, j := range t.cluster.Jobs {
-		if j.State == workload.Completed && j.Shown != workload.Completed {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Loaded notes that all jobs that were accepted before the term are known.
 func (t *Term) Loaded(time.Time) {
 	t.loadOnce.Do(func() { close(t.loaded) })
 }
 
-// Pending returns how many accepted jobs of the route have not begun. ok is false until
-// the term knows all jobs.
-func (t *Term) Pending(route string) (n int, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	select {
-	case <-t.loaded:
-	default:
-		return 0, false
-	}
-	for _, j := range t.cluster.Jobs {
-		if j.Queue() == route && !j.Started && !j.State.Ended() {
-			n++
-		}
-	}
-	return n, true
-}
-
 // Evacuate sets whether the data centre gets no new work.
 func (t *Term) Evacuate(dataCentre string, evacuated bool) {
 	t.mu.Lock()
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -45,7 +45,8 @@
 
 // Term answers for the jobs of this instance's term of ownership.
 type Term interface {
-	State(id string) (workload.State, bool)
+	// State may wait a moment for the end of a job that may end any moment.
+	State(ctx context.Context, id string) (workload.State, bool)
 	Pending(route string) (n int, ok bool)
 	// OnAnnounced takes in a change of the intake that may not have come through the store's
 	// watch yet.
@@ -270,7 +271,7 @@
 // when the owner does not know it or does not answer.
 func (s *Service) State(ctx context.Context, id string) (workload.State, error) {
 	if term := s.o.Term(); term != nil {
-		if state, ok := term.State(id); ok {
+		if state, ok := term.State(ctx, id); ok {
 			s.local.Inc(1)
 			return state, nil
 		}
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,9 +171,9 @@
 // term answers for one job.
 type term struct{ state workload.State }
 
-func (t term) State(job string) (workload.State, bool) { return t.state, job == id }
-func (t term) Pending(string) (int, bool)              { return 3, true }
-func (t term) OnAnnounced(metastore.Change)            {}
+func (t term) State(_ context.Context, job string) (workload.State, bool) { return t.state, job == id }
+func (t term) Pending(string) (int, bool)                                 { return 3, true }
+func (t term) OnAnnounced(metastore.Change)                               {}
 
 // Guards against 410 for an accepted job, and against a state that is not known being made up.
 func TestState(t *testing.T) {
@@ -218,19 +220,30 @@
 		assert.NoError(t, i.Cancel(ctx, id))
 		synctest.Wait()
 		time.Sleep(time.Millisecond)
-		assert.Equal(t, []string{jobowner.JobKey(id), jobowner.CancelKey(id)}, told.keys)
+		assert.ElementsMatch(t, []string{jobowner.JobKey(id), jobowner.CancelKey(id)}, told.all())
 		assert.NoError(t, owner.Submit(ctx, job()))
-		assert.Len(t, told.keys, 3, "also when the owner itself accepts it, or the write is repeated")
+		assert.Len(t, told.all(), 3, "also when the owner itself accepts it, or the write is repeated")
 	})
 }
 
 // told is a term that keeps what it was told of.
 type told struct {
 	term
+	mu   sync.Mutex
 	keys []string
 }
 
-func (t *told) OnAnnounced(change metastore.Change) { t.keys = append(t.keys, change.Key) }
+func (t *told) OnAnnounced(change metastore.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.keys = append(t.keys, change.Key)
+}
+
+func (t *told) all() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.keys)
+}
 
 // Guards against the cancellation of a job that nobody submitted.
 func TestCancelUnknownJob(t *testing.T) {
--- a/jobservice/peer.go
+++ b/jobservice/peer.go
@@ -9,7 +9,7 @@
 )
 
 // Query implements the peer protocol: it answers as owner or not at all.
-func (s *Service) Query(_ context.Context, q *relay.QueryRequest) (*relay.QueryReply, error) {
+func (s *Service) Query(ctx context.Context, q *relay.QueryRequest) (*relay.QueryReply, error) {
 	term := s.o.Term()
 	if term == nil {
 		return &relay.QueryReply{}, nil
@@ -18,7 +18,7 @@
 		n, ok := term.Pending(q.Route)
 		return &relay.QueryReply{Owner: ok, Pending: int64(n)}, nil
 	}
-	state, known := term.State(q.Job)
+	state, known := term.State(ctx, q.Job)
 	return &relay.QueryReply{Owner: true, Known: known, State: string(state)}, nil
 }
 
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -454,6 +454,21 @@
 	}
 }
 
+// MayEnd reports whether nothing but the ends of runs is missing for the job to end.
+func (j *Job) MayEnd() bool {
+	if j.State != workload.Running || len(j.Occurrences) < j.Submission.Times() {
+		return j.State.Ended()
+	}
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			if !s.Done() && (s.Waiting() > 0 || s.Spec.LongRunning) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (j *Job) end(state workload.State, now time.Time) {
 	if j.State.Ended() {
 		return
