jobowner: a known end is waited for while the store is slow

Cause: with a store that takes 0.27 s for an answer the end of a job was not in the store within the 80 ms for which a question for its state waits.

Change: when the owner knows of the end and only its write is missing, the question waits up to 0.4 s. The bound of the call between instances follows.

--- a/internal/testplatform/store.go
+++ b/internal/testplatform/store.go
@@ -184,13 +184,14 @@
 
 	faultMu sync.Mutex // calls of the function follow each other
 	fault   func(call string) Fault
+	latency time.Duration // of each call
 }
 
 var _ metastore.Store = (*Client)(nil)
 
 // NewClient returns a client without faults.
 func (s *Store) NewClient() *Client {
-	c := &Client{store: s}
+	c := &Client{store: s, latency: latency}
 	c.SetFault(func(string) Fault { return None })
 	return c
 }
@@ -202,18 +203,27 @@
 	c.fault = f
 }
 
-func (c *Client) fate(call string) Fault {
+// Slow makes each call take that long.
+func (c *Client) Slow(latency time.Duration) {
 	c.faultMu.Lock()
 	defer c.faultMu.Unlock()
-	return c.fault(call)
+	c.latency = latency
+}
+
+// fate returns how long a call takes and what becomes of it.
+func (c *Client) fate(call string) (time.Duration, Fault) {
+	c.faultMu.Lock()
+	defer c.faultMu.Unlock()
+	return c.latency, c.fault(call)
 }
 
 // do carries a call out with its fault. late is what a write does when nobody waits for it.
 func (c *Client) do(ctx context.Context, call string, late func(), f func() error) error {
+	latency, fault := c.fate(call)
 	if !wait.For(ctx, latency) {
 		return ctx.Err()
 	}
-	switch c.fate(call) {
+	switch fault {
 	case Refused:
 		return metastore.ErrRefused
 	case Silent, Isolated:
--- a/jobowner/state.go
+++ b/jobowner/state.go
@@ -12,20 +12,23 @@
 // callers that ask when a task should have ended need not come back for the answer.
 const endWait = 80 * time.Millisecond
 
-// State returns what callers may be told of the job. It waits up to endWait for the end of a
-// job that may end any moment.
+// StoreWait is how long such a question waits when the end is known and only its write to the
+// store is missing. It covers a store that answers 70 times slower than its 4 ms.
+const StoreWait = 400 * time.Millisecond
+
+// State returns what callers may be told of the job. It waits a moment for the end of a job
+// that may end any moment.
 func (t *Term) State(ctx context.Context, id string) (workload.State, bool) {
-	timer := time.NewTimer(endWait)
-	defer timer.Stop()
+	began := time.Now()
 	for {
-		state, known, changed := t.look(id)
-		if changed == nil {
+		state, known, changed, limit := t.look(id)
+		left := limit - time.Since(began)
+		if left <= 0 {
 			return state, known
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			return state, known
+		case <-time.After(left):
 		case <-ctx.Done():
 			return state, known
 		}
@@ -33,21 +36,26 @@
 }
 
 // look returns the state of the job and, if it may end any moment, a channel that is closed
-// when the end of a job is shown.
-func (t *Term) look(id string) (state workload.State, known bool, changed <-chan struct{}) {
+// when the end of a job is shown, and how long that is worth waiting for.
+func (t *Term) look(id string) (state workload.State, known bool, changed <-chan struct{}, limit time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	j := t.cluster.Jobs[id]
 	if j == nil {
-		return "", false, nil
+		return "", false, nil, 0
 	}
 	if j.State == workload.Completed && !j.Fragile && t.o.Outage() {
-		return j.State, true, nil // its ends are at the workers until the store is back
+		return j.State, true, nil, 0 // its ends are at the workers until the store is back
 	}
-	if !j.Shown.Ended() && j.MayEnd() {
-		return j.Shown, true, t.shown
+	switch {
+	case j.Shown.Ended():
+		return j.Shown, true, nil, 0
+	case j.State.Ended():
+		return j.Shown, true, t.shown, StoreWait
+	case j.MayEnd():
+		return j.Shown, true, t.shown, endWait
 	}
-	return j.Shown, true, nil
+	return j.Shown, true, nil, 0
 }
 
 // showEnds lets questions that wait for the end of a job look again. The caller holds the lock.
--- a/jobowner/state_test.go
+++ b/jobowner/state_test.go
@@ -63,3 +63,22 @@
 		assert.Equal(t, workload.Queued, state, "not stored, not shown")
 	})
 }
+
+// Load: a store that answers 70 times slower than usual. Guards against "running" for a job whose
+// end the owner knows and is about to store.
+func TestStateWaitsForASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "urgent", tasks(1, 8))
+		time.Sleep(500 * time.Millisecond)
+		a.client.Slow(280 * time.Millisecond)
+		time.Sleep(530 * time.Millisecond) // the task has ended
+		state, _ := s.termOf(a).State(context.Background(), "job")
+		assert.Equal(t, workload.Completed, state)
+		assert.Equal(t, workload.Completed, s.state("job"))
+	})
+}
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -31,8 +31,10 @@
 	writeTries = 2
 	// readBound is the longest wait for one read of the store.
 	readBound = 600 * time.Millisecond
-	// askBound is the longest wait for a peer that answers from memory.
-	askBound = 300 * time.Millisecond
+	// askBound is the longest wait for a peer that answers from memory, and stateBound that
+	// for the state of a job, whose end the peer may be about to store.
+	askBound   = 300 * time.Millisecond
+	stateBound = jobowner.StoreWait + askBound/2
 	// relayBound is the longest wait for a peer that writes to the store.
 	relayBound = 900 * time.Millisecond
 	// retryPause is the pause before a write without an answer is repeated.
@@ -297,7 +299,11 @@
 }
 
 func (s *Service) ask(ctx context.Context, peer ownership.Instance, q *relay.QueryRequest) *relay.QueryReply {
-	call, cancel := context.WithTimeout(ctx, askBound)
+	bound := askBound
+	if q.Job != "" {
+		bound = stateBound
+	}
+	call, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	reply, err := s.o.Peer(peer.Address).Query(call, q)
 	if err != nil {
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -457,7 +457,7 @@
 // MayEnd reports whether nothing but the ends of runs is missing for the job to end.
 func (j *Job) MayEnd() bool {
 	if j.State != workload.Running || len(j.Occurrences) < j.Submission.Times() {
-		return j.State.Ended()
+		return false
 	}
 	for _, o := range j.Occurrences {
 		for _, s := range o.Steps {
