metastore: a slow store is not asked before each write

Cause: a submission is written without a read before it if the store has answered a call sent within 0.2 s. A store that takes 0.27 s never has, so each acceptance took a read and a write.

Change: the proof may be three usual answers old.

--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -174,6 +174,21 @@
 	})
 }
 
+// Load: submissions while the store is slow. Guards against a read before each write, which
+// doubles the time of an acceptance.
+func TestSlowStoreIsNotAskedBeforeEachWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := metastore.NewMonitor(slow{testplatform.NewStore().NewClient()})
+		for range 8 {
+			_, _ = m.Get(context.Background(), "k") // only its duration matters
+		}
+		time.Sleep(200 * time.Millisecond)
+		began := time.Now()
+		assert.True(t, m.Check(context.Background(), 200*time.Millisecond))
+		assert.Zero(t, time.Since(began))
+	})
+}
+
 // slow is a store that answers 70 times slower than usual.
 type slow struct{ metastore.Store }
 
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -15,6 +15,9 @@
 	// boundFactor and boundSlack make the bound of a call from the usual time of an answer.
 	boundFactor = 4
 	boundSlack  = 80 * time.Millisecond
+	// freshFactor is how many times the usual time of an answer old a proof may be that the store
+	// answers. A slow store would otherwise be asked before each write.
+	freshFactor = 3
 	// MinBound and MaxBound limit the bound of a call.
 	MinBound = 120 * time.Millisecond
 	MaxBound = 500 * time.Millisecond // a store that answers 60 times slower than its 4 ms is still of use
@@ -63,11 +66,12 @@
 	return time.Since(m.since)
 }
 
-// Check reports whether the store answers, and asks it unless it has answered within fresh.
-// A read that is not answered leaves no doubt, as a write would.
+// Check reports whether the store answers, and asks it unless it has answered a call that was
+// sent within fresh, or within a few times the usual time of an answer. A read that is not
+// answered leaves no doubt, as a write would.
 func (m *Monitor) Check(ctx context.Context, fresh time.Duration) bool {
 	m.mu.Lock()
-	failing, recent := m.failing, time.Since(m.answered) < fresh
+	failing, recent := m.failing, time.Since(m.answered) < max(fresh, freshFactor*m.usual)
 	m.mu.Unlock()
 	if failing || recent {
 		return !failing
