jobowner: orders and reports without an answer are repeated sooner

Each try waited 0.6 s for an answer that takes a few milliseconds, and a report up to 1.1 s: more than the slack of an urgent job. One report without an answer also kept work from its worker for 1.5 s.

Change: the first try waits 0.15 s, each further one twice as long; a start is tried four times; a report is asked for again after 0.25 s, without a wait; a worker counts as silent after two failed reports in a row.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -18,14 +18,17 @@
 	// urgentHoldWait is the same for workers with runs of urgent jobs: runs that lag are
 	// noticed while their jobs can still meet their objective.
 	urgentHoldWait = 400 * time.Millisecond
-	// holdSlack is how much longer a report may take before its connection is taken for dead.
-	holdSlack = 700 * time.Millisecond
+	// holdSlack is how much longer a report may take before its answer is taken for lost and
+	// asked for again, without a wait.
+	holdSlack = 250 * time.Millisecond
+	// silentAfter is how many reports in a row must fail before the worker counts as silent.
+	silentAfter = 2
 	// maxFirstLooks is how many workers without recorded runs are asked for their first report
 	// at a time, so that those with runs are heard first in a large fleet.
 	maxFirstLooks = 48
-	// firstHoldBound is the longest wait for the first report of a worker.
+	// firstHoldBound is the longest wait for a report of a worker that is asked not to wait.
 	firstHoldBound = 700 * time.Millisecond
-	// holdRetryPause is the pause after a report that failed.
+	// holdRetryPause is the pause after a report of a silent worker that failed.
 	holdRetryPause = 250 * time.Millisecond
 	// ackWait is how long reports pause for the store to take note of ends.
 	ackWait = time.Second
@@ -102,7 +105,7 @@
 			continue
 		}
 		a.awaitStored(ctx)
-		if err := a.hold(ctx); err != nil && ctx.Err() == nil {
+		if err := a.hold(ctx); err != nil && ctx.Err() == nil && a.isSilent() {
 			a.rest(ctx, holdRetryPause)
 		}
 	}
@@ -142,6 +145,13 @@
 	return len(a.worker.Runs) > 0
 }
 
+// isSilent reports whether the newest reports failed.
+func (a *agent) isSilent() bool {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	return a.failures >= silentAfter
+}
+
 func (a *agent) wanted() bool {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
@@ -178,7 +188,7 @@
 	if !a.clockAt.IsZero() && a.failures == 0 && t.o.InTouch() {
 		order.LeaseUntil = a.leaseUntil(now)
 	}
-	if a.worker.Heard && a.applied == a.stored {
+	if a.worker.Heard && a.applied == a.stored && a.failures == 0 {
 		order.Wait = a.reportInterval()
 		bound = order.Wait + holdSlack
 	}
@@ -224,10 +234,12 @@
 		return
 	}
 	now := time.Now()
-	if a.failures++; a.failures == 1 {
+	if a.failures++; a.failures == silentAfter {
 		events.Warn(t.o.Log, events.WorkerSilent, zap.String("worker", a.worker.ID), zap.Int("runs", len(a.worker.Runs)), zap.Error(err))
 	}
-	a.worker.Suspect = later(a.worker.Suspect, now.Add(suspectAfterSilence))
+	if a.failures >= silentAfter {
+		a.worker.Suspect = later(a.worker.Suspect, now.Add(suspectAfterSilence))
+	}
 	if errors.Is(err, workerapi.ErrOtherLife) {
 		t.dropWorker(a.worker, "another life answers at its address", now)
 	}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -16,10 +16,13 @@
 const (
 	// orderBound is the longest wait for the answer to one order.
 	orderBound = 600 * time.Millisecond
+	// firstOrderBound is how long the first try waits for its answer, which takes a few
+	// milliseconds; each further try waits twice as long. An order may be repeated without harm.
+	firstOrderBound = 150 * time.Millisecond
 	// startTries is how often a start without an answer is sent before the run is given up.
-	startTries = 3
+	startTries = 4
 	// orderRetryPause is the pause before an order is sent again.
-	orderRetryPause = 100 * time.Millisecond
+	orderRetryPause = 20 * time.Millisecond
 	// maxOrderRetryPause bounds the pause, which doubles.
 	maxOrderRetryPause = time.Second
 	// refusedPause is how long a worker that refused a start gets no other.
@@ -28,6 +31,11 @@
 	restartPause = 100 * time.Millisecond
 )
 
+// boundOf returns how long the nth try of an order, from 1, waits for its answer.
+func boundOf(try int) time.Duration {
+	return min(firstOrderBound<<min(try-1, 8), orderBound)
+}
+
 // orderStart sends a start that is in the store. The caller holds the lock.
 func (t *Term) orderStart(ctx context.Context, r *jobstate.Run, now time.Time) {
 	w := r.Worker
@@ -69,7 +77,7 @@
 		target := a.target()
 		t.mu.Unlock()
 
-		call, cancel := context.WithTimeout(ctx, orderBound)
+		call, cancel := context.WithTimeout(ctx, boundOf(try))
 		clock, err := t.o.Workers.Start(call, target, order)
 		cancel()
 		if err == nil {
@@ -170,7 +178,7 @@
 
 func (t *Term) stop(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Stop) {
 	pause := orderRetryPause
-	for ctx.Err() == nil {
+	for try := 1; ctx.Err() == nil; try++ {
 		t.mu.Lock()
 		_, there := a.worker.Runs[r]
 		target := a.target()
@@ -178,7 +186,7 @@
 		if !there {
 			return
 		}
-		call, cancel := context.WithTimeout(ctx, orderBound)
+		call, cancel := context.WithTimeout(ctx, boundOf(try))
 		_, err := t.o.Workers.Stop(call, target, order)
 		cancel()
 		if err == nil {
