placement: stops that are overdue are not waited for

Other room could be reclaimed all the while.

TestOverdueStopIsNotWaitedFor first failed: no further stop.

--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -54,7 +54,7 @@
 	t.mu.Lock()
 	t.housekeep(now)
 	plan := t.policy.Decide(t.cluster, t.guarantee, now)
-	stops := t.runsToStop()
+	stops := t.runsToStop(now)
 	batch, more := t.nextBatch()
 	t.decisions.Update(time.Since(now).Microseconds())
 	t.logPlan(plan)
@@ -101,7 +101,7 @@
 
 // runsToStop marks the runs of jobs that have ended, and of gangs that have lost a member,
 // to be stopped. It returns all runs whose stop has not been ordered.
-func (t *Term) runsToStop() []*jobstate.Run {
+func (t *Term) runsToStop(now time.Time) []*jobstate.Run {
 	var stops []*jobstate.Run
 	broken := t.brokenGangs()
 	for _, w := range t.cluster.Workers {
@@ -116,8 +116,7 @@
 			if reason == "" {
 				continue
 			}
-			r.Phase = jobstate.Stopping
-			r.StopReason = reason
+			r.Stop(reason, now)
 			stops = append(stops, r)
 		}
 	}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -152,8 +152,7 @@
 	events.Warn(t.o.Log, events.StartUncertain, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 		zap.String("worker", a.worker.ID), zap.Error(err))
 	a.worker.Suspect = later(a.worker.Suspect, now.Add(suspectAfterSilence))
-	r.Phase = jobstate.Stopping
-	r.StopReason = "start without an answer"
+	r.Stop("start without an answer", now)
 	t.orderStop(ctx, r)
 	t.kick()
 }
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -51,12 +51,20 @@
 	rateSince  time.Time
 	Load       float64 // tail in milliseconds of a serving task, cores in use of another
 	StopReason string
+	StopSince  time.Time // since when the stop is wanted
 	Sent       bool      // this owner has ordered the start
 	StopSent   bool      // the stop is being ordered, or has been
 	Rejected   time.Time // since when the worker will not start it any more; zero if it may
 	Pace       int       // percent that was ordered; 100 without an order
 }
 
+// Stop notes that the run is to be stopped.
+func (r *Run) Stop(reason string, now time.Time) {
+	r.Phase = Stopping
+	r.StopReason = reason
+	r.StopSince = now
+}
+
 // Task is one task of a step.
 type Task struct {
 	Step       *Step
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -15,7 +15,7 @@
 	}
 	next := &Worker{ID: id, Life: life, Runs: map[*Run]struct{}{}, Strays: map[string]workload.Amount{}}
 	if w != nil {
-		c.handDoubtsOn(w, next)
+		c.handDoubtsOn(w, next, now)
 		c.Drop(w, now)
 	}
 	c.Workers[id] = next
@@ -26,7 +26,7 @@
 // the id, and one that was under way may reach the next life. A run that this owner ordered
 // is to be stopped there before its task starts again; one that a former owner ordered is
 // settled by the first report, because the worker takes no older token after it.
-func (c *Cluster) handDoubtsOn(w, next *Worker) {
+func (c *Cluster) handDoubtsOn(w, next *Worker, now time.Time) {
 	for r := range w.Runs {
 		if r.Phase == Planned || (!r.StartedAt.IsZero() && !r.StartedAt.After(w.ReportedAt)) {
 			continue
@@ -40,8 +40,7 @@
 		if !r.Sent {
 			continue
 		}
-		r.Phase = Stopping
-		r.StopReason = "may have been started by the next life of the worker"
+		r.Stop("may have been started by the next life of the worker", now)
 		r.StopSent = false
 		r.Rejected = time.Time{}
 	}
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -91,8 +91,7 @@
 		if member.Phase == jobstate.Stopping {
 			continue
 		}
-		member.Phase = jobstate.Stopping
-		member.StopReason = reason
+		member.Stop(reason, r.now)
 		r.plan.Stops = append(r.plan.Stops, member)
 	}
 }
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -32,7 +32,7 @@
 // makeRoom chooses room for a unit that does not fit and reserves it. It stops runs of less
 // urgent jobs in that room if that is worth it.
 func (r *round) makeRoom(u *unit, workers []*jobstate.Worker) {
-	if r.now.Sub(u.step.Reclaimed) < r.o.StopTimeout+reclaimSlack && r.promiseHolds(u.step) {
+	if r.now.Sub(u.step.Reclaimed) < r.stopBound() && r.promiseHolds(u.step) {
 		r.reserve(u.step)
 		return
 	}
@@ -64,6 +64,9 @@
 	u.step.Reclaimed = r.now
 }
 
+// stopBound is how long a stop takes at most when no order and no answer is lost.
+func (r *round) stopBound() time.Duration { return r.o.StopTimeout + reclaimSlack }
+
 // promiseHolds reports whether the promised room is still free or becoming free. A unit that
 // goes first may have taken it.
 func (r *round) promiseHolds(s *jobstate.Step) bool {
@@ -76,11 +79,12 @@
 }
 
 // freeing returns the room on the worker that is free or will be once the runs that are being
-// stopped, and those in stopped, have ended.
+// stopped, and those in stopped, have ended. A stop that is overdue does not count: its order or
+// its answer was lost, and nobody knows how long it takes.
 func (r *round) freeing(w *jobstate.Worker, stopped map[*jobstate.Run]bool) workload.Amount {
 	free := r.free(w)
 	for run := range w.Runs {
-		if stopped[run] || run.Phase == jobstate.Stopping {
+		if stopped[run] || run.Phase == jobstate.Stopping && r.now.Sub(run.StopSince) < r.stopBound() {
 			free = free.Add(run.Task.Step.Spec.Room())
 		}
 	}
--- a/placement/sick_test.go
+++ b/placement/sick_test.go
@@ -61,3 +61,21 @@
 	w.now = w.now.Add(2 * time.Second)
 	assert.NotEmpty(t, w.run(0).Starts)
 }
+
+// Load: an urgent gang on a full service while orders to a worker are lost. Guards against a
+// gang that waits for a stop that does not come although other room could be reclaimed.
+func TestOverdueStopIsNotWaitedFor(t *testing.T) {
+	w := newWorld(1, 3)
+	w.submit(batch, "b", step(24, 1, 10*time.Second))
+	w.run(time.Second)
+	w.submit(urgent, "a", gang(1, 8, 2*time.Second))
+	stuck := w.run(100 * time.Millisecond)
+	require.Len(t, stuck.Stops, 8)
+	require.Empty(t, w.run(300*time.Millisecond).Stops, "the stops are under way")
+	w.now = w.now.Add(200 * time.Millisecond)
+	other := w.run(10 * time.Millisecond)
+	require.Len(t, other.Stops, 8)
+	assert.NotEqual(t, stuck.Stops[0].Worker, other.Stops[0].Worker)
+	w.stopped(other)
+	assert.Len(t, w.run(0).Starts, 1)
+}
