jobowner: a run whose start had no answer is looked for before it is stopped

Change: before such a stop the worker is asked for a report; a run that it lists is confirmed. For a long-running task it is asked until it answers.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -23,6 +23,13 @@
 	MaxLease = 10 * time.Second
 	// cancelBound is how long after a cancellation a task may still be started.
 	cancelBound = 3 * time.Second
+	// evacuateBound is how long after its evacuation a task may still be started in a data centre.
+	evacuateBound = 5 * time.Second
+	// reclaimBound is how long after its acceptance an urgent job within the guarantee of its
+	// workspace may take to begin.
+	reclaimBound = 2700 * time.Millisecond
+	// harmBound is how long fillers may keep a serving task over its target.
+	harmBound = 4 * time.Second
 )
 
 // Fleet is the workers, with the oracle that checks the rules of running tasks. It
@@ -34,6 +41,8 @@
 	// Load is the tail, in milliseconds, that every run reports, given the paces that were
 	// ordered, by task. nil reports none.
 	Load func(paces map[string]int) float64
+	// Guarantees are the accelerators that belong to a workspace for its urgent jobs.
+	Guarantees map[string]int
 	// Calm reports whether the rules that hold only without a disruption near apply.
 	Calm func() bool
 
@@ -49,6 +58,12 @@
 	failures   map[string]int  // by task
 	paces      map[string]int
 	begun      map[string]bool // jobs of which a task was started
+	failedRuns map[string]int  // by task, taken note of or not
+
+	startedTasks map[string]bool
+	accepted     map[string]time.Time // urgent jobs that have not been seen to begin in time
+	evacuated    map[string]time.Time // data centres, since when
+
 	starts     int
 	violations []string
 	lives      int64
@@ -75,6 +90,8 @@
 	finish   time.Time
 	how      jobstate.End
 	restored string
+
+	harmedSince time.Time // since when its tail is over its target beside fillers
 }
 
 // NewFleet returns a fleet without workers.
@@ -84,6 +101,7 @@
 		Calm:    func() bool { return true },
 		workers: map[string]*worker{}, jobs: map[string]*workload.Submission{}, cancelled: map[string]time.Time{},
 		ended: map[string]bool{}, done: map[string]bool{}, failures: map[string]int{}, begun: map[string]bool{}, paces: map[string]int{},
+		failedRuns: map[string]int{}, startedTasks: map[string]bool{}, accepted: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
 	f.SetFault(func(string, string) Fault { return None })
 	return f
@@ -120,6 +138,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.jobs[s.ID] = s
+	if s.Queue.Priority == 0 {
+		f.accepted[s.ID] = time.Now()
+	}
 }
 
 // Cancel tells the oracle of a cancellation that was acknowledged.
@@ -176,6 +197,7 @@
 			f.advanceRun(w, task, r, now)
 		}
 	}
+	f.checkReclaim(now)
 }
 
 func (f *Fleet) advanceRun(w *worker, task string, r *run, now time.Time) {
@@ -224,8 +246,11 @@
 	w.number++
 	w.ended = append(w.ended, workerapi.EndedRun{Sequence: w.number, Task: task, Run: r.number, How: how, Checkpoint: fmt.Sprint("cp-", task, "-", r.number)})
 	w.notify()
-	if how == jobstate.EndDone {
+	switch how {
+	case jobstate.EndDone:
 		f.ended[task] = true
+	case jobstate.EndFailed:
+		f.failedRuns[task]++
 	}
 	if !f.jobs[r.name.Job].Steps[r.name.Step].Gang {
 		return
@@ -349,6 +374,7 @@
 	}
 	f.starts++
 	f.begun[name.Job] = true
+	f.startedTasks[o.Task] = true
 	r := &run{number: o.Run, name: name, started: time.Now(), how: how, finish: time.Now().Add(duration), restored: o.Checkpoint}
 	r.atWork = !job.Steps[name.Step].Gang
 	w.runs[o.Task] = r
@@ -363,6 +389,7 @@
 		}
 		clock = w.clock()
 		if r := w.runs[o.Task]; r != nil && r.number <= o.Run {
+			f.checkStop(w, o.Task)
 			f.end(w, o.Task, jobstate.EndStopped)
 		}
 		w.refused[o.Task] = max(w.refused[o.Task], o.Run)
@@ -422,6 +449,7 @@
 			load = f.Load(f.paces)
 		}
 		for task, r := range w.runs {
+			f.checkHarm(w, task, r, load, time.Now())
 			report.Running = append(report.Running, workerapi.RunStatus{Task: task, Run: r.number, Percent: r.percent(), Load: load})
 		}
 		return nil
@@ -440,7 +468,7 @@
 // forget drops ends that were taken note of and remembers the tasks that are done for good.
 func (f *Fleet) forget(w *worker, seen int64) {
 	for len(w.ended) > 0 && w.ended[0].Sequence <= seen {
-		if w.ended[0].How == jobstate.EndDone && w.ended[0].Sequence > w.void {
+		if w.ended[0].How == jobstate.EndDone && w.ended[0].Sequence > w.void && !f.lasts(w.ended[0].Task) {
 			f.done[w.ended[0].Task] = true
 		}
 		if w.ended[0].How == jobstate.EndFailed {
@@ -449,3 +477,9 @@
 		w.ended = w.ended[1:]
 	}
 }
+
+// lasts reports whether the task is to be restarted however it ends.
+func (f *Fleet) lasts(task string) bool {
+	name, err := workload.ParseTaskName(task)
+	return err == nil && f.jobs[name.Job].Steps[name.Step].LongRunning
+}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -25,6 +25,8 @@
 	orderRetryPause = 20 * time.Millisecond
 	// maxOrderRetryPause bounds the pause, which doubles.
 	maxOrderRetryPause = time.Second
+	// lookBound is the longest wait for the report that tells whether a run is there.
+	lookBound = 300 * time.Millisecond
 	// refusedPause is how long a worker that refused a start gets no other.
 	refusedPause = time.Second
 	// restartPause is how long a step waits after a start that failed.
@@ -68,9 +70,9 @@
 	uncertain := false
 	for try := 1; ctx.Err() == nil; try++ {
 		t.mu.Lock()
-		if r.Phase == jobstate.Stopping || t.agents[a.worker.ID] != a {
+		if r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() || t.agents[a.worker.ID] != a {
 			t.mu.Unlock()
-			return
+			return // a report may have shown it
 		}
 		now := time.Now()
 		order.LeaseUntil = a.leaseUntil(now)
@@ -97,6 +99,7 @@
 		}
 		uncertain = true
 		if errors.Is(err, workerapi.ErrOldRun) || try == startTries || workerapi.Definite(err) {
+			t.lookFor(ctx, a, r)
 			t.startUncertain(ctx, a, r, err)
 			return
 		}
@@ -104,6 +107,39 @@
 	}
 }
 
+// lookFor asks the worker whether the run is there, so that one that works is not stopped because
+// the answer to its start was lost. For a long-running task it asks until the worker answers or
+// the run is known to have ended.
+func (t *Term) lookFor(ctx context.Context, a *agent, r *jobstate.Run) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		_, there := a.worker.Runs[r]
+		settled := !there || !r.StartedAt.IsZero() || r.Phase == jobstate.Stopping
+		order := workerapi.Hold{Token: t.o.Token, Seen: a.stored}
+		target := a.target()
+		t.mu.Unlock()
+		if settled {
+			return
+		}
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, lookBound)
+		report, err := t.o.Workers.Hold(call, target, order)
+		cancel()
+		if err == nil {
+			t.mu.Lock()
+			if t.agents[a.worker.ID] == a {
+				a.apply(report, sent)
+			}
+			t.mu.Unlock()
+			return
+		}
+		if !r.Task.Step.Spec.LongRunning {
+			return
+		}
+		wait.For(ctx, holdRetryPause)
+	}
+}
+
 func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/jobowner/orders_test.go
+++ b/jobowner/orders_test.go
@@ -49,3 +49,31 @@
 		})
 	}
 }
+
+// Load: workers carry starts out and their answers are lost. Guards against stopping a run that
+// works because nobody knows of it; for a long-running task that could take too many away.
+func TestRunWhoseStartHadNoAnswerIsLookedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.fleet.SetFault(func(_, order string) testplatform.Fault {
+			if order == "start" {
+				return testplatform.Lost
+			}
+			return testplatform.None
+		})
+		lasting := tasks(2, 1)
+		lasting.LongRunning, lasting.MayMiss = true, 1
+		s.submit("lasting", "batch", lasting)
+		s.submit("plain", "batch", tasks(2, 1))
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, 4, s.fleet.StartCount())
+		assert.Equal(t, 4, s.fleet.Running())
+		assert.Equal(t, workload.Running, s.state("plain"))
+		s.requireRules(t)
+	})
+}
