node: an instance asks the store itself before it takes itself for cut off

Change: with a peer's word the instance asks the store once more, within the usual bound.

Also: gofmt of jobowner/fuzz_test.go, which missed.

--- a/jobowner/fuzz_test.go
+++ b/jobowner/fuzz_test.go
@@ -46,8 +46,8 @@
 	jobs    []string
 	lasting []string // those that run until they are cancelled
 	next    int
-	fault  map[string]testplatform.Fault // of orders, by worker; "" for all
-	calmAt time.Time                     // when the last fault ended; zero before
+	fault   map[string]testplatform.Fault // of orders, by worker; "" for all
+	calmAt  time.Time                     // when the last fault ended; zero before
 }
 
 const (
--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -174,6 +174,22 @@
 	})
 }
 
+// Guards against an owner that hands over because the store answers a peer again a moment before
+// its own next probe: an outage of the store has ended for all.
+func TestAnswersNowSeesTheEndOfAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testplatform.NewStore().NewClient()
+		m := metastore.NewMonitor(client)
+		client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+		assert.False(t, m.Check(context.Background(), 0))
+		assert.False(t, m.AnswersNow(context.Background()))
+		client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		assert.False(t, m.Healthy(), "it has not been asked since")
+		assert.True(t, m.AnswersNow(context.Background()))
+		assert.True(t, m.Healthy())
+	})
+}
+
 // Load: submissions while the store is slow. Guards against a read before each write, which
 // doubles the time of an acceptance.
 func TestSlowStoreIsNotAskedBeforeEachWrite(t *testing.T) {
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -90,6 +90,15 @@
 	return false
 }
 
+// AnswersNow asks the store, whatever is known of it, and reports whether it answers within the
+// usual bound.
+func (m *Monitor) AnswersNow(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, m.Bound(1))
+	defer cancel()
+	_, err := m.Get(call, probeKey)
+	return err == nil || errors.Is(err, ErrNotFound)
+}
+
 // Bound returns how long to wait for the answer of a call that is tried for the attempt'th
 // time, from 1. An answer that is lost is noticed soon; a store that became slow is given
 // longer with each attempt.
--- a/node/operator.go
+++ b/node/operator.go
@@ -187,7 +187,8 @@
 			}
 		}
 		o.shared.Store(answered > 0 && !reachable)
-		o.elsewhere.Store(reachable)
+		// An outage that has ended is seen by some instances before others.
+		o.elsewhere.Store(reachable && !o.n.store.AnswersNow(ctx))
 	}
 }
 
