jobservice: a job that the owner knows is not refused

Figures: the test got store_unavailable before, accepted after. One more call between instances for each refusal.

Without a reachable owner nobody can tell, and the answer stays 503, which is true of a first copy.

--- a/jobowner/state.go
+++ b/jobowner/state.go
@@ -64,6 +64,13 @@
 	t.shown = make(chan struct{})
 }
 
+// Knows reports whether the job was accepted, as far as the owner has read the intake.
+func (t *Term) Knows(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cluster.Jobs[id] != nil
+}
+
 // Unsaved returns the jobs that are completed and not in the store as such.
 func (t *Term) Unsaved() []string {
 	t.mu.Lock()
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -50,6 +50,7 @@
 	// State may wait a moment for the end of a job that may end any moment.
 	State(ctx context.Context, id string) (workload.State, bool)
 	Pending(route string) (n int, ok bool)
+	Knows(id string) bool
 	// OnAnnounced takes in a change of the intake that may not have come through the store's
 	// watch yet.
 	OnAnnounced(change metastore.Change)
@@ -110,6 +111,9 @@
 		func(ctx context.Context, c relay.DRPCRelayClient) (*relay.OutcomeReply, error) {
 			return c.Submit(ctx, &relay.SubmitRequest{Job: job.ID, Submission: raw})
 		})
+	if out != stored && s.knownToOwner(ctx, job.ID) {
+		out = stored // it comes again: the owner has it from an earlier try
+	}
 	switch out {
 	case stored:
 		return nil
@@ -119,6 +123,15 @@
 	return errkind.New(errkind.SubmitUncertain, "the store did not confirm the submission")
 }
 
+// knownToOwner reports whether the owner, which needs no store for that, knows the job.
+func (s *Service) knownToOwner(ctx context.Context, id string) bool {
+	if term := s.o.Term(); term != nil {
+		return term.Knows(id)
+	}
+	reply := s.askOwner(ctx, &relay.QueryRequest{Job: id})
+	return reply != nil && reply.Known
+}
+
 // Cancel cancels the job. It returns an error of kind JobUnknown if there is none.
 func (s *Service) Cancel(ctx context.Context, id string) error {
 	out := s.throughAny(ctx, id,
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -174,6 +174,7 @@
 func (t term) State(_ context.Context, job string) (workload.State, bool) { return t.state, job == id }
 func (t term) Pending(string) (int, bool)                                 { return 3, true }
 func (t term) OnAnnounced(metastore.Change)                               {}
+func (t term) Knows(job string) bool                                      { return job == id }
 
 // Guards against 410 for an accepted job, and against a state that is not known being made up.
 func TestState(t *testing.T) {
@@ -226,6 +227,29 @@
 	})
 }
 
+// Load: a submission that was accepted comes again while the store is away. Guards against
+// "not run" for a job that runs or has run.
+func TestKnownJobIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		owner := newInstance(s, term{workload.Running}, nil)
+		i := newInstance(s, nil, owner)
+		i.elector.Apply(metastore.Change{Item: metastore.Item{Key: ownership.OwnerPrefix, Value: []byte(`{"name":"peer","address":"peer"}`), Created: 7}})
+		for _, f := range []testplatform.Fault{testplatform.Refused, testplatform.Silent} {
+			i.fault(f)
+			owner.fault(f)
+			ctx, cancel := deadline()
+			assert.NoError(t, owner.Submit(ctx, job()))
+			assert.NoError(t, i.Submit(ctx, job()))
+			other := job()
+			other.ID = "0000000000000000"
+			assert.Equal(t, errkind.StoreUnavailable, errkind.Of(i.Submit(ctx, other)))
+			cancel()
+		}
+		assert.False(t, stored(s))
+	})
+}
+
 // told is a term that keeps what it was told of.
 type told struct {
 	term
