upkeep: waves of upkeep that operators ask for are carried out

Change: package upkeep decides which machine goes down when and keeps the progress in the store; the owner of the jobs says what a stop costs and what may not be missed; platform translates the cloud's calls, the waves and their status. Orders are written ahead, repeated without harm, and fenced.

Moves between pools are left.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -121,10 +121,15 @@
 }
 
 func newAdapter(s *platform.Settings, registry metrics.Registry) node.Adapter {
-	return node.Adapter{
+	adapter := node.Adapter{
 		Store: platform.NewStore(s.Store, registry), Workers: platform.NewWorkers(registry), Advisor: platform.NewAdvice(s.Advice, registry), Wire: platform.Front{},
 		OperatorPrefix: platform.OperatorPrefix, WorkersPrefix: platform.WorkersPrefix, ReadyPath: platform.ReadyPath,
 		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, Evacuated: platform.EvacuatedZone,
 		DecodeWorker: platform.DecodeWorker, WorkerID: platform.WorkerID,
+		WaveNumber: platform.WaveNumber, DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 	}
+	if s.Cloud != "" {
+		adapter.Cloud = platform.NewCloud(s.Cloud, registry)
+	}
+	return adapter
 }
--- a/events/events.go
+++ b/events/events.go
@@ -81,6 +81,9 @@
 	TermBegan            ID = 239
 	AdviceTaken          ID = 240
 	FillerPaced          ID = 241
+	WaveTaken            ID = 250
+	UpkeepOrdered        ID = 251
+	WaveCompleted        ID = 252
 	OwnerSeen            ID = 420
 	OwnershipTried       ID = 421
 	OwnershipUnconfirmed ID = 422
@@ -171,6 +174,9 @@
 	TermBegan:            {"TermBegan", "term of ownership began"},
 	AdviceTaken:          {"AdviceTaken", "advice on workers taken"},
 	FillerPaced:          {"FillerPaced", "filler paced"},
+	WaveTaken:            {"WaveTaken", "wave of upkeep taken"},
+	UpkeepOrdered:        {"UpkeepOrdered", "upkeep of a machine ordered"},
+	WaveCompleted:        {"WaveCompleted", "wave of upkeep completed"},
 	OwnerSeen:            {"OwnerSeen", "owner changed"},
 	OwnershipTried:       {"OwnershipTried", "ownership not won"},
 	OwnershipUnconfirmed: {"OwnershipUnconfirmed", "ownership not confirmed by the store"},
--- /dev/null
+++ b/jobowner/upkeep_test.go
@@ -0,0 +1,63 @@
+package jobowner_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Load: a machine goes down for its upkeep while long-running tasks serve. Guards against more of
+// them away than may be missed, against new work on the machine that is next, and against runs
+// that are waited for after their machine has gone down.
+func TestMachineGoesDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Fate = func(workload.TaskName, int) (time.Duration, jobstate.End) {
+			return 10 * time.Minute, jobstate.EndFailed
+		}
+		for _, id := range []string{"w0", "w1", "w2"} {
+			s.addWorker(id, 0)
+		}
+		a := s.start("a")
+		time.Sleep(time.Second)
+		lasting := tasks(2, 8)
+		lasting.LongRunning, lasting.MayMiss = true, 1
+		s.submit("lasting", "batch", lasting)
+		time.Sleep(20 * time.Second)
+		term := s.termOf(a)
+		var idle string
+		var busy []string
+		for _, id := range []string{"w0", "w1", "w2"} {
+			l := term.Load(id)
+			if l.Idle {
+				idle = id
+				continue
+			}
+			busy = append(busy, id)
+			assert.True(t, l.Blocked, "the other one is not at full work yet")
+		}
+		assert.NotEmpty(t, idle)
+
+		term.Reserve(idle, true)
+		s.submit("new", "batch", tasks(1, 8))
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, workload.Queued, s.state("new"))
+		term.Reserve(idle, false)
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, workload.Running, s.state("new"))
+
+		runs := s.fleet.StartCount()
+		s.fleet.Leave(busy[0])
+		term.Ended(busy[0])
+		s.addWorker("w9", 0)
+		time.Sleep(time.Second)
+		assert.Equal(t, runs+1, s.fleet.StartCount(), "it starts again elsewhere at once")
+		s.requireRules(t)
+	})
+}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -193,6 +193,7 @@
 
 	Listed     bool // its entry is in the store
 	Draining   bool
+	Reserved   bool      // its machine is next for its upkeep
 	Heard      bool      // it has answered this owner
 	Suspect    time.Time // gets no new work before
 	ReportedAt time.Time // when its newest report was asked for
@@ -236,7 +237,7 @@
 
 // Accepts reports whether new work may go to the worker.
 func (c *Cluster) Accepts(w *Worker, now time.Time) bool {
-	return w.Listed && w.Heard && !w.Draining && !c.Evacuated[w.Zone] && !now.Before(w.Suspect)
+	return w.Listed && w.Heard && !w.Draining && !w.Reserved && !c.Evacuated[w.Zone] && !now.Before(w.Suspect)
 }
 
 // AddJob adds an accepted job. It returns the known job if the id is known.
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/placement"
 	"github.com/cyclamenyard/cyclamenyard/relay"
+	"github.com/cyclamenyard/cyclamenyard/upkeep"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
@@ -31,6 +32,7 @@
 	Store   metastore.Store
 	Workers workerapi.Client
 	Advisor workerapi.Advisor
+	Cloud   upkeep.Cloud // nil without a service that runs the machines
 	Wire    jobfront.Wire
 
 	OperatorPrefix string // keys that the operator writes
@@ -40,6 +42,9 @@
 	Evacuated      func(key string) (dataCentre string, ok bool)
 	DecodeWorker   func(key string, value []byte) (workerapi.Entry, error)
 	WorkerID       func(key string) string
+	WaveNumber     func(key string) (int64, bool)
+	DecodeWave     func(value []byte) (upkeep.Wave, error)
+	WaveStatus     func(number int64, completed bool) metastore.Put
 	ReadyPath      string
 }
 
@@ -167,12 +172,16 @@
 		KeepEnded: n.o.KeepEnded, StoreBound: storeBound,
 		Bound: n.store.Bound, Outage: n.operator.shared.Load, Completed: n.completedElsewhere,
 	})
-	n.operator.attach(term)
+	waves := upkeep.New(upkeep.Options{
+		Cloud: a.Cloud, Store: n.store, Workers: term, Holder: n.o.Instance, Token: token, Fence: fence,
+		Wall: time.Now, Status: a.WaveStatus, Over: term.Over, Log: n.log,
+	})
+	n.operator.attach(term, waves)
 	n.term.Store(term)
 	defer func() {
 		n.former.Store(term)
 		n.term.Store(nil)
-		n.operator.attach(nil)
+		n.operator.attach(nil, nil)
 	}()
 	intake := metastore.NewMirror(metastore.MirrorOptions{
 		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Apply: term.OnIntake, Synced: term.Loaded,
@@ -181,7 +190,15 @@
 		Store: n.store, Prefix: a.WorkersPrefix, Wait: watchWait, Pause: workersPause, Log: n.log,
 		Apply: func(change metastore.Change) { n.onWorker(term, change) },
 	})
-	if err := term.Run(ctx, intake.Run, workers.Run); err != nil && ctx.Err() == nil {
+	manage := func(ctx context.Context) {
+		var upkeeping sync.WaitGroup
+		if a.Cloud != nil {
+			upkeeping.Go(func() { waves.Run(ctx) })
+		}
+		workers.Run(ctx)
+		upkeeping.Wait()
+	}
+	if err := term.Run(ctx, intake.Run, manage); err != nil && ctx.Err() == nil {
 		n.log.Error("term ended", zap.Error(err))
 	}
 }
--- a/node/operator.go
+++ b/node/operator.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 	"github.com/cyclamenyard/cyclamenyard/relay"
+	"github.com/cyclamenyard/cyclamenyard/upkeep"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
@@ -47,12 +48,14 @@
 	items     map[string]metastore.Item
 	asOf      uint64
 	evacuated map[string]bool
-	term      *jobowner.Term
+	waves     map[int64]upkeep.Wave
+	term      *jobowner.Term     // of this instance, or nil
+	upkeep    *upkeep.Controller // of that term
 	contact   time.Time
 }
 
 func newOperator(n *Node) *operator {
-	o := &operator{n: n, items: map[string]metastore.Item{}, evacuated: map[string]bool{}}
+	o := &operator{n: n, items: map[string]metastore.Item{}, evacuated: map[string]bool{}, waves: map[int64]upkeep.Wave{}}
 	o.mirror = metastore.NewMirror(metastore.MirrorOptions{
 		Store: n.store, Prefix: n.o.Adapter.OperatorPrefix, Wait: watchWait, Pause: operatorPause, Log: n.log,
 		Apply: o.apply, Synced: o.synced,
@@ -85,13 +88,16 @@
 }
 
 // attach tells the term what is in force now and what changes later.
-func (o *operator) attach(term *jobowner.Term) {
+func (o *operator) attach(term *jobowner.Term, waves *upkeep.Controller) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.term = term
+	o.term, o.upkeep = term, waves
 	if term == nil {
 		return
 	}
+	for _, w := range o.waves {
+		waves.OnWave(w)
+	}
 	for zone := range o.evacuated {
 		term.Evacuate(zone, true)
 	}
@@ -110,11 +116,35 @@
 		o.evacuate(zone, !change.Removed, change.Revision)
 		return
 	}
+	if number, ok := o.n.o.Adapter.WaveNumber(change.Key); ok {
+		o.wave(number, change)
+		return
+	}
 	if o.n.o.Adapter.IsConfig(change.Key) && !change.Removed {
 		o.install(change.Item)
 	}
 }
 
+func (o *operator) wave(number int64, change metastore.Change) {
+	if change.Removed {
+		delete(o.waves, number)
+		if o.upkeep != nil {
+			o.upkeep.OnWaveGone(number)
+		}
+		return
+	}
+	w, err := o.n.o.Adapter.DecodeWave(change.Value)
+	if err != nil {
+		events.Warn(o.n.log, events.ConfigUnreadable, zap.String("key", change.Key), zap.Uint64("revision", change.Revision), zap.Error(err))
+		return
+	}
+	w.Number = number
+	o.waves[number] = w
+	if o.upkeep != nil {
+		o.upkeep.OnWave(w)
+	}
+}
+
 func (o *operator) evacuate(zone string, out bool, revision uint64) {
 	if out {
 		o.evacuated[zone] = true
