jobowner: when the lease of a silent worker runs out stands in the records

Change: when a worker with runs does not answer, the records of its jobs say when its lease has surely run out. A later owner takes that, with 8 s for clocks, if it is sooner. While a record may say so, the worker's lease is not renewed and it gets no work; tries of a start repeat the same lease. A worker that answers again is cleared in the records first.

--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -29,7 +29,8 @@
 	jobs   []*jobstate.Job
 	states []workload.State
 	puts   []metastore.Put
-	seen   map[*agent]int64 // ends that may be acknowledged once the batch is stored
+	seen   map[*agent]int64   // ends that may be acknowledged once the batch is stored
+	heard  []*jobstate.Worker // of which no record says any more that they do not answer
 }
 
 func (b *batch) empty() bool { return len(b.jobs) == 0 }
@@ -48,7 +49,7 @@
 			more = true
 			break
 		}
-		raw, err := j.Record(t.o.Token, t.o.Wall().UnixMilli()).Encode()
+		raw, err := j.Record(t.o.Token, t.o.Wall().UnixMilli(), time.Now()).Encode()
 		if err != nil {
 			t.o.Log.Error("job record not encoded", zap.String("job", j.Submission.ID), zap.Error(err))
 			continue
@@ -61,6 +62,7 @@
 	}
 	if !more {
 		b.seen = t.unacknowledged()
+		b.heard = t.heardAgain()
 	}
 	return b, more
 }
@@ -76,12 +78,26 @@
 	return seen
 }
 
+// heardAgain returns the workers that answer again although a record may say that they do not.
+func (t *Term) heardAgain() []*jobstate.Worker {
+	var list []*jobstate.Worker
+	for _, w := range t.cluster.Workers {
+		if w.SilentStored && !w.Silent {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // acknowledge lets workers forget the ends whose effect is stored. The ends were collected
 // under the same lock as the batch. The caller holds the lock.
 func (b *batch) acknowledge() {
 	for a, n := range b.seen {
 		a.acknowledge(n)
 	}
+	for _, w := range b.heard {
+		w.SilentStored = w.Silent // it may have fallen silent again meanwhile
+	}
 }
 
 // commit writes the batch and returns whether it is in the store. It goes on until the
--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -35,7 +35,7 @@
 	}
 	a := t.ensureAgent(w)
 	if a.clockAt.IsZero() && w.LeaseEnds.IsZero() {
-		w.LeaseEnds = t.began.Add(t.unheardLease())
+		w.LeaseEnds = t.unheardEnds(w, now)
 	}
 	a.nudge()
 	t.kick()
@@ -47,6 +47,30 @@
 	return predecessorHold + t.longestLease()
 }
 
+// unheardEnds returns when the lease of a worker that has not been heard in this term has surely
+// run out: after the longest lease that the predecessor may have renewed or, if a record says that
+// the worker did not answer a former owner, when that owner's lease has. Clocks may differ.
+func (t *Term) unheardEnds(w *jobstate.Worker, now time.Time) time.Time {
+	ends := t.began.Add(t.unheardLease())
+	if w.RecordedEnds == 0 {
+		return ends
+	}
+	left := time.Duration(w.RecordedEnds-t.o.Wall().UnixMilli()) * time.Millisecond
+	if recorded := now.Add(left + clockMargin); recorded.Before(ends) {
+		return recorded
+	}
+	return ends
+}
+
+// isSilent reports whether the worker has not answered this owner for a while.
+func (t *Term) isSilent(w *jobstate.Worker, now time.Time) bool {
+	a := t.agents[w.ID]
+	if a == nil || a.worker != w {
+		return now.Sub(t.began) > unlistedGrace
+	}
+	return a.failures >= silentAfter
+}
+
 // longestLease is how long a lease that a worker has just taken in may last by this
 // process's clock.
 func (t *Term) longestLease() time.Duration {
@@ -81,7 +105,11 @@
 func (t *Term) checkWorkers(now time.Time) {
 	for _, w := range t.cluster.Workers {
 		if w.LeaseEnds.IsZero() && len(w.Runs) > 0 {
-			w.LeaseEnds = t.began.Add(t.unheardLease()) // known from records only
+			w.LeaseEnds = t.unheardEnds(w, now) // known from records only
+		}
+		if !w.Silent && t.mayRun(w) && t.isSilent(w, now) {
+			w.Silent = true
+			w.MarkRuns()
 		}
 		if since, ok := t.missing[w]; ok && t.gone(w, since, now) {
 			t.dropWorker(w, "no entry and no answer", now)
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -68,14 +68,16 @@
 // start sends the order until its outcome is known, or gives the run up.
 func (t *Term) start(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Start) {
 	uncertain := false
+	t.mu.Lock()
+	// Tries repeat the same lease: a worker that does not answer is not to get a longer one.
+	order.LeaseUntil = a.leaseUntil(time.Now())
+	t.mu.Unlock()
 	for try := 1; ctx.Err() == nil; try++ {
 		t.mu.Lock()
 		if r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() || t.agents[a.worker.ID] != a {
 			t.mu.Unlock()
 			return // a report may have shown it
 		}
-		now := time.Now()
-		order.LeaseUntil = a.leaseUntil(now)
 		target := a.target()
 		t.mu.Unlock()
 
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -87,6 +87,10 @@
 	}
 	a.failures = 0
 	a.lastHeard = now
+	if a.worker.Silent {
+		a.worker.Silent, a.worker.RecordedEnds = false, 0
+		a.worker.MarkRuns()
+	}
 	if a.clockAt.IsZero() || clock > a.clock {
 		a.clock, a.clockAt = clock, now
 	}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -63,6 +63,12 @@
 	// RenewWithout is how long an owner renews leases of workers without being confirmed by
 	// the store. It bridges an outage of the store together with the length of the lease.
 	RenewWithout = 3500 * time.Millisecond
+	// clockMargin is by how much the times of day of two instances may differ when each of them
+	// has jumped by some seconds.
+	clockMargin = 8 * time.Second
+	// unlistedGrace is how long after the start of a term a worker that is known from records
+	// only may take to be listed.
+	unlistedGrace = 2 * time.Second
 	// missingGrace is how long a worker without an entry may be between two entries: entries
 	// that lapsed in an outage of the store are back within two seconds of its return.
 	missingGrace = 2500 * time.Millisecond
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -199,7 +199,14 @@
 	ReportedAt time.Time // when its newest report was asked for
 	LeaseEnds  time.Time // at the latest by this process's clock, if the worker is not heard again
 	LeavesAt   time.Time // a draining worker stays at least until then
-	Runs       map[*Run]struct{}
+
+	// A worker that does not answer is noted in the records of its runs, so that the next owner
+	// need not wait for a whole lease again. While a record may say so, no lease is renewed.
+	Silent       bool
+	SilentStored bool  // a record may say so
+	RecordedEnds int64 // end of its lease as a former owner has stored it, Unix milliseconds; 0 if it has not
+
+	Runs map[*Run]struct{}
 
 	Strays map[string]workload.Amount // tasks there that no run of this state accounts for
 
@@ -237,7 +244,7 @@
 
 // Accepts reports whether new work may go to the worker.
 func (c *Cluster) Accepts(w *Worker, now time.Time) bool {
-	return w.Listed && w.Heard && !w.Draining && !w.Reserved && !c.Evacuated[w.Zone] && !now.Before(w.Suspect)
+	return w.Listed && w.Heard && !w.Draining && !w.Reserved && !w.SilentStored && !c.Evacuated[w.Zone] && !now.Before(w.Suspect)
 }
 
 // AddJob adds an accepted job. It returns the known job if the id is known.
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -7,29 +7,30 @@
 )
 
 // Record returns the progress of the job for the store.
-func (j *Job) Record(owner uint64, wall int64) *workload.Record {
+// wall is the time of day at now, in Unix milliseconds.
+func (j *Job) Record(owner uint64, wall int64, now time.Time) *workload.Record {
 	r := &workload.Record{State: j.State, Sequence: j.Sequence + 1, Owner: owner}
 	if j.State.Ended() {
 		r.EndedAt = wall
 	}
 	for _, o := range j.Occurrences {
-		r.Occurrences = append(r.Occurrences, o.record())
+		r.Occurrences = append(r.Occurrences, o.record(wall, now))
 	}
 	return r
 }
 
-func (o *Occurrence) record() workload.OccurrenceRecord {
+func (o *Occurrence) record(wall int64, now time.Time) workload.OccurrenceRecord {
 	r := workload.OccurrenceRecord{Number: o.Number, Done: o.Done()}
 	if r.Done {
 		return r
 	}
 	for _, s := range o.Steps {
-		r.Steps = append(r.Steps, s.record())
+		r.Steps = append(r.Steps, s.record(wall, now))
 	}
 	return r
 }
 
-func (s *Step) record() workload.StepRecord {
+func (s *Step) record(wall int64, now time.Time) workload.StepRecord {
 	r := workload.StepRecord{Failures: s.Failures, FailedRun: s.failedRun, Checkpoint: s.Checkpoint, Done: s.Done()}
 	if r.Done {
 		return r
@@ -40,13 +41,28 @@
 		}
 		tr := workload.TaskRecord{Index: t.Index, LastRun: t.LastRun, Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint}
 		if t.Run != nil {
-			tr.Worker, tr.Life, tr.Address = t.Run.Worker.ID, t.Run.Worker.Life, t.Run.Worker.Address
+			w := t.Run.Worker
+			tr.Worker, tr.Life, tr.Address = w.ID, w.Life, w.Address
+			tr.LeaseEnds = w.silentEnds(wall, now)
 		}
 		r.Tasks = append(r.Tasks, tr)
 	}
 	return r
 }
 
+// silentEnds returns when the lease of a worker that does not answer has surely run out, in Unix
+// milliseconds, and notes that a record says so; 0 for a worker that answers.
+func (w *Worker) silentEnds(wall int64, now time.Time) int64 {
+	if !w.Silent {
+		return 0
+	}
+	w.SilentStored = true
+	if w.RecordedEnds != 0 {
+		return w.RecordedEnds
+	}
+	return wall + w.LeaseEnds.Sub(now).Milliseconds()
+}
+
 // Restore brings the job to the progress of its stored record. Runs that are not known to
 // have ended are ordered runs on their workers, which are created if they are not known.
 func (c *Cluster) Restore(j *Job, r *workload.Record, revision uint64, now time.Time) {
@@ -104,6 +120,9 @@
 		if w.Life == tr.Life && w.Address == "" {
 			w.Address = tr.Address
 		}
+		if w.Life == tr.Life && tr.LeaseEnds != 0 {
+			w.Silent, w.SilentStored, w.RecordedEnds = true, true, max(w.RecordedEnds, tr.LeaseEnds)
+		}
 		run := c.Place(t, w, tr.LastRun, now)
 		run.Phase = Ordered
 	}
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// MarkRuns makes the records of the jobs that have runs on the worker be written again.
+func (w *Worker) MarkRuns() {
+	for r := range w.Runs {
+		r.Task.Step.Occurrence.Job.Dirty = true
+	}
+}
+
 // AddStray accounts for a task on the worker that no run of this state stands for.
 func (w *Worker) AddStray(task string, room workload.Amount) {
 	if _, known := w.Strays[task]; known {
