internal/logsink, jobstate: tests of their own

The log sink never blocks, reports what it dropped and writes what waits at the end; a job's record brings back what a later owner needs, and no later owner prolongs the lease of a silent worker. No change of behaviour.

--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,72 @@
+package logsink_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/logsink"
+)
+
+// stuck is an output that takes nothing until it is let go.
+type stuck struct {
+	release chan struct{}
+
+	mu    sync.Mutex
+	lines []string
+}
+
+func (s *stuck) Write(line []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
+func report(n int64) []byte { return logsink.Report(511, "log lines dropped", n) }
+
+// Guards against a log that blocks the process when its output does, and against lines that are
+// lost without a word.
+func TestOutputThatDoesNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		sink := logsink.New(out, report)
+		const lines = 5000 // more than may wait
+		for n := range lines {
+			written, err := sink.Write(fmt.Appendln(nil, n))
+			assert.NoError(t, err)
+			assert.Positive(t, written)
+			synctest.Wait()
+		}
+		dropped := sink.Dropped()
+		assert.Positive(t, dropped)
+		close(out.release)
+		sink.Close()
+		assert.Equal(t, "0", out.lines[0])
+		assert.Equal(t, fmt.Sprintf(`{"level":"warn","msg":"log lines dropped","event":511,"lines":%d}`, dropped), out.lines[1])
+		assert.Len(t, out.lines, lines-int(dropped)+1)
+		assert.Zero(t, sink.Dropped())
+	})
+}
+
+// Guards against lines that are lost when the process ends, and against lines that change after
+// they were written because their buffer is used again.
+func TestCloseWritesWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		sink := logsink.New(out, report)
+		buffer := []byte("first\n")
+		_, _ = sink.Write(buffer)
+		copy(buffer, "other\n")
+		_, _ = sink.Write(buffer)
+		close(out.release)
+		sink.Close()
+		sink.Close() // once is enough
+		assert.Equal(t, []string{"first", "other"}, out.lines)
+	})
+}
--- /dev/null
+++ b/jobstate/record_test.go
@@ -0,0 +1,48 @@
+package jobstate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// Guards against progress that a later owner does not find in the record: attempts, checkpoints,
+// run numbers, the worker of a run and when its lease runs out.
+func TestRecordIsRestored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	submission := &workload.Submission{ID: "job", Queue: workload.Route{MaxAttempts: 3}, Steps: []workload.Step{{Tasks: 3}, {Tasks: 2, After: []int{0}}}}
+	c := jobstate.New()
+	j := c.AddJob(submission, now)
+	j.OpenDue(now.UnixMilli(), now)
+	w := c.Worker("w0", 7, now)
+	w.Address, w.LeaseEnds = "10.0.0.1:80", now.Add(9*time.Second)
+	tasks := j.Occurrences[0].Steps[0].Tasks
+	for _, task := range tasks {
+		c.Place(task, w, 1, now).Confirm(now)
+	}
+	c.End(tasks[0].Run, jobstate.EndDone, "", now)
+	c.End(tasks[1].Run, jobstate.EndFailed, "cp", now)
+	w.Silent = true
+	record := j.Record(5, 50_000, now)
+
+	later := jobstate.New()
+	again := later.AddJob(submission, now)
+	later.Restore(again, record, 12, now)
+	assert.Equal(t, workload.Running, again.State)
+	step := again.Occurrences[0].Steps[0]
+	assert.Equal(t, 1, step.DoneTasks)
+	assert.Equal(t, 1, step.Waiting())
+	assert.Equal(t, 1, step.Tasks[1].Failures)
+	assert.Equal(t, "cp", step.Tasks[1].Checkpoint)
+	assert.Equal(t, 2, step.NextRun(step.Tasks[1]))
+	run := step.Tasks[2].Run
+	assert.Equal(t, jobstate.Ordered, run.Phase)
+	assert.Equal(t, "10.0.0.1:80", run.Worker.Address)
+	assert.EqualValues(t, 59_000, run.Worker.RecordedEnds)
+	assert.False(t, later.Accepts(run.Worker, now))
+	assert.Equal(t, record.Occurrences, again.Record(5, 80_000, now.Add(30*time.Second)).Occurrences, "no later owner prolongs the lease")
+}
