jobservice: a refusal waits at most 0.15 s for the owner's word

With the owner dead and the store away each refusal would have been held.

Change: the question has a flag of its own (relay known_only), is answered from memory, and is bounded by 0.15 s.

--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -35,6 +35,9 @@
 	// for the state of a job, whose end the peer may be about to store.
 	askBound   = 300 * time.Millisecond
 	stateBound = jobowner.StoreWait + askBound/2
+	// knownBound is the longest wait for the owner's word on whether it knows a job, before a
+	// submission is refused.
+	knownBound = 150 * time.Millisecond
 	// relayBound is the longest wait for a peer that writes to the store.
 	relayBound = 900 * time.Millisecond
 	// retryPause is the pause before a write without an answer is repeated.
@@ -128,7 +131,9 @@
 	if term := s.o.Term(); term != nil {
 		return term.Knows(id)
 	}
-	reply := s.askOwner(ctx, &relay.QueryRequest{Job: id})
+	ctx, cancel := context.WithTimeout(ctx, knownBound)
+	defer cancel()
+	reply := s.askOwner(ctx, &relay.QueryRequest{Job: id, KnownOnly: true})
 	return reply != nil && reply.Known
 }
 
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -250,6 +250,34 @@
 	})
 }
 
+// hung is a client of an owner that does not answer.
+type hung struct{ relay.DRPCRelayClient }
+
+func (hung) Query(ctx context.Context, _ *relay.QueryRequest) (*relay.QueryReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Load: submissions while the store is away and the owner has lost power. Guards against a refusal
+// that is held back while the owner is asked.
+func TestRefusalDoesNotWaitForADeadOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testplatform.NewStore().NewClient()
+		client.SetFault(func(string) testplatform.Fault { return testplatform.Refused })
+		monitor := metastore.NewMonitor(client)
+		elector := ownership.New(ownership.Options{Store: monitor, Self: ownership.Instance{Name: "self"}, Log: zap.NewNop()})
+		elector.Apply(metastore.Change{Item: metastore.Item{Key: ownership.OwnerPrefix, Value: []byte(`{"name":"peer","address":"peer"}`), Created: 7}})
+		service := jobservice.New(jobservice.Options{Store: monitor, Healthy: monitor.Healthy, Check: monitor.Check, Bound: monitor.Bound,
+			Elector: elector, Self: "self", Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+			Term: func() jobservice.Term { return nil }, Peer: func(string) relay.DRPCRelayClient { return hung{} }})
+		ctx, cancel := deadline()
+		defer cancel()
+		began := time.Now()
+		assert.Equal(t, errkind.StoreUnavailable, errkind.Of(service.Submit(ctx, job())))
+		assert.LessOrEqual(t, time.Since(began), 200*time.Millisecond)
+	})
+}
+
 // told is a term that keeps what it was told of.
 type told struct {
 	term
--- a/jobservice/peer.go
+++ b/jobservice/peer.go
@@ -18,6 +18,9 @@
 		n, ok := term.Pending(q.Route)
 		return &relay.QueryReply{Owner: ok, Pending: int64(n)}, nil
 	}
+	if q.KnownOnly {
+		return &relay.QueryReply{Owner: true, Known: term.Knows(q.Job)}, nil
+	}
 	state, known := term.State(ctx, q.Job)
 	return &relay.QueryReply{Owner: true, Known: known, State: string(state)}, nil
 }
