upkeep: a worker is given back when its machine is not next any more

Cause: read as a newcomer: a worker that was reserved for a wave which was withdrawn, or whose order was refused, would have got no work until the owner changed.

Change: a reservation knows its worker and is given back in one place; the fuzz keeps the time in an atomic.

Figures: TestRefusedOrder fails without the change.

--- a/jobowner/fuzz_test.go
+++ b/jobowner/fuzz_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,7 +48,7 @@
 	lasting []string // those that run until they are cancelled
 	next    int
 	fault   map[string]testplatform.Fault // of orders, by worker; "" for all
-	calmAt  time.Time                     // when the last fault ended; zero before
+	calmAt  atomic.Pointer[time.Time]     // when the last fault ended; nil before
 }
 
 const (
@@ -77,7 +78,10 @@
 		}
 		return d.fault[""]
 	})
-	d.fleet.Calm = func() bool { return !d.calmAt.IsZero() && time.Since(d.calmAt) > settleTime }
+	d.fleet.Calm = func() bool {
+		at := d.calmAt.Load()
+		return at != nil && time.Since(*at) > settleTime
+	}
 	for n := range fuzzWorkers {
 		d.addWorker(fmt.Sprint("w", n), n/3)
 	}
@@ -198,7 +202,8 @@
 // finish ends the faults and waits until all jobs have ended. It returns what is wrong.
 func (d *day) finish(t *testing.T) []string {
 	d.calm()
-	d.calmAt = time.Now()
+	now := time.Now()
+	d.calmAt.Store(&now)
 	for _, name := range []string{"i0", "i1"} {
 		if d.instances[name] == nil {
 			d.start(name)
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -136,7 +136,7 @@
 
 // take reads the progress of the wave, or begins it.
 func (c *Controller) take(ctx context.Context, asked Wave) (*wave, error) {
-	w := &wave{Wave: asked, back: map[string]bool{}, next: map[string]time.Time{}, confirmed: map[string]time.Time{}}
+	w := &wave{Wave: asked, back: map[string]bool{}, next: map[string]reservation{}, confirmed: map[string]time.Time{}}
 	call, cancel := context.WithTimeout(ctx, callBound)
 	defer cancel()
 	item, err := c.o.Store.Get(call, recordKey(asked.Number))
@@ -206,7 +206,7 @@
 	left := w.Duration - time.Duration(c.o.Wall().UnixMilli()-w.record.Began)*time.Millisecond
 	before := maps.Clone(w.next)
 	d := w.plan(machines, asked, time.Now(), left, c.o.Workers.Load)
-	c.reserve(w, machines, before, d.reserve)
+	c.reserve(before, w.next)
 	for _, m := range d.vacate {
 		if !c.o.Workers.Load(m.Worker).Blocked { // also by what was vacated a moment ago
 			c.o.Workers.Vacate(m.Worker)
@@ -233,25 +233,23 @@
 	}
 }
 
-// reserve keeps new work from the machines that are next, and from no others of the wave.
-func (c *Controller) reserve(w *wave, machines []Machine, before map[string]time.Time, reserved []Machine) {
-	for _, m := range reserved {
-		c.o.Workers.Reserve(m.Worker, true)
-	}
-	for _, m := range machines {
-		_, was := before[m.Name]
-		if _, is := w.next[m.Name]; was && !is {
-			c.o.Workers.Reserve(m.Worker, false)
+// reserve keeps new work from the machines that are next, and gives those back that are no more.
+func (c *Controller) reserve(before, next map[string]reservation) {
+	for name, r := range before {
+		if next[name].worker != r.worker {
+			c.o.Workers.Reserve(r.worker, false)
 		}
 	}
+	for _, r := range next {
+		c.o.Workers.Reserve(r.worker, true)
+	}
 }
 
 // release gives up what is reserved for a wave that was withdrawn. Orders that were given stand.
 func (c *Controller) release(w *wave) {
 	events.Info(c.o.Log, events.WaveTaken, zap.Int64("wave", w.Number), zap.Bool("withdrawn", true))
-	for name := range w.next {
-		delete(w.next, name)
-	}
+	c.reserve(w.next, nil)
+	clear(w.next)
 }
 
 // order gives one order and takes its answer in. A refusal of a repeated order says nothing of
@@ -280,6 +278,7 @@
 	}
 	w.record.Ordered = ordered
 	delete(w.next, m.Name)
+	c.o.Workers.Reserve(m.Worker, false)
 	if err := c.save(ctx, w); err != nil {
 		c.o.Log.Warn("wave not stored", zap.Int64("wave", w.Number), zap.Error(err))
 	}
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -28,19 +28,24 @@
 type wave struct {
 	Wave
 	record   Record
-	revision uint64          // of the stored record; 0 before the first write
-	back     map[string]bool // machines that were seen up after their upkeep
-	next     map[string]time.Time
+	revision uint64                 // of the stored record; 0 before the first write
+	back     map[string]bool        // machines that were seen up after their upkeep
+	next     map[string]reservation // machines that are next, by name
 	// confirmed is when each machine's order was answered, to tell older lists from newer ones.
 	confirmed map[string]time.Time
 }
 
+// reservation is a worker that gets no new work because its machine is next.
+type reservation struct {
+	worker string
+	since  time.Time
+}
+
 // decision is what a wave does now.
 type decision struct {
 	repeat    []Machine // ordered, without an answer so far
 	order     []Machine // idle: the order can be given
 	vacate    []Machine // their runs are to be stopped
-	reserve   []Machine // they get no new work
 	completed bool
 }
 
@@ -103,15 +108,14 @@
 			continue
 		}
 		if !c.chosen {
-			w.next[c.Name] = now
+			w.next[c.Name] = reservation{c.Worker, now}
 		}
 		switch {
 		case c.Idle:
 			d.order = append(d.order, c.Machine)
-		case left < needed || now.Sub(w.next[c.Name]) > patience:
+		case left < needed || now.Sub(w.next[c.Name].since) > patience:
 			d.vacate = append(d.vacate, c.Machine)
 		}
-		d.reserve = append(d.reserve, c.Machine)
 	}
 }
 
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -77,6 +77,9 @@
 	if _, done := y.upAt[o.Machine]; done {
 		return nil
 	}
+	if y.refused--; y.refused >= 0 {
+		return upkeep.ErrBusy
+	}
 	if y.down() >= y.limit {
 		y.wrong = append(y.wrong, "LIMIT: "+o.Machine)
 	}
@@ -255,3 +258,43 @@
 		y.check(t, 4)
 	})
 }
+
+// Guards against a worker that gets no work for ever because the wave that it was reserved for was
+// withdrawn.
+func TestWithdrawnWave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, y := testplatform.NewStore(), newYard(1)
+		y.busy["w-m0"] = true
+		o := y.own(s, 1)
+		defer o.stop()
+		o.controller.OnWave(upkeep.Wave{Number: 1, Machines: y.names(1), Duration: time.Minute, Cap: 1})
+		time.Sleep(3 * time.Second)
+		o.controller.OnWaveGone(1)
+		time.Sleep(3 * time.Second)
+		y.mu.Lock()
+		assert.Equal(t, map[string]bool{"w-m0": false}, y.reserved)
+		y.mu.Unlock()
+		y.check(t, 0)
+	})
+}
+
+// Guards against an order that was refused and counts as given, and against a worker that gets no
+// work although its machine stays.
+func TestRefusedOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, y := testplatform.NewStore(), newYard(1)
+		y.refused = 1
+		o := y.own(s, 1)
+		defer o.stop()
+		o.controller.OnWave(upkeep.Wave{Number: 1, Machines: y.names(1), Duration: time.Minute, Cap: 1})
+		time.Sleep(500 * time.Millisecond)
+		y.mu.Lock()
+		assert.Equal(t, map[string]bool{"w-m0": false}, y.reserved)
+		y.mu.Unlock()
+		y.check(t, 0)
+		assert.Equal(t, "false", status(s))
+		time.Sleep(5 * time.Second)
+		y.check(t, 1)
+		assert.Equal(t, "true", status(s))
+	})
+}
