--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -27,6 +27,7 @@
 	upAt     map[string]time.Time // of machines that are down
 	begun    []string
 	token    map[string]uint64
+	refused  int             // orders that are refused
 	lost     int             // answers that are lost after the order was carried out
 	busy     map[string]bool // workers with work
 	blocked  map[string]bool
