--- a/internal/testplatform/oracle_test.go
+++ b/internal/testplatform/oracle_test.go
@@ -117,6 +117,10 @@
 			o.start("w0", "apart.0.0.0", 1)
 			o.start("w0", "apart.0.0.1", 1)
 		},
+		"DRAIN": func(o *orders) {
+			o.fleet.Drain("w0")
+			o.start("w0", "plain.0.0.0", 1)
+		},
 		"EVAC": func(o *orders) {
 			o.fleet.Evacuate("z", true)
 			time.Sleep(evacuateBound + time.Second)
