testplatform: the oracle sees work given to a draining worker

Change: the worker keeps since when it drains; work later than 2 s after that breaks the rule in calm. The fuzz drains a worker in its calm part.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -23,6 +23,8 @@
 	MaxLease = 10 * time.Second
 	// cancelBound is how long after a cancellation a task may still be started.
 	cancelBound = 3 * time.Second
+	// drainBound is how long after its report a draining worker may still be given work.
+	drainBound = 2 * time.Second
 	// evacuateBound is how long after its evacuation a task may still be started in a data centre.
 	evacuateBound = 5 * time.Second
 	// reclaimBound is how long after its acceptance an urgent job within the guarantee of its
@@ -71,6 +73,7 @@
 
 type worker struct {
 	entry   workerapi.Entry
+	drains  time.Time // since when; zero if it does not
 	born    time.Time
 	token   uint64
 	lease   time.Time
--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -29,10 +29,9 @@
 	if limit := job.Queue.MaxAttempts; f.failures[o.Task] >= limit && !job.Steps[name.Step].LongRunning {
 		f.violate("BUDGET", "%s has failed %d times of %d", o.Task, f.failures[o.Task], limit)
 	}
-	if !w.entry.Draining {
-		return
+	if since := time.Since(w.drains); !w.drains.IsZero() && since > drainBound && f.Calm() {
+		f.violate("DRAIN", "%s started on %s, which has drained for %v", o.Task, w.entry.Worker.ID, since)
 	}
-	f.violate("DRAIN", "%s started on %s, which drains", o.Task, w.entry.Worker.ID)
 }
 
 func (f *Fleet) checkTwice(w *worker, o workerapi.Start) {
@@ -127,7 +126,7 @@
 	r := w.runs[task]
 	job := f.jobs[r.name.Job]
 	step := &job.Steps[r.name.Step]
-	if _, cancelled := f.cancelled[r.name.Job]; !step.LongRunning || step.MayMiss == 0 || w.entry.Draining || cancelled || !r.atWork {
+	if _, cancelled := f.cancelled[r.name.Job]; !step.LongRunning || step.MayMiss == 0 || !w.drains.IsZero() || cancelled || !r.atWork {
 		return
 	}
 	away := 0
@@ -262,7 +261,9 @@
 func (f *Fleet) Drain(id string) workerapi.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	entry := f.workers[id].entry
+	w := f.workers[id]
+	w.drains = time.Now()
+	entry := w.entry
 	entry.Draining = true
 	entry.Leaves = 2 * time.Second
 	return entry
--- a/internal/testplatform/oracle_test.go
+++ b/internal/testplatform/oracle_test.go
@@ -119,6 +119,7 @@
 		},
 		"DRAIN": func(o *orders) {
 			o.fleet.Drain("w0")
+			time.Sleep(drainBound + time.Second)
 			o.start("w0", "plain.0.0.0", 1)
 		},
 		"EVAC": func(o *orders) {
--- a/jobowner/fuzz_test.go
+++ b/jobowner/fuzz_test.go
@@ -232,10 +232,12 @@
 	return append(wrong, d.fleet.Violations()...)
 }
 
-// reclaim fills all workers and asks for the guarantee of the workspace; the oracle checks that
-// it is met in time.
+// reclaim fills all workers but one, which drains, and asks for the guarantee of the workspace; the
+// oracle checks that it is met in time, and that the draining worker gets nothing.
 func (d *day) reclaim(t *testing.T) {
 	time.Sleep(2 * settleTime)
+	d.list(d.fleet.Drain(fmt.Sprint("w", fuzzWorkers-1)))
+	time.Sleep(3 * time.Second)
 	d.submit("fill", "batch", tasks(8*fuzzWorkers, 1))
 	time.Sleep(time.Second)
 	d.submit("owed", "urgent", gang(2, guarantee/2))
