jobowner: no work is given on a list of workers of unknown age; cheaper decisions

Nothing bounded the age of the list of workers; a decision at 630 workers took 2.8 ms, up to 100 times a second, woken by each heartbeat of each worker. Change: the list has an age (metastore.Mirror tells as of when it is known) and no work is given when it is older than half of DrainMs; a watch that failed is followed by a full read; a start without an answer is not repeated to a worker that leaves. Heartbeats that change nothing wake nobody; lagging runs are compared only when measured; workers are kept sorted and grouped by rack once a decision; victims are priced once a decision; a search for room that failed pauses 50 ms; the loop pauses three times as long as a decision took. Test: jobowner.TestNoStartOnAStaleListOfWorkers (fails without the limit: 12 starts after 2.0 to 4.8 s).

--- a/events/events.go
+++ b/events/events.go
@@ -81,6 +81,7 @@
 	TermBegan            ID = 239
 	AdviceTaken          ID = 240
 	FillerPaced          ID = 241
+	WorkersStale         ID = 242
 	WaveTaken            ID = 250
 	UpkeepOrdered        ID = 251
 	WaveCompleted        ID = 252
@@ -174,6 +175,7 @@
 	TermBegan:            {"TermBegan", "term of ownership began"},
 	AdviceTaken:          {"AdviceTaken", "advice on workers taken"},
 	FillerPaced:          {"FillerPaced", "filler paced"},
+	WorkersStale:         {"WorkersStale", "age of the list of workers"},
 	WaveTaken:            {"WaveTaken", "wave of upkeep taken"},
 	UpkeepOrdered:        {"UpkeepOrdered", "upkeep of a machine ordered"},
 	WaveCompleted:        {"WaveCompleted", "wave of upkeep completed"},
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -172,6 +172,7 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.checkList(now) // the write may have taken long
 	ended := false
 	for n, j := range b.jobs {
 		if j.Shown != b.states[n] && b.states[n].Ended() {
--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -19,6 +19,10 @@
 	if w.Life != e.Life {
 		return // an older life
 	}
+	if known := t.entries[w.ID]; known != nil && w.Listed && known.Equal(&e) {
+		return // a heartbeat
+	}
+	t.entries[w.ID] = &e
 	t.dropSameAddress(w, e, now)
 	first := !w.Listed
 	w.Address, w.Service, w.Zone, w.Rack = e.Worker.Address, e.Service, e.Zone, e.Rack
@@ -77,13 +81,35 @@
 	return t.o.MaxLease + time.Duration(clockDrift*float64(t.o.MaxLease)) + leaseMargin
 }
 
-// dropSameAddress drops workers that another one has replaced at its address.
+// dropSameAddress drops a worker that another one has replaced at its address.
 func (t *Term) dropSameAddress(w *jobstate.Worker, e workerapi.Entry, now time.Time) {
-	for _, other := range t.cluster.Workers {
-		if other != w && other.Address == e.Worker.Address && other.Life < e.Life && other.Address != "" {
+	if e.Worker.Address == "" {
+		return
+	}
+	if t.addresses == nil {
+		t.indexAddresses()
+	}
+	other := t.addresses[e.Worker.Address]
+	if other != nil && other != w {
+		if other.Life >= e.Life {
+			return
+		}
+		if t.cluster.Workers[other.ID] == other && other.Address == e.Worker.Address {
 			t.dropWorker(other, "replaced at its address by "+w.ID, now)
 		}
 	}
+	t.addresses[e.Worker.Address] = w
+}
+
+// indexAddresses notes the addresses of the workers that are known from records, all of which have
+// been read before the first worker is listed.
+func (t *Term) indexAddresses() {
+	t.addresses = map[string]*jobstate.Worker{}
+	for _, w := range t.cluster.Workers {
+		if known := t.addresses[w.Address]; w.Address != "" && (known == nil || known.Life < w.Life) {
+			t.addresses[w.Address] = w
+		}
+	}
 }
 
 // OnWorkerGone notes that the worker's entry has been removed.
@@ -153,6 +179,7 @@
 		delete(t.agents, w.ID)
 	}
 	delete(t.missing, w)
+	delete(t.entries, w.ID)
 	t.cluster.Drop(w, now)
 	t.kick()
 }
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -31,6 +31,9 @@
 const guarantee = 16
 
 // system is a store, a fleet and some instances that stand for election.
+// maxListAge is half of the time after which a draining worker must get no more work.
+const maxListAge = time.Second
+
 type system struct {
 	store  *testplatform.Store
 	fleet  *testplatform.Fleet
@@ -87,7 +90,7 @@
 			Config: func() *workload.Config { return s.config }, Wall: time.Now, MaxLease: testplatform.MaxLease,
 			InTouch:   func() bool { return elector.ConfirmedWithin(jobowner.RenewWithout) },
 			Placement: placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
-			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond,
+			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond, MaxListAge: maxListAge,
 			Bound:  func(int) time.Duration { return 500 * time.Millisecond },
 			Outage: func() bool { return s.outage.Load() }, Completed: func(context.Context) []string { return s.completed() },
 		})
@@ -101,7 +104,7 @@
 		mirror := func(prefix string, apply func(metastore.Change), synced func(time.Time)) func(context.Context) {
 			return metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: prefix, Wait: 2 * time.Second, Log: log, Apply: apply, Synced: synced}).Run
 		}
-		err := term.Run(ctx, mirror(jobowner.IntakePrefix, term.OnIntake, term.Loaded), mirror(workersPrefix, func(change metastore.Change) {
+		workers := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: workersPrefix, Wait: 500 * time.Millisecond, Reread: true, Log: log, Synced: term.WorkersSynced, Apply: func(change metastore.Change) {
 			id := change.Key[len(workersPrefix):]
 			var entry workerapi.Entry
 			if change.Removed || json.Unmarshal(change.Value, &entry) != nil {
@@ -109,7 +112,8 @@
 				return
 			}
 			term.OnWorker(entry)
-		}, nil))
+		}})
+		err := term.Run(ctx, mirror(jobowner.IntakePrefix, term.OnIntake, term.Loaded), workers.Run)
 		if err != nil && ctx.Err() == nil {
 			panic(err)
 		}
--- a/jobowner/intake_test.go
+++ b/jobowner/intake_test.go
@@ -1,6 +1,7 @@
 package jobowner_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,3 +83,37 @@
 		s.requireRules(t)
 	})
 }
+
+// Load: a worker says that it leaves while watches of the store are silent and jobs go on coming,
+// announced by the instances that stored them. Guards against work for a worker that has left: the
+// owner's list of workers was seconds old and nothing looked at its age.
+func TestNoStartOnAStaleListOfWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		a.client.SetFault(func(call string) testplatform.Fault {
+			if call == "watch" || call == "range" {
+				return testplatform.Silent
+			}
+			return testplatform.None
+		})
+		time.Sleep(time.Second) // the watch that was waiting has ended
+		s.list(s.fleet.Drain("w0"))
+		for n := range 20 {
+			id := fmt.Sprint("job", n)
+			s.submit(id, "batch", tasks(1, 1))
+			s.announce(a, id)
+			time.Sleep(250 * time.Millisecond)
+		}
+		s.requireRules(t)
+		s.addWorker("w1", 0)
+		a.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		for n := range 20 {
+			assert.Equal(t, workload.Completed, s.settle(t, fmt.Sprint("job", n), 20*time.Second))
+		}
+		s.requireRules(t)
+	})
+}
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -16,8 +16,7 @@
 	timer := time.NewTimer(idleInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		again := t.cycle(ctx)
-		pause := decisionInterval
+		again, took := t.cycle(ctx)
 		if !again {
 			timer.Reset(t.untilNext())
 			select {
@@ -28,7 +27,7 @@
 				continue
 			}
 		}
-		timer.Reset(pause)
+		timer.Reset(pauseAfter(took))
 		select {
 		case <-ctx.Done():
 			return
@@ -37,6 +36,11 @@
 	}
 }
 
+// pauseAfter returns how long the loop pauses after a decision that took the time given.
+func pauseAfter(took time.Duration) time.Duration {
+	return min(max(decisionInterval, pauseFactor*took), maxDecisionPause)
+}
+
 // untilNext returns how long the loop may rest when nothing wakes it.
 func (t *Term) untilNext() time.Duration {
 	t.mu.Lock()
@@ -48,15 +52,18 @@
 	return max(time.Millisecond, min(due, idleInterval))
 }
 
-// cycle makes one decision and carries it out. It returns whether more is to be written.
-func (t *Term) cycle(ctx context.Context) bool {
+// cycle makes one decision and carries it out. It returns whether more is to be written, and how
+// long the decision took.
+func (t *Term) cycle(ctx context.Context) (again bool, took time.Duration) {
 	now := time.Now()
 	t.mu.Lock()
 	t.housekeep(now)
+	t.checkList(now)
 	plan := t.policy.Decide(t.cluster, t.guarantee, now)
 	stops := t.runsToStop(now)
 	batch, more := t.nextBatch()
-	t.decisions.Update(time.Since(now).Microseconds())
+	took = time.Since(now)
+	t.decisions.Update(took.Microseconds())
 	t.logPlan(plan)
 	t.askAdvice(plan.Asks)
 	for _, run := range stops {
@@ -66,14 +73,11 @@
 		batch.acknowledge() // ends that changed nothing that has to be stored
 	}
 	t.mu.Unlock()
-	if batch.empty() {
-		return false
-	}
-	if !t.commit(ctx, batch) {
-		return false
+	if batch.empty() || !t.commit(ctx, batch) {
+		return false, took
 	}
 	t.committed(ctx, batch)
-	return more
+	return more, took
 }
 
 func (t *Term) guarantee(workspace string) int {
@@ -95,56 +99,59 @@
 			t.openDue(j, now)
 		}
 	}
-	t.checkWorkers(now)
-	t.forgetEnded(now)
+	if now.Sub(t.checkedAt) >= checkInterval {
+		t.checkedAt = now
+		t.checkWorkers(now)
+		t.forgetEnded(now)
+	}
 }
 
 // runsToStop marks the runs of jobs that have ended, and of gangs that have lost a member,
 // to be stopped. It returns all runs whose stop has not been ordered.
 func (t *Term) runsToStop(now time.Time) []*jobstate.Run {
 	var stops []*jobstate.Run
-	broken := t.brokenGangs()
+	broken := map[*jobstate.Step]bool{} // gangs of which a member is being stopped
 	for _, w := range t.cluster.Workers {
 		for r := range w.Runs {
-			if r.Phase == jobstate.Stopping && !r.StopSent {
-				stops = append(stops, r) // its worker was not known before
+			if r.Phase != jobstate.Stopping && r.Task.Run == r {
+				if reason := stopReason(r); reason != "" {
+					r.Stop(reason, now)
+				}
 			}
-			if r.Phase == jobstate.Stopping || r.Task.Run != r {
+			if r.Phase != jobstate.Stopping {
 				continue
 			}
-			reason := stopReason(r, broken)
-			if reason == "" {
-				continue
+			if !r.StopSent {
+				stops = append(stops, r)
+			}
+			if s := r.Task.Step; r.Task.Run == r && s.Spec.Gang && !s.Done() {
+				broken[s] = true
 			}
-			r.Stop(reason, now)
-			stops = append(stops, r)
 		}
 	}
-	return stops
-}
-
-// brokenGangs returns the gangs of which a member is being stopped.
-func (t *Term) brokenGangs() map[*jobstate.Step]bool {
-	broken := map[*jobstate.Step]bool{}
-	for _, w := range t.cluster.Workers {
-		for r := range w.Runs {
-			if r.Phase == jobstate.Stopping && r.Task.Run == r && r.Task.Step.Spec.Gang {
-				broken[r.Task.Step] = true
+	for s := range broken {
+		for _, task := range s.Tasks {
+			if r := task.Run; r != nil && r.Phase != jobstate.Stopping {
+				r.Stop(gangBroken, now)
+				stops = append(stops, r)
 			}
 		}
 	}
-	return broken
+	return stops
 }
 
-// stopReason returns why the run must not go on, or "".
-func stopReason(r *jobstate.Run, broken map[*jobstate.Step]bool) string {
+// gangBroken is why the members of a gang are stopped that go on without another one.
+const gangBroken = "gang member ended"
+
+// stopReason returns why the run must not go on by itself, or "".
+func stopReason(r *jobstate.Run) string {
 	s := r.Task.Step
 	j := s.Occurrence.Job
 	if j.State.Ended() {
 		return "job " + string(j.State)
 	}
-	if s.Spec.Gang && !s.Done() && (s.Active < len(s.Tasks) || broken[s]) {
-		return "gang member ended"
+	if s.Spec.Gang && !s.Done() && s.Active < len(s.Tasks) {
+		return gangBroken
 	}
 	return ""
 }
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -38,6 +38,9 @@
 	return min(firstOrderBound<<min(try-1, 8), orderBound)
 }
 
+// errLeaving is why a start without an answer is not sent again.
+var errLeaving = errors.New("the worker leaves, or may leave, since the start was sent first")
+
 // orderStart sends a start that is in the store. The caller holds the lock.
 func (t *Term) orderStart(ctx context.Context, r *jobstate.Run, now time.Time) {
 	w := r.Worker
@@ -78,6 +81,12 @@
 			t.mu.Unlock()
 			return // a report may have shown it
 		}
+		if try > 1 && t.cluster.Leaving(a.worker) {
+			t.mu.Unlock()
+			t.lookFor(ctx, a, r)
+			t.startUncertain(ctx, a, r, errLeaving)
+			return
+		}
 		target := a.target()
 		t.mu.Unlock()
 
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -25,6 +25,7 @@
 		t.replaceLife(w, report.Life, now)
 		return
 	}
+	news := !w.Heard || w.Silent || len(w.Strays) > 0
 	a.heard(report.Clock, now)
 	w.ReportedAt = later(w.ReportedAt, sent)
 	runs := make(map[runKey]*jobstate.Run, len(w.Runs))
@@ -37,9 +38,11 @@
 		row := &report.Running[n]
 		if r := runs[runKey{row.Task, row.Run}]; r != nil {
 			present[r] = true
+			news = news || r.StartedAt.IsZero()
 			t.noteRunning(r, row, now)
 			continue
 		}
+		news = true
 		strays[row.Task] = true
 		t.stopStray(a, row.Task, row.Run)
 	}
@@ -48,6 +51,7 @@
 			continue
 		}
 		a.applied = e.Sequence
+		news = true
 		if r := runs[runKey{e.Task, e.Run}]; r != nil {
 			t.noteEnd(r, e, now)
 		}
@@ -57,9 +61,11 @@
 			w.RemoveStray(task)
 		}
 	}
-	t.noteAbsent(w, present, sent, now)
+	absent := t.noteAbsent(w, present, sent, now)
 	t.pace(a, now)
-	t.kick()
+	if news || absent {
+		t.kick() // mere progress waits for the next decision
+	}
 }
 
 // replaceLife follows a worker that has started again under its id before its entry shows
@@ -149,8 +155,10 @@
 )
 
 // noteAbsent ends runs that the worker does not know. Only runs whose fate was settled
-// before the report was asked for count: answers may overtake each other.
-func (t *Term) noteAbsent(w *jobstate.Worker, present map[*jobstate.Run]bool, sent, now time.Time) {
+// before the report was asked for count: answers may overtake each other. It returns whether
+// there were any.
+func (t *Term) noteAbsent(w *jobstate.Worker, present map[*jobstate.Run]bool, sent, now time.Time) bool {
+	before := len(w.Runs)
 	for r := range w.Runs {
 		if present[r] || r.Phase == jobstate.Planned {
 			continue
@@ -165,6 +173,7 @@
 			t.endAbsent(r, jobstate.EndLapsed, now)
 		}
 	}
+	return len(w.Runs) < before
 }
 
 func (t *Term) endAbsent(r *jobstate.Run, how jobstate.End, now time.Time) {
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -36,6 +36,7 @@
 	Placement  placement.Options
 	KeepEnded  time.Duration // how long an ended job stays known
 	StoreBound time.Duration // longest wait for one answer of the store
+	MaxListAge time.Duration // how old the list of workers may be when work is given to them; 0 for any age
 
 	// Bound returns how long to wait for the answer to a write that is tried for the nth time.
 	Bound func(attempt int) time.Duration
@@ -50,6 +51,13 @@
 	// decisionInterval is the least time between two decisions; what arrives meanwhile is
 	// decided and written together, which keeps the writes to the store few.
 	decisionInterval = 10 * time.Millisecond
+	// pauseFactor is how many times as long as a decision took the loop pauses after it, so that
+	// decisions leave most of the processor to orders, reports and callers.
+	pauseFactor = 3
+	// maxDecisionPause bounds that pause.
+	maxDecisionPause = 100 * time.Millisecond
+	// checkInterval is the least time between two checks of all workers and ended jobs.
+	checkInterval = 50 * time.Millisecond
 	// idleInterval is the longest time between two decisions.
 	idleInterval = 250 * time.Millisecond
 	// clockDrift is by how much a worker's clock may be slow.
@@ -80,15 +88,20 @@
 	policy *placement.Policy
 	began  time.Time
 
-	mu       sync.Mutex
-	cluster  *jobstate.Cluster
-	agents   map[string]*agent
-	missing  map[*jobstate.Worker]time.Time // since when a worker has no entry
-	records  map[string]storedRecord        // read at the start, of jobs that are not known yet
-	early    map[string]bool                // cancelled before the job was known
-	finished map[string]bool                // completed, as a former owner has seen
-	nextDue  int64                          // Unix milliseconds of the next occurrence; 0 for none
-	fenced   bool
+	mu        sync.Mutex
+	cluster   *jobstate.Cluster
+	agents    map[string]*agent
+	missing   map[*jobstate.Worker]time.Time // since when a worker has no entry
+	entries   map[string]*workerapi.Entry    // the newest of each listed worker, by id
+	addresses map[string]*jobstate.Worker    // which worker was at an address last; nil before the first entry
+	records   map[string]storedRecord        // read at the start, of jobs that are not known yet
+	early     map[string]bool                // cancelled before the job was known
+	finished  map[string]bool                // completed, as a former owner has seen
+	checkedAt time.Time
+	listedAt  time.Time // as of which the list of workers is known
+	stale     bool      // the list is too old to give work
+	nextDue   int64     // Unix milliseconds of the next occurrence; 0 for none
+	fenced    bool
 
 	asks     chan *jobstate.Step // that wait for advice
 	looks    chan struct{}       // one for each first look at a worker that is under way
@@ -125,6 +138,7 @@
 	return &Term{
 		o: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, missing: map[*jobstate.Worker]time.Time{},
+		entries: map[string]*workerapi.Entry{},
 		records: map[string]storedRecord{}, early: map[string]bool{}, finished: map[string]bool{},
 		looks:     make(chan struct{}, maxFirstLooks),
 		asks:      make(chan *jobstate.Step, maxAdviceQueue),
@@ -241,6 +255,29 @@
 	t.loadOnce.Do(func() { close(t.loaded) })
 }
 
+// WorkersSynced notes that everything is known that workers had written until then.
+func (t *Term) WorkersSynced(asOf time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listedAt = asOf
+	if t.stale {
+		t.kick()
+	}
+}
+
+// checkList notes whether the list of workers is too old to give work: a worker may have said
+// meanwhile that it leaves. The caller holds the lock.
+func (t *Term) checkList(now time.Time) {
+	age := now.Sub(t.listedAt)
+	stale := t.o.MaxListAge > 0 && age > t.o.MaxListAge
+	t.cluster.ListStale = stale
+	if stale == t.stale || t.listedAt.IsZero() {
+		return
+	}
+	t.stale = stale
+	events.Info(t.o.Log, events.WorkersStale, zap.Bool("stale", stale), zap.Duration("age", age), zap.Duration("limit", t.o.MaxListAge))
+}
+
 // Evacuate sets whether the data centre gets no new work.
 func (t *Term) Evacuate(dataCentre string, evacuated bool) {
 	t.mu.Lock()
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -4,6 +4,9 @@
 package jobstate
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -101,6 +104,8 @@
 	Promised   []Promise         // room that was chosen for it then
 	Tickets    map[string]Ticket // by worker; of queues that need advice
 	Asking     bool              // advice is being asked for
+	Measured   bool              // the rate of a run has been measured since the runs were compared
+	NoRoomAt   time.Time         // when no room that is worth its price was found last
 }
 
 // Ticket is what is known of a worker for a step of a queue that needs advice.
@@ -235,6 +240,9 @@
 	Jobs      map[string]*Job
 	Workers   map[string]*Worker
 	Evacuated map[string]bool // data centres
+	ListStale bool            // the list of workers is too old to give work to any
+
+	byID []*Worker // nil after a change of Workers
 }
 
 // New returns an empty cluster.
@@ -242,9 +250,23 @@
 	return &Cluster{Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Evacuated: map[string]bool{}}
 }
 
+// ByID returns the workers in the order of their ids. The caller must not change the slice.
+func (c *Cluster) ByID() []*Worker {
+	if c.byID == nil {
+		c.byID = slices.Collect(maps.Values(c.Workers))
+		slices.SortFunc(c.byID, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return c.byID
+}
+
 // Accepts reports whether new work may go to the worker.
 func (c *Cluster) Accepts(w *Worker, now time.Time) bool {
-	return w.Listed && w.Heard && !w.Draining && !w.Reserved && !w.SilentStored && !c.Evacuated[w.Zone] && !now.Before(w.Suspect)
+	return !c.ListStale && w.Listed && w.Heard && !w.Draining && !w.Reserved && !w.SilentStored && !c.Evacuated[w.Zone] && !now.Before(w.Suspect)
+}
+
+// Leaving reports whether the worker must get no more work because it leaves, or may have said so.
+func (c *Cluster) Leaving(w *Worker) bool {
+	return c.ListStale || !w.Listed || w.Draining || c.Evacuated[w.Zone]
 }
 
 // AddJob adds an accepted job. It returns the known job if the id is known.
--- a/jobstate/rate.go
+++ b/jobstate/rate.go
@@ -26,5 +26,6 @@
 	r.Rate = (percent - r.rateFrom) / interval.Seconds()
 	r.Stalled = percent-r.rateFrom < stalledGain
 	r.Rated = true
+	r.Task.Step.Measured = true
 	r.rateFrom, r.rateSince = percent, now
 }
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -19,6 +19,7 @@
 		c.Drop(w, now)
 	}
 	c.Workers[id] = next
+	c.byID = nil
 	return next
 }
 
@@ -53,6 +54,7 @@
 	}
 	if c.Workers[w.ID] == w {
 		delete(c.Workers, w.ID)
+		c.byID = nil
 	}
 }
 
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -37,8 +37,12 @@
 	// Apply gets each change once, in the order of revisions of a key. first is true for
 	// the changes of the first full read.
 	Apply func(change Change)
-	// Synced is called after each successful call, with the time at which it was sent.
-	Synced func(sent time.Time)
+	// Synced is called after each successful call, with a time as of which everything that was
+	// written is known.
+	Synced func(asOf time.Time)
+	// Reread asks for a full read after a watch that failed: its connection may have gone silent
+	// long before. It suits a range that is small, or whose age matters.
+	Reread bool
 }
 
 // Mirror follows the keys with a prefix. It reads the range once and then watches; after
@@ -50,7 +54,7 @@
 	mu        sync.Mutex
 	revisions map[string]uint64
 	reachable bool
-	contact   time.Time // start of the last call that was answered
+	contact   time.Time // as of which the newest answer was given at least
 }
 
 // NewMirror returns a mirror that Run fills.
@@ -65,7 +69,7 @@
 	return m.reachable
 }
 
-// Contact returns when the last answered call was sent.
+// Contact returns a time as of which the newest answer was given at least.
 func (m *Mirror) Contact() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -87,6 +91,7 @@
 			if errors.Is(err, ErrCompacted) {
 				loaded, err = false, nil
 			}
+			loaded = loaded && (err == nil || !m.o.Reread)
 		}
 		if ctx.Err() != nil {
 			return
@@ -159,6 +164,9 @@
 		m.apply(change)
 		asOf = max(asOf, change.Revision)
 	}
+	if len(changes) == 0 && time.Since(sent) >= waitFor {
+		sent = sent.Add(waitFor) // the store had nothing to say until then
+	}
 	m.synced(sent)
 	return max(after, asOf), nil
 }
@@ -183,12 +191,12 @@
 	m.o.Apply(change)
 }
 
-func (m *Mirror) synced(sent time.Time) {
+func (m *Mirror) synced(asOf time.Time) {
 	m.mu.Lock()
-	m.contact = sent
+	m.contact = asOf
 	m.mu.Unlock()
 	if m.o.Synced != nil {
-		m.o.Synced(sent)
+		m.o.Synced(asOf)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -56,10 +56,11 @@
 
 	Callers, Ready, Peers, Admin net.Listener
 
-	MaxLease  time.Duration // longest lease of a worker
-	Grace     time.Duration // between the order to stop and the end of the process
-	KeepEnded time.Duration // how long an ended job stays known
-	Placement placement.Options
+	MaxLease   time.Duration // longest lease of a worker
+	MaxListAge time.Duration // how old the list of workers may be when work is given to them
+	Grace      time.Duration // between the order to stop and the end of the process
+	KeepEnded  time.Duration // how long an ended job stays known
+	Placement  placement.Options
 
 	Log     *zap.Logger
 	Metrics metrics.Registry
@@ -73,6 +74,9 @@
 	// workersPause is the least time between two reads of the workers' entries, each of which
 	// changes with every heartbeat. It is short beside the time that a worker drains.
 	workersPause = 400 * time.Millisecond
+	// workersWait is how long a watch of these entries may wait. A fleet of some workers writes
+	// more often, so that it bounds the age of what is known when nothing is heard.
+	workersWait = 500 * time.Millisecond
 	// membersPause is the least time between two reads of the instances' entries, which serve
 	// to find peers.
 	membersPause = 3 * time.Second
@@ -169,7 +173,7 @@
 		Store: n.store, Workers: a.Workers, Advisor: a.Advisor, Log: n.log, Metrics: n.o.Metrics, Token: token, Fence: fence,
 		Config: n.operator.config, Wall: time.Now, MaxLease: n.o.MaxLease, Placement: n.o.Placement,
 		InTouch:   func() bool { return n.elector.ConfirmedWithin(jobowner.RenewWithout) },
-		KeepEnded: n.o.KeepEnded, StoreBound: storeBound,
+		KeepEnded: n.o.KeepEnded, StoreBound: storeBound, MaxListAge: n.o.MaxListAge,
 		Bound: n.store.Bound, Outage: n.operator.shared.Load, Completed: n.completedElsewhere,
 	})
 	waves := upkeep.New(upkeep.Options{
@@ -187,8 +191,9 @@
 		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Apply: term.OnIntake, Synced: term.Loaded,
 	})
 	workers := metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: a.WorkersPrefix, Wait: watchWait, Pause: workersPause, Log: n.log,
-		Apply: func(change metastore.Change) { n.onWorker(term, change) },
+		Store: n.store, Prefix: a.WorkersPrefix, Wait: workersWait, Pause: workersPause, Reread: true, Log: n.log,
+		Synced: term.WorkersSynced,
+		Apply:  func(change metastore.Change) { n.onWorker(term, change) },
 	})
 	manage := func(ctx context.Context) {
 		var upkeeping sync.WaitGroup
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -22,6 +22,9 @@
 
 // fitGang finds places for all waiting tasks of the gang.
 func (r *round) fitGang(u *unit, workers []*jobstate.Worker) ([]slot, bool) {
+	if !r.roomForAll(u, workers) {
+		return nil, false
+	}
 	spec := u.step.Spec
 	if !spec.SameRack && spec.DataRack == "" {
 		return r.pack(u, workers)
@@ -35,13 +38,24 @@
 	return r.pack(u, workers)
 }
 
+// roomForAll reports whether all waiting tasks fit on the workers, wherever they are.
+func (r *round) roomForAll(u *unit, workers []*jobstate.Worker) bool {
+	need := len(u.waiting)
+	for _, w := range workers {
+		if need -= countIn(u.step, r.free(w), present(u.step, w)); need <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // bestRack returns places in the rack that is left with the least room. A rack with the
 // data goes first; without SameRack only that one counts.
 func (r *round) bestRack(u *unit, workers []*jobstate.Worker) ([]slot, bool) {
 	spec := u.step.Spec
-	racks := byRack(workers)
+	racks := r.racksOf(u, workers)
 	if spec.DataRack != "" {
-		if slots, ok := r.pack(u, racks[spec.DataRack]); ok {
+		if slots, ok := r.pack(u, inRack(racks, spec.DataRack)); ok {
 			return slots, true
 		}
 		if !r.impatient(u) {
@@ -53,13 +67,13 @@
 	}
 	var best []slot
 	bestRoom := 0
-	for _, rack := range sortedKeys(racks) {
-		slots, ok := r.pack(u, racks[rack])
+	for _, k := range racks {
+		slots, ok := r.pack(u, k.workers)
 		if !ok {
 			continue
 		}
 		room := 0
-		for _, w := range racks[rack] {
+		for _, w := range k.workers {
 			room += r.free(w).Accelerators
 		}
 		if best == nil || room < bestRoom {
@@ -69,21 +83,48 @@
 	return best, best != nil
 }
 
-func byRack(workers []*jobstate.Worker) map[string][]*jobstate.Worker {
-	racks := map[string][]*jobstate.Worker{}
+// rack is the workers of one rack, in the order of their ids.
+type rack struct {
+	name    string
+	workers []*jobstate.Worker
+}
+
+// racksOf groups the workers, which are eligible for the unit, by rack, in the order of names.
+func (r *round) racksOf(u *unit, workers []*jobstate.Worker) []rack {
+	service := u.job.Route.Service
+	if len(workers) < len(r.workers[service]) {
+		return byRack(workers)
+	}
+	if r.racks[service] == nil {
+		r.racks[service] = byRack(workers)
+	}
+	return r.racks[service]
+}
+
+func byRack(workers []*jobstate.Worker) []rack {
+	place := map[string]int{}
+	var racks []rack
 	for _, w := range workers {
-		racks[w.Rack] = append(racks[w.Rack], w)
+		n, known := place[w.Rack]
+		if !known {
+			n = len(racks)
+			place[w.Rack] = n
+			racks = append(racks, rack{name: w.Rack})
+		}
+		racks[n].workers = append(racks[n].workers, w)
 	}
+	slices.SortFunc(racks, func(a, b rack) int { return cmp.Compare(a.name, b.name) })
 	return racks
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
+// inRack returns the workers of the rack with the name.
+func inRack(racks []rack, name string) []*jobstate.Worker {
+	for _, k := range racks {
+		if k.name == name {
+			return k.workers
+		}
 	}
-	slices.Sort(keys)
-	return keys
+	return nil
 }
 
 // pack finds places for all waiting tasks, on the workers with the least room first.
@@ -92,20 +133,18 @@
 		slot
 		left workload.Amount
 	}
+	if !r.roomForAll(u, workers) {
+		return nil, false
+	}
 	candidates := make([]candidate, 0, len(workers))
-	total := 0
 	for _, w := range workers {
 		free := r.free(w)
 		n := countIn(u.step, free, present(u.step, w))
 		if n == 0 {
 			continue
 		}
-		total += n
 		candidates = append(candidates, candidate{slot{w, n}, free})
 	}
-	if total < len(u.waiting) {
-		return nil, false
-	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -40,7 +40,7 @@
 		}
 		for _, o := range j.Occurrences {
 			for _, s := range o.Steps {
-				if s.Active > 0 && !s.Spec.LongRunning {
+				if s.Measured && s.Active > 0 && !s.Spec.LongRunning {
 					r.takeLaggardsOf(s)
 				}
 			}
@@ -50,12 +50,21 @@
 
 func (r *round) takeLaggardsOf(s *jobstate.Step) {
 	var laggards []*jobstate.Run
+	rates := ratesOf(s)
+	s.Measured = false
 	for _, t := range s.Tasks {
 		run := t.Run
-		if run == nil || !r.measured(run) {
+		if run == nil || !run.Rated {
 			continue
 		}
-		if run.Number < maxLagRuns && r.lags(run) {
+		if r.now.Sub(run.StartedAt) < lagObserved {
+			s.Measured = true // to be compared when it has worked long enough
+			continue
+		}
+		if !measured(run) {
+			continue
+		}
+		if run.Number < maxLagRuns && r.lags(run, rates[near(run)]) {
 			laggards = append(laggards, run)
 		} else if run.Stalled && stalled(run.Worker) {
 			r.avoidStalled(run.Worker)
@@ -96,23 +105,36 @@
 	}
 }
 
-// usualRate returns the median rate, in percent a second, of the runs of the step that have
-// their data as near as the run has. ok is false with fewer than two others that were
-// measured.
-func usualRate(run *jobstate.Run) (rate float64, ok bool) {
-	var rates []float64
-	for _, t := range run.Task.Step.Tasks {
-		other := t.Run
-		if other == nil || other == run || !other.Rated || other.Percent >= 100 || near(other) != near(run) {
-			continue
+// minRates is how many others must have been measured before a run is compared with them.
+const minRates = 2
+
+// ratesOf returns the rates, in percent a second and in ascending order, of the step's runs that
+// have been measured, by whether their data is near.
+func ratesOf(s *jobstate.Step) map[bool][]float64 {
+	rates := map[bool][]float64{}
+	for _, t := range s.Tasks {
+		if run := t.Run; run != nil && run.Rated && run.Percent < 100 {
+			rates[near(run)] = append(rates[near(run)], run.Rate)
 		}
-		rates = append(rates, other.Rate)
 	}
-	if len(rates) < 2 {
+	for _, list := range rates {
+		slices.Sort(list)
+	}
+	return rates
+}
+
+// usualRate returns the median of the rates without the run's own, which is one of them. ok is
+// false with fewer than minRates others.
+func usualRate(run *jobstate.Run, rates []float64) (rate float64, ok bool) {
+	others := len(rates) - 1
+	if others < minRates {
 		return 0, false
 	}
-	slices.Sort(rates)
-	return rates[len(rates)/2], true
+	middle := others / 2
+	if own, _ := slices.BinarySearch(rates, run.Rate); own <= middle {
+		middle++
+	}
+	return rates[middle], true
 }
 
 // near reports whether the run is in the rack of its data.
@@ -122,19 +144,20 @@
 }
 
 // measured reports whether the rate of the run is known and its own.
-func (r *round) measured(run *jobstate.Run) bool {
-	if run.Phase != jobstate.Running || !run.Rated || run.Percent >= 100 || r.now.Sub(run.StartedAt) < lagObserved {
+func measured(run *jobstate.Run) bool {
+	if run.Phase != jobstate.Running || !run.Rated || run.Percent >= 100 {
 		return false
 	}
 	return !run.Task.Step.Spec.Filler && run.Pace >= 100 && run.Task.Step.Spec.Estimate > 0
 }
 
-// lags reports whether the run, which has been measured, would end sooner elsewhere.
-func (r *round) lags(run *jobstate.Run) bool {
+// lags reports whether the run, which has been measured, would end sooner elsewhere. rates are
+// those of the step's runs that have their data as near.
+func (r *round) lags(run *jobstate.Run, rates []float64) bool {
 	if run.Stalled {
 		return stalled(run.Worker) && r.stallCostsMore(run)
 	}
-	usual, ok := usualRate(run)
+	usual, ok := usualRate(run, rates)
 	if !ok || run.Rate*slowFactor > usual {
 		return false
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -60,8 +60,10 @@
 	c        *jobstate.Cluster
 	now      time.Time
 	workers  map[string][]*jobstate.Worker // that accept work, by service
+	racks    map[string][]rack             // of these workers; filled when needed
 	reserved map[*jobstate.Worker]workload.Amount
 	plan     Plan
+	losses   map[*jobstate.Worker][]victim // what its runs would lose, cheapest first
 
 	freeAccelerators int
 	reservations     int // steps that are not urgent and have room reserved
@@ -70,21 +72,20 @@
 // Decide plans starts and stops. guarantee returns the guaranteed accelerators of a
 // workspace.
 func (p *Policy) Decide(c *jobstate.Cluster, guarantee func(workspace string) int, now time.Time) Plan {
-	r := &round{Policy: p, c: c, now: now, reserved: map[*jobstate.Worker]workload.Amount{}}
+	r := &round{Policy: p, c: c, now: now,
+		reserved: map[*jobstate.Worker]workload.Amount{}, losses: map[*jobstate.Worker][]victim{}}
 	r.takeLaggards()
 	units := r.units(guarantee)
 	if len(units) == 0 {
 		return r.plan
 	}
 	r.workers = map[string][]*jobstate.Worker{}
-	for _, w := range c.Workers {
+	r.racks = map[string][]rack{}
+	for _, w := range c.ByID() {
 		if c.Accepts(w, now) {
 			r.workers[w.Service] = append(r.workers[w.Service], w)
 		}
 	}
-	for _, ws := range r.workers {
-		slices.SortFunc(ws, func(a, b *jobstate.Worker) int { return cmp.Compare(a.ID, b.ID) })
-	}
 	r.measure()
 	for n := range units {
 		r.serve(&units[n])
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -14,6 +14,9 @@
 	// reclaimSlack is how much longer than a stop takes a step waits for the runs that were
 	// stopped for it before others are stopped too.
 	reclaimSlack = 300 * time.Millisecond
+	// reclaimInterval is the least time between two searches for room that a step could reclaim,
+	// which look at every run of less urgent jobs.
+	reclaimInterval = 50 * time.Millisecond
 	// batchPatience is how long a step that is not urgent waits before room is reserved.
 	batchPatience = time.Second
 	// maxReservations bounds the steps that are not urgent and have room reserved: reserved
@@ -39,8 +42,14 @@
 	if u.priority > 0 && (r.now.Sub(u.step.ReadyAt) < batchPatience || r.reservations >= maxReservations) {
 		return
 	}
+	if r.now.Sub(u.step.NoRoomAt) < reclaimInterval {
+		r.keepReservation(u)
+		return
+	}
 	targets, loss := r.cheapest(u, workers)
 	if targets == nil {
+		u.step.NoRoomAt = r.now
+		u.step.Promised = nil
 		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "no room that could be reclaimed"})
 		return
 	}
@@ -53,6 +62,7 @@
 		r.reservations++
 	}
 	if loss > lossLimit(u) {
+		u.step.NoRoomAt = r.now
 		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "room is reserved; stopping what runs there would cost too much"})
 		return
 	}
@@ -64,6 +74,17 @@
 	u.step.Reclaimed = r.now
 }
 
+// keepReservation keeps the room that was chosen for a unit that waits for it to become free.
+func (r *round) keepReservation(u *unit) {
+	if len(u.step.Promised) == 0 {
+		return
+	}
+	r.reserve(u.step)
+	if u.priority > 0 {
+		r.reservations++
+	}
+}
+
 // stopBound is how long a stop takes at most when no order and no answer is lost.
 func (r *round) stopBound() time.Duration { return r.o.StopTimeout + reclaimSlack }
 
@@ -147,9 +168,8 @@
 	if u.step.Spec.Gang && u.step.Spec.SameRack && (u.priority > 0 || r.now.Sub(u.step.WaitsSince) < spreadAfter) {
 		var best []target
 		bestCost := 0.0
-		racks := byRack(workers)
-		for _, rack := range sortedKeys(racks) {
-			targets, cost := r.targets(u, racks[rack])
+		for _, k := range r.racksOf(u, workers) {
+			targets, cost := r.targets(u, k.workers)
 			if targets != nil && (best == nil || cost < bestCost) {
 				best, bestCost = targets, cost
 			}
@@ -238,18 +258,37 @@
 
 // victims returns the runs on the worker that may be stopped for the unit, cheapest first.
 func (r *round) victims(u *unit, w *jobstate.Worker, stopped map[*jobstate.Run]bool) []victim {
+	all, known := r.losses[w]
+	if !known {
+		all = r.lossesOn(w)
+		r.losses[w] = all
+	}
 	var list []victim
-	for run := range w.Runs {
-		if stopped[run] || run.Phase == jobstate.Stopping || run.Phase == jobstate.Planned || run.Task.Run != run {
+	for _, v := range all {
+		run := v.run
+		if stopped[run] || run.Phase == jobstate.Stopping || run.Task.Step.Occurrence.Job.Route.Priority <= u.priority {
 			continue
 		}
-		if run.Task.Step.Occurrence.Job.Route.Priority <= u.priority || run.Task.Step.Spec.LongRunning {
-			continue // what serves users of its own is not taken away
+		list = append(list, v)
+	}
+	return list
+}
+
+// lossesOn returns the runs on the worker that may be stopped for more urgent ones, cheapest
+// first. What serves users of its own is not taken away.
+func (r *round) lossesOn(w *jobstate.Worker) []victim {
+	var list []victim
+	for run := range w.Runs {
+		if run.Phase == jobstate.Stopping || run.Phase == jobstate.Planned || run.Task.Run != run || run.Task.Step.Spec.LongRunning {
+			continue
 		}
 		list = append(list, victim{run, r.lossOf(run)})
 	}
 	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.run.Task.Name().String(), b.run.Task.Name().String()))
+		if d := cmp.Compare(a.cost, b.cost); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.run.Task.Name().String(), b.run.Task.Name().String())
 	})
 	return list
 }
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
@@ -114,6 +115,12 @@
 	Leaves   time.Duration // a draining worker stays at least that long
 }
 
+// Equal reports whether both entries say the same.
+func (e *Entry) Equal(o *Entry) bool {
+	return e.Worker == o.Worker && e.Life == o.Life && e.Service == o.Service && e.Zone == o.Zone && e.Rack == o.Rack &&
+		e.Capacity == o.Capacity && e.Draining == o.Draining && e.Leaves == o.Leaves && slices.Equal(e.Labels, o.Labels)
+}
+
 // Advisor knows which workers may run the steps of queues whose policy excludes some.
 type Advisor interface {
 	// Advise returns tickets, by worker, for those of the named workers that may run the
