ownership: strong instances go first, a weak owner yields

Change: an instance's entry says its share of a core; one with less than 0.6 of the strongest waits 0.4 s more, unless that one has just ceased to be the owner; a weak owner hands over to a strong instance after 3 s, at most every 30 s.

--- a/node/node.go
+++ b/node/node.go
@@ -73,10 +73,10 @@
 	watchWait = 2 * time.Second
 	// workersPause is the least time between two reads of the workers' entries, each of which
 	// changes with every heartbeat. It is short beside the time that a worker drains.
-	workersPause = 400 * time.Millisecond
+	workersPause = 300 * time.Millisecond
 	// workersWait is how long a watch of these entries may wait. A fleet of some workers writes
 	// more often, so that it bounds the age of what is known when nothing is heard.
-	workersWait = 500 * time.Millisecond
+	workersWait = 300 * time.Millisecond
 	// membersPause is the least time between two reads of the instances' entries, which serve
 	// to find peers.
 	membersPause = 3 * time.Second
@@ -112,8 +112,8 @@
 	n.store = metastore.NewMonitor(o.Adapter.Store)
 	n.operator = newOperator(n)
 	n.elector = ownership.New(ownership.Options{
-		Store: n.store, Self: ownership.Instance{Name: o.Instance, Address: o.Peers.Addr().String()},
-		CPUShare: o.CPUShare, Log: o.Log, Lead: n.lead,
+		Store: n.store, Self: ownership.Instance{Name: o.Instance, Address: o.Peers.Addr().String(), CPUShare: o.CPUShare},
+		Log: o.Log, Lead: n.lead,
 		Bound: n.store.Bound, CutOff: n.operator.elsewhere.Load, DeposeElsewhere: n.deposeElsewhere,
 	})
 	n.owner = metastore.NewMirror(metastore.MirrorOptions{
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -45,6 +45,17 @@
 	instanceTTL = 10 * time.Second
 	// instanceInterval is the time between renewals of an instance's own entry.
 	instanceInterval = 3 * time.Second
+	// strongShare is the share of the strongest instance's processor from which an instance
+	// counts as strong: a weak one spends all that it has on the jobs of a large fleet.
+	strongShare = 0.6
+	// weakDelay is how long weak instances leave the election to strong ones. It covers the time
+	// in which the news of a vacancy reaches all and the spread of the candidates.
+	weakDelay = 400 * time.Millisecond
+	// yieldAfter is how long a weak owner serves before it hands over to a strong instance,
+	// and yieldInterval the least time between two such hand-overs: a strong one that is listed
+	// may not be able to serve.
+	yieldAfter    = 3 * time.Second
+	yieldInterval = 30 * time.Second
 	// handicap delays the candidacy of an instance, divided by its share of a core, so that
 	// instances on strong machines win.
 	handicap = 8 * time.Millisecond
@@ -61,8 +72,12 @@
 type Instance struct {
 	Name    string `json:"name"`
 	Address string `json:"address"` // for calls of other instances
+	// CPUShare is the cores that the instance may use; 0 if it is not known.
+	CPUShare float64 `json:"cpu,omitempty"`
 }
 
+func (i Instance) same(o Instance) bool { return i.Name == o.Name && i.Address == o.Address }
+
 // Owner is the elected instance.
 type Owner struct {
 	Instance
@@ -76,10 +91,9 @@
 
 // Options configures an Elector.
 type Options struct {
-	Store    metastore.Store
-	Self     Instance
-	CPUShare float64 // cores that this instance may use
-	Log      *zap.Logger
+	Store metastore.Store
+	Self  Instance
+	Log   *zap.Logger
 	// Bound returns how long to wait for the answer to a call that is tried for the nth time.
 	Bound func(attempt int) time.Duration
 	// CutOff reports whether the store answers a peer and does not answer this instance.
@@ -95,10 +109,12 @@
 	o Options
 
 	mu        sync.Mutex
-	known     bool // the members were read at least once
+	known     bool // the owner was read at least once
 	owner     Owner
 	instances map[string]Instance
+	left      string    // the last owner, unless it has announced itself since
 	confirmed time.Time // when the newest successful renewal was sent
+	yieldedAt time.Time // when this instance last gave the ownership to a stronger one
 	wake      chan struct{}
 }
 
@@ -126,10 +142,16 @@
 		return
 	}
 	e.instances[change.Key] = i
+	if i.Name == e.left {
+		e.left = ""
+	}
 }
 
 func (e *Elector) applyOwner(change metastore.Change) {
 	if change.Removed {
+		if e.owner.Token != 0 {
+			e.left = e.owner.Name
+		}
 		e.owner = Owner{}
 		return
 	}
@@ -209,12 +231,47 @@
 	}
 }
 
+// delay returns how long this instance waits before it stands.
 func (e *Elector) delay() time.Duration {
-	share := max(e.o.CPUShare, 0.05)
+	share := max(e.o.Self.CPUShare, 0.05)
 	e.mu.Lock()
 	spread := max(minJitter, jitterPerPeer*time.Duration(len(e.instances)))
+	weak := e.isWeak()
 	e.mu.Unlock()
-	return time.Duration(float64(handicap)/share) + rand.N(spread)
+	wait := time.Duration(float64(handicap)/share) + rand.N(spread)
+	if weak {
+		wait += weakDelay
+	}
+	return wait
+}
+
+// isWeak reports whether a much stronger instance is listed, other than one that has just ceased
+// to be the owner. The caller holds the lock.
+func (e *Elector) isWeak() bool {
+	strongest := 0.0
+	for _, i := range e.instances {
+		if i.Name != e.left {
+			strongest = max(strongest, i.CPUShare)
+		}
+	}
+	return e.o.Self.CPUShare < strongShare*strongest
+}
+
+// yieldWhenWeak ends the term of a weak instance when a strong one is listed.
+func (e *Elector) yieldWhenWeak(ctx context.Context, stop context.CancelFunc, token uint64) {
+	for wait.For(ctx, yieldAfter) {
+		e.mu.Lock()
+		yields := e.isWeak() && (e.yieldedAt.IsZero() || time.Since(e.yieldedAt) >= yieldInterval)
+		if yields {
+			e.yieldedAt = time.Now()
+		}
+		e.mu.Unlock()
+		if yields {
+			events.Info(e.o.Log, events.TermOver, zap.Uint64("token", token), zap.String("reason", "a much stronger instance is listed"))
+			stop()
+			return
+		}
+	}
 }
 
 func (e *Elector) vacant() bool {
@@ -228,7 +285,7 @@
 func (e *Elector) leftBehind() (token uint64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.owner.Token, e.owner.Token != 0 && e.owner.Instance == e.o.Self
+	return e.owner.Token, e.owner.Token != 0 && e.owner.same(e.o.Self)
 }
 
 // endLeftBehind ends an ownership that nobody exercises, so that nobody waits for its lease.
@@ -324,6 +381,7 @@
 	var renewing sync.WaitGroup
 	renewing.Go(func() { e.renew(term, stop, lease, token) })
 	renewing.Go(func() { e.stopWhenCutOff(term, stop, token) })
+	renewing.Go(func() { e.yieldWhenWeak(term, stop, token) })
 	e.o.Lead(term, token, metastore.Condition{Key: ownerKey, Revision: token})
 	stop()
 	renewing.Wait()
