placement: runs are taken off workers that leave

Change: a run that cannot end before its worker leaves is stopped, at once, or as late as possible if it checkpoints; a gang as a whole. What can end, by its rate or its estimate, goes on.

--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -28,7 +28,7 @@
 	w.Address, w.Service, w.Zone, w.Rack = e.Worker.Address, e.Service, e.Zone, e.Rack
 	w.Labels, w.Capacity = e.Labels, e.Capacity
 	w.Listed = true
-	if e.Draining && !w.Draining {
+	if e.Draining && (!w.Draining || e.Leaves > 0) {
 		w.LeavesAt = now.Add(e.Leaves)
 	}
 	w.Draining = e.Draining
--- a/jobstate/rate.go
+++ b/jobstate/rate.go
@@ -29,3 +29,12 @@
 	r.Task.Step.Measured = true
 	r.rateFrom, r.rateSince = percent, now
 }
+
+// Left returns how long the run will work on if it keeps its rate. ok is false if that is not known.
+func (r *Run) Left(now time.Time) (left time.Duration, ok bool) {
+	if !r.Rated || r.Rate <= 0 {
+		return 0, false
+	}
+	seconds := (100 - r.rateFrom) / r.Rate
+	return max(0, time.Duration(seconds*float64(time.Second))-now.Sub(r.rateSince)), true
+}
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -17,6 +17,9 @@
 	// answerSlack is how much longer than its wait a watch may take before its connection
 	// is taken for dead. It covers a store that answers 60 times slower than its 4 ms.
 	answerSlack = 900 * time.Millisecond
+	// rereadSlack is the same for a range that is read again when a watch fails, at first; it
+	// doubles with each failure.
+	rereadSlack = 300 * time.Millisecond
 	// firstWait is how long the first watch after a failure waits.
 	firstWait = 10 * time.Millisecond
 	// retryPause is the pause after a failed call. Calls are priced, refused ones too.
@@ -40,8 +43,8 @@
 	// Synced is called after each successful call, with a time as of which everything that was
 	// written is known.
 	Synced func(asOf time.Time)
-	// Reread asks for a full read after a watch that failed: its connection may have gone silent
-	// long before. It suits a range that is small, or whose age matters.
+	// Reread asks for a full read at once after a watch that failed, which is then noticed sooner:
+	// its connection may have gone silent. It suits a range that is small and whose age matters.
 	Reread bool
 }
 
@@ -81,13 +84,15 @@
 	var after uint64
 	loaded := false
 	failures := 0
+	misses := 0 // watches in a row without an answer
 	for ctx.Err() == nil {
 		var err error
 		if !loaded {
 			after, err = m.load(ctx)
 			loaded = err == nil
 		} else {
-			after, err = m.watch(ctx, after)
+			after, err = m.watch(ctx, after, m.slack(misses))
+			misses = nextMisses(misses, err)
 			if errors.Is(err, ErrCompacted) {
 				loaded, err = false, nil
 			}
@@ -105,11 +110,29 @@
 			continue
 		}
 		failures++
+		if m.o.Reread && failures == 1 {
+			continue
+		}
 		pause := min(retryPause*time.Duration(failures), maxRetryPause)
 		wait.For(ctx, pause/2+rand.N(pause))
 	}
 }
 
+// slack returns how much longer than its wait a watch may take after a number of misses in a row.
+func (m *Mirror) slack(misses int) time.Duration {
+	if !m.o.Reread {
+		return answerSlack
+	}
+	return min(rereadSlack<<min(misses, 4), answerSlack)
+}
+
+func nextMisses(misses int, err error) int {
+	if err == nil || errors.Is(err, ErrCompacted) {
+		return 0
+	}
+	return misses + 1
+}
+
 func (m *Mirror) load(ctx context.Context) (uint64, error) {
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, m.o.Wait+answerSlack)
@@ -148,13 +171,13 @@
 	return keys
 }
 
-func (m *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
+func (m *Mirror) watch(ctx context.Context, after uint64, slack time.Duration) (uint64, error) {
 	sent := time.Now()
 	waitFor := m.o.Wait
 	if !m.Reachable() {
 		waitFor = firstWait // to learn soon that the store is back
 	}
-	call, cancel := context.WithTimeout(ctx, waitFor+answerSlack)
+	call, cancel := context.WithTimeout(ctx, waitFor+slack)
 	defer cancel()
 	changes, asOf, err := m.o.Store.Watch(call, m.o.Prefix, after, waitFor)
 	if err != nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -75,6 +75,7 @@
 	r := &round{Policy: p, c: c, now: now,
 		reserved: map[*jobstate.Worker]workload.Amount{}, losses: map[*jobstate.Worker][]victim{}}
 	r.takeLaggards()
+	r.emptyLeaving()
 	units := r.units(guarantee)
 	if len(units) == 0 {
 		return r.plan
