placement: a worker that failed a run is avoided, then tried with small work first

A worker was avoided only after two failures in a row, and a gang was what tried it again. Change: one failure makes a pause of 2 s, doubled with each failure after a pause; for 6 s after it a worker that has ended nothing as done since gets neither urgent work nor gangs. Test: placement.TestUrgentGangsLeaveWorkersThatFail (fails with the former rule).

--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/placement"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
@@ -124,36 +125,12 @@
 	}
 	events.Info(t.o.Log, events.RunEnded, zap.String("task", e.Task), zap.Int("run", e.Run), zap.String("worker", r.Worker.ID),
 		zap.String("how", string(e.How)), zap.Duration("after", now.Sub(r.StartedAt)))
-	t.judge(r, e.How, now)
-	t.cluster.End(r, e.How, e.Checkpoint, now)
-}
-
-// judge keeps count of failures of the worker that follow each other.
-func (t *Term) judge(r *jobstate.Run, how jobstate.End, now time.Time) {
-	w := r.Worker
-	switch how {
-	case jobstate.EndDone:
-		w.FailStreak, w.LagStreak = 0, 0
-	case jobstate.EndFailed:
-		w.FailStreak++
-		if w.FailStreak >= failuresToAvoid {
-			pause := min(avoidPause<<(w.FailStreak-failuresToAvoid), maxAvoidPause)
-			w.Suspect = later(w.Suspect, now.Add(pause))
-			events.Warn(t.o.Log, events.WorkerAvoided, zap.String("worker", w.ID), zap.Int("failures", w.FailStreak), zap.Duration("for", pause))
-		}
+	if pause := placement.NoteEnd(r, e.How, now); pause > 0 {
+		events.Warn(t.o.Log, events.WorkerAvoided, zap.String("worker", r.Worker.ID), zap.Int("failures", r.Worker.FailStreak), zap.Duration("for", pause))
 	}
+	t.cluster.End(r, e.How, e.Checkpoint, now)
 }
 
-const (
-	// failuresToAvoid is how many failed runs in a row make a worker suspect.
-	failuresToAvoid = 2
-	// avoidPause is how long a suspect worker gets no work at first; it doubles with each
-	// further failure.
-	avoidPause = 2 * time.Second
-	// maxAvoidPause bounds the pause.
-	maxAvoidPause = 16 * time.Second
-)
-
 // noteAbsent ends runs that the worker does not know. Only runs whose fate was settled
 // before the report was asked for count: answers may overtake each other. It returns whether
 // there were any.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -256,7 +256,11 @@
 func (r *round) eligible(u *unit) []*jobstate.Worker {
 	spec := u.step.Spec
 	var list []*jobstate.Worker
+	careful := spec.Gang || u.priority == 0
 	for _, w := range r.workers[u.job.Route.Service] {
+		if careful && onProbation(w, r.now) {
+			continue
+		}
 		if w.HasLabel(spec.Label) && spec.Room().Fits(w.Capacity) && u.step.Admits(w, r.now) {
 			list = append(list, w)
 		}
--- a/placement/sick_test.go
+++ b/placement/sick_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/placement"
 )
 
 // Load: a gang whose worker fails, beside work that can be reclaimed. Guards against a gang
@@ -79,3 +80,50 @@
 	w.stopped(other)
 	assert.Len(t, w.run(0).Starts, 1)
 }
+
+// Load: a tenth of the workers fail everything they start, at good health, while urgent gangs come.
+// Guards against gangs that start again and again on the same workers until their attempts are used
+// up, and against a worker that is avoided for good after one failure.
+func TestUrgentGangsLeaveWorkersThatFail(t *testing.T) {
+	w := newWorld(4, 5)
+	sick := map[*jobstate.Worker]bool{w.c.Workers["r0-0"]: true, w.c.Workers["r2-1"]: true}
+	failed := map[*jobstate.Job]int{}
+	for n := range 60 {
+		if n%4 == 0 {
+			w.submit(urgent, "a", gang(3, 8, 800*time.Millisecond))
+		}
+		w.run(200 * time.Millisecond)
+		for _, worker := range w.c.ByID() {
+			for r := range worker.Runs {
+				j := r.Task.Step.Occurrence.Job
+				switch {
+				case sick[worker]:
+					placement.NoteEnd(r, jobstate.EndFailed, w.now)
+					failed[j]++
+					for _, task := range r.Task.Step.Tasks {
+						if task.Run != nil && task.Run != r {
+							w.c.End(task.Run, jobstate.EndBroken, "", w.now)
+						}
+					}
+					w.c.End(r, jobstate.EndFailed, "", w.now)
+				case w.now.Sub(r.Since) >= 800*time.Millisecond:
+					placement.NoteEnd(r, jobstate.EndDone, w.now)
+					w.c.End(r, jobstate.EndDone, "", w.now)
+				}
+			}
+		}
+	}
+	total := 0
+	for j, n := range failed {
+		assert.Less(t, n, 3, "attempts of %s", j.Submission.ID)
+		total += n
+	}
+	assert.LessOrEqual(t, total, 6, "in 12 seconds each sick worker is tried by a gang at most three times")
+	w.submit(batch, "b", step(1, 8, time.Second))
+	run := w.run(0).Starts[0]
+	placement.NoteEnd(run, jobstate.EndFailed, w.now)
+	assert.True(t, run.Worker.Suspect.After(w.now))
+	w.now = w.now.Add(10 * time.Second)
+	w.submit(urgent, "a", step(20, 8, time.Second))
+	assert.Len(t, w.run(0).Starts, 19, "all but the one that runs something")
+}
