internal/contain: an unexpected error ends its call or round, not the process

Operators of similar systems lost whole processes to one malformed message. Looked for it here: nothing contained a panic outside net/http; a panic in a report, a change of the store, a decision or a call of a peer ended the process. A submission could ask for any number of steps of 10,000 tasks, or of occurrences that are all due, which an owner held in memory at once. Change: contain.Guard around calls, changes, reports, orders, decisions and background loops (event 515, counter panics.contained); a decision that fails ends the term, whose successor reads the state anew. Submissions are bounded (20,000 tasks, 100,000 occurrences, amounts to 2^30), and no more tasks than that are open at once. An empty key belongs to nobody.

--- a/events/events.go
+++ b/events/events.go
@@ -93,6 +93,7 @@
 	LinesDropped         ID = 511
 	ConfigInForce        ID = 512
 	ConfigUnreadable     ID = 513
+	PanicContained       ID = 515
 	ReadinessChanged     ID = 514
 )
 
@@ -187,6 +188,7 @@
 	LinesDropped:         {"LinesDropped", "log lines dropped"},
 	ConfigInForce:        {"ConfigInForce", "configuration in force"},
 	ConfigUnreadable:     {"ConfigUnreadable", "configuration not understood"},
+	PanicContained:       {"PanicContained", "unexpected error contained"},
 	ReadinessChanged:     {"ReadinessChanged", "readiness changed"},
 }
 
--- a/jobfront/jobfront.go
+++ b/jobfront/jobfront.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
+	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
@@ -48,6 +49,7 @@
 	Config func() (*workload.Config, time.Time)
 	// Outage returns for how long the store has not answered this instance; 0 if it does.
 	Outage  func() time.Duration
+	Guard   *contain.Guard // contains panics of calls; may be nil
 	Log     *zap.Logger
 	Metrics metrics.Registry
 }
@@ -92,7 +94,9 @@
 		w.WriteHeader(http.StatusMethodNotAllowed)
 		return
 	}
-	handler.ServeHTTP(w, r)
+	if err := s.o.Guard.Do("call of a client", func() { handler.ServeHTTP(w, r) }); err != nil {
+		w.WriteHeader(s.o.Wire.Status(errkind.Internal)) // has no effect after an answer
+	}
 }
 
 // call is a request on its way through the filters.
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -94,10 +94,15 @@
 			return
 		case a.t.looks <- struct{}{}:
 		}
-		if err := a.hold(ctx); err != nil && ctx.Err() == nil {
-			a.t.o.Log.Debug("first look failed", zap.String("worker", a.worker.ID), zap.Error(err))
-		}
+		fault := a.t.o.Guard.Do("report of "+a.worker.ID, func() {
+			if err := a.hold(ctx); err != nil && ctx.Err() == nil {
+				a.t.o.Log.Debug("first look failed", zap.String("worker", a.worker.ID), zap.Error(err))
+			}
+		})
 		<-a.t.looks
+		if fault != nil {
+			a.rest(ctx, holdWait)
+		}
 	}
 	for ctx.Err() == nil {
 		if !a.wanted() {
@@ -105,7 +110,12 @@
 			continue
 		}
 		a.awaitStored(ctx)
-		if err := a.hold(ctx); err != nil && ctx.Err() == nil && a.isSilent() {
+		var err error
+		if fault := a.t.o.Guard.Do("report of "+a.worker.ID, func() { err = a.hold(ctx) }); fault != nil {
+			a.rest(ctx, holdWait)
+			continue
+		}
+		if err != nil && ctx.Err() == nil && a.isSilent() {
 			a.rest(ctx, holdRetryPause)
 		}
 	}
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
@@ -41,6 +42,7 @@
 
 	advisor workerapi.Advisor // nil if no queue needs advice
 	outage  atomic.Bool       // the store answers no instance
+	faulty  atomic.Bool       // reading the configuration panics
 
 	mu        sync.Mutex
 	evacuated map[string]bool // data centres
@@ -83,11 +85,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &candidate{client: s.store.NewClient(), cancel: cancel, done: make(chan struct{})}
 	log := testLog()
+	guard := contain.New(log, metrics.NewRegistry())
 	var elector *ownership.Elector
 	lead := func(ctx context.Context, token uint64, fence metastore.Condition) {
 		term := jobowner.New(jobowner.Options{
 			Store: c.client, Workers: s.fleet, Advisor: s.advisor, Log: log, Metrics: metrics.NewRegistry(), Token: token, Fence: fence,
-			Config: func() *workload.Config { return s.config }, Wall: time.Now, MaxLease: testplatform.MaxLease,
+			Config: s.readConfig, Guard: guard, Wall: time.Now, MaxLease: testplatform.MaxLease,
 			InTouch:   func() bool { return elector.ConfirmedWithin(jobowner.RenewWithout) },
 			Placement: placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
 			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond, MaxListAge: maxListAge,
@@ -102,7 +105,7 @@
 		}
 		s.mu.Unlock()
 		mirror := func(prefix string, apply func(metastore.Change), synced func(time.Time)) func(context.Context) {
-			return metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: prefix, Wait: 2 * time.Second, Log: log, Apply: apply, Synced: synced}).Run
+			return metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: prefix, Wait: 2 * time.Second, Log: log, Guard: guard, Apply: apply, Synced: synced}).Run
 		}
 		workers := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: workersPrefix, Wait: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Reread: true, Log: log, Synced: term.WorkersSynced, Apply: func(change metastore.Change) {
 			id := change.Key[len(workersPrefix):]
@@ -134,6 +137,13 @@
 	return c
 }
 
+func (s *system) readConfig() *workload.Config {
+	if s.faulty.Load() {
+		panic("malformed configuration")
+	}
+	return s.config
+}
+
 // kill ends an instance at once: the store and the workers get nothing more from it.
 func (s *system) kill(name string) {
 	s.mu.Lock()
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -55,15 +55,31 @@
 // cycle makes one decision and carries it out. It returns whether more is to be written, and how
 // long the decision took.
 func (t *Term) cycle(ctx context.Context) (again bool, took time.Duration) {
-	now := time.Now()
+	began := time.Now()
+	var batch *batch
+	if err := t.o.Guard.Do("decision", func() { batch, again = t.decide(ctx, began) }); err != nil {
+		t.over("a decision failed") // what it left half done is read anew from the store
+		return false, 0
+	}
+	took = time.Since(began)
+	t.decisions.Update(took.Microseconds())
+	if batch.empty() || !t.commit(ctx, batch) {
+		return false, took
+	}
+	t.committed(ctx, batch)
+	return again, took
+}
+
+// decide brings the state up to date, plans, and gives the orders that need no write first. It
+// returns the records to be written, and whether there are more.
+func (t *Term) decide(ctx context.Context, now time.Time) (*batch, bool) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.housekeep(now)
 	t.checkList(now)
 	plan := t.policy.Decide(t.cluster, t.guarantee, now)
 	stops := t.runsToStop(now)
 	batch, more := t.nextBatch()
-	took = time.Since(now)
-	t.decisions.Update(took.Microseconds())
 	t.logPlan(plan)
 	t.askAdvice(plan.Asks)
 	for _, run := range stops {
@@ -72,12 +88,7 @@
 	if batch.empty() {
 		batch.acknowledge() // ends that changed nothing that has to be stored
 	}
-	t.mu.Unlock()
-	if batch.empty() || !t.commit(ctx, batch) {
-		return false, took
-	}
-	t.committed(ctx, batch)
-	return more, took
+	return batch, more
 }
 
 func (t *Term) guarantee(workspace string) int {
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -64,7 +64,9 @@
 	t.tasks.Add(1)
 	go func() {
 		defer t.tasks.Done()
-		t.start(ctx, a, r, order)
+		if err := t.o.Guard.Do("start of "+order.Task, func() { t.start(ctx, a, r, order) }); err != nil {
+			t.startUncertain(ctx, a, r, err)
+		}
 	}()
 }
 
@@ -137,11 +139,7 @@
 		report, err := t.o.Workers.Hold(call, target, order)
 		cancel()
 		if err == nil {
-			t.mu.Lock()
-			if t.agents[a.worker.ID] == a {
-				a.apply(report, sent)
-			}
-			t.mu.Unlock()
+			t.takeReport(a, report, sent)
 			return
 		}
 		if !r.Task.Step.Spec.LongRunning {
@@ -151,6 +149,14 @@
 	}
 }
 
+func (t *Term) takeReport(a *agent, report workerapi.Report, sent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.agents[a.worker.ID] == a {
+		a.apply(report, sent)
+	}
+}
+
 func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -218,7 +224,7 @@
 	t.tasks.Add(1)
 	go func() {
 		defer t.tasks.Done()
-		t.stop(ctx, a, r, order)
+		t.o.Guard.Loop(ctx, "stop of "+order.Task, func(ctx context.Context) { t.stop(ctx, a, r, order) })
 	}()
 }
 
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 	"github.com/cyclamenyard/cyclamenyard/placement"
@@ -26,6 +27,7 @@
 	Advisor workerapi.Advisor // may be nil if no queue needs advice
 	Log     *zap.Logger
 	Metrics metrics.Registry
+	Guard   *contain.Guard // contains panics of rounds, reports and orders
 
 	Token      uint64              // fencing token of the term
 	Fence      metastore.Condition // holds as long as the term is not over
@@ -182,7 +184,7 @@
 	t.tasks.Add(1)
 	go func() {
 		defer t.tasks.Done()
-		f(ctx)
+		t.o.Guard.Loop(ctx, "loop of the term", f)
 	}()
 }
 
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -307,8 +307,12 @@
 // OpenDue opens the occurrences that are due at the time of day. It returns when the next
 // one is due, or 0.
 func (j *Job) OpenDue(wall int64, now time.Time) int64 {
-	for k := len(j.Occurrences); k < j.Submission.Times(); k++ {
-		if due := j.Submission.Due(k); due > wall {
+	each := 0
+	for n := range j.Submission.Steps {
+		each += j.Submission.Steps[n].Tasks
+	}
+	for k, open := len(j.Occurrences), j.openTasks(); k < j.Submission.Times(); k, open = k+1, open+each {
+		if due := j.Submission.Due(k); due > wall || open >= workload.MaxJobTasks {
 			return due
 		}
 		j.Open(k, now)
@@ -316,6 +320,21 @@
 	return 0
 }
 
+// openTasks returns the tasks of the occurrences that have been opened and are not done. As many as
+// one occurrence may have at most are open at a time; further ones wait.
+func (j *Job) openTasks() int {
+	n := 0
+	for _, o := range j.Occurrences {
+		if o.Done() {
+			continue
+		}
+		for _, s := range o.Steps {
+			n += len(s.Tasks)
+		}
+	}
+	return n
+}
+
 // Place plans a run of the task on the worker.
 func (c *Cluster) Place(t *Task, w *Worker, number int, now time.Time) *Run {
 	r := &Run{Task: t, Number: number, Worker: w, Phase: Planned, Since: now, Pace: 100}
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -102,7 +102,7 @@
 		return
 	}
 	for _, tr := range r.Tasks {
-		if tr.Index >= len(s.Tasks) {
+		if tr.Index < 0 || tr.Index >= len(s.Tasks) {
 			continue
 		}
 		t := s.Tasks[tr.Index]
--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -7,9 +7,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"go.uber.org/zap"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 )
@@ -262,3 +264,30 @@
 		})
 	}
 }
+
+// Guards against one change that cannot be taken in and ends the process, or holds up the others.
+func TestMirrorGoesOnAfterAMalformedChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testplatform.NewStore()
+		ctx, cancel := context.WithCancel(context.Background())
+		var applied []string
+		m := metastore.NewMirror(metastore.MirrorOptions{Store: store.NewClient(), Prefix: "a/", Wait: time.Second, Log: zap.NewNop(),
+			Guard: contain.New(zap.NewNop(), metrics.NewRegistry()), Apply: func(c metastore.Change) {
+				if string(c.Value) == "malformed" {
+					panic(c.Key)
+				}
+				applied = append(applied, c.Key)
+			}})
+		done := make(chan struct{})
+		go func() { m.Run(ctx); close(done) }()
+		store.Put("a/1", []byte("x"))
+		store.Put("a/2", []byte("malformed"))
+		time.Sleep(time.Second)
+		store.Put("a/3", []byte("malformed"))
+		store.Put("a/4", []byte("x"))
+		time.Sleep(time.Second)
+		cancel()
+		<-done
+		assert.Equal(t, []string{"a/1", "a/4"}, applied)
+	})
+}
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 )
 
@@ -46,6 +47,8 @@
 	// Reread asks for a full read at once after a watch that failed, which is then noticed sooner:
 	// its connection may have gone silent. It suits a range that is small and whose age matters.
 	Reread bool
+	// Guard contains panics of Apply: one change that it cannot take does not hold up the others.
+	Guard *contain.Guard
 }
 
 // Mirror follows the keys with a prefix. It reads the range once and then watches; after
@@ -211,7 +214,9 @@
 	if change.Removed && !ok {
 		return
 	}
-	m.o.Apply(change)
+	if err := m.o.Guard.Do("change of "+change.Key, func() { m.o.Apply(change) }); err != nil {
+		m.o.Log.Error("change not taken in", zap.Uint64("revision", change.Revision), zap.Error(err))
+	}
 }
 
 func (m *Mirror) synced(asOf time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/jobfront"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/jobservice"
@@ -104,11 +105,12 @@
 	term     atomic.Pointer[jobowner.Term]
 	former   atomic.Pointer[jobowner.Term] // the newest term that has ended here
 	draining atomic.Bool
+	guard    *contain.Guard
 }
 
 // New returns a node that Run starts.
 func New(o Options) *Node {
-	n := &Node{o: o, log: o.Log, clients: peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})}
+	n := &Node{o: o, log: o.Log, guard: contain.New(o.Log, o.Metrics), clients: peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})}
 	n.store = metastore.NewMonitor(o.Adapter.Store)
 	n.operator = newOperator(n)
 	n.elector = ownership.New(ownership.Options{
@@ -117,18 +119,18 @@
 		Bound: n.store.Bound, CutOff: n.operator.elsewhere.Load, DeposeElsewhere: n.deposeElsewhere,
 	})
 	n.owner = metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: ownership.OwnerPrefix, Wait: watchWait, Log: o.Log,
+		Store: n.store, Prefix: ownership.OwnerPrefix, Wait: watchWait, Log: o.Log, Guard: n.guard,
 		Apply: n.elector.Apply, Synced: n.elector.Synced,
 	})
 	n.members = metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: ownership.InstancesPrefix, Wait: watchWait, Pause: membersPause, Log: o.Log, Apply: n.elector.Apply,
+		Store: n.store, Prefix: ownership.InstancesPrefix, Wait: watchWait, Pause: membersPause, Log: o.Log, Guard: n.guard, Apply: n.elector.Apply,
 	})
 	n.jobs = jobservice.New(jobservice.Options{
 		Store: n.store, Healthy: n.store.Healthy, Check: n.store.Check, Bound: n.store.Bound, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
 		Term: n.currentTerm,
 		Peer: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
 	})
-	n.front = jobfront.New(jobfront.Options{Wire: o.Adapter.Wire, Jobs: n.jobs, Config: n.operator.current, Outage: n.store.FailingFor, Log: o.Log, Metrics: o.Metrics})
+	n.front = jobfront.New(jobfront.Options{Wire: o.Adapter.Wire, Jobs: n.jobs, Config: n.operator.current, Outage: n.store.FailingFor, Guard: n.guard, Log: o.Log, Metrics: o.Metrics})
 	return n
 }
 
@@ -147,7 +149,7 @@
 		tasks.Add(1)
 		go func() {
 			defer tasks.Done()
-			f(ctx)
+			n.guard.Loop(ctx, "background loop", f)
 		}()
 	}
 	run(n.store.Run, background)
@@ -170,7 +172,7 @@
 func (n *Node) lead(ctx context.Context, token uint64, fence metastore.Condition) {
 	a := n.o.Adapter
 	term := jobowner.New(jobowner.Options{
-		Store: n.store, Workers: a.Workers, Advisor: a.Advisor, Log: n.log, Metrics: n.o.Metrics, Token: token, Fence: fence,
+		Store: n.store, Workers: a.Workers, Advisor: a.Advisor, Log: n.log, Metrics: n.o.Metrics, Guard: n.guard, Token: token, Fence: fence,
 		Config: n.operator.config, Wall: time.Now, MaxLease: n.o.MaxLease, Placement: n.o.Placement,
 		InTouch:   func() bool { return n.elector.ConfirmedWithin(jobowner.RenewWithout) },
 		KeepEnded: n.o.KeepEnded, StoreBound: storeBound, MaxListAge: n.o.MaxListAge,
@@ -188,17 +190,17 @@
 		n.operator.attach(nil, nil)
 	}()
 	intake := metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Apply: term.OnIntake, Synced: term.Loaded,
+		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Guard: n.guard, Apply: term.OnIntake, Synced: term.Loaded,
 	})
 	workers := metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: a.WorkersPrefix, Wait: workersWait, Pause: workersPause, Reread: true, Log: n.log,
+		Store: n.store, Prefix: a.WorkersPrefix, Wait: workersWait, Pause: workersPause, Reread: true, Log: n.log, Guard: n.guard,
 		Synced: term.WorkersSynced,
 		Apply:  func(change metastore.Change) { n.onWorker(term, change) },
 	})
 	manage := func(ctx context.Context) {
 		var upkeeping sync.WaitGroup
 		if a.Cloud != nil {
-			upkeeping.Go(func() { waves.Run(ctx) })
+			upkeeping.Go(func() { n.guard.Loop(ctx, "waves of upkeep", waves.Run) })
 		}
 		workers.Run(ctx)
 		upkeeping.Wait()
--- a/node/serve.go
+++ b/node/serve.go
@@ -123,7 +123,7 @@
 // servePeers serves the calls of other instances.
 func (n *Node) servePeers(ctx context.Context) {
 	server, err := peer.NewServer(peer.ServerOptions{
-		Log: n.log, Metrics: n.o.Metrics,
+		Log: n.log, Metrics: n.o.Metrics, Guard: n.guard,
 		Register: func(mux drpc.Mux) error { return relay.DRPCRegisterRelay(mux, peerServer{n}) },
 	})
 	if err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 )
 
@@ -34,6 +35,7 @@
 	Register func(drpc.Mux) error
 	Log      *zap.Logger
 	Metrics  metrics.Registry // nil for the default registry
+	Guard    *contain.Guard   // contains panics of calls; may be nil
 }
 
 // Server serves the calls of peers.
@@ -41,12 +43,13 @@
 	mux     *drpcmux.Mux
 	log     *zap.Logger
 	traffic *traffic
+	guard   *contain.Guard
 	slots   chan struct{} // one for each connection
 }
 
 // NewServer returns a server for the handler.
 func NewServer(o ServerOptions) (*Server, error) {
-	s := &Server{mux: drpcmux.New(), log: o.Log, traffic: newTraffic(o.Metrics), slots: make(chan struct{}, maxConnections)}
+	s := &Server{mux: drpcmux.New(), log: o.Log, guard: o.Guard, traffic: newTraffic(o.Metrics), slots: make(chan struct{}, maxConnections)}
 	if s.log == nil {
 		s.log = zap.NewNop()
 	}
@@ -106,7 +109,7 @@
 	counted := s.traffic.count(conn)
 	options := managerOptions()
 	options.InactivityTimeout = serverIdleTimeout
-	server := drpcserver.NewWithOptions(&classifier{next: s.mux, conn: counted}, drpcserver.Options{Manager: options})
+	server := drpcserver.NewWithOptions(&classifier{next: s.mux, guard: s.guard, conn: counted}, drpcserver.Options{Manager: options})
 	if err := server.ServeOne(ctx, counted); err != nil && ctx.Err() == nil {
 		s.log.Debug("peer connection ended", zap.Error(err), zap.Stringer("remote", conn.RemoteAddr()))
 	}
@@ -115,13 +118,17 @@
 // classifier assigns a connection to a class of traffic by its first call. Clients use
 // separate connections for the classes.
 type classifier struct {
-	next drpc.Handler
-	conn *countedConn
-	once sync.Once
+	next  drpc.Handler
+	guard *contain.Guard
+	conn  *countedConn
+	once  sync.Once
 }
 
 // HandleRPC implements drpc.Handler.
-func (c *classifier) HandleRPC(stream drpc.Stream, rpc string) error {
+func (c *classifier) HandleRPC(stream drpc.Stream, rpc string) (err error) {
 	c.once.Do(func() { c.conn.classify(controlCalls[rpc]) })
-	return c.next.HandleRPC(stream, rpc)
+	if fault := c.guard.Do("call of "+rpc, func() { err = c.next.HandleRPC(stream, rpc) }); fault != nil {
+		return fault
+	}
+	return err
 }
--- a/workload/config.go
+++ b/workload/config.go
@@ -117,8 +117,11 @@
 // Workspace returns the workspace with the name, or nil.
 func (c *Config) Workspace(name string) *Workspace { return c.workspaces[name] }
 
-// WorkspaceOf returns the name of the workspace that the key belongs to.
+// WorkspaceOf returns the name of the workspace that the key belongs to. No key is none.
 func (c *Config) WorkspaceOf(key string) (string, bool) {
+	if key == "" {
+		return "", false
+	}
 	name, ok := c.keys[key]
 	return name, ok
 }
--- a/workload/job.go
+++ b/workload/job.go
@@ -110,23 +110,54 @@
 	if len(s.Steps) == 0 {
 		return fmt.Errorf("steps: empty; a job has at least one step")
 	}
+	tasks := 0
 	for n := range s.Steps {
 		if err := s.Steps[n].check(n); err != nil {
 			return fmt.Errorf("steps[%d]: %w", n, err)
 		}
+		if tasks += s.Steps[n].Tasks; tasks > MaxJobTasks {
+			return fmt.Errorf("steps: more than %d tasks; a job has at most as many", MaxJobTasks)
+		}
+	}
+	if s.Schedule.Occurrences > MaxOccurrences {
+		return fmt.Errorf("schedule: %d occurrences; must be at most %d", s.Schedule.Occurrences, MaxOccurrences)
+	}
+	if s.Schedule.First < 0 || s.Schedule.Interval < 0 {
+		return fmt.Errorf("schedule: first at %d ms, then every %v; must not be negative", s.Schedule.First, s.Schedule.Interval)
 	}
 	return nil
 }
 
-// MaxTasks bounds the tasks of one step.
-const MaxTasks = 10_000
+// Bounds of a submission. They keep what one job makes an owner hold in memory small.
+const (
+	MaxTasks       = 10_000  // of one step
+	MaxJobTasks    = 20_000  // of all steps
+	MaxOccurrences = 100_000 // of a schedule
+	maxAmount      = 1 << 30 // of each component of a task's demand
+	maxEstimate    = 365 * 24 * time.Hour
+)
+
+func (a Amount) inRange() bool {
+	for _, v := range []int{a.MilliCPU, a.MemoryMB, a.Accelerators} {
+		if v < 0 || v > maxAmount {
+			return false
+		}
+	}
+	return true
+}
 
 func (s *Step) check(n int) error {
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return fmt.Errorf("tasks: %d; must be from 1 to %d", s.Tasks, MaxTasks)
 	}
-	if s.Demand.MilliCPU < 0 || s.Demand.MemoryMB < 0 || s.Demand.Accelerators < 0 {
-		return fmt.Errorf("demand: %+v; must not be negative", s.Demand)
+	if !s.Demand.inRange() {
+		return fmt.Errorf("demand: %+v; each must be from 0 to %d", s.Demand, maxAmount)
+	}
+	if s.Estimate < 0 || s.Estimate > maxEstimate {
+		return fmt.Errorf("estimate: %v; must be from 0 to %v", s.Estimate, maxEstimate)
+	}
+	if s.TailTarget < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 {
+		return fmt.Errorf("target %v, tasks on one worker %d, tasks that may be missed %d; must not be negative", s.TailTarget, s.MaxPerWorker, s.MayMiss)
 	}
 	for _, a := range s.After {
 		if a < 0 || a >= n {
