ownership: candidates wait for the list of instances

The weak one had not read the list of instances yet when it stood. Change: a candidate waits for the list, at most 0.5 s; where nobody is listed the handicap of weak machines is 40 ms a core instead of 8. Test: ownership.TestStrongInstanceWinsAfterAllWereKilled (fails without the wait).

--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -123,6 +123,7 @@
 	}
 	elector = ownership.New(ownership.Options{Store: c.client, Self: ownership.Instance{Name: name, CPUShare: 1}, Log: log, Lead: lead,
 		Bound: func(int) time.Duration { return 120 * time.Millisecond }, CutOff: func() bool { return false }})
+	elector.MembersSynced(time.Now()) // strength does not matter here
 	members := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.OwnerPrefix, Wait: 2 * time.Second, Log: log, Apply: elector.Apply, Synced: elector.Synced})
 	s.mu.Lock()
 	s.instances[name] = c
--- a/node/node.go
+++ b/node/node.go
@@ -123,7 +123,8 @@
 		Apply: n.elector.Apply, Synced: n.elector.Synced,
 	})
 	n.members = metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: ownership.InstancesPrefix, Wait: watchWait, Pause: membersPause, Log: o.Log, Guard: n.guard, Apply: n.elector.Apply,
+		Store: n.store, Prefix: ownership.InstancesPrefix, Wait: watchWait, Pause: membersPause, Log: o.Log, Guard: n.guard,
+		Apply: n.elector.Apply, Synced: n.elector.MembersSynced,
 	})
 	n.jobs = jobservice.New(jobservice.Options{
 		Store: n.store, Healthy: n.store.Healthy, Check: n.store.Check, Bound: n.store.Bound, Elector: n.elector, Self: o.Instance, Log: o.Log, Metrics: o.Metrics,
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -57,8 +57,12 @@
 	yieldAfter    = 3 * time.Second
 	yieldInterval = 30 * time.Second
 	// handicap delays the candidacy of an instance, divided by its share of a core, so that
-	// instances on strong machines win.
-	handicap = 8 * time.Millisecond
+	// instances on strong machines win; firstHandicap does where no other instance is listed, as
+	// when all start at once.
+	handicap      = 8 * time.Millisecond
+	firstHandicap = 40 * time.Millisecond
+	// membersBound is how long a candidate waits for the list of instances.
+	membersBound = 500 * time.Millisecond
 	// jitterPerPeer spreads candidates of equal strength over the time in which the news of a
 	// winner reaches the others, so that a large fleet does not stand all at once.
 	jitterPerPeer = 2 * time.Millisecond
@@ -108,6 +112,9 @@
 type Elector struct {
 	o Options
 
+	listed   chan struct{} // closed when the other instances have been read
+	listOnce sync.Once
+
 	mu        sync.Mutex
 	known     bool // the owner was read at least once
 	owner     Owner
@@ -120,7 +127,7 @@
 
 // New returns an elector. Its mirror feeds Apply.
 func New(o Options) *Elector {
-	return &Elector{o: o, instances: map[string]Instance{}, wake: make(chan struct{}, 1)}
+	return &Elector{o: o, instances: map[string]Instance{}, listed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Apply takes in a change of the owner or of an instance.
@@ -224,6 +231,7 @@
 			}
 			continue
 		}
+		e.awaitMembers(ctx)
 		wait.For(ctx, e.delay())
 		if ctx.Err() == nil && e.vacant() {
 			e.stand(ctx)
@@ -231,14 +239,34 @@
 	}
 }
 
+// awaitMembers waits until the other instances are known, or are taken for unknown: a weak instance
+// that has just started would not see that strong ones are there.
+func (e *Elector) awaitMembers(ctx context.Context) {
+	timer := time.NewTimer(membersBound)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-e.listed:
+	case <-timer.C:
+	}
+}
+
+// MembersSynced notes that the instances have been read.
+func (e *Elector) MembersSynced(time.Time) {
+	e.listOnce.Do(func() { close(e.listed) })
+}
+
 // delay returns how long this instance waits before it stands.
 func (e *Elector) delay() time.Duration {
 	share := max(e.o.Self.CPUShare, 0.05)
 	e.mu.Lock()
 	spread := max(minJitter, jitterPerPeer*time.Duration(len(e.instances)))
-	weak := e.isWeak()
+	weak, alone := e.isWeak(), len(e.instances) == 0
 	e.mu.Unlock()
 	wait := time.Duration(float64(handicap)/share) + rand.N(spread)
+	if alone {
+		wait = time.Duration(float64(firstHandicap)/share) + rand.N(spread)
+	}
 	if weak {
 		wait += weakDelay
 	}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -43,7 +43,8 @@
 	})
 	mirror := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.OwnerPrefix, Wait: 2 * time.Second, Log: zap.NewNop(),
 		Apply: c.elector.Apply, Synced: c.elector.Synced})
-	members := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.InstancesPrefix, Wait: 2 * time.Second, Log: zap.NewNop(), Apply: c.elector.Apply})
+	members := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.InstancesPrefix, Wait: 2 * time.Second, Log: zap.NewNop(),
+		Apply: c.elector.Apply, Synced: c.elector.MembersSynced})
 	c.done.Go(func() { mirror.Run(ctx) })
 	c.done.Go(func() { members.Run(ctx) })
 	c.done.Go(func() { c.elector.Run(ctx) })
@@ -264,3 +265,38 @@
 		strong.stop()
 	})
 }
+
+// Load: all instances of a large fleet are killed and start again within 0.3 s of each other. Guards
+// against a weak owner: a weak instance that has just started does not know yet that strong ones are
+// there, and the jobs of the fleet wait until it hands over.
+func TestStrongInstanceWinsAfterAllWereKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		fleet := func() (all []*candidate) {
+			for n := range 30 {
+				share := 0.192
+				if n%10 == 9 {
+					share = 0.8
+				}
+				all = append(all, stand(s, fmt.Sprint("i", n), share, nil))
+				time.Sleep(10 * time.Millisecond)
+			}
+			return all
+		}
+		strong := []string{"i9", "i19", "i29"}
+		first := fleet()
+		time.Sleep(12 * time.Second)
+		assert.Contains(t, strong, owners(first...)[0])
+		for _, c := range first {
+			c.silence() // its keys stay until their leases end
+			c.stop()
+		}
+		again := fleet()
+		time.Sleep(2500 * time.Millisecond)
+		assert.Len(t, owners(again...), 1)
+		assert.Contains(t, strong, owners(again...)[0])
+		for _, c := range again {
+			c.stop()
+		}
+	})
+}
