placement: hanging workers are noticed sooner and tried with small work first

Change: a run can lag after 0.5 s, counted for a gang from its last member's start; after the pause for a lag a worker gets neither urgent work nor gangs for 6 s unless a run has ended as done there. Tests: placement.TestHangingGangStartsAgainInTime (fails before), TestGangThatWaitsForAMemberDoesNotHang.

--- a/placement/health.go
+++ b/placement/health.go
@@ -12,8 +12,8 @@
 	avoidPause = 2 * time.Second
 	// maxAvoidPause bounds the pause.
 	maxAvoidPause = 16 * time.Second
-	// probation is how long after a pause a worker gets only work that is neither urgent nor a
-	// gang, unless a run ends as done there.
+	// probation is how long after a pause, for a failure or a lag, a worker gets only work that is
+	// neither urgent nor a gang, unless a run ends as done there.
 	probation = 6 * time.Second
 )
 
@@ -37,7 +37,8 @@
 	return 0
 }
 
-// onProbation reports whether the worker has failed a run lately and has not been seen to work since.
+// onProbation reports whether a run failed or lagged on the worker lately and it has ended none as
+// done since.
 func onProbation(w *jobstate.Worker, now time.Time) bool {
-	return w.FailStreak > 0 && now.Before(w.Suspect.Add(probation))
+	return (w.FailStreak > 0 || w.LagStreak > 0) && now.Before(w.Suspect.Add(probation))
 }
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// lagObserved is how long a run works before it can lag.
-	lagObserved = 800 * time.Millisecond
+	// lagObserved is how long a run works before it can lag. A task of some seconds does several
+	// percent of its work meanwhile.
+	lagObserved = 500 * time.Millisecond
 	// expectedStall is how much longer a run that stands still is expected to do so.
 	expectedStall = 5 * time.Second
 	// slowFactor is how many times slower than the usual rate a run must be. Workers differ in
@@ -51,13 +52,14 @@
 func (r *round) takeLaggardsOf(s *jobstate.Step) {
 	var laggards []*jobstate.Run
 	rates := ratesOf(s)
+	together := r.gangSince(s)
 	s.Measured = false
 	for _, t := range s.Tasks {
 		run := t.Run
 		if run == nil || !run.Rated {
 			continue
 		}
-		if r.now.Sub(run.StartedAt) < lagObserved {
+		if r.now.Sub(maxTime(run.StartedAt, together)) < lagObserved {
 			s.Measured = true // to be compared when it has worked long enough
 			continue
 		}
@@ -81,6 +83,25 @@
 	}
 }
 
+// gangSince returns since when the members of a gang are all there, before which none of them works;
+// zero for a step that is no gang.
+func (r *round) gangSince(s *jobstate.Step) time.Time {
+	var since time.Time
+	if !s.Spec.Gang {
+		return since
+	}
+	for _, t := range s.Tasks {
+		if t.Run == nil {
+			continue
+		}
+		if t.Run.StartedAt.IsZero() {
+			return r.now
+		}
+		since = maxTime(since, t.Run.StartedAt)
+	}
+	return since
+}
+
 // avoidStalled keeps new work from a worker on which nothing moves, also when its runs have
 // done too much to be taken away.
 func (r *round) avoidStalled(w *jobstate.Worker) {
--- a/placement/sick_test.go
+++ b/placement/sick_test.go
@@ -127,3 +127,65 @@
 	w.submit(urgent, "a", step(20, 8, time.Second))
 	assert.Len(t, w.run(0).Starts, 19, "all but the one that runs something")
 }
+
+// Load: urgent gangs on workers that hang for seconds at good health. Guards against a gang that has
+// lost its objective before it is noticed that nothing moves, and against one that then tries other
+// workers that hung a moment ago.
+func TestHangingGangStartsAgainInTime(t *testing.T) {
+	w := newWorld(1, 6)
+	w.submit(urgent, "a", gang(2, 8, 2500*time.Millisecond))
+	runs := w.run(0).Starts
+	require.Len(t, runs, 2)
+	var plan placement.Plan
+	for _, age := range []time.Duration{200, 600} {
+		w.now = runs[0].StartedAt.Add(age * time.Millisecond)
+		for _, r := range runs {
+			r.Observe(0, w.now)
+		}
+		plan = w.decide()
+	}
+	require.Len(t, plan.Stops, 2)
+	w.stopped(plan)
+	again := w.run(5 * time.Second).Starts
+	require.Len(t, again, 2)
+	for _, r := range again {
+		assert.NotContains(t, []*jobstate.Worker{runs[0].Worker, runs[1].Worker}, r.Worker)
+	}
+	w.submit(urgent, "a", gang(3, 8, 2500*time.Millisecond))
+	assert.Empty(t, w.run(0).Starts, "two workers are free and two have not been seen to work since they hung")
+	small := w.submit(batch, "b", step(2, 1, time.Second))
+	tried := w.run(0).Starts
+	require.Len(t, tried, 2)
+	for _, r := range tried {
+		require.Equal(t, small, r.Task.Step.Occurrence.Job)
+		placement.NoteEnd(r, jobstate.EndDone, w.now)
+		w.c.End(r, jobstate.EndDone, "", w.now)
+	}
+	w.now = w.now.Add(5 * time.Second)
+	assert.Len(t, w.run(0).Starts, 3)
+}
+
+// Load: an order to the last member of an urgent gang is repeated because its answer was lost. Guards
+// against a gang that is taken for hanging while its members wait for the last one.
+func TestGangThatWaitsForAMemberDoesNotHang(t *testing.T) {
+	w := newWorld(1, 3)
+	w.submit(urgent, "a", gang(3, 8, 2500*time.Millisecond))
+	runs := w.decide().Starts
+	require.Len(t, runs, 3)
+	for _, r := range runs[1:] {
+		r.Confirm(w.now)
+	}
+	for range 3 {
+		w.now = w.now.Add(400 * time.Millisecond)
+		for _, r := range runs[1:] {
+			r.Observe(0, w.now)
+		}
+		assert.Empty(t, w.decide().Stops)
+	}
+	runs[0].Confirm(w.now)
+	w.now = w.now.Add(300 * time.Millisecond)
+	for _, r := range runs {
+		r.Observe(10, w.now)
+	}
+	assert.Empty(t, w.decide().Stops)
+}
