Permissions are dated by a clock that counts suspension, and checked where they are used

Operators of similar systems saw a paused process act on a permission that had run out, and a withdrawn key in use again after a restart. Looked for both here: - The clock behind time.Since stands still while a machine is suspended. An owner that woke took its confirmation and its list of workers for as fresh as before: it gave work to a worker that had said that it leaves, and renewed leases. Both are dated by internal/suspend now (CLOCK_BOOTTIME). - An order was checked when its record was stored and sent later by a goroutine of its own. It is checked again before each try; an order that was not sent is void, one that may have been is stopped. - An upkeep order is not sent unless the store has confirmed the ownership within its lease: platforms that do not check fences would carry it out. - An instance that restarts while the store turns it away took the configuration of the first peer that answered, also of one that was cut off for long. It takes it from a peer that the store answers, or if enough peers say that the store answers nobody.

--- a/jobowner/contain_test.go
+++ b/jobowner/contain_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
@@ -31,3 +33,34 @@
 		s.requireRules(t)
 	})
 }
+
+// Load: the owner's machine is suspended for some seconds, in which a worker says that it leaves, and
+// goes on where it was. Guards against work for that worker and against a renewed lease, on a list and
+// a confirmation that look fresh because the clock stood still.
+func TestSuspendedOwnerActsOnNothingOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		a.client.SetFault(func(call string) testplatform.Fault {
+			if call == "watch" || call == "range" || call == "keepalive" {
+				return testplatform.Silent // the connections did not outlive the suspension
+			}
+			return testplatform.None
+		})
+		time.Sleep(700 * time.Millisecond) // the watch that was waiting has ended
+		s.list(s.fleet.Drain("w0"))
+		s.slept.Add(int64(5 * time.Second))
+		s.submit("job", "urgent", tasks(1, 1))
+		s.announce(a, "job")
+		time.Sleep(500 * time.Millisecond)
+		assert.Zero(t, s.fleet.StartCount())
+		assert.False(t, a.elector.ConfirmedWithin(jobowner.RenewWithout))
+		a.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		s.addWorker("w1", 0)
+		assert.Equal(t, workload.Completed, s.settle(t, "job", 20*time.Second))
+		s.requireRules(t)
+	})
+}
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -43,6 +43,7 @@
 	advisor workerapi.Advisor // nil if no queue needs advice
 	outage  atomic.Bool       // the store answers no instance
 	faulty  atomic.Bool       // reading the configuration panics
+	slept   atomic.Int64      // for how long the machines of all instances were suspended, nanoseconds
 
 	mu        sync.Mutex
 	evacuated map[string]bool // data centres
@@ -51,10 +52,11 @@
 }
 
 type candidate struct {
-	client *testplatform.Client
-	term   *jobowner.Term
-	cancel context.CancelFunc
-	done   chan struct{}
+	client  *testplatform.Client
+	term    *jobowner.Term
+	elector *ownership.Elector
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 func newSystem() *system {
@@ -94,8 +96,9 @@
 			InTouch:   func() bool { return elector.ConfirmedWithin(jobowner.RenewWithout) },
 			Placement: placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
 			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond, MaxListAge: maxListAge,
-			Bound:  func(int) time.Duration { return 500 * time.Millisecond },
-			Outage: func() bool { return s.outage.Load() }, Completed: func(context.Context) []string { return s.completed() },
+			Suspended: s.suspended,
+			Bound:     func(int) time.Duration { return 500 * time.Millisecond },
+			Outage:    func() bool { return s.outage.Load() }, Completed: func(context.Context) []string { return s.completed() },
 		})
 		s.mu.Lock()
 		c.term = term
@@ -121,8 +124,9 @@
 			panic(err)
 		}
 	}
-	elector = ownership.New(ownership.Options{Store: c.client, Self: ownership.Instance{Name: name, CPUShare: 1}, Log: log, Lead: lead,
+	elector = ownership.New(ownership.Options{Store: c.client, Self: ownership.Instance{Name: name, CPUShare: 1}, Suspended: s.suspended, Log: log, Lead: lead,
 		Bound: func(int) time.Duration { return 120 * time.Millisecond }, CutOff: func() bool { return false }})
+	c.elector = elector
 	elector.MembersSynced(time.Now()) // strength does not matter here
 	members := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.OwnerPrefix, Wait: 2 * time.Second, Log: log, Apply: elector.Apply, Synced: elector.Synced})
 	s.mu.Lock()
@@ -138,6 +142,8 @@
 	return c
 }
 
+func (s *system) suspended() time.Duration { return time.Duration(s.slept.Load()) }
+
 func (s *system) readConfig() *workload.Config {
 	if s.faulty.Load() {
 		panic("malformed configuration")
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -83,10 +83,10 @@
 			t.mu.Unlock()
 			return // a report may have shown it
 		}
-		if try > 1 && t.cluster.Leaving(a.worker) {
+		t.checkList(time.Now()) // this process may have been paused since the decision
+		if t.cluster.Leaving(a.worker) {
 			t.mu.Unlock()
-			t.lookFor(ctx, a, r)
-			t.startUncertain(ctx, a, r, errLeaving)
+			t.giveUp(ctx, a, r, try > 1)
 			return
 		}
 		target := a.target()
@@ -120,6 +120,21 @@
 	}
 }
 
+// giveUp gives up a start to a worker that leaves. sent is whether it may have reached the worker.
+func (t *Term) giveUp(ctx context.Context, a *agent, r *jobstate.Run, sent bool) {
+	if sent {
+		t.lookFor(ctx, a, r)
+		t.startUncertain(ctx, a, r, errLeaving)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, there := a.worker.Runs[r]; there && r.Phase == jobstate.Ordered {
+		t.cluster.End(r, jobstate.EndVoid, "", time.Now())
+		t.kick()
+	}
+}
+
 // lookFor asks the worker whether the run is there, so that one that works is not stopped because
 // the answer to its start was lost. For a long-running task it asks until the worker answers or
 // the run is known to have ended.
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -13,6 +13,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 	"github.com/cyclamenyard/cyclamenyard/placement"
@@ -38,6 +39,8 @@
 	Placement  placement.Options
 	KeepEnded  time.Duration // how long an ended job stays known
 	StoreBound time.Duration // longest wait for one answer of the store
+	// Suspended returns for how long the machine has been suspended; nil to ask the machine.
+	Suspended  func() time.Duration
 	MaxListAge time.Duration // how old the list of workers may be when work is given to them; 0 for any age
 
 	// Bound returns how long to wait for the answer to a write that is tried for the nth time.
@@ -100,9 +103,9 @@
 	early     map[string]bool                // cancelled before the job was known
 	finished  map[string]bool                // completed, as a former owner has seen
 	checkedAt time.Time
-	listedAt  time.Time // as of which the list of workers is known
-	stale     bool      // the list is too old to give work
-	nextDue   int64     // Unix milliseconds of the next occurrence; 0 for none
+	listedAt  suspend.Stamp // as of which the list of workers is known
+	stale     bool          // the list is too old to give work
+	nextDue   int64         // Unix milliseconds of the next occurrence; 0 for none
 	fenced    bool
 
 	asks     chan *jobstate.Step // that wait for advice
@@ -137,6 +140,9 @@
 
 // New returns a term that Run begins.
 func New(o Options) *Term {
+	if o.Suspended == nil {
+		o.Suspended = suspend.Total
+	}
 	return &Term{
 		o: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, missing: map[*jobstate.Worker]time.Time{},
@@ -261,7 +267,7 @@
 func (t *Term) WorkersSynced(asOf time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listedAt = asOf
+	t.listedAt = suspend.NewStamp(asOf, t.o.Suspended())
 	if t.stale {
 		t.kick()
 	}
@@ -270,10 +276,10 @@
 // checkList notes whether the list of workers is too old to give work: a worker may have said
 // meanwhile that it leaves. The caller holds the lock.
 func (t *Term) checkList(now time.Time) {
-	age := now.Sub(t.listedAt)
+	age := t.listedAt.Age(now, t.o.Suspended())
 	stale := t.o.MaxListAge > 0 && age > t.o.MaxListAge
 	t.cluster.ListStale = stale
-	if stale == t.stale || t.listedAt.IsZero() {
+	if stale == t.stale || t.listedAt == (suspend.Stamp{}) {
 		return
 	}
 	t.stale = stale
--- a/node/node.go
+++ b/node/node.go
@@ -182,6 +182,7 @@
 	waves := upkeep.New(upkeep.Options{
 		Cloud: a.Cloud, Store: n.store, Workers: term, Holder: n.o.Instance, Token: token, Fence: fence,
 		Wall: time.Now, Status: a.WaveStatus, Over: term.Over, Log: n.log,
+		Confirmed: func() bool { return n.elector.ConfirmedWithin(ownership.OwnerTTL) },
 	})
 	n.operator.attach(term, waves)
 	n.term.Store(term)
--- a/node/operator.go
+++ b/node/operator.go
@@ -200,45 +200,69 @@
 			o.elsewhere.Store(false)
 			continue
 		}
-		answered, reachable := 0, false
+		var replies []*relay.OperatorReply
+		reachable := false
 		for _, p := range o.n.elector.Peers() {
-			peerReaches, err := o.askPeer(ctx, p.Address)
+			reply, err := o.askPeer(ctx, p.Address)
 			if err != nil {
 				o.n.log.Debug("peer not asked for the configuration", zap.String("peer", p.Name), zap.Error(err))
 				continue
 			}
-			answered++
-			if peerReaches {
+			replies = append(replies, reply)
+			if reply.Reachable {
 				reachable = true
 				break
 			}
-			if answered == enoughPeers {
+			if len(replies) == enoughPeers {
 				break
 			}
 		}
-		o.shared.Store(answered > 0 && !reachable)
+		if reply := trusted(replies, o.config() != nil); reply != nil {
+			o.takeIn(reply)
+		}
+		o.shared.Store(len(replies) > 0 && !reachable)
 		// An outage that has ended is seen by some instances before others.
 		o.elsewhere.Store(reachable && !o.n.store.AnswersNow(ctx))
 	}
 }
 
-// askPeer takes in what the peer knows. It returns whether the store answers the peer.
-func (o *operator) askPeer(ctx context.Context, address string) (bool, error) {
+// trusted returns the reply to take in, or nil. A peer that the store answers goes first. One that is
+// cut off itself may know less than has long been in force; what this instance knows already does not
+// go back by it, but an instance that has just started takes it only if enough peers say that the
+// store answers nobody.
+func trusted(replies []*relay.OperatorReply, configured bool) *relay.OperatorReply {
+	var newest *relay.OperatorReply
+	for _, r := range replies {
+		if r.Reachable {
+			return r
+		}
+		if newest == nil || r.Revision > newest.Revision {
+			newest = r
+		}
+	}
+	if configured || len(replies) >= enoughPeers {
+		return newest
+	}
+	return nil
+}
+
+// askPeer asks the peer for what is newer than this instance knows.
+func (o *operator) askPeer(ctx context.Context, address string) (*relay.OperatorReply, error) {
 	o.mu.Lock()
 	after := o.asOf
 	o.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, askBound)
 	defer cancel()
-	reply, err := relay.NewDRPCRelayClient(o.n.clients.Conn(address)).Operator(call, &relay.OperatorRequest{After: after})
-	if err != nil {
-		return false, err
+	return relay.NewDRPCRelayClient(o.n.clients.Conn(address)).Operator(call, &relay.OperatorRequest{After: after})
+}
+
+func (o *operator) takeIn(reply *relay.OperatorReply) {
+	if len(reply.Items) == 0 {
+		return
 	}
-	if len(reply.Items) > 0 {
-		items := make([]metastore.Item, len(reply.Items))
-		for n, i := range reply.Items {
-			items[n] = metastore.Item{Key: i.Key, Value: i.Value, Revision: i.Revision}
-		}
-		o.mirror.Merge(items, reply.Revision)
+	items := make([]metastore.Item, len(reply.Items))
+	for n, i := range reply.Items {
+		items[n] = metastore.Item{Key: i.Key, Value: i.Value, Revision: i.Revision}
 	}
-	return reply.Reachable, nil
+	o.mirror.Merge(items, reply.Revision)
 }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 )
@@ -29,8 +30,8 @@
 
 // Timing of elections.
 const (
-	// ownerTTL bounds how long a dead owner blocks its successor.
-	ownerTTL = 1500 * time.Millisecond
+	// OwnerTTL bounds how long a dead owner blocks its successor.
+	OwnerTTL = 1500 * time.Millisecond
 	// renewInterval leaves several further tries before the lease ends.
 	renewInterval = 300 * time.Millisecond
 	// renewRetryPause is the pause after a renewal without an answer.
@@ -104,6 +105,8 @@
 	CutOff func() bool
 	// DeposeElsewhere asks a peer to end the ownership with the token in the store.
 	DeposeElsewhere func(ctx context.Context, token uint64) error
+	// Suspended returns for how long the machine has been suspended; nil to ask the machine.
+	Suspended func() time.Duration
 	// Lead runs one term. It returns when its context ends or the term is over.
 	Lead func(ctx context.Context, token uint64, fence metastore.Condition)
 }
@@ -119,14 +122,17 @@
 	known     bool // the owner was read at least once
 	owner     Owner
 	instances map[string]Instance
-	left      string    // the last owner, unless it has announced itself since
-	confirmed time.Time // when the newest successful renewal was sent
-	yieldedAt time.Time // when this instance last gave the ownership to a stronger one
+	left      string        // the last owner, unless it has announced itself since
+	confirmed suspend.Stamp // when the newest successful renewal was sent
+	yieldedAt time.Time     // when this instance last gave the ownership to a stronger one
 	wake      chan struct{}
 }
 
 // New returns an elector. Its mirror feeds Apply.
 func New(o Options) *Elector {
+	if o.Suspended == nil {
+		o.Suspended = suspend.Total
+	}
 	return &Elector{o: o, instances: map[string]Instance{}, listed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
@@ -209,11 +215,13 @@
 	return peers
 }
 
+func (e *Elector) stamp() suspend.Stamp { return suspend.NewStamp(time.Now(), e.o.Suspended()) }
+
 // ConfirmedWithin reports whether the store confirmed the ownership within d.
 func (e *Elector) ConfirmedWithin(d time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Since(e.confirmed) < d
+	return e.confirmed.Age(time.Now(), e.o.Suspended()) < d
 }
 
 // Run stands for election until ctx ends. A term in progress is handed over then.
@@ -336,7 +344,7 @@
 
 // stand tries to become the owner and serves the term.
 func (e *Elector) stand(ctx context.Context) {
-	sent := time.Now()
+	sent := e.stamp()
 	lease, token, err := e.win(ctx)
 	if err != nil {
 		events.Info(e.o.Log, events.OwnershipTried, zap.Error(err))
@@ -355,7 +363,7 @@
 // win writes the owner's key. A lost answer is resolved by reading the key back.
 func (e *Elector) win(ctx context.Context) (lease int64, token uint64, err error) {
 	call, cancel := context.WithTimeout(ctx, callBound)
-	lease, err = e.o.Store.Grant(call, ownerTTL)
+	lease, err = e.o.Store.Grant(call, OwnerTTL)
 	cancel()
 	if err != nil {
 		return 0, 0, err
@@ -431,7 +439,7 @@
 			stop()
 			return
 		}
-		sent := time.Now()
+		sent := e.stamp()
 		call, cancel := context.WithTimeout(ctx, e.o.Bound(failures+1))
 		err := e.o.Store.KeepAlive(call, lease)
 		cancel()
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -40,6 +40,9 @@
 	Wall    func() time.Time
 	// Status returns the entry in which operators read the state of a wave.
 	Status func(number int64, completed bool) metastore.Put
+	// Confirmed reports whether the store has confirmed the ownership lately; nil for always. An
+	// order is not sent without: a platform that does not check fences would carry it out.
+	Confirmed func() bool
 	// Over is called when another owner has a higher token.
 	Over func(reason string)
 	Log  *zap.Logger
@@ -255,6 +258,9 @@
 // order gives one order and takes its answer in. A refusal of a repeated order says nothing of
 // the first one, which may have taken the machine down.
 func (c *Controller) order(ctx context.Context, w *wave, m Machine, repeated bool) {
+	if c.o.Confirmed != nil && !c.o.Confirmed() {
+		return // it stands in the record and is sent later, by whoever is the owner then
+	}
 	call, cancel := context.WithTimeout(ctx, callBound)
 	err := c.o.Cloud.Upkeep(call, Order{Machine: m.Name, Wave: w.Number, Holder: c.o.Holder, Token: c.o.Token})
 	cancel()
