jobowner: a worker that leaves and falls silent keeps its runs until its lease ends

Operators of similar systems saw running work started again elsewhere because a machine was only silent. It could happen here: a worker that had said that it leaves, and serves on for many seconds as workers may, was taken for gone 2.5 s after its entry lapsed; its tasks started again while they went on there. Change: the missing entry proves that it left only if it was removed within two heartbeats of its last one; an entry lapses after three. Else its runs wait for the end of the lease, as on other silent workers.

--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -19,6 +19,7 @@
 	if w.Life != e.Life {
 		return // an older life
 	}
+	w.SeenAt = now
 	if known := t.entries[w.ID]; known != nil && w.Listed && known.Equal(&e) {
 		return // a heartbeat
 	}
@@ -159,15 +160,16 @@
 	return false
 }
 
-// gone reports whether a worker without an entry has surely left: it was draining and does
-// not answer, or it runs nothing.
+// gone reports whether a worker without an entry has surely left: it runs nothing, or it said that it
+// leaves and its entry was removed soon after its last heartbeat. An entry is also removed when its
+// worker has been silent for a while, and what runs on such a worker goes on until its lease ends.
 func (t *Term) gone(w *jobstate.Worker, since, now time.Time) bool {
 	a := t.agents[w.ID]
 	answers := a != nil && a.lastHeard.After(since) && a.failures == 0
 	if answers || now.Sub(since) < missingGrace {
 		return false
 	}
-	return len(w.Runs) == 0 || (w.Draining && now.After(w.LeavesAt))
+	return len(w.Runs) == 0 || (w.Draining && now.After(w.LeavesAt) && since.Sub(w.SeenAt) < t.o.HeartbeatGap)
 }
 
 // dropWorker forgets a life of a worker that is over. The caller holds the lock.
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -95,7 +95,7 @@
 			Config: s.readConfig, Guard: guard, Wall: time.Now, MaxLease: testplatform.MaxLease,
 			InTouch:   func() bool { return elector.ConfirmedWithin(jobowner.RenewWithout) },
 			Placement: placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
-			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond, MaxListAge: maxListAge,
+			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3 * time.Second,
 			Suspended: s.suspended,
 			Bound:     func(int) time.Duration { return 500 * time.Millisecond },
 			Outage:    func() bool { return s.outage.Load() }, Completed: func(context.Context) []string { return s.completed() },
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -39,6 +39,9 @@
 	Placement  placement.Options
 	KeepEnded  time.Duration // how long an ended job stays known
 	StoreBound time.Duration // longest wait for one answer of the store
+	// HeartbeatGap is how long after its last heartbeat the removal of a worker's entry shows that it
+	// has left; later it may only have been silent.
+	HeartbeatGap time.Duration
 	// Suspended returns for how long the machine has been suspended; nil to ask the machine.
 	Suspended  func() time.Duration
 	MaxListAge time.Duration // how old the list of workers may be when work is given to them; 0 for any age
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -201,6 +201,7 @@
 	Reserved   bool      // its machine is next for its upkeep
 	Heard      bool      // it has answered this owner
 	Suspect    time.Time // gets no new work before
+	SeenAt     time.Time // when its newest entry was read
 	ReportedAt time.Time // when its newest report was asked for
 	LeaseEnds  time.Time // at the latest by this process's clock, if the worker is not heard again
 	LeavesAt   time.Time // a draining worker stays at least until then
--- a/node/node.go
+++ b/node/node.go
@@ -59,9 +59,12 @@
 
 	MaxLease   time.Duration // longest lease of a worker
 	MaxListAge time.Duration // how old the list of workers may be when work is given to them
-	Grace      time.Duration // between the order to stop and the end of the process
-	KeepEnded  time.Duration // how long an ended job stays known
-	Placement  placement.Options
+	// HeartbeatGap is how long after its last heartbeat the removal of a worker's entry shows that it
+	// has left.
+	HeartbeatGap time.Duration
+	Grace        time.Duration // between the order to stop and the end of the process
+	KeepEnded    time.Duration // how long an ended job stays known
+	Placement    placement.Options
 
 	Log     *zap.Logger
 	Metrics metrics.Registry
@@ -176,7 +179,7 @@
 		Store: n.store, Workers: a.Workers, Advisor: a.Advisor, Log: n.log, Metrics: n.o.Metrics, Guard: n.guard, Token: token, Fence: fence,
 		Config: n.operator.config, Wall: time.Now, MaxLease: n.o.MaxLease, Placement: n.o.Placement,
 		InTouch:   func() bool { return n.elector.ConfirmedWithin(jobowner.RenewWithout) },
-		KeepEnded: n.o.KeepEnded, StoreBound: storeBound, MaxListAge: n.o.MaxListAge,
+		KeepEnded: n.o.KeepEnded, StoreBound: storeBound, MaxListAge: n.o.MaxListAge, HeartbeatGap: n.o.HeartbeatGap,
 		Bound: n.store.Bound, Outage: n.operator.shared.Load, Completed: n.completedElsewhere,
 	})
 	waves := upkeep.New(upkeep.Options{
