--- a/cli/platform.go
+++ b/cli/platform.go
@@ -78,7 +78,7 @@
 		Instance: s.Instance, CPUShare: s.CPUShare,
 		MaxLease: s.MaxLease, MaxListAge: s.DrainBound * 3 / 4, HeartbeatGap: 2 * s.Heartbeat, Grace: s.Grace, KeepEnded: s.KeepEnded,
 		Placement: placement.Options{FarFactor: s.FarFactor, StopTimeout: s.StopTimeout},
-		Adapter:   newAdapter(s, registry), Log: log, Metrics: registry,
+		Adapter:   newAdapter(s, log, registry), Log: log, Metrics: registry,
 	}
 	for _, l := range []struct {
 		listener *net.Listener
@@ -120,9 +120,9 @@
 	}
 }
 
-func newAdapter(s *platform.Settings, registry metrics.Registry) node.Adapter {
+func newAdapter(s *platform.Settings, log *zap.Logger, registry metrics.Registry) node.Adapter {
 	adapter := node.Adapter{
-		Store: platform.NewStore(s.Store, registry), Workers: platform.NewWorkers(registry), Advisor: platform.NewAdvice(s.Advice, registry), Wire: platform.Front{},
+		Store: platform.NewStore(s.Store, registry), Workers: platform.NewWorkers(s.MaxFDs, log, registry), Advisor: platform.NewAdvice(s.Advice, registry), Wire: platform.Front{},
 		OperatorPrefix: platform.OperatorPrefix, WorkersPrefix: platform.WorkersPrefix, ReadyPath: platform.ReadyPath,
 		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, Evacuated: platform.EvacuatedZone,
 		DecodeWorker: platform.DecodeWorker, WorkerID: platform.WorkerID,
--- a/events/events.go
+++ b/events/events.go
@@ -94,6 +94,7 @@
 	ConfigInForce        ID = 512
 	ConfigUnreadable     ID = 513
 	PanicContained       ID = 515
+	ConnectionsBounded   ID = 516
 	ReadinessChanged     ID = 514
 )
 
@@ -188,6 +189,7 @@
 	LinesDropped:         {"LinesDropped", "log lines dropped"},
 	ConfigInForce:        {"ConfigInForce", "configuration in force"},
 	ConfigUnreadable:     {"ConfigUnreadable", "configuration not understood"},
+	ConnectionsBounded:   {"ConnectionsBounded", "connections to workers bounded"},
 	PanicContained:       {"PanicContained", "unexpected error contained"},
 	ReadinessChanged:     {"ReadinessChanged", "readiness changed"},
 }
