metastore: an instance that fell behind reads the newest configuration only

Change: after a watch that failed the mirror of op/ reads the range, which holds the newest one only.

--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -110,7 +110,7 @@
 		mirror := func(prefix string, apply func(metastore.Change), synced func(time.Time)) func(context.Context) {
 			return metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: prefix, Wait: 2 * time.Second, Log: log, Guard: guard, Apply: apply, Synced: synced}).Run
 		}
-		workers := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: workersPrefix, Wait: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Reread: true, Log: log, Synced: term.WorkersSynced, Apply: func(change metastore.Change) {
+		workers := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: workersPrefix, Wait: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Slack: 300 * time.Millisecond, Reread: true, Log: log, Synced: term.WorkersSynced, Apply: func(change metastore.Change) {
 			id := change.Key[len(workersPrefix):]
 			var entry workerapi.Entry
 			if change.Removed || json.Unmarshal(change.Value, &entry) != nil {
--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -291,3 +292,62 @@
 		assert.Equal(t, []string{"a/1", "a/4"}, applied)
 	})
 }
+
+// thin is a store behind a link that takes a while for each change or item.
+type thin struct {
+	metastore.Store
+	each time.Duration
+}
+
+func (s thin) pause(ctx context.Context, items int) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Duration(items) * s.each):
+		return nil
+	}
+}
+
+func (s thin) Range(ctx context.Context, prefix, after string) (metastore.Page, error) {
+	page, err := s.Store.Range(ctx, prefix, after)
+	if err != nil {
+		return page, err
+	}
+	return page, s.pause(ctx, len(page.Items))
+}
+
+func (s thin) Watch(ctx context.Context, prefix string, after uint64, waitFor time.Duration) ([]metastore.Change, uint64, error) {
+	changes, asOf, err := s.Store.Watch(ctx, prefix, after, waitFor)
+	if err != nil {
+		return changes, asOf, err
+	}
+	return changes, asOf, s.pause(ctx, len(changes))
+}
+
+// Load: configurations of a quarter of a megabyte come in quick succession while the store turns an
+// instance with a thin link away. Guards against an instance that then tries to read all of them again
+// and again, never in time, and serves by an old one for seconds.
+func TestMirrorThatFellBehindReadsTheNewestOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testplatform.NewStore()
+		client := store.NewClient()
+		ctx, cancel := context.WithCancel(context.Background())
+		newest := ""
+		m := metastore.NewMirror(metastore.MirrorOptions{Store: thin{client, 200 * time.Millisecond}, Prefix: "op/", Wait: 2 * time.Second,
+			Pause: 150 * time.Millisecond, Reread: true, Log: zap.NewNop(), Apply: func(c metastore.Change) { newest = string(c.Value) }})
+		done := make(chan struct{})
+		go func() { m.Run(ctx); close(done) }()
+		store.Put("op/config", []byte("0"))
+		time.Sleep(5 * time.Second)
+		client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+		for n := range 40 {
+			store.Put("op/config", fmt.Append(nil, n+1))
+			time.Sleep(100 * time.Millisecond)
+		}
+		client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, "40", newest)
+		cancel()
+		<-done
+	})
+}
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -18,9 +18,6 @@
 	// answerSlack is how much longer than its wait a watch may take before its connection
 	// is taken for dead. It covers a store that answers 60 times slower than its 4 ms.
 	answerSlack = 900 * time.Millisecond
-	// rereadSlack is the same for a range that is read again when a watch fails, at first; it
-	// doubles with each failure.
-	rereadSlack = 300 * time.Millisecond
 	// firstWait is how long the first watch after a failure waits.
 	firstWait = 10 * time.Millisecond
 	// retryPause is the pause after a failed call. Calls are priced, refused ones too.
@@ -44,9 +41,13 @@
 	// Synced is called after each successful call, with a time as of which everything that was
 	// written is known.
 	Synced func(asOf time.Time)
-	// Reread asks for a full read at once after a watch that failed, which is then noticed sooner:
-	// its connection may have gone silent. It suits a range that is small and whose age matters.
+	// Reread asks for a full read at once after a watch that failed. It suits a range that is small
+	// beside its history: a watch that has fallen behind may have more to catch up with than it can
+	// read in time.
 	Reread bool
+	// Slack is how much longer than its wait a watch may take at first; 0 for answerSlack. It doubles
+	// with each failure.
+	Slack time.Duration
 	// Guard contains panics of Apply: one change that it cannot take does not hold up the others.
 	Guard *contain.Guard
 }
@@ -123,10 +124,10 @@
 
 // slack returns how much longer than its wait a watch may take after a number of misses in a row.
 func (m *Mirror) slack(misses int) time.Duration {
-	if !m.o.Reread {
+	if m.o.Slack == 0 {
 		return answerSlack
 	}
-	return min(rereadSlack<<min(misses, 4), answerSlack)
+	return min(m.o.Slack<<min(misses, 4), answerSlack)
 }
 
 func nextMisses(misses int, err error) int {
--- a/node/node.go
+++ b/node/node.go
@@ -81,6 +81,9 @@
 	// workersWait is how long a watch of these entries may wait. A fleet of some workers writes
 	// more often, so that it bounds the age of what is known when nothing is heard.
 	workersWait = 300 * time.Millisecond
+	// workersSlack is how much longer such a watch may take at first: its connection may have gone
+	// silent, and the age of what is known matters.
+	workersSlack = 300 * time.Millisecond
 	// membersPause is the least time between two reads of the instances' entries, which serve
 	// to find peers.
 	membersPause = 3 * time.Second
@@ -198,7 +201,7 @@
 		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Guard: n.guard, Apply: term.OnIntake, Synced: term.Loaded,
 	})
 	workers := metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: a.WorkersPrefix, Wait: workersWait, Pause: workersPause, Reread: true, Log: n.log, Guard: n.guard,
+		Store: n.store, Prefix: a.WorkersPrefix, Wait: workersWait, Pause: workersPause, Reread: true, Slack: workersSlack, Log: n.log, Guard: n.guard,
 		Synced: term.WorkersSynced,
 		Apply:  func(change metastore.Change) { n.onWorker(term, change) },
 	})
--- a/node/operator.go
+++ b/node/operator.go
@@ -57,7 +57,7 @@
 func newOperator(n *Node) *operator {
 	o := &operator{n: n, items: map[string]metastore.Item{}, evacuated: map[string]bool{}, waves: map[int64]upkeep.Wave{}}
 	o.mirror = metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: n.o.Adapter.OperatorPrefix, Wait: watchWait, Pause: operatorPause, Log: n.log, Guard: n.guard,
+		Store: n.store, Prefix: n.o.Adapter.OperatorPrefix, Wait: watchWait, Pause: operatorPause, Reread: true, Log: n.log, Guard: n.guard,
 		Apply: o.apply, Synced: o.synced,
 	})
 	return o
