jobowner: work of a worker that has surely left starts again at once

Change: the removal of an entry within two and a half heartbeats of its last one proves that the worker has left, counted so that old news errs on the side of a silent worker; if the store has answered all calls for 10 s, so that nothing lapsed in an outage, its work starts again at once.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -76,7 +76,7 @@
 	registry := metrics.NewRegistry()
 	options := node.Options{
 		Instance: s.Instance, CPUShare: s.CPUShare,
-		MaxLease: s.MaxLease, MaxListAge: s.DrainBound * 3 / 4, HeartbeatGap: 2 * s.Heartbeat, Grace: s.Grace, KeepEnded: s.KeepEnded,
+		MaxLease: s.MaxLease, MaxListAge: s.DrainBound * 3 / 4, HeartbeatGap: s.Heartbeat * 5 / 2, Grace: s.Grace, KeepEnded: s.KeepEnded,
 		Placement: placement.Options{FarFactor: s.FarFactor, StopTimeout: s.StopTimeout},
 		Adapter:   newAdapter(s, log, registry), Log: log, Metrics: registry,
 	}
--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -19,7 +19,7 @@
 	if w.Life != e.Life {
 		return // an older life
 	}
-	w.SeenAt = now
+	w.SeenAt = t.listedAt // it was written later than that
 	if known := t.entries[w.ID]; known != nil && w.Listed && known.Equal(&e) {
 		return // a heartbeat
 	}
@@ -166,10 +166,17 @@
 func (t *Term) gone(w *jobstate.Worker, since, now time.Time) bool {
 	a := t.agents[w.ID]
 	answers := a != nil && a.lastHeard.After(since) && a.failures == 0
-	if answers || now.Sub(since) < missingGrace {
+	if answers {
 		return false
 	}
-	return len(w.Runs) == 0 || (w.Draining && now.After(w.LeavesAt) && since.Sub(w.SeenAt) < t.o.HeartbeatGap)
+	left := w.Draining && now.After(w.LeavesAt) && w.SeenAt.Age(since, t.o.Suspended()) < t.o.HeartbeatGap
+	if left && t.o.StoreCalm() {
+		return true
+	}
+	if now.Sub(since) < missingGrace {
+		return false // entries that lapsed in an outage of the store may come back
+	}
+	return left || len(w.Runs) == 0
 }
 
 // dropWorker forgets a life of a worker that is over. The caller holds the lock.
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -40,10 +40,11 @@
 	fleet  *testplatform.Fleet
 	config *workload.Config
 
-	advisor workerapi.Advisor // nil if no queue needs advice
-	outage  atomic.Bool       // the store answers no instance
-	faulty  atomic.Bool       // reading the configuration panics
-	slept   atomic.Int64      // for how long the machines of all instances were suspended, nanoseconds
+	advisor   workerapi.Advisor // nil if no queue needs advice
+	outage    atomic.Bool       // the store answers no instance
+	faulty    atomic.Bool       // reading the configuration panics
+	calmStore atomic.Bool       // the store has answered all calls for a while
+	slept     atomic.Int64      // for how long the machines of all instances were suspended, nanoseconds
 
 	mu        sync.Mutex
 	evacuated map[string]bool // data centres
@@ -95,7 +96,7 @@
 			Config: s.readConfig, Guard: guard, Wall: time.Now, MaxLease: testplatform.MaxLease,
 			InTouch:   func() bool { return elector.ConfirmedWithin(jobowner.RenewWithout) },
 			Placement: placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
-			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3 * time.Second,
+			KeepEnded: time.Minute, StoreBound: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3750 * time.Millisecond, StoreCalm: func() bool { return s.calmStore.Load() },
 			Suspended: s.suspended,
 			Bound:     func(int) time.Duration { return 500 * time.Millisecond },
 			Outage:    func() bool { return s.outage.Load() }, Completed: func(context.Context) []string { return s.completed() },
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -39,6 +39,9 @@
 	Placement  placement.Options
 	KeepEnded  time.Duration // how long an ended job stays known
 	StoreBound time.Duration // longest wait for one answer of the store
+	// StoreCalm reports whether the store has answered all calls for a while, so that no entry has
+	// lapsed in an outage.
+	StoreCalm func() bool
 	// HeartbeatGap is how long after its last heartbeat the removal of a worker's entry shows that it
 	// has left; later it may only have been silent.
 	HeartbeatGap time.Duration
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
@@ -198,13 +199,13 @@
 
 	Listed     bool // its entry is in the store
 	Draining   bool
-	Reserved   bool      // its machine is next for its upkeep
-	Heard      bool      // it has answered this owner
-	Suspect    time.Time // gets no new work before
-	SeenAt     time.Time // when its newest entry was read
-	ReportedAt time.Time // when its newest report was asked for
-	LeaseEnds  time.Time // at the latest by this process's clock, if the worker is not heard again
-	LeavesAt   time.Time // a draining worker stays at least until then
+	Reserved   bool          // its machine is next for its upkeep
+	Heard      bool          // it has answered this owner
+	Suspect    time.Time     // gets no new work before
+	SeenAt     suspend.Stamp // before its newest entry was written
+	ReportedAt time.Time     // when its newest report was asked for
+	LeaseEnds  time.Time     // at the latest by this process's clock, if the worker is not heard again
+	LeavesAt   time.Time     // a draining worker stays at least until then
 
 	// A worker that does not answer is noted in the records of its runs, so that the next owner
 	// need not wait for a whole lease again. While a record may say so, no lease is renewed.
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -45,6 +45,7 @@
 	usual    time.Duration // moving average of the time of an answer
 	answered time.Time     // when the newest answered call had been sent
 	askedAt  time.Time     // when the store was asked last although it did not answer
+	troubled time.Time     // when the newest call that was not answered ended
 	wake     chan struct{}
 	asks     chan struct{} // a caller wants to know
 }
@@ -61,6 +62,13 @@
 	return !m.failing
 }
 
+// CalmFor returns for how long all calls have been answered.
+func (m *Monitor) CalmFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.troubled)
+}
+
 // FailingFor returns for how long the store has not answered; 0 if it does.
 func (m *Monitor) FailingFor() time.Duration {
 	m.mu.Lock()
@@ -176,6 +184,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !answered {
+		m.troubled = time.Now()
+	}
 	waited := time.Since(sent)
 	if !long && !answered && errors.Is(err, context.DeadlineExceeded) && waited < MaxBound-boundMargin {
 		// Not proof of an outage: the store may be slow. The next call waits longer.
--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,9 @@
 	// operatorPause is the least time between two reads of what the operator wrote: changes in
 	// quick succession are read together by each instance of a large fleet.
 	operatorPause = 150 * time.Millisecond
+	// calmStore is for how long the store must have answered all calls for it to be sure that no
+	// entry lapsed in an outage. It is longer than a worker's entry lasts without a heartbeat.
+	calmStore = 10 * time.Second
 	// storeBound is the longest wait of the owner for one answer of the store.
 	storeBound = 700 * time.Millisecond
 	// handOverBound is the longest wait of a new owner for its peers.
@@ -183,7 +186,8 @@
 		Config: n.operator.config, Wall: time.Now, MaxLease: n.o.MaxLease, Placement: n.o.Placement,
 		InTouch:   func() bool { return n.elector.ConfirmedWithin(jobowner.RenewWithout) },
 		KeepEnded: n.o.KeepEnded, StoreBound: storeBound, MaxListAge: n.o.MaxListAge, HeartbeatGap: n.o.HeartbeatGap,
-		Bound: n.store.Bound, Outage: n.operator.shared.Load, Completed: n.completedElsewhere,
+		StoreCalm: func() bool { return n.store.CalmFor() > calmStore },
+		Bound:     n.store.Bound, Outage: n.operator.shared.Load, Completed: n.completedElsewhere,
 	})
 	waves := upkeep.New(upkeep.Options{
 		Cloud: a.Cloud, Store: n.store, Workers: term, Holder: n.o.Instance, Token: token, Fence: fence,
