placement: a task that is slow on two workers is long itself

Change: a task is taken away for being slow once; standing still counts as before. Test: placement.TestLongTaskIsTakenAwayOnce (three times before).

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -79,6 +79,7 @@
 	Done       bool
 	Run        *Run
 	FailedOn   string // id of the worker of the last failed run
+	Lagged     bool   // a run was taken away because it was slow: the task may be long itself
 }
 
 // Name returns the task's name on workers.
--- a/placement/lag.go
+++ b/placement/lag.go
@@ -66,7 +66,7 @@
 		if !measured(run) {
 			continue
 		}
-		if run.Number < maxLagRuns && r.lags(run, rates[near(run)]) {
+		if run.Number < maxLagRuns && (run.Stalled || !t.Lagged) && r.lags(run, rates[near(run)]) {
 			laggards = append(laggards, run)
 		} else if run.Stalled && stalled(run.Worker) {
 			r.avoidStalled(run.Worker)
@@ -79,6 +79,7 @@
 		w.Suspect = maxTime(w.Suspect, r.now.Add(pause))
 	}
 	for _, run := range laggards {
+		run.Task.Lagged = run.Task.Lagged || !run.Stalled
 		r.stop(run, "lags on its worker")
 	}
 }
--- a/placement/sick_test.go
+++ b/placement/sick_test.go
@@ -189,3 +189,31 @@
 	}
 	assert.Empty(t, w.decide().Stops)
 }
+
+// Load: a wide step one of whose tasks is several times as long as the others. Guards against a long task
+// that is taken away from one sound worker after the other and never gets far.
+func TestLongTaskIsTakenAwayOnce(t *testing.T) {
+	w := newWorld(1, 4)
+	w.submit(batch, "a", step(8, 1, 8*time.Second))
+	long := w.run(0).Starts[0].Task
+	stops := 0
+	for range 60 {
+		w.now = w.now.Add(400 * time.Millisecond)
+		for _, task := range long.Step.Tasks {
+			if r := task.Run; r != nil {
+				rate := 12.0 // percent a second
+				if task == long {
+					rate = 3
+				}
+				r.Observe(min(99, rate*w.now.Sub(r.StartedAt).Seconds()), w.now)
+			}
+		}
+		plan := w.decide()
+		stops += len(plan.Stops)
+		w.stopped(plan)
+		for _, r := range w.decide().Starts {
+			r.Confirm(w.now)
+		}
+	}
+	assert.Equal(t, 1, stops)
+}
