--- a/jobowner/contain_test.go
+++ b/jobowner/contain_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
@@ -44,13 +43,8 @@
 		s.addWorker("w0", 0)
 		a := s.start("a")
 		time.Sleep(time.Second)
-		a.client.SetFault(func(call string) testplatform.Fault {
-			if call == "watch" || call == "range" || call == "keepalive" {
-				return testplatform.Silent // the connections did not outlive the suspension
-			}
-			return testplatform.None
-		})
-		time.Sleep(700 * time.Millisecond) // the watch that was waiting has ended
+		a.silence("watch", "range", "keepalive") // the connections did not outlive the suspension
+		time.Sleep(700 * time.Millisecond)       // the watch that was waiting has ended
 		s.list(s.fleet.Drain("w0"))
 		s.slept.Add(int64(5 * time.Second))
 		s.submit("job", "urgent", tasks(1, 1))
@@ -58,7 +52,7 @@
 		time.Sleep(500 * time.Millisecond)
 		assert.Zero(t, s.fleet.StartCount())
 		assert.False(t, a.elector.ConfirmedWithin(jobowner.RenewWithout))
-		a.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		a.silence()
 		s.addWorker("w1", 0)
 		assert.Equal(t, workload.Completed, s.settle(t, "job", 20*time.Second))
 		s.requireRules(t)
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -152,6 +153,26 @@
 	return s.config
 }
 
+// silenceWorker makes the worker answer nobody.
+func (s *system) silenceWorker(id string) {
+	s.fleet.SetFault(func(worker, _ string) testplatform.Fault {
+		if worker == id {
+			return testplatform.Silent
+		}
+		return testplatform.None
+	})
+}
+
+// silence makes the store leave calls of the kinds without an answer, and answer the others.
+func (c *candidate) silence(calls ...string) {
+	c.client.SetFault(func(call string) testplatform.Fault {
+		if slices.Contains(calls, call) {
+			return testplatform.Silent
+		}
+		return testplatform.None
+	})
+}
+
 // kill ends an instance at once: the store and the workers get nothing more from it.
 func (s *system) kill(name string) {
 	s.mu.Lock()
--- a/jobowner/intake_test.go
+++ b/jobowner/intake_test.go
@@ -36,18 +36,13 @@
 		s.addWorker("w0", 0)
 		a := s.start("a")
 		time.Sleep(time.Second)
-		a.client.SetFault(func(call string) testplatform.Fault {
-			if call == "watch" {
-				return testplatform.Silent
-			}
-			return testplatform.None
-		})
+		a.silence("watch")
 		time.Sleep(3 * time.Second)
 		s.submit("job", "urgent", tasks(2, 1))
 		s.announce(a, "job")
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, 2, s.fleet.StartCount())
-		a.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		a.silence()
 		assert.Equal(t, workload.Completed, s.settle(t, "job", 5*time.Second))
 		assert.Equal(t, 2, s.fleet.StartCount())
 		s.requireRules(t)
@@ -94,12 +89,7 @@
 		s.addWorker("w0", 0)
 		a := s.start("a")
 		time.Sleep(time.Second)
-		a.client.SetFault(func(call string) testplatform.Fault {
-			if call == "watch" || call == "range" {
-				return testplatform.Silent
-			}
-			return testplatform.None
-		})
+		a.silence("watch", "range")
 		time.Sleep(time.Second) // the watch that was waiting has ended
 		s.list(s.fleet.Drain("w0"))
 		for n := range 20 {
@@ -110,7 +100,7 @@
 		}
 		s.requireRules(t)
 		s.addWorker("w1", 0)
-		a.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		a.silence()
 		for n := range 20 {
 			assert.Equal(t, workload.Completed, s.settle(t, fmt.Sprint("job", n), 20*time.Second))
 		}
--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -333,15 +333,15 @@
 		client := store.NewClient()
 		ctx, cancel := context.WithCancel(context.Background())
 		newest := ""
-		m := metastore.NewMirror(metastore.MirrorOptions{Store: thin{client, 200 * time.Millisecond}, Prefix: "op/", Wait: 2 * time.Second,
+		m := metastore.NewMirror(metastore.MirrorOptions{Store: thin{client, 200 * time.Millisecond}, Prefix: "config/", Wait: 2 * time.Second,
 			Pause: 150 * time.Millisecond, Reread: true, Log: zap.NewNop(), Apply: func(c metastore.Change) { newest = string(c.Value) }})
 		done := make(chan struct{})
 		go func() { m.Run(ctx); close(done) }()
-		store.Put("op/config", []byte("0"))
+		store.Put("config/newest", []byte("0"))
 		time.Sleep(5 * time.Second)
 		client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
 		for n := range 40 {
-			store.Put("op/config", fmt.Append(nil, n+1))
+			store.Put("config/newest", fmt.Append(nil, n+1))
 			time.Sleep(100 * time.Millisecond)
 		}
 		client.SetFault(func(string) testplatform.Fault { return testplatform.None })
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -202,19 +202,6 @@
 	return e.owner, e.owner.Token != 0
 }
 
-// Peers returns the other instances.
-func (e *Elector) Peers() []Instance {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var peers []Instance
-	for _, i := range e.instances {
-		if i.Name != e.o.Self.Name {
-			peers = append(peers, i)
-		}
-	}
-	return peers
-}
-
 func (e *Elector) stamp() suspend.Stamp { return suspend.NewStamp(time.Now(), e.o.Suspended()) }
 
 // ConfirmedWithin reports whether the store confirmed the ownership within d.
@@ -247,69 +234,6 @@
 	}
 }
 
-// awaitMembers waits until the other instances are known, or are taken for unknown: a weak instance
-// that has just started would not see that strong ones are there.
-func (e *Elector) awaitMembers(ctx context.Context) {
-	timer := time.NewTimer(membersBound)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-e.listed:
-	case <-timer.C:
-	}
-}
-
-// MembersSynced notes that the instances have been read.
-func (e *Elector) MembersSynced(time.Time) {
-	e.listOnce.Do(func() { close(e.listed) })
-}
-
-// delay returns how long this instance waits before it stands.
-func (e *Elector) delay() time.Duration {
-	share := max(e.o.Self.CPUShare, 0.05)
-	e.mu.Lock()
-	spread := max(minJitter, jitterPerPeer*time.Duration(len(e.instances)))
-	weak, alone := e.isWeak(), len(e.instances) == 0
-	e.mu.Unlock()
-	wait := time.Duration(float64(handicap)/share) + rand.N(spread)
-	if alone {
-		wait = time.Duration(float64(firstHandicap)/share) + rand.N(spread)
-	}
-	if weak {
-		wait += weakDelay
-	}
-	return wait
-}
-
-// isWeak reports whether a much stronger instance is listed, other than one that has just ceased
-// to be the owner. The caller holds the lock.
-func (e *Elector) isWeak() bool {
-	strongest := 0.0
-	for _, i := range e.instances {
-		if i.Name != e.left {
-			strongest = max(strongest, i.CPUShare)
-		}
-	}
-	return e.o.Self.CPUShare < strongShare*strongest
-}
-
-// yieldWhenWeak ends the term of a weak instance when a strong one is listed.
-func (e *Elector) yieldWhenWeak(ctx context.Context, stop context.CancelFunc, token uint64) {
-	for wait.For(ctx, yieldAfter) {
-		e.mu.Lock()
-		yields := e.isWeak() && (e.yieldedAt.IsZero() || time.Since(e.yieldedAt) >= yieldInterval)
-		if yields {
-			e.yieldedAt = time.Now()
-		}
-		e.mu.Unlock()
-		if yields {
-			events.Info(e.o.Log, events.TermOver, zap.Uint64("token", token), zap.String("reason", "a much stronger instance is listed"))
-			stop()
-			return
-		}
-	}
-}
-
 func (e *Elector) vacant() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -513,43 +437,3 @@
 		e.o.Log.Warn("lease not ended", zap.Int64("lease", lease), zap.Error(err))
 	}
 }
-
-// Announce keeps this instance's entry among the members until ctx ends.
-func (e *Elector) Announce(ctx context.Context) {
-	var lease int64
-	value, err := json.Marshal(e.o.Self)
-	if err != nil {
-		e.o.Log.Error("own entry not encoded", zap.Error(err))
-		return
-	}
-	wait.For(ctx, rand.N(firstAnnouncement))
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, callBound)
-		if lease == 0 {
-			lease, err = e.enter(call, value)
-		} else if err = e.o.Store.KeepAlive(call, lease); errors.Is(err, metastore.ErrNoLease) {
-			lease = 0
-		}
-		cancel()
-		pause := instanceInterval
-		if err != nil {
-			pause = instanceInterval/3 + rand.N(instanceInterval/3)
-		}
-		wait.For(ctx, pause)
-	}
-	if lease != 0 {
-		e.endLease(lease)
-	}
-}
-
-func (e *Elector) enter(ctx context.Context, value []byte) (int64, error) {
-	lease, err := e.o.Store.Grant(ctx, instanceTTL)
-	if err != nil {
-		return 0, err
-	}
-	_, err = e.o.Store.Commit(ctx, metastore.Txn{Puts: []metastore.Put{{Key: InstancesPrefix + e.o.Self.Name, Value: value, Lease: lease}}})
-	if err != nil {
-		return 0, err
-	}
-	return lease, nil
-}
