--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -332,9 +333,9 @@
 		store := testplatform.NewStore()
 		client := store.NewClient()
 		ctx, cancel := context.WithCancel(context.Background())
-		newest := ""
+		var newest atomic.Value
 		m := metastore.NewMirror(metastore.MirrorOptions{Store: thin{client, 200 * time.Millisecond}, Prefix: "config/", Wait: 2 * time.Second,
-			Pause: 150 * time.Millisecond, Reread: true, Log: zap.NewNop(), Apply: func(c metastore.Change) { newest = string(c.Value) }})
+			Pause: 150 * time.Millisecond, Reread: true, Log: zap.NewNop(), Apply: func(c metastore.Change) { newest.Store(string(c.Value)) }})
 		done := make(chan struct{})
 		go func() { m.Run(ctx); close(done) }()
 		store.Put("config/newest", []byte("0"))
@@ -346,7 +347,7 @@
 		}
 		client.SetFault(func(string) testplatform.Fault { return testplatform.None })
 		time.Sleep(3 * time.Second)
-		assert.Equal(t, "40", newest)
+		assert.Equal(t, "40", newest.Load())
 		cancel()
 		<-done
 	})
