jobowner: write independent job records in concurrent transactions

Cause: the owner wrote one transaction of up to 15 records at a time and made no decision meanwhile.

Change: decisions go on while records are written; up to 6 transactions hold records of different jobs, urgent jobs first, at most 2 while only less urgent records wait. A record that is being written is not written again before its result. Workers may discard ends once all records that held changes at that moment are stored.

--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -1,8 +1,10 @@
 package jobowner
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,47 +26,152 @@
 	retryDelay = 100 * time.Millisecond
 )
 
+const (
+	// maxWrites limits the transactions that are in progress at the same time. They hold records of
+	// different jobs, so that a start need not wait for the write of another job in a slow store.
+	maxWrites = 6
+	// maxBatchWrites limits the transactions in progress that hold records of less urgent jobs only. While
+	// they are slow, further changes are collected, which saves writes and leaves writes to urgent jobs.
+	maxBatchWrites = 2
+)
+
 // batch holds the job records that one transaction writes.
 type batch struct {
-	jobs        []*jobstate.Job
-	states      []workload.State
-	puts        []metastore.Put
-	appliedEnds map[*agent]int64   // sequence numbers of the ends to acknowledge once the batch is stored
-	recovered   []*jobstate.Worker // workers that no record marks as unresponsive once the batch is stored
+	jobs   []*jobstate.Job
+	states []workload.State
+	puts   []metastore.Put
+	starts []*jobstate.Run // planned runs in the records, which may start once these are stored
+	size   int             // bytes of all values
 }
 
-func (b *batch) empty() bool { return len(b.jobs) == 0 }
+func (b *batch) full() bool { return len(b.jobs) == maxBatch || b.size > maxBatchBytes }
+
+// ackPoint holds the ends that workers may discard, and the records that must be stored before.
+type ackPoint struct {
+	unstored  map[*jobstate.Job]uint64 // sequence number that the stored record must have
+	ends      map[*agent]int64         // sequence number of the newest end, by worker
+	recovered []*jobstate.Worker       // workers that no record marks as unresponsive any more
+}
 
-// nextBatch collects changed records up to the limits of a batch. It returns whether some are left
-// for the next batch.
-func (t *Term) nextBatch() (*batch, bool) {
+// nextBatches collects changed records for new transactions, those of urgent jobs first. A job whose
+// record is being written waits for the result, because its next write is conditional on it.
+func (t *Term) nextBatches() []*batch {
+	t.prepareAcknowledgement()
+	var list []*batch
 	b := &batch{}
-	size := 0
-	more := false
-	for _, j := range t.cluster.Jobs {
-		if !j.Dirty {
-			continue
+	for _, j := range t.unwrittenJobs() {
+		if b.full() {
+			list = append(list, b)
+			b = &batch{}
 		}
-		if len(b.jobs) == maxBatch || size > maxBatchBytes {
-			more = true
+		if !t.mayWrite(len(list), b, j) {
 			break
 		}
-		raw, err := j.Record(t.opts.Token, t.opts.WallClock().UnixMilli(), time.Now()).Encode()
-		if err != nil {
+		if err := t.addRecord(b, j); err != nil {
 			t.opts.Log.Error("cannot encode job record", zap.String("job", j.Submission.ID), zap.Error(err))
-			continue
 		}
-		j.Dirty = false
-		size += len(raw)
-		b.jobs = append(b.jobs, j)
-		b.states = append(b.states, j.State)
-		b.puts = append(b.puts, metastore.Put{Key: RecordKey(j.Submission.ID), Value: raw})
 	}
-	if !more {
-		b.appliedEnds = t.unacknowledged()
-		b.recovered = t.recoveredWorkers()
+	if len(b.jobs) > 0 {
+		list = append(list, b)
+	}
+	t.writes += len(list)
+	return list
+}
+
+// unwrittenJobs returns the jobs with a changed record that is not being written, the most urgent first
+// and among equals those that were written least often.
+func (t *Term) unwrittenJobs() []*jobstate.Job {
+	var list []*jobstate.Job
+	for _, j := range t.cluster.Jobs {
+		if j.Dirty && !j.Writing {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *jobstate.Job) int {
+		return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), cmp.Compare(a.Sequence, b.Sequence),
+			cmp.Compare(a.Submission.ID, b.Submission.ID))
+	})
+	return list
+}
+
+// mayWrite reports whether the job's record may be added to the batch, which follows further new ones.
+func (t *Term) mayWrite(further int, b *batch, j *jobstate.Job) bool {
+	if len(b.jobs) > 0 {
+		return true
+	}
+	limit := maxBatchWrites
+	if j.Route.Priority == 0 {
+		limit = maxWrites
+	}
+	return t.writes+further < limit
+}
+
+func (t *Term) addRecord(b *batch, j *jobstate.Job) error {
+	raw, err := j.Record(t.opts.Token, t.opts.WallClock().UnixMilli(), time.Now()).Encode()
+	if err != nil {
+		return err
+	}
+	j.Dirty, j.Writing = false, true
+	b.size += len(raw)
+	b.jobs = append(b.jobs, j)
+	b.states = append(b.states, j.State)
+	b.puts = append(b.puts, metastore.Put{Key: RecordKey(j.Submission.ID), Value: raw})
+	for _, r := range j.Runs() {
+		if r.Phase == jobstate.Planned {
+			b.starts = append(b.starts, r)
+		}
+	}
+	return nil
+}
+
+// prepareAcknowledgement notes which records must be stored before the workers may discard the ends
+// applied so far, unless an earlier acknowledgement is still pending. The caller holds the lock.
+func (t *Term) prepareAcknowledgement() {
+	if t.pendingAck != nil {
+		return
+	}
+	p := &ackPoint{unstored: map[*jobstate.Job]uint64{}, ends: t.unacknowledged(), recovered: t.recoveredWorkers()}
+	if len(p.ends) == 0 && len(p.recovered) == 0 {
+		return
+	}
+	for _, j := range t.cluster.Jobs {
+		sequence := j.Sequence
+		if j.Writing {
+			sequence++
+		}
+		if j.Dirty {
+			sequence++
+		}
+		if sequence > j.Sequence {
+			p.unstored[j] = sequence
+		}
+	}
+	t.pendingAck = p
+	t.acknowledgeStored(nil)
+}
+
+// acknowledgeStored lets workers discard the ends of the pending acknowledgement once all its records are
+// stored, of which stored are new. The caller holds the lock.
+func (t *Term) acknowledgeStored(stored []*jobstate.Job) {
+	p := t.pendingAck
+	if p == nil {
+		return
+	}
+	for _, j := range stored {
+		if needed, ok := p.unstored[j]; ok && j.Sequence >= needed {
+			delete(p.unstored, j)
+		}
+	}
+	if len(p.unstored) > 0 {
+		return
+	}
+	t.pendingAck = nil
+	for a, n := range p.ends {
+		a.acknowledge(n)
+	}
+	for _, w := range p.recovered {
+		w.UnresponsiveStored = w.Unresponsive // it may have become unresponsive again during the write
 	}
-	return b, more
 }
 
 // unacknowledged returns the newest applied end of each agent that has unacknowledged ends.
@@ -90,20 +197,17 @@
 	return list
 }
 
-// acknowledge lets workers discard the ends whose effect is stored. The ends were collected under
-// the same lock as the batch, so none is missing from its records. The caller holds the lock.
-func (b *batch) acknowledge() {
-	for a, n := range b.appliedEnds {
-		a.acknowledge(n)
-	}
-	for _, w := range b.recovered {
-		w.UnresponsiveStored = w.Unresponsive // it may have become unresponsive again during the write
+// write writes the batch and carries out what its records allow.
+func (t *Term) write(ctx context.Context, b *batch) {
+	revision, stored := t.commit(ctx, b)
+	if stored {
+		t.applyCommitted(ctx, b, revision)
 	}
 }
 
-// commit writes the batch and returns whether it is in the store. It retries until the store
-// confirms the write, the term ends or ctx ends.
-func (t *Term) commit(ctx context.Context, b *batch) bool {
+// commit writes the batch and returns its revision and whether it is in the store. It retries until the
+// store confirms the write, the term ends or ctx ends.
+func (t *Term) commit(ctx context.Context, b *batch) (revision uint64, stored bool) {
 	start := time.Now()
 	defer func() { t.commits.Update(time.Since(start).Microseconds()) }()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
@@ -115,13 +219,12 @@
 		revision, err := t.opts.Store.Commit(call, txn)
 		cancel()
 		if err == nil {
-			b.markStored(revision)
-			return true
+			return revision, true
 		}
 		var conflict *metastore.ConflictError
 		if errors.As(err, &conflict) {
-			if t.resolveConflict(b, conflict) {
-				return true
+			if revision, stored := t.resolveConflict(b, conflict); stored {
+				return revision, true
 			}
 			continue
 		}
@@ -132,51 +235,48 @@
 			wait.For(ctx, retryDelay)
 		}
 	}
-	return false
-}
-
-func (b *batch) markStored(revision uint64) {
-	for _, j := range b.jobs {
-		j.Revision = revision
-		j.Sequence++
-	}
+	return 0, false
 }
 
 // resolveConflict handles a failed condition: either the term has ended, or an earlier attempt took
-// effect although its answer was lost. It returns whether the batch is stored.
-func (t *Term) resolveConflict(b *batch, conflict *metastore.ConflictError) bool {
+// effect although its answer was lost. It returns the revision of the batch and whether it is stored.
+func (t *Term) resolveConflict(b *batch, conflict *metastore.ConflictError) (revision uint64, stored bool) {
 	owner, ok := conflict.Find(t.opts.Fence.Key)
 	if !ok || owner.Revision != t.opts.Fence.Revision {
 		t.terminate("the store has another owner")
-		return false
+		return 0, false
 	}
 	first, ok := conflict.Find(b.puts[0].Key)
 	if !ok {
 		t.terminate("a job record is missing in the store")
-		return false
+		return 0, false
 	}
 	if string(first.Value) == string(b.puts[0].Value) {
 		events.Info(t.opts.Log, events.RecordAnswerLost, zap.Int("jobs", len(b.jobs)), zap.Uint64("revision", first.Revision))
-		b.markStored(first.Revision)
-		return true
+		return first.Revision, true
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for n, j := range b.jobs {
 		if item, ok := conflict.Find(b.puts[n].Key); ok {
 			j.Revision = item.Revision
 		}
 	}
-	return false
+	return 0, false
 }
 
-// applyCommitted publishes the stored states, sends the starts of planned runs and acknowledges the
-// ends.
-func (t *Term) applyCommitted(ctx context.Context, b *batch) {
+// applyCommitted publishes the stored states, sends the starts of the batch and acknowledges ends.
+func (t *Term) applyCommitted(ctx context.Context, b *batch, revision uint64) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.checkListAge(now) // the write may have taken a long time
+	t.writes--
 	ended := false
 	for n, j := range b.jobs {
+		j.Revision = revision
+		j.Sequence++
+		j.Writing = false
 		if j.StoredState != b.states[n] && b.states[n].Ended() {
 			ended = true
 			events.Info(t.opts.Log, events.JobEndRecorded, zap.String("job", j.Submission.ID), zap.String("state", string(b.states[n])),
@@ -184,16 +284,17 @@
 		}
 		j.StoredState = b.states[n]
 		j.EndsAtRisk = j.EndsAtRisk && j.Dirty
-		for _, r := range j.Runs() {
-			if r.Phase == jobstate.Planned {
-				t.orderStart(ctx, r, now)
-			}
+	}
+	for _, r := range b.starts {
+		if r.Phase == jobstate.Planned && r.Task.Run == r {
+			t.orderStart(ctx, r, now)
 		}
 	}
 	if ended {
 		t.notifyStateWaiters()
 	}
-	b.acknowledge()
+	t.acknowledgeStored(b.jobs)
+	t.wakeLoop() // for records that waited for this write
 }
 
 // removeJob removes an ended job from the store after its retention time.
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -11,21 +11,20 @@
 	"github.com/cyclamenyard/cyclamenyard/placement"
 )
 
-// loop makes decisions, writes them and sends the orders until ctx ends.
+// loop makes decisions, writes them and sends the orders until ctx ends. It does not wait for the writes:
+// decisions go on while the store is slow.
 func (t *Term) loop(ctx context.Context) {
 	timer := time.NewTimer(idleInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		again, took := t.cycle(ctx)
-		if !again {
-			timer.Reset(t.idleTime())
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.wake:
-			case <-timer.C:
-				continue
-			}
+		took := t.cycle(ctx)
+		timer.Reset(t.idleTime())
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		case <-timer.C:
+			continue
 		}
 		timer.Reset(pauseAfter(took))
 		select {
@@ -52,43 +51,44 @@
 	return max(time.Millisecond, min(due, idleInterval))
 }
 
-// cycle makes one decision and carries it out. It returns whether records are left to be written,
-// and how long the decision took.
-func (t *Term) cycle(ctx context.Context) (again bool, took time.Duration) {
+// cycle makes one decision and starts to carry it out. It returns how long the decision took.
+func (t *Term) cycle(ctx context.Context) (took time.Duration) {
 	began := time.Now()
-	var batch *batch
-	if err := t.opts.Guard.Do("decision", func() { batch, again = t.decide(ctx, began) }); err != nil {
+	var batches []*batch
+	if err := t.opts.Guard.Do("decision", func() { batches = t.decide(ctx, began) }); err != nil {
 		t.terminate("a decision failed") // the state may be inconsistent; the next term reads it from the store
-		return false, 0
+		return 0
 	}
 	took = time.Since(began)
 	t.decisions.Update(took.Microseconds())
-	if batch.empty() || !t.commit(ctx, batch) {
-		return false, took
+	for _, b := range batches {
+		t.tasks.Add(1)
+		go func() {
+			defer t.tasks.Done()
+			if err := t.opts.Guard.Do("write of records", func() { t.write(ctx, b) }); err != nil {
+				t.terminate("a write failed")
+			}
+		}()
 	}
-	t.applyCommitted(ctx, batch)
-	return again, took
+	return took
 }
 
 // decide updates the state, plans, and sends the orders that need no prior write. It returns the
-// records to be written, and whether there are more.
-func (t *Term) decide(ctx context.Context, now time.Time) (*batch, bool) {
+// records to be written.
+func (t *Term) decide(ctx context.Context, now time.Time) []*batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.applyTimers(now)
 	t.checkListAge(now)
 	plan := t.policy.Decide(t.cluster, t.guarantee, now)
 	stops := t.runsToStop(now)
-	batch, more := t.nextBatch()
+	batches := t.nextBatches()
 	t.logPlan(plan)
 	t.queueAdvice(plan.NeedAdvice)
 	for _, run := range stops {
 		t.orderStop(ctx, run)
 	}
-	if batch.empty() {
-		batch.acknowledge() // no record changed, so the ends need no write
-	}
-	return batch, more
+	return batches
 }
 
 func (t *Term) guarantee(workspace string) int {
@@ -171,7 +171,7 @@
 // from the store.
 func (t *Term) evictEnded(now time.Time) {
 	for id, j := range t.cluster.Jobs {
-		if j.State.Ended() && !j.Dirty && now.Sub(j.EndedAt) > t.opts.EndedRetention && len(j.Runs()) == 0 {
+		if j.State.Ended() && !j.Dirty && !j.Writing && now.Sub(j.EndedAt) > t.opts.EndedRetention && len(j.Runs()) == 0 {
 			delete(t.cluster.Jobs, id)
 			t.tasks.Add(1)
 			go t.removeJob(id, j.Revision)
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -113,6 +113,8 @@
 	listAsOf          suspend.Stamp // the list of workers includes all entries written before
 	listStale         bool          // the list is older than MaxListAge
 	nextDue           int64         // Unix milliseconds of the next occurrence; 0 for none
+	writes            int           // transactions in progress
+	pendingAck        *ackPoint     // ends that may be discarded after certain writes; nil for none
 	ended             bool
 
 	adviceQueue  chan *jobstate.Step // steps that wait for advice
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -176,7 +176,8 @@
 	EndedAt     time.Time
 	Revision    uint64 // store revision of the record; 0 before the first write
 	Sequence    uint64 // sequence number in the stored record
-	Dirty       bool   // the record differs from the stored one
+	Dirty       bool   // the record differs from the stored one and from the one that is being written
+	Writing     bool   // a record is being written
 	EndsAtRisk  bool   // an end that is not stored yet was reported by a worker that may leave
 
 	Occurrences []*Occurrence // occurrences that have been due, by number
