placement: find slow workers by the first report, also in small gangs

The rate of a run was known after two reports; a gang of two or three had too few members for a median; a run that had begun before its worker became slow ended the probation of that worker when it ended as done.

Change: the rate is measured from the answer to the start; a gang's members, which do the same work, are compared from two on and by a factor of 2; a slow run that works on keeps its worker avoided, and only a run that started after the avoidance ends the probation, by its speed or end.

TestUnreachableDrainingWorkerKeepsItsRuns cuts the worker off before it announces that it leaves: its runs are now known earlier to end too late, and a reachable worker would be told to stop them. What it checks is the same.

--- a/jobowner/leave_test.go
+++ b/jobowner/leave_test.go
@@ -26,11 +26,10 @@
 		job.Estimate = 0 // unknown duration
 		s.submit("job", "batch", job)
 		time.Sleep(time.Second)
+		s.isolateWorker("w0") // at once: the stops of runs that cannot end in time do not reach it
 		s.list(s.fleet.Drain("w0"))
 		s.addWorker("w1", 1)
-		time.Sleep(500 * time.Millisecond)
-		s.isolateWorker("w0")
-		time.Sleep(4500 * time.Millisecond)
+		time.Sleep(5 * time.Second)
 		s.store.Remove(workersPrefix + "w0")
 		time.Sleep(4 * time.Second)
 		assert.Equal(t, 2, s.fleet.StartCount(), "the lease has not expired")
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -181,6 +181,7 @@
 	a.recordAnswer(clock, now)
 	if r.Worker == a.worker && r.StartedAt.IsZero() {
 		if _, present := a.worker.Runs[r]; present {
+			r.StartAnswered = true
 			t.confirm(r, now)
 			t.wakeLoop()
 		}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -44,6 +44,8 @@
 	Phase            Phase
 	PlannedAt        time.Time // when the run was decided
 	StartedAt        time.Time // when the worker confirmed the start; zero before
+	StartAnswered    bool      // StartedAt is when the worker answered the start, and not a later report
+	Resumed          bool      // it started from a checkpoint
 	Percent          float64   // share of its work that is done
 	Rate             float64   // percent a second over the last measured interval; valid if HasRate
 	Stalled          bool      // almost no progress over the last measured interval
@@ -294,7 +296,7 @@
 
 // Place adds a planned run of the task on the worker and reserves its resources there.
 func (c *Cluster) Place(t *Task, w *Worker, number int, now time.Time) *Run {
-	r := &Run{Task: t, Number: number, Worker: w, Phase: Planned, PlannedAt: now, SpeedPercent: 100}
+	r := &Run{Task: t, Number: number, Worker: w, Phase: Planned, PlannedAt: now, SpeedPercent: 100, Resumed: t.Step.StartCheckpoint(t) != ""}
 	t.Run = r
 	t.LastRun = number
 	t.Step.Active++
--- a/placement/health.go
+++ b/placement/health.go
@@ -23,7 +23,9 @@
 	w := run.Worker
 	switch outcome {
 	case jobstate.EndDone:
-		w.FailStreak, w.StragglerStreak = 0, 0
+		if run.PlannedAt.After(w.AvoidUntil) { // an earlier run says nothing about new ones
+			w.FailStreak, w.StragglerStreak = 0, 0
+		}
 	case jobstate.EndFailed:
 		if now.Before(w.AvoidUntil) && w.FailStreak > 0 {
 			return 0 // the run started before AvoidUntil was set
--- a/placement/straggler.go
+++ b/placement/straggler.go
@@ -14,8 +14,15 @@
 	// expectedStall is how much longer a stalled run is expected to stay stalled.
 	expectedStall = 5 * time.Second
 	// slowFactor is how many times slower than the median of the step's other runs a straggler is. The
-	// speed of workers and the length of tasks together account for a factor of up to two.
-	slowFactor = 3
+	// speed of workers and the length of tasks together account for a factor of up to two. The members of a
+	// gang do the same work and end together, so that they differ by the speed of their workers only.
+	slowFactor     = 3
+	slowGangFactor = 2
+	// soundSpeed is the least speed relative to other runs of the step that shows a sound worker.
+	soundSpeed = 0.7
+	// minRates and minGangRates are the least number of other runs with a rate for a comparison.
+	minRates     = 2
+	minGangRates = 1
 	// restartGain is the least ratio between the time that a straggler still needs and that of a restart
 	// on another worker, for the straggler to be stopped.
 	restartGain = 1.5
@@ -66,14 +73,23 @@
 		if !hasComparableRate(run) {
 			continue
 		}
-		if run.Number < maxStragglerRuns && (run.Stalled || !t.StoppedSlow) && r.isStraggler(run, rates[inDataRack(run)]) {
+		speed, known := relativeSpeed(run, rates[inDataRack(run)])
+		if known {
+			r.recordSpeed(run, speed)
+		}
+		if run.Number < maxStragglerRuns && (run.Stalled || !t.StoppedSlow) && r.isStraggler(run, speed, known) {
 			stragglers = append(stragglers, run)
 		} else if run.Stalled && allStalled(run.Worker) {
 			r.avoidStalled(run.Worker)
 		}
 	}
+	avoided := map[*jobstate.Worker]bool{}
 	for _, run := range stragglers {
 		w := run.Worker
+		if avoided[w] {
+			continue
+		}
+		avoided[w] = true
 		avoidance := min(stragglerAvoidance<<min(w.StragglerStreak, 4), maxStragglerAvoidance)
 		w.StragglerStreak++
 		w.AvoidUntil = maxTime(w.AvoidUntil, r.now.Add(avoidance))
@@ -84,6 +100,20 @@
 	}
 }
 
+// recordSpeed updates the state of the run's worker from the speed of the run relative to the other runs
+// of its step. A slow run that works on shows that the worker is still slow. One that started after the
+// worker was avoided and keeps up shows that it is sound again.
+func (r *round) recordSpeed(run *jobstate.Run, speed float64) {
+	w := run.Worker
+	switch {
+	case speed*slownessOf(run.Task.Step) <= 1:
+		w.StragglerStreak = max(w.StragglerStreak, 1)
+		w.AvoidUntil = maxTime(w.AvoidUntil, r.now.Add(stallAvoidance))
+	case speed >= soundSpeed && run.PlannedAt.After(w.AvoidUntil):
+		w.StragglerStreak = 0
+	}
+}
+
 // gangCompleteSince returns when the last member of a gang started, or now if one has not started yet:
 // no member works before that. It returns zero for a step that is not a gang.
 func (r *round) gangCompleteSince(s *jobstate.Step) time.Time {
@@ -127,9 +157,6 @@
 	}
 }
 
-// minRates is the least number of other runs with a rate for a comparison.
-const minRates = 2
-
 // ratesOf returns the measured rates of the step's unfinished runs, in percent a second and in ascending
 // order, by whether the run is in the rack of its data.
 func ratesOf(s *jobstate.Step) map[bool][]float64 {
@@ -146,10 +173,10 @@
 }
 
 // medianOfOthers returns the median of the rates without the run's own, which is one of them. ok is false
-// if there are fewer than minRates others.
-func medianOfOthers(run *jobstate.Run, rates []float64) (rate float64, ok bool) {
+// if there are fewer than least others.
+func medianOfOthers(run *jobstate.Run, rates []float64, least int) (rate float64, ok bool) {
 	others := len(rates) - 1
-	if others < minRates {
+	if others < least {
 		return 0, false
 	}
 	middle := others / 2
@@ -174,18 +201,41 @@
 	return !run.Task.Step.Spec.Filler && run.SpeedPercent >= 100 && run.Task.Step.Spec.Estimate > 0
 }
 
+// slownessOf returns how many times slower than the others a straggler of the step is.
+func slownessOf(s *jobstate.Step) float64 {
+	if s.Spec.Gang {
+		return slowGangFactor
+	}
+	return slowFactor
+}
+
+// relativeSpeed returns the rate of the run, which must be comparable, relative to the median of the other
+// rates. rates are those of the step's runs with the same result of inDataRack. ok is false if there are
+// too few of them.
+func relativeSpeed(run *jobstate.Run, rates []float64) (speed float64, ok bool) {
+	least := minRates
+	if run.Task.Step.Spec.Gang {
+		least = minGangRates
+	}
+	median, ok := medianOfOthers(run, rates, least)
+	if !ok || median <= 0 {
+		return 0, false
+	}
+	return run.Rate / median, true
+}
+
 // isStraggler reports whether the run, which must have a comparable rate, would end sooner on another
-// worker. rates are those of the step's runs with the same result of inDataRack.
-func (r *round) isStraggler(run *jobstate.Run, rates []float64) bool {
+// worker. speed is its speed relative to the other runs of its step, if known.
+func (r *round) isStraggler(run *jobstate.Run, speed float64, known bool) bool {
 	if run.Stalled {
 		return allStalled(run.Worker) && r.stallCostsMore(run)
 	}
-	median, ok := medianOfOthers(run, rates)
-	if !ok || run.Rate*slowFactor > median {
+	if !known || speed*slownessOf(run.Task.Step) > 1 {
 		return false
 	}
+	usual := run.Rate / speed
 	left := 100 - run.Percent
-	return left/run.Rate > restartGain*(restartOverhead.Seconds()+workAfterRestart(run)/median)
+	return left/run.Rate > restartGain*(restartOverhead.Seconds()+workAfterRestart(run)/usual)
 }
 
 // allStalled reports whether all unfinished runs with a rate on the worker are stalled.
