--- a/placement/slow_worker_test.go
+++ b/placement/slow_worker_test.go
@@ -60,22 +60,31 @@
 // A run that began before its worker became slow ends as done just after a gang has left that worker.
 // Guards against taking the worker for sound because of it, so that the next gang is slow as well.
 func TestEarlierRunDoesNotEndTheAvoidance(t *testing.T) {
-	w := newFixture(1, 4)
+	w := newFixture(1, 6)
 	w.submit(batch, "b", step(1, 1, 10*time.Second))
 	earlier := w.startAnswered()[0]
 	w.now = w.now.Add(5 * time.Second)
-	w.submit(urgent, "a", gang(2, 7, 2500*time.Millisecond))
-	runs := w.startAnswered()
-	require.Contains(t, []*jobstate.Worker{runs[0].Worker, runs[1].Worker}, earlier.Worker)
-	w.now = w.now.Add(500 * time.Millisecond)
-	w.observe(40, map[*jobstate.Worker]bool{earlier.Worker: true})
-	w.endStops(w.decide())
-	w.startAnswered()
+	w.submit(urgent, "a", gang(3, 7, 2500*time.Millisecond))
+	workers := map[*jobstate.Worker]bool{}
+	for _, r := range w.startAnswered() {
+		workers[r.Worker] = true
+	}
+	require.True(t, workers[earlier.Worker])
+	for range 2 {
+		w.now = w.now.Add(450 * time.Millisecond)
+		w.observe(40, map[*jobstate.Worker]bool{earlier.Worker: true})
+	}
+	plan := w.decide()
+	require.Len(t, plan.Stops, 3)
+	w.endStops(plan)
+	require.Len(t, w.startAnswered(), 3)
 	placement.RecordEnd(earlier, jobstate.EndDone, w.now)
 	w.c.End(earlier, jobstate.EndDone, "", w.now)
 	w.now = earlier.Worker.AvoidUntil.Add(100 * time.Millisecond)
 	w.submit(urgent, "a", gang(2, 8, 2500*time.Millisecond))
-	for _, r := range w.startAnswered() {
+	again := w.startAnswered()
+	require.Len(t, again, 2)
+	for _, r := range again {
 		assert.NotEqual(t, earlier.Worker, r.Worker, "on probation: no run that started since has ended as done")
 	}
 }
