jobowner: no work for a restarted worker while a late report request may reach it

In the log the run was missed at 16.964 s, 3 s (the delay of the fake) after a request of 13.96 s.

Change: requests with such a number that have no answer are remembered for 12 s, the longest delay that the users state; the next incarnation gets no work until then.

The new test forces the sequence; it breaks TWICE on the code before and passes now.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -32,6 +32,8 @@
 	reportRetryDelay = 250 * time.Millisecond
 	// endStoreWait is how long the next report is delayed until the reported ends are stored.
 	endStoreWait = time.Second
+	// maxOrderDelay is the longest time after which an order without an answer is carried out.
+	maxOrderDelay = 12 * time.Second
 	// unresponsiveAvoidance is how long an unresponsive worker gets no new work.
 	unresponsiveAvoidance = 1500 * time.Millisecond
 )
@@ -206,6 +208,7 @@
 		bound = order.Wait + reportSlack
 	}
 	target := a.target()
+	answered := a.noteAck(order, now)
 	t.mu.Unlock()
 
 	call, cancel := context.WithTimeout(ctx, bound)
@@ -217,12 +220,28 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	answered()
 	if t.agents[a.worker.ID] == a {
 		a.apply(report, now)
 	}
 	return nil
 }
 
+// noteAck records that the order, sent now, may be carried out late if it lets the worker discard ends. The
+// caller holds the lock, and calls answered under it when the order has an answer.
+func (a *agent) noteAck(order workerapi.Renew, now time.Time) (answered func()) {
+	if order.AckSequence == 0 {
+		return func() {}
+	}
+	w, before, until := a.worker, a.worker.LateAckUntil, now.Add(maxOrderDelay)
+	w.LateAckUntil = later(before, until)
+	return func() {
+		if w.LateAckUntil.Equal(until) {
+			w.LateAckUntil = before
+		}
+	}
+}
+
 // reportInterval returns how long the worker may hold back its next report. The caller holds
 // the lock.
 func (a *agent) reportInterval() time.Duration {
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -146,16 +146,18 @@
 		settled := !present || !r.StartedAt.IsZero() || r.Phase == jobstate.Stopping
 		order := workerapi.Renew{Token: t.opts.Token, AckSequence: a.storedEnd}
 		target := a.target()
-		t.mu.Unlock()
 		if settled {
+			t.mu.Unlock()
 			return
 		}
 		sent := time.Now()
+		answered := a.noteAck(order, sent)
+		t.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, runLookupTimeout)
 		report, err := t.opts.Workers.Renew(call, target, order)
 		cancel()
 		if err == nil {
-			t.applyReport(a, report, sent)
+			t.applyReport(a, report, sent, answered)
 			return
 		}
 		if !r.Task.Step.Spec.LongRunning {
@@ -165,10 +167,11 @@
 	}
 }
 
-// applyReport applies a report unless the agent has been replaced.
-func (t *Term) applyReport(a *agent, report workerapi.Report, sent time.Time) {
+// applyReport applies a report unless the agent has been replaced. answered is the result of noteAck.
+func (t *Term) applyReport(a *agent, report workerapi.Report, sent time.Time, answered func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	answered()
 	if t.agents[a.worker.ID] == a {
 		a.apply(report, sent)
 	}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -216,6 +216,10 @@
 	UnresponsiveStored bool  // a stored record may contain the end of its lease
 	RecordedLeaseEnds  int64 // end of its lease as stored by a former owner, Unix milliseconds; 0 if none is stored
 
+	// LateAckUntil is until when a report request without an answer may still be carried out that lets the
+	// worker discard ends. The next incarnation would discard ends of its own, because their numbers start anew.
+	LateAckUntil time.Time
+
 	Runs map[*Run]struct{}
 
 	Untracked map[string]workload.Resources // resources of the tasks on the worker that match no entry of Runs, by task name
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -8,7 +8,7 @@
 
 // EnsureWorker returns the newest incarnation of the worker with the id. If there is none, or only one older
 // than the given incarnation, it adds the given one as not listed. The older one is removed, and its runs end
-// unless the new one may have started them.
+// unless the new one may have started them. The new one gets no work until LateAckUntil of the older one.
 func (c *Cluster) EnsureWorker(id string, incarnation int64, now time.Time) *Worker {
 	w := c.Workers[id]
 	if w != nil && (w.Incarnation == incarnation || incarnation < w.Incarnation) {
@@ -16,6 +16,7 @@
 	}
 	next := &Worker{ID: id, Incarnation: incarnation, Runs: map[*Run]struct{}{}, Untracked: map[string]workload.Resources{}}
 	if w != nil {
+		next.AvoidUntil, next.LateAckUntil = w.LateAckUntil, w.LateAckUntil
 		c.transferUncertainRuns(w, next, now)
 		c.RemoveWorker(w, now)
 	}
