node, metastore: an owner cut off from the store hands over after the first timeout

Change: a call without an answer makes the owner ask its peers at once whether the store answers them; it hands over if it does and does not answer the owner within 450 ms, which allows for a store 100 times slower than usual.

--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -351,3 +351,45 @@
 		<-done
 	})
 }
+
+// The store stops responding to the owner. Guards against a suspicion only after the longest timeout, with
+// which urgent work waits for a second before another instance takes over.
+func TestFirstTimeoutRaisesSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testplatform.NewStore().NewClient()
+		m := metastore.NewMonitor(client)
+		get := func() {
+			ctx, cancel := context.WithTimeout(context.Background(), m.CallTimeout(1))
+			defer cancel()
+			_, _ = m.Get(ctx, "k") // the fault decides whether it times out
+		}
+		get()
+		assert.False(t, m.Suspect())
+		client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+		time.Sleep(time.Millisecond)
+		get()
+		assert.True(t, m.Suspect())
+		assert.True(t, m.Healthy(), "the store may be slow")
+		client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		time.Sleep(time.Millisecond)
+		get()
+		assert.False(t, m.Suspect())
+	})
+}
+
+// A store that has become slow responds to the owner's peer from memory of its last call. Guards against a
+// probe that is too short for the slow store: the owner would hand over needlessly.
+func TestProbeOfASuspectedStoreAllowsForASlowOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testplatform.NewStore().NewClient()
+		m := metastore.NewMonitor(client)
+		client.SetLatency(400 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), m.CallTimeout(1))
+		_, err := m.Get(ctx, "k")
+		cancel()
+		assert.Error(t, err)
+		assert.True(t, m.Suspect())
+		assert.True(t, m.ProbeNow(context.Background()))
+		assert.False(t, m.Suspect())
+	})
+}
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -45,6 +45,7 @@
 	lastAnsweredSent time.Time     // when the newest answered call was sent
 	callerProbedAt   time.Time     // when the last probe on behalf of a caller was started
 	lastFailure      time.Time     // when the last refused or unanswered call ended
+	unansweredSent   time.Time     // when the newest call that timed out early was sent; zero after a later answer
 	wake             chan struct{}
 	probeRequests    chan struct{} // requests of callers for an immediate probe
 }
@@ -61,6 +62,14 @@
 	return !m.failing
 }
 
+// Suspect reports whether a call timed out and none that was sent later has been answered. The store may be
+// slow, or unreachable from this instance: Healthy becomes false only after a longer timeout.
+func (m *Monitor) Suspect() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.unansweredSent.IsZero()
+}
+
 // SinceFailure returns the time since the last call that was refused or not answered.
 func (m *Monitor) SinceFailure() time.Duration {
 	m.mu.Lock()
@@ -138,8 +147,11 @@
 }
 
 // ProbeNow probes the store regardless of its recorded state and reports whether it answers within the
-// timeout of a first attempt.
+// timeout of a first attempt, or of a slow call if the store is only suspected to be unreachable.
 func (m *Monitor) ProbeNow(ctx context.Context) bool {
+	if m.Healthy() {
+		return m.probe(ctx, MaxCallTimeout-timeoutMargin)
+	}
 	return m.probe(ctx, m.CallTimeout(1))
 }
 
@@ -190,6 +202,9 @@
 	if !longPoll && !answered && errors.Is(err, context.DeadlineExceeded) && waited < MaxCallTimeout-timeoutMargin {
 		// This is no proof of an outage, because the store may be slow. The next call waits longer.
 		m.meanLatency = max(m.meanLatency, waited/2)
+		if sent.After(m.lastAnsweredSent) {
+			m.unansweredSent = sent
+		}
 		return
 	}
 	switch {
@@ -201,6 +216,9 @@
 			m.meanLatency += time.Duration(latencyWeight * float64(waited-m.meanLatency))
 		}
 		m.failing = m.failing && m.lastFailedSent.After(sent)
+		if sent.After(m.unansweredSent) {
+			m.unansweredSent = time.Time{}
+		}
 	case !m.failing || sent.After(m.lastFailedSent):
 		if !m.failing {
 			m.failingSince = sent
--- a/node/operator.go
+++ b/node/operator.go
@@ -23,6 +23,8 @@
 	// peerQueryInterval is the time between two rounds of queries to peers while the store does not
 	// answer this instance.
 	peerQueryInterval = 150 * time.Millisecond
+	// suspicionCheckInterval is how often the owner checks whether it may be cut off from the store.
+	suspicionCheckInterval = 50 * time.Millisecond
 	// peerQueryTimeout is the timeout of a query to a peer. It covers a read of a slow store by the peer.
 	peerQueryTimeout = time.Second
 	// maxCheckAge is the maximum age of an answered store call that counts as proof that the store
@@ -199,8 +201,8 @@
 // queryPeersWhilePartitioned reads the operator's keys from peers while the store does not answer this
 // instance. It also records whether the store answers any of the peers.
 func (o *operatorData) queryPeersWhilePartitioned(ctx context.Context) {
-	for wait.For(ctx, peerQueryInterval) {
-		if o.n.store.Healthy() {
+	for o.awaitPeerQuery(ctx) {
+		if o.n.store.Healthy() && !o.ownerSuspects() {
 			o.storeOutage.Store(false)
 			o.partitioned.Store(false)
 			continue
@@ -225,12 +227,31 @@
 		if reply := selectReply(replies, o.config() != nil); reply != nil {
 			o.mergeReply(reply)
 		}
-		o.storeOutage.Store(len(replies) > 0 && !reachable)
+		o.storeOutage.Store(len(replies) > 0 && !reachable && !o.n.store.Healthy())
 		// Some instances detect the end of an outage before others, so the store is probed once more.
 		o.partitioned.Store(reachable && !o.n.store.ProbeNow(ctx))
 	}
 }
 
+// awaitPeerQuery waits for the next round of queries to peers, and returns false when ctx has ended. While
+// this instance is the owner, the round follows a suspicion at once, so that another can take over soon.
+func (o *operatorData) awaitPeerQuery(ctx context.Context) bool {
+	for waited := time.Duration(0); waited < peerQueryInterval; waited += suspicionCheckInterval {
+		if !wait.For(ctx, suspicionCheckInterval) {
+			return false
+		}
+		if o.ownerSuspects() {
+			return true
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// ownerSuspects reports whether this instance is the owner and the store may be unreachable from it.
+func (o *operatorData) ownerSuspects() bool {
+	return o.n.term.Load() != nil && o.n.store.Suspect()
+}
+
 // selectReply returns the reply to merge, or nil. It prefers a peer with access to the store, because
 // the data of a peer without access may be long outdated. An instance that has a configuration can
 // merge such data, since merging never replaces newer data. An instance that has just started uses it
--- a/tools/compare/main.go
+++ b/tools/compare/main.go
@@ -1,10 +1,10 @@
-// Command compare plays the same days with the same seeds on two checkouts of the repository and prints
-// the paired differences of their worth.
+// Command compare plays the same days with the same seeds on two or more checkouts of the repository and
+// prints the paired differences of their worth.
 //
-//	go -C tools run ./compare --bench PROGRAM --site FILE --old DIR --new DIR [--day NAME]... [--seed N]... [--jobs N]
+//	go -C tools run ./compare --bench PROGRAM --site FILE --old DIR --new DIR... [--day NAME]... [--seed N]... [--jobs N]
 //
-// Each checkout is built once. The plays of a pair run at the same time, so that the load of the machine
-// affects both. A difference beyond twice its standard error is marked with an asterisk.
+// Each checkout is built once. All plays of a day with a seed follow each other closely, so that the load of
+// the machine affects them alike. A difference beyond twice its standard error is marked with an asterisk.
 package main
 
 import (
@@ -17,6 +17,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"text/tabwriter"
 
@@ -29,7 +30,7 @@
 	Bench string   `long:"bench" required:"true" description:"program of the users' bench"`
 	Site  string   `long:"site" required:"true" description:"site file"`
 	Old   string   `long:"old" required:"true" description:"checkout to compare with"`
-	New   string   `long:"new" required:"true" description:"checkout to measure"`
+	New   []string `long:"new" required:"true" description:"checkout to measure; repeat for more"`
 	Days  []string `long:"day" description:"name of a day or path of a day file; all standard days with trouble if absent"`
 	Seeds []int    `long:"seed" description:"seed; 1 to 4 if absent"`
 	Jobs  int      `long:"jobs" default:"4" description:"plays at a time"`
@@ -71,8 +72,9 @@
 	Day, Windows, Class, Tenants float64
 }
 
-// pair is a day with a seed, played on the old and on the new checkout.
+// pair is a day with a seed, played on the old and on a new checkout.
 type pair struct {
+	Checkout string // the new one
 	Day      string
 	Seed     int
 	Old, New play
@@ -85,7 +87,7 @@
 	if len(o.Seeds) == 0 {
 		o.Seeds = []int{1, 2, 3, 4}
 	}
-	for _, dir := range []string{o.Old, o.New} {
+	for _, dir := range append([]string{o.Old}, o.New...) {
 		if text, err := bench(ctx, o, dir, "build"); err != nil {
 			return fmt.Errorf("build of %s: %w\n%s", dir, err, text)
 		}
@@ -103,22 +105,39 @@
 			return err
 		}
 	}
-	return printTable(out, o.Days, pairs)
+	for _, dir := range o.New {
+		own := slices.DeleteFunc(slices.Clone(pairs), func(p pair) bool { return p.Checkout != dir })
+		if err := printTable(out, dir, o.Days, own); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// playAll plays each day with each seed once on the old checkout and once on each new one.
 func playAll(ctx context.Context, o options) ([]pair, error) {
-	var pairs []pair
+	pairs := make([]pair, 0, len(o.Days)*len(o.Seeds)*len(o.New))
 	for _, day := range o.Days {
 		for _, seed := range o.Seeds {
-			pairs = append(pairs, pair{Day: day, Seed: seed})
+			for _, dir := range o.New {
+				pairs = append(pairs, pair{Checkout: dir, Day: day, Seed: seed})
+			}
 		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(max(1, o.Jobs))
-	for n := range pairs {
-		p := &pairs[n]
-		group.Go(func() (err error) { p.Old, err = playDay(ctx, o, o.Old, p.Day, p.Seed); return err })
-		group.Go(func() (err error) { p.New, err = playDay(ctx, o, o.New, p.Day, p.Seed); return err })
+	for same := range slices.Chunk(pairs, len(o.New)) {
+		group.Go(func() error {
+			old, err := playDay(ctx, o, o.Old, same[0].Day, same[0].Seed)
+			for n := range same {
+				same[n].Old = old
+			}
+			return err
+		})
+		for n := range same {
+			p := &same[n]
+			group.Go(func() (err error) { p.New, err = playDay(ctx, o, p.Checkout, p.Day, p.Seed); return err })
+		}
 	}
 	return pairs, group.Wait()
 }
@@ -201,7 +220,8 @@
 	return 0
 }
 
-func printTable(out io.Writer, days []string, pairs []pair) error {
+func printTable(out io.Writer, title string, days []string, pairs []pair) error {
+	fmt.Fprintln(out, title)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "day\tplays\told\tnew\tdifference\terror\t\tstopped old\tnew\twasted old\tnew\tbroken old\tnew\t")
 	for _, day := range days {
