placement, jobowner: a log line and counters for each decision to preempt

On-call engineers saw which job a run was stopped for, and not what the stop cost or was allowed to cost.

--- a/events/events.go
+++ b/events/events.go
@@ -82,6 +82,7 @@
 	AdviceReceived         ID = 240
 	FillerThrottled        ID = 241
 	WorkerListStale        ID = 242
+	RoomReclaimed          ID = 243
 	WaveAccepted           ID = 250
 	UpkeepOrdered          ID = 251
 	WaveCompleted          ID = 252
@@ -179,6 +180,7 @@
 	AdviceReceived:         {"AdviceTaken", "call to the advice service completed"},
 	FillerThrottled:        {"FillerPaced", "new speed limit of a filler requested"},
 	WorkerListStale:        {"WorkersStale", "staleness of the worker list changed"},
+	RoomReclaimed:          {"RoomReclaimed", "runs stopped to make room for a more urgent step"},
 	WaveAccepted:           {"WaveTaken", "upkeep wave accepted or withdrawn"},
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -187,6 +187,12 @@
 		events.Info(t.opts.Log, events.RunPreempted, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 			zap.String("worker", r.Worker.ID), zap.String("reason", r.StopReason))
 	}
+	for _, p := range plan.Reclaims {
+		t.preempted.Inc(int64(p.Runs))
+		t.discarded.Inc(int64(p.Discarded))
+		events.Info(t.opts.Log, events.RoomReclaimed, zap.String("job", p.Step.Occurrence.Job.Submission.ID), zap.Int("step", p.Step.Number),
+			zap.Duration("waited", p.Waited), zap.Int("runs", p.Runs), zap.Float64("discarded_core_s", p.Discarded), zap.Float64("limit_core_s", p.Limit))
+	}
 	for n, b := range plan.Blocks {
 		if n == maxBlockLogs {
 			return
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -133,6 +133,8 @@
 	startWait metrics.Histogram
 	started   metrics.Counter
 	stopped   metrics.Counter
+	preempted metrics.Counter
+	discarded metrics.Counter // core-seconds
 }
 
 type storedRecord struct {
@@ -167,6 +169,8 @@
 		startWait:    histogram("owner.ready_to_started_us", o.Metrics),
 		started:      metrics.GetOrRegisterCounter("owner.runs_started", o.Metrics),
 		stopped:      metrics.GetOrRegisterCounter("owner.runs_stopped", o.Metrics),
+		preempted:    metrics.GetOrRegisterCounter("owner.runs_preempted", o.Metrics),
+		discarded:    metrics.GetOrRegisterCounter("owner.preempted_core_seconds", o.Metrics),
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -22,10 +22,20 @@
 type Plan struct {
 	Starts     []*jobstate.Run
 	Stops      []*jobstate.Run // their phase is Stopping
+	Reclaims   []Reclaim       // steps for which some of Stops make room
 	Blocks     []Block
 	NeedAdvice []*jobstate.Step // steps that need advice before they can start
 }
 
+// Reclaim is a decision to stop runs for a more urgent step.
+type Reclaim struct {
+	Step      *jobstate.Step
+	Waited    time.Duration // since the step was ready
+	Runs      int           // runs that are stopped, gangs counted whole
+	Discarded float64       // cost of the stops, in core-seconds
+	Limit     float64       // up to which cost the step may stop runs
+}
+
 // Block explains why a step did not start.
 type Block struct {
 	Step   *jobstate.Step
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -79,6 +79,7 @@
 		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "room is reserved; stopping the runs in it would discard too much work"})
 		return
 	}
+	before := len(r.plan.Stops)
 	for _, t := range targets {
 		for _, victim := range t.victims {
 			r.stop(victim, "preempted for job "+u.job.Submission.ID)
@@ -88,6 +89,9 @@
 		}
 	}
 	u.step.ReclaimedAt = r.now
+	if stopped := len(r.plan.Stops) - before; stopped > 0 {
+		r.plan.Reclaims = append(r.plan.Reclaims, Reclaim{Step: u.step, Waited: r.now.Sub(u.step.ReadyAt), Runs: stopped, Discarded: loss, Limit: lossLimit(u)})
+	}
 }
 
 // keepReservation reserves again the resources that were chosen for the unit earlier, until they become
