jobowner: tell a worker once which ends it may discard

Cause: each report request repeated the number of ends that may be discarded, so that a restarted worker was without work for 12 s after any request in flight at its restart. Change: the number is sent until the worker has answered a request with it. A late request is then rarely one that discards ends of the next incarnation.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -48,6 +48,7 @@
 	// Guarded by the term's lock.
 	appliedEnd  int64 // sequence number of the newest end applied to the state
 	storedEnd   int64 // sequence number of the newest end whose effect is in the store
+	ackedEnd    int64 // sequence number of the newest end that the worker has surely discarded
 	clockMs     int64 // the worker's clock in its newest answer, received at clockAt
 	clockAt     time.Time
 	failures    int
@@ -196,7 +197,7 @@
 	t := a.t
 	t.mu.Lock()
 	now := time.Now()
-	order := workerapi.Renew{Token: t.opts.Token, AckSequence: a.storedEnd}
+	order, answered := a.renewOrder(now)
 	bound := immediateReportTimeout
 	// A renewal without an answer may have taken effect. Repeating it would move LeaseEnds on
 	// for as long as the worker is unreachable, and its runs would never be started elsewhere.
@@ -208,7 +209,6 @@
 		bound = order.Wait + reportSlack
 	}
 	target := a.target()
-	answered := a.noteAck(order, now)
 	t.mu.Unlock()
 
 	call, cancel := context.WithTimeout(ctx, bound)
@@ -227,15 +227,19 @@
 	return nil
 }
 
-// noteAck records that the order, sent now, may be carried out late if it lets the worker discard ends. The
-// caller holds the lock, and calls answered under it when the order has an answer.
-func (a *agent) noteAck(order workerapi.Renew, now time.Time) (answered func()) {
-	if order.AckSequence == 0 {
-		return func() {}
+// renewOrder returns an order to be sent now. It lets the worker discard ends only if the worker has not
+// confirmed that yet, and records that it may be carried out late then. The caller holds the lock, and calls
+// answered under it when the order has an answer.
+func (a *agent) renewOrder(now time.Time) (order workerapi.Renew, answered func()) {
+	order.Token = a.t.opts.Token
+	if a.storedEnd == a.ackedEnd {
+		return order, func() {}
 	}
+	order.AckSequence = a.storedEnd
 	w, before, until := a.worker, a.worker.LateAckUntil, now.Add(maxOrderDelay)
 	w.LateAckUntil = later(before, until)
-	return func() {
+	return order, func() {
+		a.ackedEnd = max(a.ackedEnd, order.AckSequence)
 		if w.LateAckUntil.Equal(until) {
 			w.LateAckUntil = before
 		}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -144,14 +144,13 @@
 		t.mu.Lock()
 		_, present := a.worker.Runs[r]
 		settled := !present || !r.StartedAt.IsZero() || r.Phase == jobstate.Stopping
-		order := workerapi.Renew{Token: t.opts.Token, AckSequence: a.storedEnd}
-		target := a.target()
 		if settled {
 			t.mu.Unlock()
 			return
 		}
 		sent := time.Now()
-		answered := a.noteAck(order, sent)
+		order, answered := a.renewOrder(sent)
+		target := a.target()
 		t.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, runLookupTimeout)
 		report, err := t.opts.Workers.Renew(call, target, order)
@@ -167,7 +166,7 @@
 	}
 }
 
-// applyReport applies a report unless the agent has been replaced. answered is the result of noteAck.
+// applyReport applies a report unless the agent has been replaced. answered is that of renewOrder.
 func (t *Term) applyReport(a *agent, report workerapi.Report, sent time.Time, answered func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
