--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -15,9 +15,6 @@
 const (
 	// reportWait is how long a worker may hold a report back while no run ends.
 	reportWait = time.Second
-	// urgentReportWait is the same for workers with runs of urgent jobs, so that slow runs are
-	// detected while their jobs can still meet their objective.
-	urgentReportWait = 400 * time.Millisecond
 	// reportSlack is added to the wait of a report. After that the answer is treated as lost and
 	// the report is requested again, without a wait.
 	reportSlack = 250 * time.Millisecond
@@ -205,7 +202,7 @@
 		order.LeaseUntil = a.extendLease(now)
 	}
 	if a.worker.Answered && a.appliedEnd == a.storedEnd && a.failures == 0 {
-		order.Wait = a.reportInterval()
+		order.Wait = reportWait
 		bound = order.Wait + reportSlack
 	}
 	target := a.target()
@@ -246,17 +243,6 @@
 	}
 }
 
-// reportInterval returns how long the worker may hold back its next report. The caller holds
-// the lock.
-func (a *agent) reportInterval() time.Duration {
-	for r := range a.worker.Runs {
-		if r.Task.Step.Occurrence.Job.Route.Priority == 0 {
-			return urgentReportWait
-		}
-	}
-	return reportWait
-}
-
 // reportFailed counts a failed report and, after maxFailedReports in a row, excludes the worker
 // from new work for a while.
 func (a *agent) reportFailed(err error) {
