placement: one factor for slow tasks and gang members

The factor is worth nothing and goes; gangs of two are still compared, without which a slow member has no remedy (TestSmallGangLeavesASlowWorker).

--- a/placement/straggler.go
+++ b/placement/straggler.go
@@ -14,13 +14,12 @@
 	// expectedStall is how much longer a stalled run is expected to stay stalled.
 	expectedStall = 5 * time.Second
 	// slowFactor is how many times slower than the median of the step's other runs a straggler is. The
-	// speed of workers and the length of tasks together account for a factor of up to two. The members of a
-	// gang do the same work and end together, so that they differ by the speed of their workers only.
-	slowFactor     = 3
-	slowGangFactor = 2
+	// speed of workers and the length of tasks together account for a factor of up to two.
+	slowFactor = 3
 	// soundSpeed is the least speed relative to other runs of the step that shows a sound worker.
 	soundSpeed = 0.7
-	// minRates and minGangRates are the least number of other runs with a rate for a comparison.
+	// minRates and minGangRates are the least number of other runs with a rate for a comparison. The members of
+	// a gang do the same work, so that one other member is enough.
 	minRates     = 2
 	minGangRates = 1
 	// restartGain is the least ratio between the time that a straggler still needs and that of a restart
@@ -106,7 +105,7 @@
 func (r *round) recordSpeed(run *jobstate.Run, speed float64) {
 	w := run.Worker
 	switch {
-	case speed*slownessOf(run.Task.Step) <= 1:
+	case speed*slowFactor <= 1:
 		w.StragglerStreak = max(w.StragglerStreak, 1)
 		w.AvoidUntil = maxTime(w.AvoidUntil, r.now.Add(stallAvoidance))
 	case speed >= soundSpeed && run.PlannedAt.After(w.AvoidUntil):
@@ -201,14 +200,6 @@
 	return !run.Task.Step.Spec.Filler && run.SpeedPercent >= 100 && run.Task.Step.Spec.Estimate > 0
 }
 
-// slownessOf returns how many times slower than the others a straggler of the step is.
-func slownessOf(s *jobstate.Step) float64 {
-	if s.Spec.Gang {
-		return slowGangFactor
-	}
-	return slowFactor
-}
-
 // relativeSpeed returns the rate of the run, which must be comparable, relative to the median of the other
 // rates. rates are those of the step's runs with the same result of inDataRack. ok is false if there are
 // too few of them.
@@ -230,7 +221,7 @@
 	if run.Stalled {
 		return allStalled(run.Worker) && r.stallCostsMore(run)
 	}
-	if !known || speed*slownessOf(run.Task.Step) > 1 {
+	if !known || speed*slowFactor > 1 {
 		return false
 	}
 	usual := run.Rate / speed
