ownership: an instance campaigns when its partition ends, not only when the vacancy begins

Callers saw: with few instances left, no owner for an unlimited time. Accepted jobs are stored and nothing starts. Cause: Run looked at the vacancy only after a change of the owner's key. An instance that counted as partitioned at that moment did not campaign, and the end of the partition woke nobody. If all instances that were left counted as partitioned then (the flag is as old as the last round of queries to peers), none campaigned until another process started. Why it works: while the key is missing, the wait ends after partitionCheckInterval at the latest, so that each instance reads the flag again. An instance that sees an owner still waits for a change only.

--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -38,7 +38,8 @@
 	renewRetryDelay = 50 * time.Millisecond
 	// callTimeout limits one store call, except renewals of the owner's lease (Options.CallTimeout).
 	callTimeout = 600 * time.Millisecond
-	// partitionCheckInterval is how often an owner checks whether it alone cannot reach the store.
+	// partitionCheckInterval is how often an owner, or an instance that would campaign, checks whether it
+	// alone cannot reach the store.
 	partitionCheckInterval = 100 * time.Millisecond
 	// retryDelay is the delay after a failed attempt.
 	retryDelay = 200 * time.Millisecond
@@ -218,11 +219,7 @@
 			continue
 		}
 		if !e.vacant() {
-			select {
-			case <-ctx.Done():
-				return
-			case <-e.wake:
-			}
+			e.awaitVacancy(ctx)
 			continue
 		}
 		e.awaitInstances(ctx)
@@ -233,10 +230,26 @@
 	}
 }
 
-func (e *Elector) vacant() bool {
+func (e *Elector) vacant() bool { return e.ownerMissing() && !e.opts.Partitioned() }
+
+func (e *Elector) ownerMissing() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.ownerRead && e.owner.Token == 0 && !e.opts.Partitioned()
+	return e.ownerRead && e.owner.Token == 0
+}
+
+// awaitVacancy waits for a change of the owner. While there is no owner, it returns after
+// partitionCheckInterval, because the end of a partition changes nothing in the store.
+func (e *Elector) awaitVacancy(ctx context.Context) {
+	var check <-chan time.Time
+	if e.ownerMissing() {
+		check = time.After(partitionCheckInterval)
+	}
+	select {
+	case <-ctx.Done():
+	case <-e.wake:
+	case <-check:
+	}
 }
 
 // staleOwnership returns the token of an ownership that an earlier process of this instance still
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -174,6 +174,26 @@
 	})
 }
 
+// The owner loses power while the only other instance counts as partitioned, which ends later. Guards against
+// an instance that looks at the vacant ownership only when it becomes vacant: no job would ever be started.
+func TestVacancyIsFilledAfterAPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		a := startCandidate(s, "a", 0.8, nil)
+		time.Sleep(time.Second)
+		b := startCandidate(s, "b", 0.1, nil)
+		defer b.stop()
+		b.partitioned.Store(true)
+		a.blockStore()
+		a.stop()
+		time.Sleep(4 * time.Second)
+		assert.Empty(t, owners(b))
+		b.partitioned.Store(false)
+		time.Sleep(time.Second)
+		assert.Equal(t, []string{"b"}, owners(b))
+	})
+}
+
 // Guards against a won election that is treated as lost because the store's response was lost.
 func TestElectionWithLostResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
