metastore, jobowner: a full read continues with the page that failed

Callers saw: an owner that is elected and confirmed and starts nothing. Submissions are accepted, and their tasks wait for the whole term. Cause: one timeout covered all pages of a full read (2.9 s for the intake, 1.4 s for the records, 1.2 s for the list of workers), and each failure started over with the first page and the same timeout. A read that takes longer, for its size, a link of 20 Mbit/s or a slow store, never ended: the term stayed in its first read, or its list of workers stayed older than its limit. The watch begins at the lowest revision of all pages, so that a change between two pages is not missed.

--- a/internal/testplatform/store.go
+++ b/internal/testplatform/store.go
@@ -184,14 +184,15 @@
 
 	faultMu sync.Mutex // held during calls of fault, so that they do not overlap
 	fault   func(call string) Fault
-	latency time.Duration // of each call
+	latency time.Duration            // of each call
+	slow    map[string]time.Duration // latency of calls of a kind, in place of latency
 }
 
 var _ metastore.Store = (*Client)(nil)
 
 // NewClient returns a client without faults.
 func (s *Store) NewClient() *Client {
-	c := &Client{store: s, latency: defaultLatency}
+	c := &Client{store: s, latency: defaultLatency, slow: map[string]time.Duration{}}
 	c.SetFault(func(string) Fault { return None })
 	return c
 }
@@ -210,11 +211,22 @@
 	c.latency = latency
 }
 
+// SetLatencyOf sets how long each call of a kind takes.
+func (c *Client) SetLatencyOf(call string, latency time.Duration) {
+	c.faultMu.Lock()
+	defer c.faultMu.Unlock()
+	c.slow[call] = latency
+}
+
 // nextFault returns the latency and the fault of a call.
 func (c *Client) nextFault(call string) (time.Duration, Fault) {
 	c.faultMu.Lock()
 	defer c.faultMu.Unlock()
-	return c.latency, c.fault(call)
+	latency, ok := c.slow[call]
+	if !ok {
+		latency = c.latency
+	}
+	return latency, c.fault(call)
 }
 
 // do executes the call f with its fault. With fault Late it executes late after lateDelay instead, or
--- a/jobowner/handover_test.go
+++ b/jobowner/handover_test.go
@@ -1,6 +1,7 @@
 package jobowner_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,3 +106,25 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// A new owner reads many job records from a slow store. Guards against a read of all pages that never fits into
+// its timeout and is started over without end, so that no accepted job starts in this term.
+func TestNewOwnerReadsRecordsFromASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		for n := range 100 {
+			s.submit(fmt.Sprintf("old-%03d", n), "batch", tasks(1, 0))
+		}
+		time.Sleep(10 * time.Second)
+		s.kill("a")
+		s.submit("new", "batch", tasks(1, 1))
+		b := s.start("b")
+		b.client.SetLatencyOf("range", 300*time.Millisecond)
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "new", 10*time.Second))
+		s.requireNoViolations(t)
+	})
+}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -211,10 +211,9 @@
 // load reads the records of all jobs. Former owners cannot change them any more, because every
 // write of an owner is conditional on its own term.
 func (t *Term) load(ctx context.Context) error {
+	records := metastore.NewRangeReader(t.opts.Store, RecordPrefix)
 	for {
-		call, cancel := context.WithTimeout(ctx, 2*t.opts.StoreTimeout)
-		items, _, err := metastore.RangeAll(call, t.opts.Store, RecordPrefix)
-		cancel()
+		items, _, err := records.Read(ctx)
 		if err == nil {
 			t.indexRecords(items, t.opts.Completed(ctx))
 			return nil
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -96,27 +96,3 @@
 	KeepAlive(ctx context.Context, lease int64) error
 	Revoke(ctx context.Context, lease int64) error
 }
-
-// RangeAll returns all items with the prefix and the lowest revision that any page reflects. A watch
-// from that revision misses no change.
-func RangeAll(ctx context.Context, store Store, prefix string) ([]Item, uint64, error) {
-	var (
-		all   []Item
-		asOf  uint64
-		after string
-	)
-	for {
-		page, err := store.Range(ctx, prefix, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if asOf == 0 || page.AsOf < asOf {
-			asOf = page.AsOf
-		}
-		all = append(all, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			return all, asOf, nil
-		}
-		after = page.Items[len(page.Items)-1].Key
-	}
-}
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -56,6 +56,7 @@
 // it passes to Apply never decrease.
 type Mirror struct {
 	opts MirrorOptions
+	read *RangeReader // the full read in progress; nil for none
 
 	mu         sync.Mutex
 	revisions  map[string]uint64
@@ -136,16 +137,19 @@
 	return misses + 1
 }
 
+// load reads the range, or continues a read that has failed.
 func (m *Mirror) load(ctx context.Context) (uint64, error) {
-	sent := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, m.opts.Wait+watchSlack)
-	defer cancel()
-	items, asOf, err := RangeAll(ctx, m.opts.Store, m.opts.Prefix)
+	if m.read == nil {
+		m.read = NewRangeReader(m.opts.Store, m.opts.Prefix)
+	}
+	items, asOf, err := m.read.Read(ctx)
 	if err != nil {
 		return 0, err
 	}
+	began := m.read.Began()
+	m.read = nil
 	m.Merge(items, asOf)
-	m.synced(sent)
+	m.synced(began)
 	return asOf, nil
 }
 
--- /dev/null
+++ b/metastore/range_test.go
@@ -0,0 +1,60 @@
+package metastore_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+)
+
+// mirrorOverSlowLink returns how long a mirror needs to read a range of n items over a link that takes perItem
+// for each item, or 0 if it has not read it within a minute.
+func mirrorOverSlowLink(t *testing.T, n int, perItem time.Duration, o metastore.MirrorOptions) (took time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testplatform.NewStore()
+		for i := range n {
+			store.Put(fmt.Sprintf("p/%04d", i), []byte("x"))
+		}
+		began := time.Now()
+		applied := 0
+		var synced atomic.Int64
+		o.Store, o.Prefix, o.Log = slowLinkStore{store.NewClient(), perItem}, "p/", zap.NewNop()
+		o.Apply = func(metastore.Change) { applied++ }
+		o.Synced = func(time.Time) { synced.CompareAndSwap(0, int64(time.Since(began))) }
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { metastore.NewMirror(o).Run(ctx); close(done) }()
+		time.Sleep(time.Minute)
+		cancel()
+		<-done
+		if took = time.Duration(synced.Load()); took != 0 {
+			assert.Equal(t, n, applied)
+		}
+	})
+	return took
+}
+
+// A range of many pages takes longer over a slow link than one call may take. Guards against a full read that is
+// started over without end: a new owner would never start a job.
+func TestMirrorReadsManyPagesOverASlowLink(t *testing.T) {
+	took := mirrorOverSlowLink(t, 200, 20*time.Millisecond, metastore.MirrorOptions{Wait: 2 * time.Second})
+	assert.NotZero(t, took)
+	assert.Less(t, took, 6*time.Second, "the transfer alone takes 4 s")
+}
+
+// A page takes longer than the first timeout. Guards against a page that is requested without end with the same
+// timeout: the list of workers would stay too old to start work on any of them.
+func TestMirrorReadsALargePageOverASlowLink(t *testing.T) {
+	took := mirrorOverSlowLink(t, 20, 100*time.Millisecond,
+		metastore.MirrorOptions{Wait: 300 * time.Millisecond, Slack: 300 * time.Millisecond, Pause: 300 * time.Millisecond, ReloadOnFailure: true})
+	assert.NotZero(t, took)
+	assert.Less(t, took, 8*time.Second, "the transfer alone takes 2 s")
+}
