metastore, platform: an answer over a slow link gets more time, a silent store does not

Callers saw: submissions that were accepted while the owner's link was busy or cut are not started until the store compacts its history (20 s). A watch that has missed more changes than fit into it was repeated from the same revision, with more changes to read each time. Why it works: the adapter tells an answer that has begun (ErrIncomplete) from none. Only the former lengthens the timeout of the next watch or page, up to 7.2 s, so that a slow transfer ends; without an answer a page waits 1.8 s at most and a watch as before, so that the end of an outage is detected as soon as before. An incomplete answer no longer counts as a store that does not respond, for which callers were turned away.

--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -18,6 +18,8 @@
 	ErrCompacted = errors.New("history no longer available")
 	// ErrRefused reports that the store rejected the call without executing it.
 	ErrRefused = errors.New("refused by the store")
+	// ErrIncomplete reports that an answer began and did not end within the timeout.
+	ErrIncomplete = errors.New("answer is incomplete")
 )
 
 // ConflictError reports that a condition of a transaction did not hold. The transaction had no effect.
--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -302,7 +302,7 @@
 func (s slowLinkStore) pause(ctx context.Context, items int) error {
 	select {
 	case <-ctx.Done():
-		return ctx.Err()
+		return fmt.Errorf("%w: %w", metastore.ErrIncomplete, ctx.Err())
 	case <-time.After(time.Duration(items) * s.perItem):
 		return nil
 	}
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -88,15 +88,16 @@
 	var after uint64
 	loaded := false
 	failures := 0
-	misses := 0 // failed watches in a row
+	misses := 0     // failed watches in a row
+	incomplete := 0 // of them, those whose answer did not end in time
 	for ctx.Err() == nil {
 		var err error
 		if !loaded {
 			after, err = m.load(ctx)
 			loaded = err == nil
 		} else {
-			after, err = m.watch(ctx, after, m.slack(misses))
-			misses = countMisses(misses, err)
+			after, err = m.watch(ctx, after, m.slack(misses, incomplete))
+			misses, incomplete = countMisses(misses, incomplete, err)
 			if errors.Is(err, ErrCompacted) {
 				loaded, err = false, nil
 			}
@@ -122,19 +123,26 @@
 	}
 }
 
-// slack returns how much longer than its wait a watch may take after a number of failed watches in a row.
-func (m *Mirror) slack(misses int) time.Duration {
+// slack returns how much longer than its wait a watch may take after a number of failed watches in a row. It
+// grows without Slack only after answers that did not end in time: more changes were missed than fit into it.
+func (m *Mirror) slack(misses, incomplete int) time.Duration {
+	if incomplete > 0 {
+		return transferTimeout(misses, incomplete)
+	}
 	if m.opts.Slack == 0 {
 		return watchSlack
 	}
 	return min(m.opts.Slack<<min(misses, 4), watchSlack)
 }
 
-func countMisses(misses int, err error) int {
-	if err == nil || errors.Is(err, ErrCompacted) {
-		return 0
+func countMisses(misses, incomplete int, err error) (newMisses, newIncomplete int) {
+	switch {
+	case err == nil || errors.Is(err, ErrCompacted):
+		return 0, 0
+	case errors.Is(err, ErrIncomplete):
+		return misses + 1, incomplete + 1
 	}
-	return misses + 1
+	return misses + 1, incomplete
 }
 
 // load reads the range, or continues a read that has failed.
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -198,6 +198,9 @@
 	if !answered {
 		m.lastFailure = time.Now()
 	}
+	if errors.Is(err, ErrIncomplete) {
+		return // the store responds over a slow link
+	}
 	waited := time.Since(sent)
 	if !longPoll && !answered && errors.Is(err, context.DeadlineExceeded) && waited < MaxCallTimeout-timeoutMargin {
 		// This is no proof of an outage, because the store may be slow. The next call waits longer.
--- a/metastore/range_test.go
+++ b/metastore/range_test.go
@@ -58,3 +58,45 @@
 	assert.NotZero(t, took)
 	assert.Less(t, took, 8*time.Second, "the transfer alone takes 2 s")
 }
+
+// The store is down for 10 s while a mirror reads its range. Guards against a page timeout that has grown in the
+// outage: the list of workers would be unread for seconds after its end.
+func TestFullReadDetectsTheEndOfAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		s.Put("p/a", []byte("1"))
+		f := follow(s)
+		defer f.cancel()
+		f.client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+		time.Sleep(10 * time.Second)
+		f.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		time.Sleep(2900 * time.Millisecond)
+		assert.Equal(t, "1", f.get("p/a"))
+	})
+}
+
+// A watch has missed more changes than fit into its timeout. Guards against a watch that is repeated without
+// end, with more changes to read each time: submissions would reach the owner only when the history is compacted.
+func TestWatchCatchesUpOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testplatform.NewStore()
+		client := store.NewClient()
+		var applied atomic.Int64
+		m := metastore.NewMirror(metastore.MirrorOptions{Store: slowLinkStore{client, 10 * time.Millisecond}, Prefix: "p/", Wait: 2 * time.Second,
+			Log: zap.NewNop(), Apply: func(metastore.Change) { applied.Add(1) }})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { m.Run(ctx); close(done) }()
+		time.Sleep(time.Second)
+		client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+		time.Sleep(4 * time.Second)
+		for n := range 200 {
+			store.Put(fmt.Sprintf("p/%04d", n), []byte("x"))
+		}
+		client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		time.Sleep(8 * time.Second)
+		assert.EqualValues(t, 200, applied.Load(), "the transfer alone takes 2 s")
+		cancel()
+		<-done
+	})
+}
