metastore, jobowner: a change whose application panicked is applied again

Callers saw: an accepted job that never starts while its owner runs all others. Cause: the mirror records the revision of a change before it applies it. A panic in Apply dropped the change until the key was written again, which never happens to a submission. addJob also left a job without occurrences behind, which no decision starts. Why it works: the newest change of a key stays pending until its application succeeds, with a delay of 0.25 s that doubles up to 16 s. A full read counts as complete after two such attempts, so that a change that always panics delays a term by 0.75 s and not for ever. addJob discards a job that it could not add completely.

--- a/jobowner/contain_test.go
+++ b/jobowner/contain_test.go
@@ -33,6 +33,26 @@
 	})
 }
 
+// Applying a submission panics once. Guards against a change that is dropped for the rest of the term, so that the
+// accepted job never starts.
+func TestSubmissionIsAppliedAgainAfterAPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		s.configPanics.Store(true)
+		s.submit("job", "batch", tasks(1, 1))
+		time.Sleep(20 * time.Millisecond)
+		s.configPanics.Store(false)
+		term := s.currentTerm(a)
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 5*time.Second))
+		assert.Same(t, term, s.currentTerm(a))
+		s.requireNoViolations(t)
+	})
+}
+
 // The owner's machine is suspended for 5 s while a worker starts to drain. Guards against work for that
 // worker and against a renewed lease: the list of workers and the confirmation of the ownership seem
 // fresh, because the monotonic clock stands still during a suspension.
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -69,9 +69,14 @@
 		return
 	}
 	j := t.cluster.AddJob(s, now)
+	complete := false
+	defer func() {
+		if !complete { // a panic; the mirror applies the change again
+			t.cluster.DiscardJob(j)
+		}
+	}()
 	t.refreshRoute(j)
 	if stored, ok := t.records[id]; ok {
-		delete(t.records, id)
 		t.cluster.Restore(j, stored.record, stored.revision, now)
 	}
 	if t.reportedCompleted[id] {
@@ -80,10 +85,12 @@
 	events.Info(t.opts.Log, events.JobTakenOver, zap.String("job", id), zap.String("route", s.Queue.Name),
 		zap.Stringers("steps", stepsOf(s)), zap.String("state", string(j.State)), zap.Uint64("revision", change.Revision))
 	if t.pendingCancels[id] {
-		delete(t.pendingCancels, id)
 		t.cancelJob(id, now)
 	}
 	t.openDue(j, now)
+	delete(t.records, id)
+	delete(t.pendingCancels, id)
+	complete = true
 }
 
 func stepsOf(s *workload.Submission) []*workload.Step {
--- a/jobstate/cluster.go
+++ b/jobstate/cluster.go
@@ -52,3 +52,11 @@
 	c.Jobs[s.ID] = j
 	return j
 }
+
+// DiscardJob removes a job whose addition failed, with the runs that were restored for it.
+func (c *Cluster) DiscardJob(j *Job) {
+	for _, r := range j.Runs() {
+		c.release(r)
+	}
+	delete(c.Jobs, j.Submission.ID)
+}
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -25,6 +25,12 @@
 	retryDelay = 150 * time.Millisecond
 	// maxRetryDelay limits the mean delay, so that changes are received soon after an outage.
 	maxRetryDelay = 400 * time.Millisecond
+	// reapplyDelay is the delay before a change whose application panicked is applied again. It doubles with
+	// each panic, up to maxReapplyDelay.
+	reapplyDelay    = 250 * time.Millisecond
+	maxReapplyDelay = 64 * reapplyDelay
+	// loadReapplies is how often failed changes are applied again before a full read counts as complete.
+	loadReapplies = 2
 )
 
 // MirrorOptions configures a Mirror.
@@ -36,7 +42,8 @@
 	// continuously, because each call has a cost.
 	Pause time.Duration
 	Log   *zap.Logger
-	// Apply is called once for each change, in the order of the revisions of a key.
+	// Apply is called once for each change, in the order of the revisions of a key, and again for a change
+	// that panicked while it is the newest of its key.
 	Apply func(change Change)
 	// Synced is called after each successful call. All changes made before asOf have been applied.
 	Synced func(asOf time.Time)
@@ -47,7 +54,8 @@
 	// Slack is how much longer than its wait a watch may take; 0 for watchSlack. It doubles with each
 	// failure in a row, up to watchSlack.
 	Slack time.Duration
-	// Guard recovers from panics in Apply, so that a change that panics does not block the others.
+	// Guard recovers from panics in Apply, so that a change that panics does not block the others. It is
+	// applied again later.
 	Guard *contain.Guard
 }
 
@@ -62,11 +70,19 @@
 	revisions  map[string]uint64
 	reachable  bool
 	syncedAsOf time.Time // all changes made before this time have been applied
+	failed     map[string]*failedChange
+}
+
+// failedChange is the newest change of a key, whose application panicked.
+type failedChange struct {
+	change Change
+	panics int
+	next   time.Time // when it is applied again
 }
 
 // NewMirror returns an empty mirror; Run reads the range.
 func NewMirror(o MirrorOptions) *Mirror {
-	return &Mirror{opts: o, revisions: make(map[string]uint64), reachable: true}
+	return &Mirror{opts: o, revisions: make(map[string]uint64), reachable: true, failed: map[string]*failedChange{}}
 }
 
 // Reachable reports whether the last call succeeded.
@@ -108,6 +124,7 @@
 		}
 		m.setReachable(err)
 		if err == nil {
+			m.applyFailed()
 			failures = 0
 			if m.opts.Pause > 0 {
 				wait.For(ctx, m.opts.Pause)
@@ -157,6 +174,12 @@
 	began := m.read.Began()
 	m.read = nil
 	m.Merge(items, asOf)
+	for range loadReapplies {
+		if left, ok := m.untilReapplied(); ok {
+			wait.For(ctx, left)
+			m.applyFailed()
+		}
+	}
 	m.synced(began)
 	return asOf, nil
 }
@@ -189,6 +212,9 @@
 func (m *Mirror) watch(ctx context.Context, after uint64, slack time.Duration) (uint64, error) {
 	sent := time.Now()
 	waitFor := m.opts.Wait
+	if left, ok := m.untilReapplied(); ok {
+		waitFor = min(waitFor, left)
+	}
 	if !m.Reachable() {
 		waitFor = retryWait // to detect the end of an outage soon
 	}
@@ -223,13 +249,56 @@
 	} else {
 		m.revisions[change.Key] = change.Revision
 	}
+	delete(m.failed, change.Key)
 	m.mu.Unlock()
 	if change.Removed && !ok {
 		return
 	}
-	if err := m.opts.Guard.Do("change of "+change.Key, func() { m.opts.Apply(change) }); err != nil {
-		m.opts.Log.Error("cannot apply change", zap.Uint64("revision", change.Revision), zap.Error(err))
+	m.tryApply(&failedChange{change: change})
+}
+
+// tryApply applies the change. If that panics, the change is applied again after a delay, unless a newer change
+// of the key arrives before.
+func (m *Mirror) tryApply(f *failedChange) {
+	err := m.opts.Guard.Do("change of "+f.change.Key, func() { m.opts.Apply(f.change) })
+	if err == nil {
+		return
+	}
+	delay := min(reapplyDelay<<min(f.panics, 16), maxReapplyDelay)
+	m.opts.Log.Error("cannot apply change; trying again", zap.Uint64("revision", f.change.Revision), zap.Duration("after", delay), zap.Error(err))
+	f.panics++
+	f.next = time.Now().Add(delay)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failed[f.change.Key] = f
+}
+
+// applyFailed applies the failed changes that are due once more.
+func (m *Mirror) applyFailed() {
+	m.mu.Lock()
+	var due []*failedChange
+	for key, f := range m.failed {
+		if !time.Now().Before(f.next) {
+			due = append(due, f)
+			delete(m.failed, key)
+		}
+	}
+	m.mu.Unlock()
+	for _, f := range due {
+		m.tryApply(f)
+	}
+}
+
+// untilReapplied returns the time until the next failed change is due, and false if there is none.
+func (m *Mirror) untilReapplied() (left time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, f := range m.failed {
+		if until := max(retryWait, time.Until(f.next)); !ok || until < left {
+			left, ok = until, true
+		}
 	}
+	return left, ok
 }
 
 func (m *Mirror) synced(asOf time.Time) {
--- a/metastore/range_test.go
+++ b/metastore/range_test.go
@@ -8,9 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"go.uber.org/zap"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 )
@@ -100,3 +102,29 @@
 		<-done
 	})
 }
+
+// Applying one item of a full read panics once. Guards against a read that counts as complete without the item: a
+// new owner would stop the runs of that job as unknown.
+func TestFullReadIsCompleteAfterFailedChangesAreApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testplatform.NewStore()
+		store.Put("p/a", []byte("1"))
+		panics, applied := 1, 0
+		var appliedAtSync atomic.Int64
+		m := metastore.NewMirror(metastore.MirrorOptions{Store: store.NewClient(), Prefix: "p/", Wait: time.Second, Log: zap.NewNop(),
+			Guard: contain.New(zap.NewNop(), metrics.NewRegistry()), Apply: func(metastore.Change) {
+				if panics--; panics >= 0 {
+					panic("once")
+				}
+				applied++
+			}, Synced: func(time.Time) { appliedAtSync.CompareAndSwap(0, int64(1+applied)) }})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { m.Run(ctx); close(done) }()
+		time.Sleep(2 * time.Second)
+		cancel()
+		<-done
+		assert.EqualValues(t, 2, appliedAtSync.Load())
+		assert.Equal(t, 1, applied)
+	})
+}
