node: a round of queries to peers ends when the store answers again

Callers saw: after most instances have lost power, no owner for up to a minute and a half although the store answers those that are left. Accepted jobs wait. Cause: an instance that the store does not answer asks its peers one after the other, 1 s for each that does not respond. Errors do not count towards the end of the round, and the flags partitioned and storeOutage are set at its end only. With 96 listed instances, most of them without power, a flag was up to 96 s old; an instance that counts as partitioned does not campaign, and an owner ends its term. Why it works: the round ends before the next query once the store has answered this instance, so that the flags are at most one query, 1 s, older than that.

--- a/node/operator.go
+++ b/node/operator.go
@@ -202,28 +202,12 @@
 // instance. It also records whether the store answers any of the peers.
 func (o *operatorData) queryPeersWhilePartitioned(ctx context.Context) {
 	for o.awaitPeerQuery(ctx) {
-		if o.n.store.Healthy() && !o.ownerSuspects() {
+		if o.storeAnswers() {
 			o.storeOutage.Store(false)
 			o.partitioned.Store(false)
 			continue
 		}
-		var replies []*relay.OperatorReply
-		reachable := false
-		for _, p := range o.n.elector.Peers() {
-			reply, err := o.queryPeer(ctx, p.Address)
-			if err != nil {
-				o.n.log.Debug("request to peer for the configuration failed", zap.String("peer", p.Name), zap.Error(err))
-				continue
-			}
-			replies = append(replies, reply)
-			if reply.Reachable {
-				reachable = true
-				break
-			}
-			if len(replies) == outagePeers {
-				break
-			}
-		}
+		replies, reachable := o.queryPeers(ctx, o.queryPeer)
 		if reply := selectReply(replies, o.config() != nil); reply != nil {
 			o.mergeReply(reply)
 		}
@@ -233,6 +217,34 @@
 	}
 }
 
+// queryPeers asks peers one after the other, up to the first with access to the store or the outagePeers-th
+// without. It ends early when the store answers this instance again: many peers may have lost power, and each of
+// them takes the whole timeout of a query.
+func (o *operatorData) queryPeers(ctx context.Context, query func(ctx context.Context, address string) (*relay.OperatorReply, error)) (replies []*relay.OperatorReply, reachable bool) {
+	for _, p := range o.n.elector.Peers() {
+		if o.storeAnswers() {
+			break
+		}
+		reply, err := query(ctx, p.Address)
+		if err != nil {
+			o.n.log.Debug("request to peer for the configuration failed", zap.String("peer", p.Name), zap.Error(err))
+			continue
+		}
+		replies = append(replies, reply)
+		if reply.Reachable {
+			return replies, true
+		}
+		if len(replies) == outagePeers {
+			break
+		}
+	}
+	return replies, false
+}
+
+// storeAnswers reports whether the store answers this instance and, if it is the owner, no call has timed out
+// since.
+func (o *operatorData) storeAnswers() bool { return o.n.store.Healthy() && !o.ownerSuspects() }
+
 // awaitPeerQuery waits for the next round of queries to peers, and returns false when ctx has ended. While
 // this instance is the owner, the round follows a suspicion at once, so that another can take over soon.
 func (o *operatorData) awaitPeerQuery(ctx context.Context) bool {
--- a/node/operator_test.go
+++ b/node/operator_test.go
@@ -1,10 +1,19 @@
 package node
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/ownership"
 	"github.com/cyclamenyard/cyclamenyard/relay"
 )
 
@@ -33,3 +42,30 @@
 		assert.Equal(t, c.want, got, name)
 	}
 }
+
+// Most instances have lost power, and the store answers one that is left again while it asks the others. Guards
+// against a round of queries that asks all of them first: the instance counts as partitioned until the end of the
+// round, and does not campaign.
+func TestRoundOfPeerQueriesEndsWhenTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testplatform.NewStore().NewClient()
+		store := metastore.NewMonitor(client)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go store.Run(ctx)
+		elector := ownership.New(ownership.Options{Store: store, Log: zap.NewNop()})
+		for n := range 96 {
+			elector.Apply(metastore.Change{Item: metastore.Item{Key: fmt.Sprint(ownership.InstancesPrefix, n), Value: fmt.Appendf(nil, `{"name":"i%d"}`, n)}})
+		}
+		client.SetFault(func(string) testplatform.Fault { return testplatform.Refused })
+		assert.False(t, store.Check(ctx, 0))
+		o := &operatorData{n: &Node{store: store, elector: elector, log: zap.NewNop()}}
+		time.AfterFunc(2*time.Second, func() { client.SetFault(func(string) testplatform.Fault { return testplatform.None }) })
+		began := time.Now()
+		o.queryPeers(ctx, func(ctx context.Context, _ string) (*relay.OperatorReply, error) {
+			wait.For(ctx, peerQueryTimeout)
+			return nil, context.DeadlineExceeded
+		})
+		assert.Less(t, time.Since(began), 4*time.Second)
+	})
+}
