metastore, node: the range is read while watches get no answer

Callers saw: an accepted job that stands until the next change of owner, while other jobs start: those that were announced to the owner. Cause: nothing but a watch delivers changes of the intake, of the owner's key and of the instances. While each watch stays without an answer and the store answers all other calls, the instance counts as connected, keeps its ownership, and the announcement of a submission, which is sent once, is the only other way. Why it works: after three watches in a row that failed although the store answered other calls when they were sent, the range is read, and again after each further one: a change is applied within one watch, 2.9 s, and one read. An outage counts once only, so that its end is followed by a watch and not by a read in all instances (TestMirrorContinuesTheWatchAfterAnOutage).

--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -29,6 +29,9 @@
 	// each panic, up to maxReapplyDelay.
 	reapplyDelay    = 250 * time.Millisecond
 	maxReapplyDelay = 64 * reapplyDelay
+	// maxMisses is the number of failed watches in a row after which the range is read, if the store answered
+	// other calls when they were sent.
+	maxMisses = 3
 	// loadReapplies is how often failed changes are applied again before a full read counts as complete.
 	loadReapplies = 2
 )
@@ -51,6 +54,9 @@
 	// compared with its history: a watch that has fallen behind may have more changes to read than fit
 	// in its timeout.
 	ReloadOnFailure bool
+	// StoreHealthy reports whether the store answers other calls of this instance. Then the range is read after
+	// maxMisses failed watches in a row. If it is nil, only the watch is repeated.
+	StoreHealthy func() bool
 	// Slack is how much longer than its wait a watch may take; 0 for watchSlack. It doubles with each
 	// failure in a row, up to watchSlack.
 	Slack time.Duration
@@ -104,20 +110,20 @@
 	var after uint64
 	loaded := false
 	failures := 0
-	misses := 0     // failed watches in a row
-	incomplete := 0 // of them, those whose answer did not end in time
+	var missed misses
 	for ctx.Err() == nil {
 		var err error
 		if !loaded {
 			after, err = m.load(ctx)
 			loaded = err == nil
 		} else {
-			after, err = m.watch(ctx, after, m.slack(misses, incomplete))
-			misses, incomplete = countMisses(misses, incomplete, err)
+			healthy := m.opts.StoreHealthy != nil && m.opts.StoreHealthy()
+			after, err = m.watch(ctx, after, m.slack(missed))
+			missed.count(err, healthy)
 			if errors.Is(err, ErrCompacted) {
 				loaded, err = false, nil
 			}
-			loaded = loaded && (err == nil || !m.opts.ReloadOnFailure)
+			loaded = loaded && (err == nil || !m.opts.ReloadOnFailure && missed.healthy < maxMisses)
 		}
 		if ctx.Err() != nil {
 			return
@@ -140,26 +146,37 @@
 	}
 }
 
-// slack returns how much longer than its wait a watch may take after a number of failed watches in a row. It
-// grows without Slack only after answers that did not end in time: more changes were missed than fit into it.
-func (m *Mirror) slack(misses, incomplete int) time.Duration {
-	if incomplete > 0 {
-		return transferTimeout(misses, incomplete)
+// misses counts the failed watches since the last successful one.
+type misses struct {
+	all        int
+	incomplete int // whose answer did not end in time
+	healthy    int // that were sent while the store answered other calls
+}
+
+func (n *misses) count(err error, healthy bool) {
+	if err == nil || errors.Is(err, ErrCompacted) {
+		*n = misses{}
+		return
 	}
-	if m.opts.Slack == 0 {
-		return watchSlack
+	n.all++
+	if errors.Is(err, ErrIncomplete) {
+		n.incomplete++
+	}
+	if healthy {
+		n.healthy++
 	}
-	return min(m.opts.Slack<<min(misses, 4), watchSlack)
 }
 
-func countMisses(misses, incomplete int, err error) (newMisses, newIncomplete int) {
-	switch {
-	case err == nil || errors.Is(err, ErrCompacted):
-		return 0, 0
-	case errors.Is(err, ErrIncomplete):
-		return misses + 1, incomplete + 1
+// slack returns how much longer than its wait a watch may take after failed ones. Without Slack, it grows only
+// after answers that did not end in time: more changes were missed than fit into it.
+func (m *Mirror) slack(missed misses) time.Duration {
+	if missed.incomplete > 0 {
+		return transferTimeout(missed.all, missed.incomplete)
+	}
+	if m.opts.Slack == 0 {
+		return watchSlack
 	}
-	return misses + 1, incomplete
+	return min(m.opts.Slack<<min(missed.all, 4), watchSlack)
 }
 
 // load reads the range, or continues a read that has failed.
--- a/metastore/range_test.go
+++ b/metastore/range_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -128,3 +129,67 @@
 		assert.Equal(t, 1, applied)
 	})
 }
+
+// Watches get no answer while the store answers all other calls. Guards against submissions that never reach the
+// owner because only a watch would deliver them.
+func TestMirrorReadsTheRangeWhileWatchesHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testplatform.NewStore()
+		client := store.NewClient()
+		client.SetFault(func(call string) testplatform.Fault {
+			if call == "watch" {
+				return testplatform.Silent
+			}
+			return testplatform.None
+		})
+		monitor := metastore.NewMonitor(client)
+		var applied atomic.Int64
+		m := metastore.NewMirror(metastore.MirrorOptions{Store: monitor, Prefix: "p/", Wait: 2 * time.Second, Log: zap.NewNop(),
+			StoreHealthy: monitor.Healthy, Apply: func(metastore.Change) { applied.Add(1) }})
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { monitor.Run(ctx) })
+		running.Go(func() { m.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		for n := range 5 {
+			store.Put(fmt.Sprint("p/", n), []byte("x"))
+			time.Sleep(4 * time.Second)
+			assert.EqualValues(t, n+1, applied.Load())
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
+// The store answers no call for 10 s. Guards against mirrors of all instances that read their whole ranges after
+// an outage, although the history has all changes.
+func TestMirrorContinuesTheWatchAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testplatform.NewStore()
+		client := store.NewClient()
+		monitor := metastore.NewMonitor(client)
+		m := metastore.NewMirror(metastore.MirrorOptions{Store: monitor, Prefix: "p/", Wait: 2 * time.Second, Log: zap.NewNop(),
+			StoreHealthy: monitor.Healthy, Apply: func(metastore.Change) {}})
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { monitor.Run(ctx) })
+		running.Go(func() { m.Run(ctx) })
+		time.Sleep(time.Second)
+		reads := 0
+		answerWith := func(fault testplatform.Fault) {
+			client.SetFault(func(call string) testplatform.Fault {
+				if call == "range" {
+					reads++
+				}
+				return fault
+			})
+		}
+		answerWith(testplatform.Silent)
+		time.Sleep(10 * time.Second)
+		answerWith(testplatform.None)
+		time.Sleep(5 * time.Second)
+		assert.Zero(t, reads)
+		cancel()
+		running.Wait()
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -128,11 +128,11 @@
 		CallTimeout: n.store.CallTimeout, Partitioned: n.operatorData.partitioned.Load, DeposeViaPeer: n.deposeViaPeer,
 	})
 	n.ownerMirror = metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: ownership.OwnerPrefix, Wait: watchWait, Log: o.Log, Guard: n.guard,
+		Store: n.store, Prefix: ownership.OwnerPrefix, Wait: watchWait, Log: o.Log, Guard: n.guard, StoreHealthy: n.store.Healthy,
 		Apply: n.elector.Apply, Synced: n.elector.OwnerSynced,
 	})
 	n.instanceMirror = metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: ownership.InstancesPrefix, Wait: watchWait, Pause: instancesPause, Log: o.Log, Guard: n.guard,
+		Store: n.store, Prefix: ownership.InstancesPrefix, Wait: watchWait, Pause: instancesPause, Log: o.Log, Guard: n.guard, StoreHealthy: n.store.Healthy,
 		Apply: n.elector.Apply, Synced: n.elector.InstancesSynced,
 	})
 	n.jobs = jobservice.New(jobservice.Options{
@@ -202,7 +202,8 @@
 		n.operatorData.attach(nil, nil)
 	}()
 	intake := metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Guard: n.guard, Apply: term.OnIntake, Synced: term.Loaded,
+		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Guard: n.guard, StoreHealthy: n.store.Healthy,
+		Apply: term.OnIntake, Synced: term.Loaded,
 	})
 	workers := metastore.NewMirror(metastore.MirrorOptions{
 		Store: n.store, Prefix: a.WorkersPrefix, Wait: workersWait, Pause: workersPause, ReloadOnFailure: true, Slack: workersSlack, Log: n.log, Guard: n.guard,
