jobowner: a write that fails at once is repeated with a pause

Callers saw: nothing yet. With several writes it would be submissions turned away, because the owner uses up the rate at which all instances may write. Cause: commit waited after a refusal only. A write whose connection was reset was repeated at once, 250 times a second for each of up to 6 writes; all instances and workers share 400 to 3,200 writes a second. The first is still repeated at once, because a lost answer is usually a single one.

--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -231,7 +231,8 @@
 		if attempt == 1 {
 			events.Warn(t.opts.Log, events.RecordWriteDelayed, zap.Int("jobs", len(b.jobs)), zap.Error(err))
 		}
-		if errors.Is(err, metastore.ErrRefused) {
+		// A single lost answer is looked up at once. Further calls that fail before their timeout wait.
+		if errors.Is(err, metastore.ErrRefused) || attempt > 1 && !errors.Is(err, context.DeadlineExceeded) {
 			wait.For(ctx, retryDelay)
 		}
 	}
--- a/jobowner/commit_test.go
+++ b/jobowner/commit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/ownership"
 	"github.com/cyclamenyard/cyclamenyard/workload"
@@ -83,3 +84,30 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// The store resets the connection of each write. Guards against writes that are repeated without a pause: one owner
+// would use up the rate at which all instances may write.
+func TestResetWritesAreRepeatedWithAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		commits := 0
+		a.client.SetFault(func(call string) testplatform.Fault {
+			if call == "commit" {
+				commits++
+				return testplatform.AnswerLost
+			}
+			return testplatform.None
+		})
+		s.submit("job", "batch", tasks(1, 1))
+		time.Sleep(2 * time.Second)
+		assert.Positive(t, commits)
+		assert.LessOrEqual(t, commits, 200, "one transaction every 10 ms")
+		a.hangCalls()
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 5*time.Second))
+		s.requireNoViolations(t)
+	})
+}
