--- a/events/events.go
+++ b/events/events.go
@@ -83,6 +83,7 @@
 	FillerThrottled        ID = 241
 	WorkerListStale        ID = 242
 	RoomReclaimed          ID = 243
+	StepWaiting            ID = 244
 	WaveAccepted           ID = 250
 	UpkeepOrdered          ID = 251
 	WaveCompleted          ID = 252
@@ -181,6 +182,7 @@
 	FillerThrottled:        {"FillerPaced", "new speed limit of a filler requested"},
 	WorkerListStale:        {"WorkersStale", "staleness of the worker list changed"},
 	RoomReclaimed:          {"RoomReclaimed", "runs stopped to make room for a more urgent step"},
+	StepWaiting:            {"StepWaiting", "step could run and has nothing running"},
 	WaveAccepted:           {"WaveTaken", "upkeep wave accepted or withdrawn"},
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	j.Dirty, j.Writing = false, true
+	j.Dirty, j.Writing, j.WritingFrom = false, true, time.Now()
 	b.size += len(raw)
 	b.jobs = append(b.jobs, j)
 	b.states = append(b.states, j.State)
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -41,6 +41,7 @@
 	store  *testplatform.Store
 	fleet  *testplatform.Fleet
 	config *workload.Config
+	log    *zap.Logger
 
 	advisor      workerapi.Advisor // nil if no queue needs advice
 	outage       atomic.Bool       // the store answers no instance
@@ -63,7 +64,7 @@
 }
 
 func newSystem() *system {
-	s := &system{store: testplatform.NewStore(), fleet: testplatform.NewFleet(), instances: map[string]*testInstance{}, evacuated: map[string]bool{}}
+	s := &system{store: testplatform.NewStore(), fleet: testplatform.NewFleet(), log: testLog(), instances: map[string]*testInstance{}, evacuated: map[string]bool{}}
 	s.config = workload.NewConfig(workload.Config{Version: 1, Routes: []workload.Route{
 		{Name: "urgent", Service: "service", Priority: 0, MaxAttempts: 3, Stretch: 1.5, TargetLatency: time.Second},
 		{Name: "batch", Service: "service", Priority: 1, MaxAttempts: 3, Stretch: 3, TargetLatency: time.Second},
@@ -89,7 +90,7 @@
 func (s *system) start(name string) *testInstance {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &testInstance{client: s.store.NewClient(), cancel: cancel, done: make(chan struct{})}
-	log := testLog()
+	log := s.log
 	guard := contain.New(log, metrics.NewRegistry())
 	var elector *ownership.Elector
 	lead := func(ctx context.Context, token uint64, fence metastore.Condition) {
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -84,6 +84,7 @@
 	stops := t.runsToStop(now)
 	batches := t.nextBatches()
 	t.logPlan(plan)
+	t.checkWaits(now)
 	t.queueAdvice(plan.NeedAdvice)
 	for _, run := range stops {
 		t.orderStop(ctx, run)
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -110,6 +110,7 @@
 	pendingCancels    map[string]bool                // jobs whose cancellation arrived before their submission
 	reportedCompleted map[string]bool                // jobs whose completion only a former owner observed
 	checkedAt         time.Time
+	waitsCheckedAt    time.Time
 	listAsOf          suspend.Stamp // the list of workers includes all entries written before
 	listStale         bool          // the list is older than MaxListAge
 	nextDue           int64         // Unix milliseconds of the next occurrence; 0 for none
--- a/jobstate/cluster.go
+++ b/jobstate/cluster.go
@@ -34,7 +34,7 @@
 
 // Accepts reports whether new work may be placed on the worker.
 func (c *Cluster) Accepts(w *Worker, now time.Time) bool {
-	return !c.WorkerListStale && w.Listed && w.Answered && !w.Draining && !w.UpkeepPending && !w.UnresponsiveStored && !c.Evacuated[w.DataCentre] && !now.Before(w.AvoidUntil)
+	return !c.WorkerListStale && c.Exclusion(w, now) == NotExcluded
 }
 
 // MayBeLeaving reports whether the worker must get no new work because it leaves or may have announced
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -22,6 +22,10 @@
 	Stopping              // to be stopped, or being stopped
 )
 
+func (p Phase) String() string {
+	return [...]string{"planned", "ordered", "running", "stopping"}[p]
+}
+
 // End is the way in which a run ended.
 type End string
 
@@ -78,9 +82,10 @@
 	Checkpoint  string
 	Done        bool
 	Run         *Run
-	FailedOn    string // id of the worker where a run failed last
-	Preempted   bool   // its last run was stopped for a more urgent job
-	StoppedSlow bool   // a run was stopped as slow; that is done only once, because the task itself may be long
+	FailedOn    string    // id of the worker where a run failed last
+	Preempted   bool      // its last run was stopped for a more urgent job
+	StoppedSlow bool      // a run was stopped as slow; that is done only once, because the task itself may be long
+	RanUntil    time.Time // when a run that had started last ended; zero before
 }
 
 // Name returns the name that identifies the task to workers.
@@ -109,6 +114,8 @@
 	AdvicePending   bool              // a request for advice is queued or in progress
 	RateCheckDue    bool              // a rate was measured since the rates of the runs were last compared
 	ReclaimFailedAt time.Time         // when the last search found no resources worth reclaiming
+	WaitReason      WaitReason        // why the newest decision did not start its waiting tasks; valid if it has any
+	WaitReports     int               // log lines about the current wait
 }
 
 // Ticket is the advice for one worker, for a step of a queue that needs advice.
@@ -177,11 +184,12 @@
 	Started     bool           // at least one task has started
 	ArrivedAt   time.Time      // when this owner added the job
 	EndedAt     time.Time
-	Revision    uint64 // store revision of the record; 0 before the first write
-	Sequence    uint64 // sequence number in the stored record
-	Dirty       bool   // the record differs from the stored one and from the one that is being written
-	Writing     bool   // a record is being written
-	EndsAtRisk  bool   // an end that is not stored yet was reported by a worker that may leave
+	Revision    uint64    // store revision of the record; 0 before the first write
+	Sequence    uint64    // sequence number in the stored record
+	Dirty       bool      // the record differs from the stored one and from the one that is being written
+	Writing     bool      // a record is being written
+	WritingFrom time.Time // when its write began; valid while Writing
+	EndsAtRisk  bool      // an end that is not stored yet was reported by a worker that may leave
 
 	Occurrences []*Occurrence // occurrences that have been due, by number
 }
@@ -328,6 +336,9 @@
 	if outcome != EndDone {
 		s.WaitingSince = now
 	}
+	if !r.StartedAt.IsZero() {
+		t.RanUntil = now
+	}
 	switch outcome {
 	case EndDone:
 		if s.Spec.LongRunning {
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -16,27 +16,33 @@
 // acceptsOtherRack reports whether the unit has waited long enough to accept workers outside its
 // preferred rack, where it runs FarFactor times as long.
 func (r *round) acceptsOtherRack(u *unit) bool {
+	return r.now.Sub(u.step.WaitingSince) >= r.rackWait(u)
+}
+
+// rackWait returns how long the unit waits for its preferred rack.
+func (r *round) rackWait(u *unit) time.Duration {
 	wait := rackWaitShare * float64(u.deadline.Sub(u.step.ReadyAt))
 	saved := (r.opts.FarFactor - 1) * float64(u.step.Spec.Estimate)
-	return r.now.Sub(u.step.WaitingSince) >= time.Duration(min(wait, saved))
+	return time.Duration(min(wait, saved))
 }
 
-// fitGang assigns all waiting tasks of the gang to workers. It returns false if they do not all fit.
-func (r *round) fitGang(u *unit, workers []*jobstate.Worker) ([]slot, bool) {
+// fitGang assigns all waiting tasks of the gang to workers. It returns nil and the reason if they have to
+// wait.
+func (r *round) fitGang(u *unit, workers []*jobstate.Worker) ([]slot, jobstate.WaitReason) {
 	if !r.allFit(u, workers) {
-		return nil, false
+		return nil, jobstate.WaitNoRoom
 	}
 	spec := u.step.Spec
-	if !spec.SameRack && spec.DataRack == "" {
-		return r.pack(u, workers)
-	}
-	if slots, ok := r.bestRack(u, workers); ok {
-		return slots, true
-	}
-	if !r.acceptsOtherRack(u) {
-		return nil, false
+	if spec.SameRack || spec.DataRack != "" {
+		if slots, ok := r.bestRack(u, workers); ok {
+			return slots, jobstate.WaitUndecided
+		}
+		if !r.acceptsOtherRack(u) {
+			return nil, jobstate.WaitPreferredRack
+		}
 	}
-	return r.pack(u, workers)
+	slots, _ := r.pack(u, workers)
+	return slots, jobstate.WaitUndecided
 }
 
 // allFit reports whether all waiting tasks fit on the workers, in any racks.
@@ -167,16 +173,17 @@
 	return slots, true
 }
 
-// bestWorker returns the worker for one task of a step that is not a gang, or nil. It prefers workers
-// other than the one where the task failed last, then the preferred rack, then the least
+// bestWorker returns the worker for one task of a step that is not a gang, or nil and the reason. It
+// prefers workers other than the one where the task failed last, then the preferred rack, then the least
 // free resources.
-func (r *round) bestWorker(u *unit, t *jobstate.Task, workers []*jobstate.Worker) *jobstate.Worker {
+func (r *round) bestWorker(u *unit, t *jobstate.Task, workers []*jobstate.Worker) (*jobstate.Worker, jobstate.WaitReason) {
 	spec := u.step.Spec
 	allocation := spec.Allocation()
 	preferred := preferredRack(u.step)
 	anyRack := preferred == "" || r.acceptsOtherRack(u)
 	var best *jobstate.Worker
 	var bestKey [4]int
+	wait := jobstate.WaitNoRoom
 	for _, w := range workers {
 		free := r.free(w)
 		if !allocation.Fits(free) || countIn(u.step, free, present(u.step, w)) == 0 {
@@ -185,6 +192,7 @@
 		outside := 0
 		if preferred != "" && w.Rack != preferred {
 			if !anyRack {
+				wait = jobstate.WaitPreferredRack
 				continue
 			}
 			outside = 1
@@ -198,7 +206,10 @@
 			best, bestKey = w, key
 		}
 	}
-	return best
+	if best != nil {
+		wait = jobstate.WaitUndecided
+	}
+	return best, wait
 }
 
 // preferredRack returns the rack of the step's data or, for a step with SameRack, the rack of its tasks
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -128,11 +128,16 @@
 }
 
 func (r *round) unit(j *jobstate.Job, s *jobstate.Step) (unit, bool) {
-	if s.ReadyAt.IsZero() || s.Done() || s.Waiting() == 0 || r.now.Before(s.NotBefore) {
+	if s.ReadyAt.IsZero() || s.Done() || s.Waiting() == 0 {
+		return unit{}, false
+	}
+	if r.now.Before(s.NotBefore) {
+		s.WaitReason = jobstate.WaitRetryDelay
 		return unit{}, false
 	}
 	if s.Spec.Gang && s.Waiting() < len(s.Tasks) {
-		return unit{}, false // members of an earlier run have not ended yet
+		s.WaitReason = jobstate.WaitGangMembers
+		return unit{}, false
 	}
 	u := unit{step: s, job: j, priority: j.Route.Priority}
 	for _, t := range s.Tasks {
@@ -213,25 +218,48 @@
 // schedule starts as much of the unit as fits and reserves or reclaims resources for the rest.
 func (r *round) schedule(u *unit) {
 	workers := r.eligible(u)
+	reason := jobstate.WaitUndecided
 	switch {
 	case len(workers) == 0 && u.job.Route.Advice != nil:
 		r.plan.NeedAdvice = append(r.plan.NeedAdvice, u.step)
 	case u.step.Spec.Gang:
-		r.scheduleGang(u, workers)
+		reason = r.scheduleGang(u, workers)
 	default:
-		r.scheduleTasks(u, workers)
+		reason = r.scheduleTasks(u, workers)
+	}
+	if len(workers) == 0 {
+		reason = r.whyNoWorker(u)
+	}
+	u.step.WaitReason = reason
+}
+
+// whyNoWorker returns why a unit waits that no worker may run.
+func (r *round) whyNoWorker(u *unit) jobstate.WaitReason {
+	switch {
+	case r.c.WorkerListStale:
+		return jobstate.WaitWorkerListStale
+	case len(r.workers[u.job.Route.Service]) == 0:
+		return jobstate.WaitNoWorkerAccepts
+	case u.job.Route.Advice != nil:
+		return jobstate.WaitAdvice
 	}
+	return jobstate.WaitNoWorkerEligible
 }
 
-func (r *round) scheduleGang(u *unit, workers []*jobstate.Worker) {
+// scheduleGang returns why the gang waits, if it does.
+func (r *round) scheduleGang(u *unit, workers []*jobstate.Worker) jobstate.WaitReason {
 	if !r.leavesHeadroom(u, len(u.waiting)) {
-		return
+		return jobstate.WaitHeadroom
 	}
-	if slots, ok := r.fitGang(u, workers); ok {
+	slots, wait := r.fitGang(u, workers)
+	if slots != nil {
 		r.startGang(u, slots)
-		return
+		return jobstate.WaitUndecided
 	}
-	r.reserveOrReclaim(u, workers)
+	if further := r.reserveOrReclaim(u, workers); wait == jobstate.WaitNoRoom {
+		return further
+	}
+	return wait
 }
 
 func (r *round) startGang(u *unit, slots []slot) {
@@ -246,14 +274,17 @@
 	}
 }
 
-func (r *round) scheduleTasks(u *unit, workers []*jobstate.Worker) {
+// scheduleTasks returns why tasks of the unit wait, if any do.
+func (r *round) scheduleTasks(u *unit, workers []*jobstate.Worker) jobstate.WaitReason {
 	placed := 0
+	wait := jobstate.WaitUndecided
 	for _, t := range u.waiting {
 		if !r.leavesHeadroom(u, 1) {
+			wait = jobstate.WaitHeadroom
 			break
 		}
-		w := r.bestWorker(u, t, workers)
-		if w == nil {
+		var w *jobstate.Worker
+		if w, wait = r.bestWorker(u, t, workers); w == nil {
 			break
 		}
 		r.freeAccelerators -= u.step.Spec.Demand.Accelerators
@@ -261,27 +292,41 @@
 		placed++
 	}
 	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 {
-		r.reserveOrReclaim(u, workers)
+		if further := r.reserveOrReclaim(u, workers); wait == jobstate.WaitNoRoom {
+			wait = further
+		}
 	}
+	return wait
 }
 
 // eligible returns the workers that may run the step's tasks, whether or not enough of their resources are
 // free.
 func (r *round) eligible(u *unit) []*jobstate.Worker {
-	spec := u.step.Spec
 	var list []*jobstate.Worker
-	excludeProbation := spec.Gang || u.priority == 0
 	for _, w := range r.workers[u.job.Route.Service] {
-		if excludeProbation && onProbation(w, r.now) {
-			continue
-		}
-		if w.HasLabel(spec.Label) && spec.Allocation().Fits(w.Capacity) && u.step.Admits(w, r.now) {
+		if stepExclusion(u.step, w, r.now) == jobstate.NotExcluded {
 			list = append(list, w)
 		}
 	}
 	return list
 }
 
+// stepExclusion returns why a worker that accepts work may not run the step's tasks.
+func stepExclusion(s *jobstate.Step, w *jobstate.Worker, now time.Time) jobstate.Exclusion {
+	spec := s.Spec
+	switch {
+	case onProbation(w, now) && (spec.Gang || s.Occurrence.Job.Route.Priority == 0):
+		return jobstate.ExcludeProbation
+	case !w.HasLabel(spec.Label):
+		return jobstate.ExcludeLabel
+	case !spec.Allocation().Fits(w.Capacity):
+		return jobstate.ExcludeCapacity
+	case !s.Admits(w, now):
+		return jobstate.ExcludeTicket
+	}
+	return jobstate.NotExcluded
+}
+
 // free returns the worker's free resources without what units scheduled earlier in the round have
 // reserved.
 func (r *round) free(w *jobstate.Worker) workload.Resources {
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -42,29 +42,33 @@
 )
 
 // reserveOrReclaim chooses and reserves resources for a unit that does not fit. It stops the runs of less
-// urgent jobs that use them unless this would discard more work than lossLimit allows.
-func (r *round) reserveOrReclaim(u *unit, workers []*jobstate.Worker) {
+// urgent jobs that use them unless this would discard more work than lossLimit allows. It returns why the
+// unit waits.
+func (r *round) reserveOrReclaim(u *unit, workers []*jobstate.Worker) jobstate.WaitReason {
 	if r.now.Sub(u.step.ReclaimedAt) < r.stopBound() && r.reservationHolds(u.step) {
 		r.reserve(u.step)
-		return
+		return jobstate.WaitReclaim
 	}
-	if u.priority > 0 && (r.now.Sub(u.step.ReadyAt) < reservationDelay || r.reservations >= maxReservations) {
-		return
+	if u.priority > 0 && r.now.Sub(u.step.ReadyAt) < reservationDelay {
+		return jobstate.WaitNoRoom
+	}
+	if u.priority > 0 && r.reservations >= maxReservations {
+		return jobstate.WaitReservations
 	}
 	if r.now.Sub(u.step.ReclaimFailedAt) < reclaimInterval {
 		r.keepReservation(u)
-		return
+		return u.step.WaitReason // that of the search
 	}
 	if u.priority > 0 && r.now.Sub(u.step.ReclaimedAt) < batchReclaimInterval {
 		r.keepReservation(u)
-		return
+		return jobstate.WaitReclaim
 	}
 	targets, loss := r.cheapest(u, workers)
 	if targets == nil {
 		u.step.ReclaimFailedAt = r.now
 		u.step.Reserved = nil
 		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "not enough room that is free or can be reclaimed"})
-		return
+		return jobstate.WaitNoRoom
 	}
 	u.step.Reserved = u.step.Reserved[:0]
 	for _, t := range targets {
@@ -77,7 +81,7 @@
 	if loss > lossLimit(u) || !r.mayStop(u, targets) {
 		u.step.ReclaimFailedAt = r.now
 		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "room is reserved; stopping the runs in it would discard too much work"})
-		return
+		return jobstate.WaitLossLimit
 	}
 	before := len(r.plan.Stops)
 	for _, t := range targets {
@@ -92,6 +96,7 @@
 	if stopped := len(r.plan.Stops) - before; stopped > 0 {
 		r.plan.Reclaims = append(r.plan.Reclaims, Reclaim{Step: u.step, Waited: r.now.Sub(u.step.ReadyAt), Runs: stopped, Discarded: loss, Limit: lossLimit(u)})
 	}
+	return jobstate.WaitReclaim
 }
 
 // keepReservation reserves again the resources that were chosen for the unit earlier, until they become
