--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -57,6 +57,7 @@
 
 type testInstance struct {
 	client  *testplatform.Client
+	metrics metrics.Registry
 	term    *jobowner.Term
 	elector *ownership.Elector
 	cancel  context.CancelFunc
@@ -89,13 +90,13 @@
 // start starts an instance.
 func (s *system) start(name string) *testInstance {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &testInstance{client: s.store.NewClient(), cancel: cancel, done: make(chan struct{})}
+	c := &testInstance{client: s.store.NewClient(), metrics: metrics.NewRegistry(), cancel: cancel, done: make(chan struct{})}
 	log := s.log
 	guard := contain.New(log, metrics.NewRegistry())
 	var elector *ownership.Elector
 	lead := func(ctx context.Context, token uint64, fence metastore.Condition) {
 		term := jobowner.New(jobowner.Options{
-			Store: c.client, Workers: s.fleet, Advisor: s.advisor, Log: log, Metrics: metrics.NewRegistry(), Token: token, Fence: fence,
+			Store: c.client, Workers: s.fleet, Advisor: s.advisor, Log: log, Metrics: c.metrics, Token: token, Fence: fence,
 			Config: s.readConfig, Guard: guard, WallClock: time.Now, MaxLease: testplatform.MaxLease,
 			OwnershipConfirmed: func() bool { return elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
 			Placement:          placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -129,13 +129,14 @@
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
 
-	decisions metrics.Histogram // the histograms are in microseconds
-	commits   metrics.Histogram
-	startWait metrics.Histogram
-	started   metrics.Counter
-	stopped   metrics.Counter
-	preempted metrics.Counter
-	discarded metrics.Counter // core-seconds
+	waitGauges waitGauges
+	decisions  metrics.Histogram // the histograms are in microseconds
+	commits    metrics.Histogram
+	startWait  metrics.Histogram
+	started    metrics.Counter
+	stopped    metrics.Counter
+	preempted  metrics.Counter
+	discarded  metrics.Counter // core-seconds
 }
 
 type storedRecord struct {
@@ -165,6 +166,7 @@
 		loaded:       make(chan struct{}),
 		endsStored:   make(chan struct{}),
 		wake:         make(chan struct{}, 1),
+		waitGauges:   newWaitGauges(o.Metrics),
 		decisions:    histogram("owner.decision_us", o.Metrics),
 		commits:      histogram("owner.commit_us", o.Metrics),
 		startWait:    histogram("owner.ready_to_started_us", o.Metrics),
@@ -194,6 +196,7 @@
 		t.goGuarded(ctx, workers)
 		t.goGuarded(ctx, t.advise)
 		t.loop(ctx)
+		t.waitGauges.update(&waitSearch{})
 	}
 	t.cancel()
 	t.tasks.Wait()
--- a/jobowner/waits.go
+++ b/jobowner/waits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
@@ -29,26 +30,54 @@
 	run    *jobstate.Run // the oldest of its runs, none of which works; nil if it has none
 }
 
-// checkWaits logs steps that could run and have had nothing running for long. It is called after a decision,
-// which sets the reasons. The caller holds the lock.
+// waitSearch holds the results of one search for idle steps that have waited for waitReportAfter.
+type waitSearch struct {
+	due     []idleStep // steps to be logged, at most maxWaitReports
+	counts  [jobstate.WaitReasonCount]int64
+	longest time.Duration
+}
+
+// waitGauges are the metrics of such steps.
+type waitGauges struct {
+	counts  [jobstate.WaitReasonCount]metrics.Gauge // steps by reason
+	longest metrics.Gauge                           // milliseconds
+}
+
+func newWaitGauges(registry metrics.Registry) waitGauges {
+	g := waitGauges{longest: metrics.GetOrRegisterGauge("owner.longest_wait_ms", registry)}
+	for n := range g.counts {
+		g.counts[n] = metrics.GetOrRegisterGauge("owner.steps_waiting."+jobstate.WaitReason(n).String(), registry)
+	}
+	return g
+}
+
+func (g *waitGauges) update(s *waitSearch) {
+	for n, count := range s.counts {
+		g.counts[n].Update(count)
+	}
+	g.longest.Update(s.longest.Milliseconds())
+}
+
+// checkWaits counts the steps that could run and have had nothing running for long, and logs some of them.
+// It is called after a decision, which sets the reasons. The caller holds the lock.
 func (t *Term) checkWaits(now time.Time) {
 	if now.Sub(t.waitsCheckedAt) < waitCheckInterval {
 		return
 	}
 	t.waitsCheckedAt = now
-	var due []idleStep
+	var search waitSearch
 	for _, j := range t.cluster.Jobs {
 		if j.State.Ended() {
 			continue
 		}
 		for _, o := range j.Occurrences {
 			if !o.Done() {
-				due = t.appendDueWaits(due, o, now)
+				t.searchOccurrence(&search, o, now)
 			}
 		}
 	}
-	slices.SortFunc(due, compareWaits)
-	for _, i := range due[:min(len(due), maxWaitReports)] {
+	t.waitGauges.update(&search)
+	for _, i := range search.due {
 		for now.Sub(i.since) >= waitReportAfter<<i.step.WaitReports {
 			i.step.WaitReports++
 		}
@@ -56,6 +85,16 @@
 	}
 }
 
+// addDue adds a step and drops the last one in the order of compareWaits if there are too many.
+func (s *waitSearch) addDue(i idleStep) {
+	n, _ := slices.BinarySearchFunc(s.due, i, compareWaits)
+	if n == maxWaitReports {
+		return
+	}
+	s.due = slices.Insert(s.due, n, i)
+	s.due = s.due[:min(len(s.due), maxWaitReports)]
+}
+
 // compareWaits orders steps that lack resources, of which a full service has many, behind all others, and
 // otherwise those first that have waited longest.
 func compareWaits(a, b idleStep) int {
@@ -65,25 +104,27 @@
 		}
 		return -1
 	}
-	return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.step.Name(), b.step.Name()))
+	return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.step.Occurrence.Job.Submission.ID, b.step.Occurrence.Job.Submission.ID),
+		cmp.Compare(a.step.Occurrence.Number, b.step.Occurrence.Number), cmp.Compare(a.step.Number, b.step.Number))
 }
 
-// appendDueWaits appends the steps of the occurrence that are to be logged.
-func (t *Term) appendDueWaits(due []idleStep, o *jobstate.Occurrence, now time.Time) []idleStep {
+func (t *Term) searchOccurrence(search *waitSearch, o *jobstate.Occurrence, now time.Time) {
 	for _, s := range o.Steps {
 		if s.ReadyAt.IsZero() || s.Done() || now.Sub(s.ReadyAt) < waitReportAfter {
 			continue
 		}
 		i, idle := t.idle(s)
-		if !idle || now.Sub(i.since) < waitReportAfter {
+		waited := now.Sub(i.since)
+		if !idle || waited < waitReportAfter {
 			s.WaitReports = 0
 			continue
 		}
-		if now.Sub(i.since) >= waitReportAfter<<s.WaitReports {
-			due = append(due, i)
+		search.counts[i.reason]++
+		search.longest = max(search.longest, waited)
+		if waited >= waitReportAfter<<s.WaitReports {
+			search.addDue(i)
 		}
 	}
-	return due
 }
 
 // idle reports whether a step that could run has nothing running, or lacks one of its tasks if these serve
--- a/jobowner/waits_test.go
+++ b/jobowner/waits_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -43,6 +44,11 @@
 	return reasons
 }
 
+// gauge returns the value of the instance's gauge.
+func (c *testInstance) gauge(name string) int64 {
+	return metrics.GetOrRegisterGauge(name, c.metrics).Value()
+}
+
 // Guards against a step that stands and leaves no line that names its cause, against lines for a step that
 // starts at once, and against a line in each decision.
 func TestStepThatWaitsIsLogged(t *testing.T) {
@@ -117,3 +123,26 @@
 		assert.Positive(t, run["lease_left"])
 	})
 }
+
+// Guards against steps that stand and are missing in the metrics, and against the counts of a former owner
+// that stay.
+func TestWaitingStepsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		labelled := tasks(2, 1)
+		labelled.Label = "missing"
+		s.submit("waits", "batch", labelled)
+		time.Sleep(time.Second)
+		assert.Zero(t, a.gauge("owner.steps_waiting.no_worker_eligible"))
+		time.Sleep(2 * time.Second)
+		assert.EqualValues(t, 1, a.gauge("owner.steps_waiting.no_worker_eligible"))
+		assert.InDelta(t, 3000, a.gauge("owner.longest_wait_ms"), 500)
+		s.kill("a")
+		assert.Zero(t, a.gauge("owner.steps_waiting.no_worker_eligible"))
+		assert.Zero(t, a.gauge("owner.longest_wait_ms"))
+	})
+}
