--- a/events/events.go
+++ b/events/events.go
@@ -84,6 +84,9 @@
 	WorkerListStale        ID = 242
 	RoomReclaimed          ID = 243
 	StepWaiting            ID = 244
+	TermLoaded             ID = 245
+	TermNotLoaded          ID = 246
+	IntakeStale            ID = 247
 	WaveAccepted           ID = 250
 	UpkeepOrdered          ID = 251
 	WaveCompleted          ID = 252
@@ -183,6 +186,9 @@
 	WorkerListStale:        {"WorkersStale", "staleness of the worker list changed"},
 	RoomReclaimed:          {"RoomReclaimed", "runs stopped to make room for a more urgent step"},
 	StepWaiting:            {"StepWaiting", "step could run and has nothing running"},
+	TermLoaded:             {"TermLoaded", "jobs loaded at the start of a term"},
+	TermNotLoaded:          {"TermNotLoaded", "jobs not loaded since the start of the term"},
+	IntakeStale:            {"IntakeStale", "staleness of the accepted jobs changed"},
 	WaveAccepted:           {"WaveTaken", "upkeep wave accepted or withdrawn"},
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -36,13 +36,33 @@
 func (t *Term) OnAnnounced(change metastore.Change) {
 	select {
 	case <-t.loaded:
-		t.OnIntake(change)
+		t.applyIntake(change, sourceAnnouncement)
 	default:
+		t.announcementsIgnored.Inc(1)
+		t.opts.Log.Debug("announcement ignored because the jobs are not loaded", zap.String("key", change.Key))
 	}
 }
 
-// OnIntake applies a change under IntakePrefix.
+// OnIntake applies a change under IntakePrefix that was read from the store.
 func (t *Term) OnIntake(change metastore.Change) {
+	select {
+	case <-t.loaded:
+		t.applyIntake(change, sourceWatch)
+	default:
+		t.applyIntake(change, sourceLoad)
+	}
+}
+
+// intakeSource is how a submission reached the owner.
+type intakeSource string
+
+const (
+	sourceLoad         intakeSource = "load"  // the read at the start of the term
+	sourceWatch        intakeSource = "watch" // a later read or watch
+	sourceAnnouncement intakeSource = "announcement"
+)
+
+func (t *Term) applyIntake(change metastore.Change, source intakeSource) {
 	if change.Removed {
 		return // only the owner removes jobs, after their retention time
 	}
@@ -52,14 +72,14 @@
 	defer t.mu.Unlock()
 	switch {
 	case strings.HasSuffix(rest, jobSuffix):
-		t.addJob(strings.TrimSuffix(rest, jobSuffix), change, now)
+		t.addJob(strings.TrimSuffix(rest, jobSuffix), change, source, now)
 	case strings.HasSuffix(rest, cancelSuffix):
 		t.cancelJob(strings.TrimSuffix(rest, cancelSuffix), now)
 	}
 	t.wakeLoop()
 }
 
-func (t *Term) addJob(id string, change metastore.Change, now time.Time) {
+func (t *Term) addJob(id string, change metastore.Change, source intakeSource, now time.Time) {
 	if t.cluster.Jobs[id] != nil {
 		return
 	}
@@ -78,7 +98,8 @@
 		j.Complete(now)
 	}
 	events.Info(t.opts.Log, events.JobTakenOver, zap.String("job", id), zap.String("route", s.Queue.Name),
-		zap.Stringers("steps", stepsOf(s)), zap.String("state", string(j.State)), zap.Uint64("revision", change.Revision))
+		zap.Stringers("steps", stepsOf(s)), zap.String("state", string(j.State)), zap.Uint64("revision", change.Revision),
+		zap.String("source", string(source)), zap.Duration("accepted_ago", time.Duration(t.opts.WallClock().UnixMilli()-s.AcceptedAt)*time.Millisecond))
 	if t.pendingCancels[id] {
 		delete(t.pendingCancels, id)
 		t.cancelJob(id, now)
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -80,6 +80,7 @@
 	defer t.mu.Unlock()
 	t.applyTimers(now)
 	t.checkListAge(now)
+	t.checkIntakeAge(now)
 	plan := t.policy.Decide(t.cluster, t.guarantee, now)
 	stops := t.runsToStop(now)
 	batches := t.nextBatches()
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -111,6 +111,9 @@
 	reportedCompleted map[string]bool                // jobs whose completion only a former owner observed
 	checkedAt         time.Time
 	waitsCheckedAt    time.Time
+	intakeAsOf        time.Time // all jobs accepted before are loaded
+	intakeStale       bool      // intakeAsOf is older than maxIntakeAge
+	loading           loadReport
 	listAsOf          suspend.Stamp // the list of workers includes all entries written before
 	listStale         bool          // the list is older than MaxListAge
 	nextDue           int64         // Unix milliseconds of the next occurrence; 0 for none
@@ -129,14 +132,16 @@
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
 
-	waitGauges waitGauges
-	decisions  metrics.Histogram // the histograms are in microseconds
-	commits    metrics.Histogram
-	startWait  metrics.Histogram
-	started    metrics.Counter
-	stopped    metrics.Counter
-	preempted  metrics.Counter
-	discarded  metrics.Counter // core-seconds
+	waitGauges           waitGauges
+	intakeAge            metrics.Gauge     // milliseconds
+	announcementsIgnored metrics.Counter   // before all jobs were loaded
+	decisions            metrics.Histogram // the histograms are in microseconds
+	commits              metrics.Histogram
+	startWait            metrics.Histogram
+	started              metrics.Counter
+	stopped              metrics.Counter
+	preempted            metrics.Counter
+	discarded            metrics.Counter // core-seconds
 }
 
 type storedRecord struct {
@@ -167,13 +172,17 @@
 		endsStored:   make(chan struct{}),
 		wake:         make(chan struct{}, 1),
 		waitGauges:   newWaitGauges(o.Metrics),
-		decisions:    histogram("owner.decision_us", o.Metrics),
-		commits:      histogram("owner.commit_us", o.Metrics),
-		startWait:    histogram("owner.ready_to_started_us", o.Metrics),
-		started:      metrics.GetOrRegisterCounter("owner.runs_started", o.Metrics),
-		stopped:      metrics.GetOrRegisterCounter("owner.runs_stopped", o.Metrics),
-		preempted:    metrics.GetOrRegisterCounter("owner.runs_preempted", o.Metrics),
-		discarded:    metrics.GetOrRegisterCounter("owner.preempted_core_seconds", o.Metrics),
+		intakeAge:    metrics.GetOrRegisterGauge("owner.intake_age_ms", o.Metrics),
+
+		announcementsIgnored: metrics.GetOrRegisterCounter("owner.announcements_ignored", o.Metrics),
+
+		decisions: histogram("owner.decision_us", o.Metrics),
+		commits:   histogram("owner.commit_us", o.Metrics),
+		startWait: histogram("owner.ready_to_started_us", o.Metrics),
+		started:   metrics.GetOrRegisterCounter("owner.runs_started", o.Metrics),
+		stopped:   metrics.GetOrRegisterCounter("owner.runs_stopped", o.Metrics),
+		preempted: metrics.GetOrRegisterCounter("owner.runs_preempted", o.Metrics),
+		discarded: metrics.GetOrRegisterCounter("owner.preempted_core_seconds", o.Metrics),
 	}
 }
 
@@ -190,13 +199,11 @@
 		return err
 	}
 	t.goGuarded(ctx, jobs)
-	select {
-	case <-ctx.Done():
-	case <-t.loaded:
+	if t.awaitLoaded(ctx) {
 		t.goGuarded(ctx, workers)
 		t.goGuarded(ctx, t.advise)
 		t.loop(ctx)
-		t.waitGauges.update(&waitSearch{})
+		t.resetGauges()
 	}
 	t.cancel()
 	t.tasks.Wait()
@@ -220,7 +227,10 @@
 		items, _, err := metastore.RangeAll(call, t.opts.Store, RecordPrefix)
 		cancel()
 		if err == nil {
-			t.indexRecords(items, t.opts.Completed(ctx))
+			read := time.Now()
+			completed := t.opts.Completed(ctx)
+			t.loading = loadReport{records: len(items), completed: len(completed), recordsTook: read.Sub(t.startedAt), completedTook: time.Since(read)}
+			t.indexRecords(items, completed)
 			return nil
 		}
 		t.opts.Log.Warn("cannot read job records; retrying", zap.Error(err))
@@ -276,8 +286,11 @@
 	f(t.cluster)
 }
 
-// Loaded records that all jobs accepted before the term are loaded.
-func (t *Term) Loaded(time.Time) {
+// Loaded records that all jobs accepted before asOf are loaded.
+func (t *Term) Loaded(asOf time.Time) {
+	t.mu.Lock()
+	t.intakeAsOf = asOf
+	t.mu.Unlock()
 	t.loadOnce.Do(func() { close(t.loaded) })
 }
 
--- a/jobowner/waits.go
+++ b/jobowner/waits.go
@@ -77,6 +77,7 @@
 		}
 	}
 	t.waitGauges.update(&search)
+	t.intakeAge.Update(now.Sub(t.intakeAsOf).Milliseconds())
 	for _, i := range search.due {
 		for now.Sub(i.since) >= waitReportAfter<<i.step.WaitReports {
 			i.step.WaitReports++
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -83,12 +83,16 @@
 	local   metrics.Counter
 	owner   metrics.Counter
 	store   metrics.Counter
+
+	announcementsFailed  metrics.Counter
+	announcementsUnowned metrics.Counter // to or by an instance with no owner to tell
 }
 
 func New(o Options) *Service {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, o.Metrics) }
 	return &Service{opts: o, relayed: counter("jobs.relayed"), local: counter("jobs.state_local"),
-		owner: counter("jobs.state_owner"), store: counter("jobs.state_store")}
+		owner: counter("jobs.state_owner"), store: counter("jobs.state_store"),
+		announcementsFailed: counter("jobs.announcements_failed"), announcementsUnowned: counter("jobs.announcements_unowned")}
 }
 
 // outcome is the outcome of a write, as far as it can be determined.
@@ -262,6 +266,7 @@
 	}
 	owner, ok := s.opts.Elector.Owner()
 	if !ok || owner.Name == s.opts.Instance {
+		s.announcementUnowned(item.Key)
 		return
 	}
 	go func() {
@@ -269,11 +274,18 @@
 		defer cancel()
 		_, err := s.opts.PeerClient(owner.Address).Announce(ctx, &relay.AnnounceRequest{Key: item.Key, Value: item.Value, Revision: item.Revision})
 		if err != nil {
+			s.announcementsFailed.Inc(1)
 			s.opts.Log.Debug("cannot announce change to owner", zap.String("key", item.Key), zap.String("owner", owner.Name), zap.Error(err))
 		}
 	}()
 }
 
+// announcementUnowned counts an announcement without an owner that could apply it.
+func (s *Service) announcementUnowned(key string) {
+	s.announcementsUnowned.Inc(1)
+	s.opts.Log.Debug("change not announced because there is no owner", zap.String("key", key))
+}
+
 func (s *Service) createCancelKey(ctx context.Context, id string) outcome {
 	if !s.opts.StoreHealthy() {
 		return refused
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -46,16 +46,28 @@
 	return p.service.HandleAnnounce(ctx, r)
 }
 
+// failingPeer is the client of an instance that cannot be reached.
+type failingPeer struct{ relay.DRPCRelayClient }
+
+func (failingPeer) Announce(context.Context, *relay.AnnounceRequest) (*relay.AnnounceReply, error) {
+	return nil, context.DeadlineExceeded
+}
+
 // instance is a service with its own client of the store.
 type instance struct {
 	*jobservice.Service
 	client  *testplatform.Client
 	elector *ownership.Elector
+	metrics metrics.Registry
+}
+
+func (i *instance) count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, i.metrics).Count()
 }
 
 // newInstance returns an instance with the given peer, which may be nil.
 func newInstance(s *testplatform.Store, term jobservice.Term, peer *instance) *instance {
-	i := &instance{client: s.NewClient()}
+	i := &instance{client: s.NewClient(), metrics: metrics.NewRegistry()}
 	monitor := metastore.NewMonitor(i.client)
 	elector := ownership.New(ownership.Options{Store: monitor, Self: ownership.Instance{Name: "self"}, Log: zap.NewNop()})
 	if peer != nil {
@@ -63,9 +75,14 @@
 	}
 	i.elector = elector
 	i.Service = jobservice.New(jobservice.Options{Store: monitor, StoreHealthy: monitor.Healthy, CheckStore: monitor.Check, WriteTimeout: monitor.CallTimeout,
-		Elector: elector, Instance: "self", Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
-		Term:       func() jobservice.Term { return term },
-		PeerClient: func(string) relay.DRPCRelayClient { return directPeer{service: peer.Service} }})
+		Elector: elector, Instance: "self", Log: zap.NewNop(), Metrics: i.metrics,
+		Term: func() jobservice.Term { return term },
+		PeerClient: func(string) relay.DRPCRelayClient {
+			if peer == nil {
+				return failingPeer{}
+			}
+			return directPeer{service: peer.Service}
+		}})
 	return i
 }
 
@@ -228,6 +245,29 @@
 	})
 }
 
+// Guards against submissions of which the owner is not told, with no sign of it in the metrics.
+func TestAnnouncementsWithoutEffectAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		formerOwner := newInstance(s, nil, nil)
+		unreachableOwner := newInstance(s, nil, nil)
+		i := newInstance(s, nil, formerOwner)
+		ctx, cancel := deadline()
+		defer cancel()
+		assert.NoError(t, i.Submit(ctx, job()))
+		assert.EqualValues(t, 1, i.count("jobs.announcements_unowned"), "no owner is known")
+		owner := metastore.Change{Item: metastore.Item{Key: ownership.OwnerPrefix, Value: []byte(`{"name":"peer","address":"peer"}`), Created: 7}}
+		i.elector.Apply(owner)
+		unreachableOwner.elector.Apply(owner)
+		assert.NoError(t, i.Submit(ctx, job()))
+		assert.NoError(t, unreachableOwner.Submit(ctx, job()))
+		synctest.Wait()
+		assert.EqualValues(t, 1, formerOwner.count("jobs.announcements_unowned"))
+		assert.EqualValues(t, 1, unreachableOwner.count("jobs.announcements_failed"))
+		assert.EqualValues(t, 1, i.count("jobs.announcements_unowned"))
+	})
+}
+
 // An accepted job is submitted again while the store is unreachable. Guards against refusing it with
 // "not run" although it runs or has run.
 func TestRepeatedSubmissionInOutage(t *testing.T) {
--- a/jobservice/peer.go
+++ b/jobservice/peer.go
@@ -38,8 +38,11 @@
 // HandleAnnounce handles a peer's announcement of a submission or cancellation. Only the owner
 // applies it.
 func (s *Service) HandleAnnounce(_ context.Context, r *relay.AnnounceRequest) (*relay.AnnounceReply, error) {
-	if term := s.opts.Term(); term != nil {
-		term.OnAnnounced(metastore.Change{Item: metastore.Item{Key: r.Key, Value: r.Value, Revision: r.Revision}})
+	term := s.opts.Term()
+	if term == nil {
+		s.announcementUnowned(r.Key)
+		return &relay.AnnounceReply{}, nil
 	}
+	term.OnAnnounced(metastore.Change{Item: metastore.Item{Key: r.Key, Value: r.Value, Revision: r.Revision}})
 	return &relay.AnnounceReply{}, nil
 }
--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -12,7 +12,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
@@ -25,11 +27,13 @@
 	cancel context.CancelFunc
 	mirror *metastore.Mirror
 	client *testplatform.Client
+	lines  *observer.ObservedLogs
 }
 
 func follow(s *testplatform.Store) *follower {
-	f := &follower{values: map[string]string{}, client: s.NewClient()}
-	f.mirror = metastore.NewMirror(metastore.MirrorOptions{Store: f.client, Prefix: "p/", Wait: 2 * time.Second, Log: zap.NewNop(),
+	core, lines := observer.New(zap.InfoLevel)
+	f := &follower{values: map[string]string{}, client: s.NewClient(), lines: lines}
+	f.mirror = metastore.NewMirror(metastore.MirrorOptions{Store: f.client, Prefix: "p/", Wait: 2 * time.Second, Log: zap.New(core),
 		Apply: func(change metastore.Change) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -119,6 +123,31 @@
 	})
 }
 
+// Guards against an outage of one range whose length cannot be seen in the log.
+func TestMirrorLogsTheLengthOfAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := follow(testplatform.NewStore())
+		defer f.cancel()
+		time.Sleep(time.Second)
+		for range 2 {
+			failed := 0
+			f.client.SetFault(func(string) testplatform.Fault {
+				failed++
+				return testplatform.Refused
+			})
+			time.Sleep(10 * time.Second)
+			f.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+			time.Sleep(3 * time.Second)
+			lines := f.lines.FilterField(events.Field(events.StoreReachable)).All()
+			if assert.Len(t, lines, 1) {
+				assert.InDelta(t, 9*time.Second, lines[0].ContextMap()["after"], float64(2*time.Second))
+				assert.EqualValues(t, failed, lines[0].ContextMap()["failures"])
+			}
+			f.lines.TakeAll()
+		}
+	})
+}
+
 // Guards against an older value received from a peer that replaces a newer one.
 func TestMirrorKeepsNewestRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -60,6 +60,8 @@
 	mu         sync.Mutex
 	revisions  map[string]uint64
 	reachable  bool
+	failedAt   time.Time // when the first failed call in a row ended; valid if not reachable
+	failures   int       // failed calls in a row
 	syncedAsOf time.Time // all changes made before this time have been applied
 }
 
@@ -233,6 +235,13 @@
 	m.mu.Lock()
 	changed := m.reachable != (err == nil)
 	m.reachable = err == nil
+	if changed && err != nil {
+		m.failedAt, m.failures = time.Now(), 0
+	}
+	if err != nil {
+		m.failures++
+	}
+	since, failures := m.failedAt, m.failures
 	m.mu.Unlock()
 	if !changed {
 		return
@@ -241,5 +250,5 @@
 		events.Warn(m.opts.Log, events.StoreUnreachable, zap.String("prefix", m.opts.Prefix), zap.Error(err))
 		return
 	}
-	events.Info(m.opts.Log, events.StoreReachable, zap.String("prefix", m.opts.Prefix))
+	events.Info(m.opts.Log, events.StoreReachable, zap.String("prefix", m.opts.Prefix), zap.Duration("after", time.Since(since)), zap.Int("failures", failures))
 }
