testplatform: check for jobs that stand although there is room for them

The oracle had no check for rule LOST, last sentences: a job has nothing running for 3 s while a task's turn has come and there is capacity for it twice over. The fuzz of terms asked only that jobs end within minutes after the last fault, so a wait of 20 s was invisible.

Fleet.CheckStanding is the rule for calm times: 3 s, after 4 s without a fault; each long-running task by itself, from 6 s after its last run. The rule for calm times holds however full the service is, so the check does not ask for half of the capacity to be free. Accepted means submitted, ended means what callers see (Fleet.Ended). Tasks that a vanished worker was asked to start may wait until the longest lease of that worker has expired (10 s, on a clock that is 2% slow), and the 4 s of calm begin after that: an owner cannot tell such a worker from one that is cut off, and rule TWICE forbids a second run meanwhile.

Each clause has a case in TestOracleSeesStandingJobs or TestOracleAllowsWaitingJobs.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +40,8 @@
 	// Outcome returns how long a run works and how it ends.
 	Outcome func(task workload.TaskName, run int) (time.Duration, jobstate.End)
 
+	// Failing reports whether all runs that start on the worker fail. If it is nil, none does.
+	Failing func(worker string) bool
 	// Load returns the tail latency in milliseconds that every run reports. speedPercents holds the
 	// ordered percentages of full speed by task. If Load is nil, runs report 0.
 	Load func(speedPercents map[string]int) float64
@@ -49,6 +50,10 @@
 	// Undisturbed reports whether the last fault ended long enough ago that its effects are over. Some
 	// rules apply only then.
 	Undisturbed func() bool
+	// CalmSince returns when the last fault ended, or the zero time during a fault.
+	CalmSince func() time.Time
+	// Ended reports whether callers see the job as ended.
+	Ended func(job string) bool
 
 	faultMu sync.Mutex // held during calls of fault, so that they do not overlap
 	fault   func(worker, call string) Fault
@@ -71,6 +76,7 @@
 	starts          int
 	violations      []string
 	lastIncarnation int64 // of the last worker that was added
+	standing        standing
 }
 
 type worker struct {
@@ -108,6 +114,8 @@
 		doneTasks: map[string]bool{}, ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, startedJobs: map[string]bool{}, speedPercents: map[string]int{},
 		failedRuns: map[string]int{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
+	created := time.Now()
+	f.standing, f.CalmSince, f.Ended = newStanding(), func() time.Time { return created }, f.jobDone
 	f.SetFault(func(string, string) Fault { return None })
 	return f
 }
@@ -134,6 +142,10 @@
 		Worker: workerapi.Target{ID: id, Address: "10.0.0.1:" + id}, Incarnation: f.lastIncarnation, Service: "service",
 		DataCentre: dataCentre, Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
 	}
+	if former := f.workers[id]; former != nil {
+		f.standing.runsLost(former, true)
+	}
+	delete(f.standing.leases, id)
 	f.workers[id] = &worker{entry: entry, born: time.Now(), runs: map[string]*run{}, lastClosed: map[string]int{}, changed: make(chan struct{})}
 	return entry
 }
@@ -248,6 +260,7 @@
 func (f *Fleet) end(w *worker, task string, outcome jobstate.End) {
 	r := w.runs[task]
 	delete(w.runs, task)
+	f.standing.runEnded(r.name, time.Now())
 	w.lastClosed[task] = max(w.lastClosed[task], r.number)
 	w.number++
 	w.ended = append(w.ended, workerapi.EndedRun{Sequence: w.number, Task: task, Run: r.number, Outcome: outcome, Checkpoint: fmt.Sprint("cp-", task, "-", r.number)})
@@ -345,6 +358,7 @@
 
 // Start implements workerapi.Client.
 func (f *Fleet) Start(ctx context.Context, t workerapi.Target, o workerapi.Start) (clock int64, err error) {
+	f.recordOrder(t.ID, o.Task)
 	err = f.do(ctx, t.ID, "start", func() error {
 		w, err := f.authorize(t, o.Token)
 		if err != nil {
@@ -375,6 +389,9 @@
 	}
 	f.checkStart(w, name, o)
 	duration, outcome := f.Outcome(name, o.Run)
+	if f.Failing != nil && f.Failing(w.entry.Worker.ID) {
+		outcome = jobstate.EndFailed
+	}
 	job := f.jobs[name.Job]
 	if job == nil {
 		return
@@ -405,24 +422,6 @@
 	return clock, err
 }
 
-// Throttle implements workerapi.Client.
-func (f *Fleet) Throttle(ctx context.Context, t workerapi.Target, o workerapi.Throttle) error {
-	return f.do(ctx, t.ID, "pace", func() error {
-		_, err := f.authorize(t, o.Token)
-		if err == nil {
-			f.speedPercents[o.Task] = o.Percent
-		}
-		return err
-	})
-}
-
-// SpeedPercents returns the ordered percentages of full speed by task.
-func (f *Fleet) SpeedPercents() map[string]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return maps.Clone(f.speedPercents)
-}
-
 // pollInterval is how often a waiting Renew checks for ended runs.
 const pollInterval = 50 * time.Millisecond
 
@@ -484,9 +483,3 @@
 		w.ended = w.ended[1:]
 	}
 }
-
-// longRunning reports whether the task belongs to a long-running step, which restarts it after any end.
-func (f *Fleet) longRunning(task string) bool {
-	name, err := workload.ParseTaskName(task)
-	return err == nil && f.jobs[name.Job].Steps[name.Step].LongRunning
-}
--- /dev/null
+++ b/internal/testplatform/standing.go
@@ -0,0 +1,265 @@
+package testplatform
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+const (
+	// standingBound is how long a job may have nothing running although one of its tasks can run.
+	standingBound = 3 * time.Second
+	// calmBefore is how long no fault must have disturbed the system before that time.
+	calmBefore = 4 * time.Second
+	// restartGrace is the time after the last run of a long-running task in which it may be without one.
+	restartGrace = 6 * time.Second
+)
+
+// standing records what CheckStanding needs to know about the past.
+type standing struct {
+	since    map[string]time.Time // since when a job, or a long-running task, stands
+	ended    map[string]time.Time // end of the last run, by job and by task
+	finished map[string]bool      // jobs that callers see as ended
+	ordered  map[string]string    // the last worker that was asked to start the task
+	// leases holds, by job and by task, until when a worker that vanished may seem to run the tasks that it was
+	// asked to start: it cannot be told from a worker that is cut off.
+	leases map[string]map[string]time.Time // by worker
+}
+
+func newStanding() standing {
+	return standing{since: map[string]time.Time{}, ended: map[string]time.Time{}, finished: map[string]bool{}, ordered: map[string]string{}, leases: map[string]map[string]time.Time{}}
+}
+
+// recordOrder records that the worker is asked to start the task.
+func (f *Fleet) recordOrder(worker, task string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.standing.ordered[task] = worker
+}
+
+// runEnded records the end of a run.
+func (s *standing) runEnded(name workload.TaskName, now time.Time) {
+	s.ended[name.Job], s.ended[name.String()] = now, now
+}
+
+// runsLost records the end of all runs of a worker that crashed or left. If no other worker has replaced it,
+// the tasks that it was asked to start may have to wait until its lease has expired on a clock that is 2% slow.
+func (s *standing) runsLost(w *worker, replaced bool) {
+	now := time.Now()
+	id := w.entry.Worker.ID
+	for _, r := range w.runs {
+		s.runEnded(r.name, now)
+	}
+	s.leases[id] = map[string]time.Time{}
+	for task, worker := range s.ordered {
+		if name, err := workload.ParseTaskName(task); err == nil && worker == id && !replaced {
+			expires := now.Add(MaxLease + MaxLease/50)
+			s.leases[id][task], s.leases[id][name.Job] = expires, expires
+		}
+	}
+}
+
+// mayStandUntil returns the end of the last lease that may still hold a run of the job or task.
+func (s *standing) mayStandUntil(key string) (until time.Time) {
+	for _, keys := range s.leases {
+		until = later(until, keys[key])
+	}
+	return until
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// CheckStanding checks that no accepted job has had nothing running for standingBound although it was calm,
+// the turn of one of its tasks had come and there was room for it twice over. For a long-running step it
+// checks each task, from restartGrace after its last run. Tests call it many times a second.
+func (f *Fleet) CheckStanding() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance()
+	for id, job := range f.jobs {
+		if f.finished(id) {
+			continue
+		}
+		waiting := f.checkWaiting(job)
+		if f.runs(func(n workload.TaskName) bool { return n.Job == id }) > 0 {
+			waiting = ""
+		}
+		f.checkStandingSince(id, waiting, f.standing.ended[id])
+	}
+}
+
+// finished reports whether the job is cancelled or callers see it as ended.
+func (f *Fleet) finished(id string) bool {
+	_, cancelled := f.cancelled[id]
+	if !f.standing.finished[id] && (cancelled || f.Ended(id)) {
+		f.standing.finished[id] = true
+	}
+	return f.standing.finished[id]
+}
+
+// checkWaiting checks each waiting task of the job's long-running steps and returns the first other task that
+// can run, or "".
+func (f *Fleet) checkWaiting(job *workload.Submission) (waiting string) {
+	for k := range job.OccurrenceCount() {
+		if job.Due(k) > time.Now().UnixMilli() {
+			break
+		}
+		for n := range job.Steps {
+			step := &job.Steps[n]
+			for i := range step.Tasks {
+				name := workload.TaskName{Job: job.ID, Occurrence: k, Step: n, Index: i}
+				task := ""
+				if f.canRun(job, name) {
+					task = name.String()
+				}
+				if step.LongRunning {
+					f.checkStandingSince(name.String(), task, f.standing.ended[name.String()].Add(restartGrace))
+				} else if waiting == "" {
+					waiting = task
+				}
+			}
+		}
+	}
+	return waiting
+}
+
+// checkStandingSince updates since when the job or task with the key stands, and checks how long that is.
+// waiting is the task that can run, or "" if there is none. Times before earliest do not count.
+func (f *Fleet) checkStandingSince(key, waiting string, earliest time.Time) {
+	s := &f.standing
+	calm := f.CalmSince()
+	now := time.Now()
+	if waiting == "" || calm.IsZero() {
+		delete(s.since, key)
+		return
+	}
+	if s.since[key].IsZero() {
+		s.since[key] = now
+	}
+	since := later(later(s.since[key], earliest), later(calm, s.mayStandUntil(key)).Add(calmBefore))
+	if now.Sub(since) > standingBound {
+		f.violate("LOST", "%s has nothing running although %s can run, for %v", key, waiting, now.Sub(s.since[key]))
+		s.since[key] = now
+	}
+}
+
+// canRun reports whether the task is neither running nor done, its turn has come, and there is room for it,
+// or for its gang, twice over.
+func (f *Fleet) canRun(job *workload.Submission, name workload.TaskName) bool {
+	step := &job.Steps[name.Step]
+	if f.running(name) || f.endStands(name, step.Gang) {
+		return false
+	}
+	for _, before := range step.After {
+		for i := range job.Steps[before].Tasks {
+			earlier := workload.TaskName{Job: name.Job, Occurrence: name.Occurrence, Step: before, Index: i}
+			if !f.endStands(earlier, job.Steps[before].Gang) {
+				return false
+			}
+		}
+	}
+	need := 1
+	if step.Gang {
+		need = step.Tasks
+	}
+	return f.room(job, name) >= 2*need
+}
+
+// endStands reports whether the task, or a member of its gang, has ended as done on a worker that is still
+// up, or with an acknowledged end.
+func (f *Fleet) endStands(name workload.TaskName, gang bool) bool {
+	if f.longRunning(name.String()) {
+		return false
+	}
+	first, last := name.Index, name.Index
+	if gang {
+		first, last = 0, f.jobs[name.Job].Steps[name.Step].Tasks-1
+	}
+	for name.Index = first; name.Index <= last; name.Index++ {
+		task := name.String()
+		if f.ackedDone[task] || f.listsDone(task) {
+			return true
+		}
+	}
+	return false
+}
+
+// listsDone reports whether a worker lists an end of the task as done that counts and is not acknowledged.
+func (f *Fleet) listsDone(task string) bool {
+	for _, w := range f.workers {
+		for _, e := range w.ended {
+			if e.Task == task && e.Outcome == jobstate.EndDone && e.Sequence > w.voidUpTo {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (f *Fleet) running(name workload.TaskName) bool {
+	return f.runs(func(n workload.TaskName) bool { return n == name }) > 0
+}
+
+// runs returns the number of runs of the tasks for which match returns true.
+func (f *Fleet) runs(match func(workload.TaskName) bool) (n int) {
+	for _, w := range f.workers {
+		n += w.count(match)
+	}
+	return n
+}
+
+func (w *worker) count(match func(workload.TaskName) bool) (n int) {
+	for _, r := range w.runs {
+		if match(r.name) {
+			n++
+		}
+	}
+	return n
+}
+
+// room returns for how many tasks of the step there is room on workers that may run it.
+func (f *Fleet) room(job *workload.Submission, name workload.TaskName) (n int) {
+	step := &job.Steps[name.Step]
+	for _, w := range f.workers {
+		_, evacuated := f.evacuated[w.entry.DataCentre]
+		fitting := step.Label == "" || slices.Contains(w.entry.Labels, step.Label)
+		fitting = fitting && (job.Queue.Service == "" || job.Queue.Service == w.entry.Service)
+		if evacuated || !fitting || !w.drainingSince.IsZero() {
+			continue
+		}
+		siblings := w.count(func(n workload.TaskName) bool {
+			return n.Job == name.Job && n.Occurrence == name.Occurrence && n.Step == name.Step
+		})
+		n += f.roomOn(w, step, siblings)
+	}
+	return n
+}
+
+// roomOn returns how many more tasks of the step fit on the worker, which has siblings of them.
+func (f *Fleet) roomOn(w *worker, step *workload.Step, siblings int) (n int) {
+	limit := 2 * step.Tasks
+	if step.MaxPerWorker > 0 {
+		limit = min(limit, step.MaxPerWorker-siblings)
+	}
+	free := w.entry.Capacity
+	for _, r := range w.runs {
+		free = free.Sub(f.jobs[r.name.Job].Steps[r.name.Step].Allocation())
+	}
+	for ; n < limit && step.Allocation().Fits(free); n++ {
+		free = free.Sub(step.Allocation())
+	}
+	return n
+}
+
+// longRunning reports whether the task belongs to a long-running step, which restarts it after any end.
+func (f *Fleet) longRunning(task string) bool {
+	name, err := workload.ParseTaskName(task)
+	return err == nil && f.jobs[name.Job].Steps[name.Step].LongRunning
+}
--- /dev/null
+++ b/internal/testplatform/standing_test.go
@@ -0,0 +1,134 @@
+package testplatform
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// standingBounds is how long a job may stand after the start of calm times, with the interval of the checks.
+const standingBounds = calmBefore + standingBound + 200*time.Millisecond
+
+var halfWorker = workload.Resources{MilliCPU: 4000, MemoryMB: 4000, Accelerators: 4}
+
+// newStandingHarness has one job of two steps, each task of which takes most of a worker and runs for a minute.
+func newStandingHarness(t *testing.T) *harness {
+	o := &harness{t, NewFleet()}
+	o.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+	o.fleet.Add("w0", "z", "r", halfWorker)
+	o.fleet.Add("w1", "z", "r", halfWorker)
+	first := workload.Step{Tasks: 2, Demand: workload.Resources{Accelerators: 3}}
+	second := workload.Step{Tasks: 1, Demand: workload.Resources{Accelerators: 1}, After: []int{0}}
+	o.submit("job", first, second)
+	return o
+}
+
+func (o *harness) submit(id string, steps ...workload.Step) {
+	o.fleet.RecordSubmission(&workload.Submission{ID: id, Payload: "p", Steps: steps, Queue: workload.Route{MaxAttempts: 1}})
+}
+
+func (o *harness) stop(worker, task string) {
+	o.t.Helper()
+	_, err := o.fleet.Stop(context.Background(), workerapi.Target{ID: worker}, workerapi.Stop{Task: task, Run: 1, Token: 1})
+	require.NoError(o.t, err)
+}
+
+// watch looks for standing jobs for the given time, in which the leases are renewed.
+func (o *harness) watch(span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, worker := range []string{"w0", "w1"} {
+			_, _ = o.fleet.Renew(context.Background(), workerapi.Target{ID: worker}, workerapi.Renew{Token: 1, LeaseUntil: 90_000}) // fails if it is gone
+		}
+		o.fleet.CheckStanding()
+	}
+}
+
+// Guards against an oracle that does not detect standing jobs.
+func TestOracleSeesStandingJobs(t *testing.T) {
+	for name, act := range map[string]func(o *harness){
+		"nothing was started": func(*harness) {},
+		"the run has ended": func(o *harness) {
+			o.start("w0", "job.0.0.0", 1)
+			o.watch(time.Second)
+			o.stop("w0", "job.0.0.0")
+		},
+		"the second step is due": func(o *harness) {
+			o.start("w0", "job.0.0.0", 1)
+			o.start("w1", "job.0.0.1", 1)
+			o.watch(time.Minute)
+		},
+		"the worker was replaced": func(o *harness) {
+			o.start("w1", "job.0.0.0", 1)
+			o.fleet.Replace("w1", "w2", "z", "r", halfWorker)
+		},
+		"the lease at a vanished worker has expired": func(o *harness) {
+			o.start("w1", "job.0.0.0", 1)
+			o.fleet.RemoveWorker("w1")
+			o.fleet.Add("w2", "z", "r", halfWorker)
+			o.watch(MaxLease + MaxLease/50)
+		},
+		"a long-running task does not run": func(o *harness) {
+			o.start("w0", "job.0.0.0", 1)
+			o.submit("long", workload.Step{Tasks: 2, LongRunning: true})
+			o.start("w0", "long.0.0.0", 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newStandingHarness(t)
+				act(o)
+				o.watch(standingBounds)
+				require.NotEmpty(t, o.fleet.Violations())
+				assert.Contains(t, o.fleet.Violations()[0], "LOST: ")
+			})
+		})
+	}
+}
+
+// Guards against an oracle that takes a job for standing which may wait.
+func TestOracleAllowsWaitingJobs(t *testing.T) {
+	for name, act := range map[string]func(o *harness){
+		"a task runs":             func(o *harness) { o.start("w0", "job.0.0.0", 1) },
+		"the job is cancelled":    func(o *harness) { o.fleet.RecordCancellation("job") },
+		"callers see it as ended": func(o *harness) { o.fleet.Ended = func(string) bool { return true } },
+		"there is room only once": func(o *harness) { o.fleet.Drain("w1") },
+		"workers are evacuated":   func(o *harness) { o.fleet.SetEvacuated("z", true) },
+		"a fault lasts":           func(o *harness) { o.fleet.CalmSince = func() time.Time { return time.Time{} } },
+		"a fault has just ended": func(o *harness) {
+			o.watch(2 * time.Second)
+			ended := time.Now()
+			o.fleet.CalmSince = func() time.Time { return ended }
+			o.watch(standingBounds - 500*time.Millisecond)
+			o.start("w0", "job.0.0.0", 1)
+		},
+		"a worker has vanished": func(o *harness) {
+			o.start("w1", "job.0.0.0", 1)
+			o.fleet.RemoveWorker("w1")
+			o.fleet.Add("w2", "z", "r", halfWorker)
+		},
+		"a long-running task has just ended": func(o *harness) {
+			o.start("w0", "job.0.0.0", 1)
+			o.submit("long", workload.Step{Tasks: 1, LongRunning: true})
+			o.start("w0", "long.0.0.0", 1)
+			o.watch(calmBefore)
+			o.stop("w0", "long.0.0.0")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newStandingHarness(t)
+				act(o)
+				o.watch(standingBounds)
+				assert.Empty(t, o.fleet.Violations())
+			})
+		})
+	}
+}
