internal/testplatform: index gangs and limit scans, for fleets of hundreds of workers

Each call to a worker checked all runs of all workers, and each waiting member of a gang was looked up among all of them; each watch read the whole history, and each change woke all watches. A soak with 540 workers spends its time there. Runs of gangs are indexed, all workers are checked at most every AdvanceInterval (0, as before, for the tests in virtual time; the called worker is always checked), watches are woken by prefix and start at their revision, and the history is limited. What the checks report is unchanged.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -47,6 +47,9 @@
 	Load func(speedPercents map[string]int) float64
 	// Guarantees holds the number of accelerators guaranteed to the urgent jobs of each workspace.
 	Guarantees map[string]int
+	// AdvanceInterval is the minimum time between two checks of all workers for runs that have ended, for
+	// large fleets; 0 checks at each call. A call always checks the worker that it is sent to.
+	AdvanceInterval time.Duration
 	// Undisturbed reports whether the last fault ended long enough ago that its effects are over. Some
 	// rules apply only then.
 	Undisturbed func() bool
@@ -66,8 +69,10 @@
 	ackedDone     map[string]bool // tasks whose end as done the owner has acknowledged
 	ackedFailures map[string]int  // failed runs that the owner has acknowledged, by task
 	speedPercents map[string]int
-	startedJobs   map[string]bool // jobs with a task that was started
-	failedRuns    map[string]int  // all failed runs, by task
+	gangs         map[workload.TaskName]map[*run]bool // runs of gangs that are on workers, by gangName
+	advancedAt    time.Time                           // when all workers were last checked
+	startedJobs   map[string]bool                     // jobs with a task that was started
+	failedRuns    map[string]int                      // all failed runs, by task
 
 	startedTasks    map[string]bool
 	urgentUnchecked map[string]time.Time // submission times of urgent jobs that checkReclaim has not checked
@@ -112,7 +117,7 @@
 		Undisturbed: func() bool { return true },
 		workers:     map[string]*worker{}, jobs: map[string]*workload.Submission{}, cancelled: map[string]time.Time{},
 		doneTasks: map[string]bool{}, ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, startedJobs: map[string]bool{}, speedPercents: map[string]int{},
-		failedRuns: map[string]int{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
+		gangs: map[workload.TaskName]map[*run]bool{}, failedRuns: map[string]int{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
 	created := time.Now()
 	f.standing, f.CalmSince, f.Ended = newStanding(), func() time.Time { return created }, f.jobDone
@@ -146,6 +151,7 @@
 		f.standing.runsLost(former, true)
 	}
 	delete(f.standing.leases, id)
+	f.discardRuns(id)
 	f.workers[id] = &worker{entry: entry, born: time.Now(), runs: map[string]*run{}, lastClosed: map[string]int{}, changed: make(chan struct{})}
 	return entry
 }
@@ -203,21 +209,41 @@
 // caller holds the lock.
 func (f *Fleet) advance() {
 	now := time.Now()
+	f.advancedAt = now
 	for _, w := range f.workers {
-		if len(w.runs) > 0 && now.After(w.lease) {
-			for task := range w.runs {
-				f.end(w, task, jobstate.EndLeaseExpired)
-			}
-		}
+		f.expireLease(w, now)
 	}
 	for _, w := range f.workers {
-		for task, r := range w.runs {
-			f.advanceRun(w, task, r, now)
-		}
+		f.advanceWorker(w, now)
 	}
 	f.checkReclaim(now)
 }
 
+// advanceFor is advance for a call to one worker. It checks the others at most once in AdvanceInterval.
+func (f *Fleet) advanceFor(id string) {
+	now := time.Now()
+	if now.Sub(f.advancedAt) >= f.AdvanceInterval {
+		f.advance()
+	} else if w := f.workers[id]; w != nil {
+		f.expireLease(w, now)
+		f.advanceWorker(w, now)
+	}
+}
+
+func (f *Fleet) expireLease(w *worker, now time.Time) {
+	if len(w.runs) > 0 && now.After(w.lease) {
+		for task := range w.runs {
+			f.end(w, task, jobstate.EndLeaseExpired)
+		}
+	}
+}
+
+func (f *Fleet) advanceWorker(w *worker, now time.Time) {
+	for task, r := range w.runs {
+		f.advanceRun(w, task, r, now)
+	}
+}
+
 func (f *Fleet) advanceRun(w *worker, task string, r *run, now time.Time) {
 	if w.runs[task] != r {
 		return // ended together with its gang
@@ -241,19 +267,39 @@
 	f.end(w, task, r.outcome)
 }
 
+// gangName returns the name of the first member of the run's gang, as a key of Fleet.gangs.
+func (r *run) gangName() workload.TaskName {
+	name := r.name
+	name.Index = 0
+	return name
+}
+
 // gang returns the started members of the run's gang, and whether all members have started.
 func (f *Fleet) gang(r *run) ([]*run, bool) {
-	job := f.jobs[r.name.Job]
-	step := job.Steps[r.name.Step]
 	var members []*run
-	for _, w := range f.workers {
-		for _, other := range w.runs {
-			if other.number == r.number && other.name.Job == r.name.Job && other.name.Occurrence == r.name.Occurrence && other.name.Step == r.name.Step {
-				members = append(members, other)
-			}
+	for other := range f.gangs[r.gangName()] {
+		if other.number == r.number {
+			members = append(members, other)
 		}
 	}
-	return members, len(members) == step.Tasks
+	return members, len(members) == f.jobs[r.name.Job].Steps[r.name.Step].Tasks
+}
+
+// discardRuns removes the runs of a worker that stops without an end of them.
+func (f *Fleet) discardRuns(id string) {
+	if w := f.workers[id]; w != nil {
+		for _, r := range w.runs {
+			f.leaveGang(r)
+		}
+	}
+}
+
+func (f *Fleet) leaveGang(r *run) {
+	members := f.gangs[r.gangName()]
+	delete(members, r)
+	if len(members) == 0 {
+		delete(f.gangs, r.gangName())
+	}
 }
 
 // end ends a run and the other runs of its gang. The caller holds the lock.
@@ -261,6 +307,7 @@
 	r := w.runs[task]
 	delete(w.runs, task)
 	f.standing.runEnded(r.name, time.Now())
+	f.leaveGang(r)
 	w.lastClosed[task] = max(w.lastClosed[task], r.number)
 	w.number++
 	w.ended = append(w.ended, workerapi.EndedRun{Sequence: w.number, Task: task, Run: r.number, Outcome: outcome, Checkpoint: fmt.Sprint("cp-", task, "-", r.number)})
@@ -295,7 +342,7 @@
 	locked := func() error {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.advance()
+		f.advanceFor(id)
 		return order()
 	}
 	switch f.nextFault(id, call) {
@@ -402,6 +449,12 @@
 	r := &run{number: o.Run, name: name, started: time.Now(), outcome: outcome, finish: time.Now().Add(duration), restored: o.Checkpoint}
 	r.working = !job.Steps[name.Step].Gang
 	w.runs[o.Task] = r
+	if job.Steps[name.Step].Gang {
+		if f.gangs[r.gangName()] == nil {
+			f.gangs[r.gangName()] = map[*run]bool{}
+		}
+		f.gangs[r.gangName()][r] = true
+	}
 }
 
 // Stop implements workerapi.Client.
@@ -447,7 +500,7 @@
 			if f.workers[t.ID] != w {
 				return ErrNoAnswer
 			}
-			f.advance()
+			f.advanceFor(t.ID)
 		}
 		report = workerapi.Report{Clock: w.clock(), Incarnation: w.entry.Incarnation, Ended: slices.Clone(w.ended)}
 		load := 0.0
--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -213,18 +213,11 @@
 
 // taskDone reports whether the task, or a member of its gang if it is part of one, has ended as done.
 func (f *Fleet) taskDone(name workload.TaskName, gang bool) bool {
-	match := func(task string) bool {
-		n, err := workload.ParseTaskName(task)
-		if err != nil {
-			return false
-		}
-		if gang {
-			n.Index = name.Index
-		}
-		return n == name
+	if !gang {
+		return f.doneTasks[name.String()]
 	}
-	for task := range f.doneTasks {
-		if match(task) {
+	for i := range f.jobs[name.Job].Steps[name.Step].Tasks {
+		if name.Index = i; f.doneTasks[name.String()] {
 			return true
 		}
 	}
@@ -252,6 +245,7 @@
 		return
 	}
 	f.standing.runsLost(w, !w.drainingSince.IsZero()) // a worker that drains has announced that it leaves
+	f.discardRuns(id)
 	delete(f.workers, id)
 }
 
@@ -263,6 +257,7 @@
 	if w := f.workers[former]; w != nil {
 		entry.Worker.Address = w.entry.Worker.Address
 		f.workers[id].entry = entry
+		f.discardRuns(former)
 		f.standing.runsLost(w, true)
 		delete(f.workers, former)
 	}
--- a/internal/testplatform/standing.go
+++ b/internal/testplatform/standing.go
@@ -19,24 +19,31 @@
 
 // standing records what CheckStanding needs to know about the past.
 type standing struct {
-	since    map[string]time.Time // since when a job, or a long-running task, stands
-	ended    map[string]time.Time // end of the last run, by job and by task
-	finished map[string]bool      // jobs that callers see as ended
-	ordered  map[string]string    // the last worker that was asked to start the task
+	since    map[string]time.Time       // since when a job, or a long-running task, stands
+	ended    map[string]time.Time       // end of the last run, by job and by task
+	finished map[string]bool            // jobs that callers see as ended
+	ordered  map[string]string          // the last worker that was asked to start the task
+	orders   map[string]map[string]bool // the tasks in ordered, by worker
 	// leases holds, by job and by task, until when a worker that vanished may seem to run the tasks that it was
 	// asked to start: it cannot be told from a worker that is cut off.
 	leases map[string]map[string]time.Time // by worker
 }
 
 func newStanding() standing {
-	return standing{since: map[string]time.Time{}, ended: map[string]time.Time{}, finished: map[string]bool{}, ordered: map[string]string{}, leases: map[string]map[string]time.Time{}}
+	return standing{since: map[string]time.Time{}, ended: map[string]time.Time{}, finished: map[string]bool{}, ordered: map[string]string{}, orders: map[string]map[string]bool{}, leases: map[string]map[string]time.Time{}}
 }
 
 // recordOrder records that the worker is asked to start the task.
 func (f *Fleet) recordOrder(worker, task string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.standing.ordered[task] = worker
+	s := &f.standing
+	delete(s.orders[s.ordered[task]], task)
+	s.ordered[task] = worker
+	if s.orders[worker] == nil {
+		s.orders[worker] = map[string]bool{}
+	}
+	s.orders[worker][task] = true
 }
 
 // runEnded records the end of a run.
@@ -53,8 +60,8 @@
 		s.runEnded(r.name, now)
 	}
 	s.leases[id] = map[string]time.Time{}
-	for task, worker := range s.ordered {
-		if name, err := workload.ParseTaskName(task); err == nil && worker == id && !replaced {
+	for task := range s.orders[id] {
+		if name, err := workload.ParseTaskName(task); err == nil && !replaced {
 			expires := now.Add(MaxLease + MaxLease/50)
 			s.leases[id][task], s.leases[id][name.Job] = expires, expires
 		}
@@ -76,6 +83,28 @@
 	return b
 }
 
+// survey is what CheckStanding finds on the workers, so that it searches them once.
+type survey struct {
+	jobs   map[string]bool // jobs with a run
+	tasks  map[string]bool // tasks with a run
+	listed map[string]bool // tasks of which a worker lists an end as done that counts and is not acknowledged
+}
+
+func (f *Fleet) survey() *survey {
+	v := &survey{jobs: map[string]bool{}, tasks: map[string]bool{}, listed: map[string]bool{}}
+	for _, w := range f.workers {
+		for task, r := range w.runs {
+			v.jobs[r.name.Job], v.tasks[task] = true, true
+		}
+		for _, e := range w.ended {
+			if e.Outcome == jobstate.EndDone && e.Sequence > w.voidUpTo {
+				v.listed[e.Task] = true
+			}
+		}
+	}
+	return v
+}
+
 // CheckStanding checks that no accepted job has had nothing running for standingBound although it was calm,
 // the turn of one of its tasks had come and there was room for it twice over. For a long-running step it
 // checks each task, from restartGrace after its last run. Tests call it many times a second.
@@ -83,12 +112,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
+	v := f.survey()
 	for id, job := range f.jobs {
 		if f.finished(id) {
 			continue
 		}
-		waiting := f.checkWaiting(job)
-		if f.runs(func(n workload.TaskName) bool { return n.Job == id }) > 0 {
+		waiting := f.checkWaiting(v, job)
+		if v.jobs[id] {
 			waiting = ""
 		}
 		f.checkStandingSince(id, waiting, f.standing.ended[id])
@@ -106,17 +136,21 @@
 
 // checkWaiting checks each waiting task of the job's long-running steps and returns the first other task that
 // can run, or "".
-func (f *Fleet) checkWaiting(job *workload.Submission) (waiting string) {
+func (f *Fleet) checkWaiting(v *survey, job *workload.Submission) (waiting string) {
 	for k := range job.OccurrenceCount() {
 		if job.Due(k) > time.Now().UnixMilli() {
 			break
 		}
 		for n := range job.Steps {
 			step := &job.Steps[n]
+			if !step.LongRunning && (v.jobs[job.ID] || waiting != "") {
+				continue
+			}
+			room := f.turnHasCome(v, job, k, step) && f.hasRoom(job, workload.TaskName{Job: job.ID, Occurrence: k, Step: n})
 			for i := range step.Tasks {
 				name := workload.TaskName{Job: job.ID, Occurrence: k, Step: n, Index: i}
 				task := ""
-				if f.canRun(job, name) {
+				if room && !v.tasks[name.String()] && !f.endStands(v, name, step.Gang) {
 					task = name.String()
 				}
 				if step.LongRunning {
@@ -150,31 +184,22 @@
 	}
 }
 
-// canRun reports whether the task is neither running nor done, its turn has come, and there is room for it,
-// or for its gang, twice over.
-func (f *Fleet) canRun(job *workload.Submission, name workload.TaskName) bool {
-	step := &job.Steps[name.Step]
-	if f.running(name) || f.endStands(name, step.Gang) {
-		return false
-	}
+// turnHasCome reports whether all tasks of the steps before this one are done.
+func (f *Fleet) turnHasCome(v *survey, job *workload.Submission, occurrence int, step *workload.Step) bool {
 	for _, before := range step.After {
 		for i := range job.Steps[before].Tasks {
-			earlier := workload.TaskName{Job: name.Job, Occurrence: name.Occurrence, Step: before, Index: i}
-			if !f.endStands(earlier, job.Steps[before].Gang) {
+			earlier := workload.TaskName{Job: job.ID, Occurrence: occurrence, Step: before, Index: i}
+			if !f.endStands(v, earlier, job.Steps[before].Gang) {
 				return false
 			}
 		}
 	}
-	need := 1
-	if step.Gang {
-		need = step.Tasks
-	}
-	return f.room(job, name) >= 2*need
+	return true
 }
 
 // endStands reports whether the task, or a member of its gang, has ended as done on a worker that is still
 // up, or with an acknowledged end.
-func (f *Fleet) endStands(name workload.TaskName, gang bool) bool {
+func (f *Fleet) endStands(v *survey, name workload.TaskName, gang bool) bool {
 	if f.longRunning(name.String()) {
 		return false
 	}
@@ -184,37 +209,13 @@
 	}
 	for name.Index = first; name.Index <= last; name.Index++ {
 		task := name.String()
-		if f.ackedDone[task] || f.listsDone(task) {
+		if f.ackedDone[task] || v.listed[task] {
 			return true
 		}
 	}
 	return false
 }
 
-// listsDone reports whether a worker lists an end of the task as done that counts and is not acknowledged.
-func (f *Fleet) listsDone(task string) bool {
-	for _, w := range f.workers {
-		for _, e := range w.ended {
-			if e.Task == task && e.Outcome == jobstate.EndDone && e.Sequence > w.voidUpTo {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func (f *Fleet) running(name workload.TaskName) bool {
-	return f.runs(func(n workload.TaskName) bool { return n == name }) > 0
-}
-
-// runs returns the number of runs of the tasks for which match returns true.
-func (f *Fleet) runs(match func(workload.TaskName) bool) (n int) {
-	for _, w := range f.workers {
-		n += w.count(match)
-	}
-	return n
-}
-
 func (w *worker) count(match func(workload.TaskName) bool) (n int) {
 	for _, r := range w.runs {
 		if match(r.name) {
@@ -224,9 +225,14 @@
 	return n
 }
 
-// room returns for how many tasks of the step there is room on workers that may run it.
-func (f *Fleet) room(job *workload.Submission, name workload.TaskName) (n int) {
+// hasRoom reports whether there is room twice over for a task of the step, or for its gang, on workers that may
+// run it.
+func (f *Fleet) hasRoom(job *workload.Submission, name workload.TaskName) bool {
 	step := &job.Steps[name.Step]
+	need := 2
+	if step.Gang {
+		need = 2 * step.Tasks
+	}
 	for _, w := range f.workers {
 		_, evacuated := f.evacuated[w.entry.DataCentre]
 		fitting := step.Label == "" || slices.Contains(w.entry.Labels, step.Label)
@@ -237,9 +243,11 @@
 		siblings := w.count(func(n workload.TaskName) bool {
 			return n.Job == name.Job && n.Occurrence == name.Occurrence && n.Step == name.Step
 		})
-		n += f.roomOn(w, step, siblings)
+		if need -= f.roomOn(w, step, siblings); need <= 0 {
+			return true
+		}
 	}
-	return n
+	return false
 }
 
 // roomOn returns how many more tasks of the step fit on the worker, which has siblings of them.
--- a/internal/testplatform/store.go
+++ b/internal/testplatform/store.go
@@ -4,6 +4,7 @@
 package testplatform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -41,6 +42,8 @@
 
 // Store is an in-memory key-value store.
 type Store struct {
+	PageSize int // maximum number of items of a page
+
 	mu          sync.Mutex
 	revision    uint64
 	compactedTo uint64 // the history starts after this revision
@@ -48,7 +51,7 @@
 	leases      map[int64]*lease
 	keyLeases   map[string]int64 // lease of each key that has one
 	history     []metastore.Change
-	changed     chan struct{}
+	changed     map[string]chan struct{} // by the prefix of the waiting watches; closed at a change
 	lastLease   int64
 }
 
@@ -59,7 +62,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, keyLeases: map[string]int64{}, changed: make(chan struct{})}
+	return &Store{revision: 1, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, keyLeases: map[string]int64{}, changed: map[string]chan struct{}{}, PageSize: defaultPageSize}
 }
 
 // Compact discards the history, so that watches from an earlier revision fail with ErrCompacted.
@@ -68,7 +71,9 @@
 	defer s.mu.Unlock()
 	s.compactedTo = s.revision
 	s.history = nil
-	s.notify()
+	for prefix := range s.changed {
+		s.notify(prefix)
+	}
 }
 
 // Put writes a key without a condition, as the operator and the workers do.
@@ -96,9 +101,24 @@
 	return item.Value, ok
 }
 
-func (s *Store) notify() {
-	close(s.changed)
-	s.changed = make(chan struct{})
+// notify ends the waits of the watches whose prefix matches the key.
+func (s *Store) notify(key string) {
+	for prefix, changed := range s.changed {
+		if strings.HasPrefix(key, prefix) {
+			close(changed)
+			delete(s.changed, prefix)
+		}
+	}
+}
+
+// record appends a change to the history and discards the older half of a history that is too long.
+func (s *Store) record(change metastore.Change) {
+	if len(s.history) == maxHistory {
+		s.compactedTo = s.history[maxHistory/2-1].Revision
+		s.history = slices.Clone(s.history[maxHistory/2:])
+	}
+	s.history = append(s.history, change)
+	s.notify(change.Key)
 }
 
 func (s *Store) put(key string, value []byte) {
@@ -109,8 +129,7 @@
 	item := metastore.Item{Key: key, Value: value, Revision: s.revision, Created: created}
 	s.items[key] = item
 	delete(s.keyLeases, key)
-	s.history = append(s.history, metastore.Change{Item: item})
-	s.notify()
+	s.record(metastore.Change{Item: item})
 }
 
 func (s *Store) remove(key string) {
@@ -119,8 +138,7 @@
 	}
 	delete(s.items, key)
 	delete(s.keyLeases, key)
-	s.history = append(s.history, metastore.Change{Item: metastore.Item{Key: key, Revision: s.revision}, Removed: true})
-	s.notify()
+	s.record(metastore.Change{Item: metastore.Item{Key: key, Revision: s.revision}, Removed: true})
 }
 
 // expire ends expired leases and removes their keys. The caller holds the lock.
@@ -261,8 +279,11 @@
 	return item, err
 }
 
-// pageSize is the maximum number of items of a page.
-const pageSize = 20
+// defaultPageSize makes tests with a few items read several pages.
+const defaultPageSize = 20
+
+// maxHistory is the number of changes at which the older half of the history is discarded.
+const maxHistory = 40_000
 
 // Range implements metastore.Store.
 func (c *Client) Range(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
@@ -276,7 +297,7 @@
 			if !strings.HasPrefix(key, prefix) || key <= after {
 				continue
 			}
-			if len(page.Items) == pageSize {
+			if len(page.Items) == s.PageSize {
 				page.More = true
 				break
 			}
@@ -324,12 +345,16 @@
 		return nil, 0, nil, metastore.ErrCompacted
 	}
 	var changes []metastore.Change
-	for _, change := range s.history {
-		if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
+	first, _ := slices.BinarySearchFunc(s.history, after+1, func(c metastore.Change, revision uint64) int { return cmp.Compare(c.Revision, revision) })
+	for _, change := range s.history[first:] {
+		if strings.HasPrefix(change.Key, prefix) {
 			changes = append(changes, change)
 		}
 	}
-	return changes, s.revision, s.changed, nil
+	if s.changed[prefix] == nil {
+		s.changed[prefix] = make(chan struct{})
+	}
+	return changes, s.revision, s.changed[prefix], nil
 }
 
 // Commit implements metastore.Store.
