--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -18,7 +18,7 @@
 	orderLatency = 2 * time.Millisecond
 	// gangTimeout is how long a run of a gang waits for the other members to start.
 	gangTimeout = 3 * time.Second
-	// MaxLease is the maximum duration of a worker's lease.
+	// MaxLease is the default of Fleet.MaxLease.
 	MaxLease = 10 * time.Second
 	// cancelBound is how long after the acknowledged cancellation of its job a task may still be started.
 	cancelBound = 3 * time.Second
@@ -55,8 +55,10 @@
 	Undisturbed func() bool
 	// CalmSince returns when the last fault ended, or the zero time during a fault.
 	CalmSince func() time.Time
-	// Ended reports whether callers see the job as ended.
-	Ended func(job string) bool
+	// Ended reports whether callers see the job as ended, and Accepted whether its submission was acknowledged.
+	Ended, Accepted func(job string) bool
+	// MaxLease is the maximum duration of a worker's lease.
+	MaxLease time.Duration
 
 	faultMu sync.Mutex // held during calls of fault, so that they do not overlap
 	fault   func(worker, call string) Fault
@@ -121,6 +123,7 @@
 	}
 	created := time.Now()
 	f.standing, f.CalmSince, f.Ended = newStanding(), func() time.Time { return created }, f.jobDone
+	f.Accepted, f.MaxLease = func(string) bool { return true }, MaxLease
 	f.SetFault(func(string, string) Fault { return None })
 	return f
 }
@@ -148,7 +151,7 @@
 		DataCentre: dataCentre, Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
 	}
 	if former := f.workers[id]; former != nil {
-		f.standing.runsLost(former, true)
+		f.standing.runsLost(former, 0)
 	}
 	delete(f.standing.leases, id)
 	f.discardRuns(id)
@@ -392,12 +395,12 @@
 	return w, nil
 }
 
-// extendLease extends the lease up to a time on the worker's clock, at most by MaxLease.
-func (w *worker) extendLease(until int64) {
+// extendLease extends the lease up to a time on the worker's clock, at most by limit.
+func (w *worker) extendLease(until int64, limit time.Duration) {
 	if time.Now().After(w.lease) {
 		w.voidUpTo = w.number
 	}
-	left := min(time.Duration(until-w.clock())*time.Millisecond, MaxLease)
+	left := min(time.Duration(until-w.clock())*time.Millisecond, limit)
 	if expires := time.Now().Add(left); expires.After(w.lease) {
 		w.lease = expires
 	}
@@ -415,7 +418,7 @@
 		if o.LeaseUntil <= clock {
 			return workerapi.ErrLeaseExpired
 		}
-		w.extendLease(o.LeaseUntil)
+		w.extendLease(o.LeaseUntil, f.MaxLease)
 		if r := w.runs[o.Task]; r != nil && r.number == o.Run {
 			return nil
 		}
@@ -487,7 +490,7 @@
 			return err
 		}
 		if o.LeaseUntil != 0 {
-			w.extendLease(o.LeaseUntil)
+			w.extendLease(o.LeaseUntil, f.MaxLease)
 		}
 		f.acknowledge(w, o.AckSequence)
 		for len(w.ended) == 0 && time.Now().Before(deadline) {
--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -244,7 +244,11 @@
 	if w == nil {
 		return
 	}
-	f.standing.runsLost(w, !w.drainingSince.IsZero()) // a worker that drains has announced that it leaves
+	lease := f.MaxLease
+	if !w.drainingSince.IsZero() {
+		lease = 0 // it has announced that it leaves
+	}
+	f.standing.runsLost(w, lease)
 	f.discardRuns(id)
 	delete(f.workers, id)
 }
@@ -258,7 +262,7 @@
 		entry.Worker.Address = w.entry.Worker.Address
 		f.workers[id].entry = entry
 		f.discardRuns(former)
-		f.standing.runsLost(w, true)
+		f.standing.runsLost(w, 0)
 		delete(f.workers, former)
 	}
 	return entry
--- a/internal/testplatform/standing.go
+++ b/internal/testplatform/standing.go
@@ -51,9 +51,10 @@
 	s.ended[name.Job], s.ended[name.String()] = now, now
 }
 
-// runsLost records the end of all runs of a worker that crashed or left. If no other worker has replaced it,
-// the tasks that it was asked to start may have to wait until its lease has expired on a clock that is 2% slow.
-func (s *standing) runsLost(w *worker, replaced bool) {
+// runsLost records the end of all runs of a worker that crashed or left. The tasks
+// that it was asked to start may have to wait until its lease has expired on a clock that is 2% slow; a lease of 0
+// means that another worker has replaced it.
+func (s *standing) runsLost(w *worker, lease time.Duration) {
 	now := time.Now()
 	id := w.entry.Worker.ID
 	for _, r := range w.runs {
@@ -61,8 +62,8 @@
 	}
 	s.leases[id] = map[string]time.Time{}
 	for task := range s.orders[id] {
-		if name, err := workload.ParseTaskName(task); err == nil && !replaced {
-			expires := now.Add(MaxLease + MaxLease/50)
+		if name, err := workload.ParseTaskName(task); err == nil && lease > 0 {
+			expires := now.Add(lease + lease/50)
 			s.leases[id][task], s.leases[id][name.Job] = expires, expires
 		}
 	}
@@ -114,7 +115,7 @@
 	f.advance()
 	v := f.survey()
 	for id, job := range f.jobs {
-		if f.finished(id) {
+		if f.finished(id) || !f.Accepted(id) {
 			continue
 		}
 		waiting := f.checkWaiting(v, job)
