jobowner: test of workers that restart during an acknowledgement, failing

Seen: all tasks of a job stand for more than 7 s after the workers of the job have restarted under their ids, with all of their capacity free.

Cause: a report request that lets the worker discard ends, and that has no answer, sets LateAckUntil to 12 s after it was sent, and the next incarnation of the worker gets no work until then. Busy workers have such a request in progress most of the time, because a report waits up to 1 s for the next end.

--- /dev/null
+++ b/jobowner/standing_test.go
@@ -0,0 +1,40 @@
+package jobowner_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// standingLimit is how long a task that can run may wait in calm times before and after the workers restart: 4 s
+// of calm, and 3 s in which its job has nothing running.
+const standingLimit = 7 * time.Second
+
+// Guards against jobs that stand because all their workers restarted while a request that lets them discard
+// ends had no answer: the restarted workers got no work for 12 s.
+func TestWorkersGetWorkAfterRestartDuringAcknowledgement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(name workload.TaskName, _ int) (time.Duration, jobstate.End) {
+			return time.Duration(1+9*(name.Index%2)) * time.Second, jobstate.EndDone
+		}
+		s.addWorker("w0", 0)
+		s.addWorker("w1", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(4, 4)) // on each worker, one task ends after 1 s and one after 10 s
+		time.Sleep(1500 * time.Millisecond)
+		s.addWorker("w0", 0)
+		s.addWorker("w1", 0)
+		started := s.fleet.StartCount()
+		time.Sleep(standingLimit)
+		assert.Greater(t, s.fleet.StartCount(), started)
+		s.requireNoViolations(t)
+	})
+}
