jobowner: give restarted workers work at once

Callers saw jobs stand for up to 12 s after their workers had restarted under their ids, although all of the capacity was free.

A report request waits up to a second for the next end, so that most busy workers have such a request in progress when they restart; after a release or the return of a data centre all workers of a service were avoided at the same time.

The fix removes the wait and what made it necessary: each incarnation of a worker is called with a higher fencing token than the former one (token of the term times 2^20, plus the number of earlier incarnations of the id in the term), and workers do nothing for a lower token than they have seen. An incarnation gets work only after it has answered a report request with its own token. A refused token ends the term only if it is that of the newest incarnation. The number also counts on when a worker was dropped before it came back, for which the wait did not apply at all.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -29,8 +29,8 @@
 	reportRetryDelay = 250 * time.Millisecond
 	// endStoreWait is how long the next report is delayed until the reported ends are stored.
 	endStoreWait = time.Second
-	// maxOrderDelay is the longest time after which an order without an answer is carried out.
-	maxOrderDelay = 12 * time.Second
+	// epochBits is how many of the low bits of a fencing token hold the epoch of the worker.
+	epochBits = 20
 	// unresponsiveAvoidance is how long an unresponsive worker gets no new work.
 	unresponsiveAvoidance = 1500 * time.Millisecond
 )
@@ -45,7 +45,6 @@
 	// Guarded by the term's lock.
 	appliedEnd  int64 // sequence number of the newest end applied to the state
 	storedEnd   int64 // sequence number of the newest end whose effect is in the store
-	ackedEnd    int64 // sequence number of the newest end that the worker has surely discarded
 	clockMs     int64 // the worker's clock in its newest answer, received at clockAt
 	clockAt     time.Time
 	failures    int
@@ -194,7 +193,7 @@
 	t := a.t
 	t.mu.Lock()
 	now := time.Now()
-	order, answered := a.renewOrder(now)
+	order := workerapi.Renew{Token: a.token(), AckSequence: a.storedEnd}
 	bound := immediateReportTimeout
 	// A renewal without an answer may have taken effect. Repeating it would move LeaseEnds on
 	// for as long as the worker is unreachable, and its runs would never be started elsewhere.
@@ -217,29 +216,27 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	answered()
 	if t.agents[a.worker.ID] == a {
 		a.apply(report, now)
 	}
 	return nil
 }
 
-// renewOrder returns an order to be sent now. It lets the worker discard ends only if the worker has not
-// confirmed that yet, and records that it may be carried out late then. The caller holds the lock, and calls
-// answered under it when the order has an answer.
-func (a *agent) renewOrder(now time.Time) (order workerapi.Renew, answered func()) {
-	order.Token = a.t.opts.Token
-	if a.storedEnd == a.ackedEnd {
-		return order, func() {}
-	}
-	order.AckSequence = a.storedEnd
-	w, before, until := a.worker, a.worker.LateAckUntil, now.Add(maxOrderDelay)
-	w.LateAckUntil = later(before, until)
-	return order, func() {
-		a.ackedEnd = max(a.ackedEnd, order.AckSequence)
-		if w.LateAckUntil.Equal(until) {
-			w.LateAckUntil = before
-		}
+// token returns the fencing token of requests to the worker. It is higher than that of requests to former
+// incarnations: once the worker has seen it, it does not carry out such a request late. A late request to
+// discard ends would discard ends that no report has listed, because each incarnation numbers its ends anew.
+func (a *agent) token() uint64 {
+	return a.t.opts.Token<<epochBits | min(a.worker.Epoch, 1<<epochBits-1)
+}
+
+// tokenRefused ends the term, because the worker has seen a higher token than that of a request, unless this is
+// the token of its next incarnation.
+func (a *agent) tokenRefused() {
+	a.t.mu.Lock()
+	current := a.t.agents[a.worker.ID] == a
+	a.t.mu.Unlock()
+	if current {
+		a.t.terminate("worker " + a.worker.ID + " has seen a higher token")
 	}
 }
 
@@ -248,7 +245,7 @@
 func (a *agent) reportFailed(err error) {
 	t := a.t
 	if errors.Is(err, workerapi.ErrStaleToken) {
-		t.terminate("worker " + a.worker.ID + " has seen a higher token")
+		a.tokenRefused()
 		return
 	}
 	t.mu.Lock()
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -58,7 +58,7 @@
 		zap.Duration("waited", now.Sub(s.ReadyAt)), zap.Duration("worker_heard_ago", now.Sub(a.lastAnswer)))
 	order := workerapi.Start{
 		Task: r.Task.Name().String(), Run: r.Number, Payload: s.Occurrence.Job.Submission.Payload,
-		Token: t.opts.Token, Checkpoint: s.StartCheckpoint(r.Task), Ticket: s.Tickets[w.ID].Value,
+		Token: a.token(), Checkpoint: s.StartCheckpoint(r.Task), Ticket: s.Tickets[w.ID].Value,
 	}
 	a.signal()
 	t.tasks.Add(1)
@@ -103,7 +103,7 @@
 			return
 		}
 		if errors.Is(err, workerapi.ErrStaleToken) {
-			t.terminate("worker " + a.worker.ID + " has seen a higher token")
+			a.tokenRefused()
 			return
 		}
 		if workerapi.NotExecuted(err) && !uncertain {
@@ -149,14 +149,14 @@
 			return
 		}
 		sent := time.Now()
-		order, answered := a.renewOrder(sent)
+		order := workerapi.Renew{Token: a.token(), AckSequence: a.storedEnd}
 		target := a.target()
 		t.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, runLookupTimeout)
 		report, err := t.opts.Workers.Renew(call, target, order)
 		cancel()
 		if err == nil {
-			t.applyReport(a, report, sent, answered)
+			t.applyReport(a, report, sent)
 			return
 		}
 		if !r.Task.Step.Spec.LongRunning {
@@ -166,11 +166,10 @@
 	}
 }
 
-// applyReport applies a report unless the agent has been replaced. answered is that of renewOrder.
-func (t *Term) applyReport(a *agent, report workerapi.Report, sent time.Time, answered func()) {
+// applyReport applies a report unless the agent has been replaced.
+func (t *Term) applyReport(a *agent, report workerapi.Report, sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	answered()
 	if t.agents[a.worker.ID] == a {
 		a.apply(report, sent)
 	}
@@ -240,7 +239,7 @@
 	}
 	r.StopSent = true
 	t.stopped.Inc(1)
-	order := workerapi.Stop{Task: r.Task.Name().String(), Run: r.Number, Token: t.opts.Token}
+	order := workerapi.Stop{Task: r.Task.Name().String(), Run: r.Number, Token: a.token()}
 	t.tasks.Add(1)
 	go func() {
 		defer t.tasks.Done()
@@ -269,7 +268,7 @@
 			return
 		}
 		if errors.Is(err, workerapi.ErrStaleToken) {
-			t.terminate("worker " + a.worker.ID + " has seen a higher token")
+			a.tokenRefused()
 			return
 		}
 		wait.For(ctx, delay)
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -172,7 +172,7 @@
 	}
 	a.worker.AddUntracked(task, allocation)
 	events.Warn(t.opts.Log, events.UnexpectedRun, zap.String("task", task), zap.Int("run", number), zap.String("worker", a.worker.ID))
-	order := workerapi.Stop{Task: task, Run: number, Token: t.opts.Token}
+	order := workerapi.Stop{Task: task, Run: number, Token: a.token()}
 	target := a.target()
 	t.tasks.Add(1)
 	go func() {
--- a/jobowner/throttle.go
+++ b/jobowner/throttle.go
@@ -63,7 +63,7 @@
 }
 
 func (t *Term) orderThrottle(a *agent, r *jobstate.Run, tailRatio float64) {
-	order := workerapi.Throttle{Task: r.Task.Name().String(), Run: r.Number, Percent: r.SpeedPercent, Token: t.opts.Token}
+	order := workerapi.Throttle{Task: r.Task.Name().String(), Run: r.Number, Percent: r.SpeedPercent, Token: a.token()}
 	target := a.target()
 	events.Info(t.opts.Log, events.FillerThrottled, zap.String("task", order.Task), zap.Int("run", order.Run), zap.String("worker", a.worker.ID),
 		zap.Int("percent", order.Percent), zap.Float64("strain", tailRatio))
--- a/jobstate/cluster.go
+++ b/jobstate/cluster.go
@@ -16,11 +16,13 @@
 	Evacuated       map[string]bool // by data centre
 	WorkerListStale bool            // the list of workers is too old to start work on any of them
 
+	incarnations map[string]uint64 // number of incarnations that have been added, by worker id
+
 	sorted []*Worker // cache of SortedWorkers; nil after a change of Workers
 }
 
 func New() *Cluster {
-	return &Cluster{Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Evacuated: map[string]bool{}}
+	return &Cluster{Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Evacuated: map[string]bool{}, incarnations: map[string]uint64{}}
 }
 
 // SortedWorkers returns the workers ordered by id. The caller must not change the slice.
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -216,9 +216,8 @@
 	UnresponsiveStored bool  // a stored record may contain the end of its lease
 	RecordedLeaseEnds  int64 // end of its lease as stored by a former owner, Unix milliseconds; 0 if none is stored
 
-	// LateAckUntil is until when a report request without an answer may still be carried out that lets the
-	// worker discard ends. The next incarnation would discard ends of its own, because their numbers start anew.
-	LateAckUntil time.Time
+	// Epoch is the number of earlier incarnations with the same id since the start of the term.
+	Epoch uint64
 
 	Runs map[*Run]struct{}
 
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -8,15 +8,15 @@
 
 // EnsureWorker returns the newest incarnation of the worker with the id. If there is none, or only one older
 // than the given incarnation, it adds the given one as not listed. The older one is removed, and its runs end
-// unless the new one may have started them. The new one gets no work until LateAckUntil of the older one.
+// unless the new one may have started them.
 func (c *Cluster) EnsureWorker(id string, incarnation int64, now time.Time) *Worker {
 	w := c.Workers[id]
 	if w != nil && (w.Incarnation == incarnation || incarnation < w.Incarnation) {
 		return w
 	}
-	next := &Worker{ID: id, Incarnation: incarnation, Runs: map[*Run]struct{}{}, Untracked: map[string]workload.Resources{}}
+	next := &Worker{ID: id, Incarnation: incarnation, Epoch: c.incarnations[id], Runs: map[*Run]struct{}{}, Untracked: map[string]workload.Resources{}}
+	c.incarnations[id]++
 	if w != nil {
-		next.AvoidUntil, next.LateAckUntil = w.LateAckUntil, w.LateAckUntil
 		c.transferUncertainRuns(w, next, now)
 		c.RemoveWorker(w, now)
 	}
