jobowner: test of a burst of starts on a slow machine, failing

Cause: each order is sent at once, and its timeout runs while it waits for the owner's own processor. Calls that pass their timeouts are repeated and followed by stops and reports, which lengthens the queue further.

$ go test ./jobowner -run TestBurstOfStartsOnASlowMachine expected: 480 actual: 226 (tasks running) expected: 480 actual: 1759 (start orders) should have 1 item(s), but has 2 (terms)

--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -44,6 +44,7 @@
 	log    *zap.Logger
 
 	advisor      workerapi.Advisor // nil if no queue needs advice
+	callCost     time.Duration     // CPU time of a call; 0 for instances whose CPU is not modelled
 	outage       atomic.Bool       // the store answers no instance
 	configPanics atomic.Bool       // reading the configuration panics
 	storeStable  atomic.Bool       // the store has recently answered all calls
@@ -57,6 +58,7 @@
 
 type testInstance struct {
 	client  *testplatform.Client
+	cpu     *processor // nil if it is not modelled
 	metrics metrics.Registry
 	term    *jobowner.Term
 	elector *ownership.Elector
@@ -91,12 +93,13 @@
 func (s *system) start(name string) *testInstance {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &testInstance{client: s.store.NewClient(), metrics: metrics.NewRegistry(), cancel: cancel, done: make(chan struct{})}
+	store, orders := s.clients(c)
 	log := s.log
 	guard := contain.New(log, metrics.NewRegistry())
 	var elector *ownership.Elector
 	lead := func(ctx context.Context, token uint64, fence metastore.Condition) {
 		term := jobowner.New(jobowner.Options{
-			Store: c.client, Workers: s.fleet, Advisor: s.advisor, Log: log, Metrics: c.metrics, Token: token, Fence: fence,
+			Store: store, Workers: orders, Advisor: s.advisor, Log: log, Metrics: c.metrics, Token: token, Fence: fence,
 			Config: s.readConfig, Guard: guard, WallClock: time.Now, MaxLease: testplatform.MaxLease,
 			OwnershipConfirmed: func() bool { return elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
 			Placement:          placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
@@ -113,9 +116,9 @@
 		}
 		s.mu.Unlock()
 		mirror := func(prefix string, apply func(metastore.Change), synced func(time.Time)) func(context.Context) {
-			return metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: prefix, Wait: 2 * time.Second, Log: log, Guard: guard, Apply: apply, Synced: synced}).Run
+			return metastore.NewMirror(metastore.MirrorOptions{Store: store, Prefix: prefix, Wait: 2 * time.Second, Log: log, Guard: guard, Apply: apply, Synced: synced}).Run
 		}
-		workers := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: workersPrefix, Wait: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Slack: 300 * time.Millisecond, ReloadOnFailure: true, Log: log, Synced: term.WorkersSynced, Apply: func(change metastore.Change) {
+		workers := metastore.NewMirror(metastore.MirrorOptions{Store: store, Prefix: workersPrefix, Wait: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Slack: 300 * time.Millisecond, ReloadOnFailure: true, Log: log, Synced: term.WorkersSynced, Apply: func(change metastore.Change) {
 			id := change.Key[len(workersPrefix):]
 			var entry workerapi.Entry
 			if change.Removed || json.Unmarshal(change.Value, &entry) != nil {
@@ -129,11 +132,11 @@
 			panic(err)
 		}
 	}
-	elector = ownership.New(ownership.Options{Store: c.client, Self: ownership.Instance{Name: name, CPUShare: 1}, Suspended: s.suspended, Log: log, RunTerm: lead,
+	elector = ownership.New(ownership.Options{Store: store, Self: ownership.Instance{Name: name, CPUShare: 1}, Suspended: s.suspended, Log: log, RunTerm: lead,
 		CallTimeout: func(int) time.Duration { return 120 * time.Millisecond }, Partitioned: func() bool { return false }})
 	c.elector = elector
 	elector.InstancesSynced(time.Now()) // the instances have equal strength
-	members := metastore.NewMirror(metastore.MirrorOptions{Store: c.client, Prefix: ownership.OwnerPrefix, Wait: 2 * time.Second, Log: log, Apply: elector.Apply, Synced: elector.OwnerSynced})
+	members := metastore.NewMirror(metastore.MirrorOptions{Store: store, Prefix: ownership.OwnerPrefix, Wait: 2 * time.Second, Log: log, Apply: elector.Apply, Synced: elector.OwnerSynced})
 	s.mu.Lock()
 	s.instances[name] = c
 	s.mu.Unlock()
