jobowner, metastore: an owner that lags limits its orders and allows for its own delay

The owner took this delay for unresponsive workers (starts repeated up to four times, looked up, stopped) and for a store that answers only others (it handed over). Each reaction is more work, and the successor meets the same with all jobs to load: the overload sustained itself. Class: a process takes its own delay for the failure of others, and what it does about it adds load.

(2) internal/lag measures how late the goroutines of the owner run; timeouts of orders, reports and store calls grow by four times that, within bounds, and a call that stays within it is no proof of an outage. (3) While the owner lags, reports are requested less often. Event 248, metrics owner.lag_ms and owner.orders_in_progress.

--- a/events/events.go
+++ b/events/events.go
@@ -87,6 +87,7 @@
 	TermLoaded             ID = 245
 	TermNotLoaded          ID = 246
 	IntakeStale            ID = 247
+	OwnerLags              ID = 248
 	WaveAccepted           ID = 250
 	UpkeepOrdered          ID = 251
 	WaveCompleted          ID = 252
@@ -189,6 +190,7 @@
 	TermLoaded:             {"TermLoaded", "jobs loaded at the start of a term"},
 	TermNotLoaded:          {"TermNotLoaded", "jobs not loaded since the start of the term"},
 	IntakeStale:            {"IntakeStale", "staleness of the accepted jobs changed"},
+	OwnerLags:              {"OwnerLags", "owner began or ceased to lag"},
 	WaveAccepted:           {"WaveTaken", "upkeep wave accepted or withdrawn"},
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
 )
@@ -118,6 +119,9 @@
 		if err != nil && ctx.Err() == nil && a.isUnresponsive() {
 			a.sleep(ctx, reportRetryDelay)
 		}
+		if pause := min(a.t.lagAllowance(), maxReportPause); pause > 0 {
+			wait.For(ctx, pause) // reports of all workers together take most of the CPU
+		}
 	}
 }
 
@@ -207,7 +211,7 @@
 	target := a.target()
 	t.mu.Unlock()
 
-	call, cancel := context.WithTimeout(ctx, bound)
+	call, cancel := context.WithTimeout(ctx, bound+t.lagAllowance())
 	report, err := t.opts.Workers.Renew(call, target, order)
 	cancel()
 	if err != nil {
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -34,8 +34,8 @@
 )
 
 // orderTimeout returns the timeout of the nth attempt of an order, from 1.
-func orderTimeout(attempt int) time.Duration {
-	return min(firstOrderTimeout<<min(attempt-1, 8), maxOrderTimeout)
+func (t *Term) orderTimeout(attempt int) time.Duration {
+	return min(firstOrderTimeout<<min(attempt-1, 8), maxOrderTimeout) + t.lagAllowance()
 }
 
 // errWorkerLeaving is the reason for which a start without an answer is not sent again.
@@ -73,28 +73,22 @@
 // start sends the order until its outcome is known, or stops the run.
 func (t *Term) start(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Start) {
 	uncertain := false
-	t.mu.Lock()
-	// All attempts grant the same lease, so that an unreachable worker does not get a longer one.
-	order.LeaseUntil = a.extendLease(time.Now())
-	t.mu.Unlock()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		t.mu.Lock()
-		if r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() || t.agents[a.worker.ID] != a {
-			t.mu.Unlock()
-			return // a report may have confirmed the run
+		leave, ok := t.orders.enter(ctx)
+		if !ok {
+			return
 		}
-		t.checkListAge(time.Now()) // this process may have been paused since the decision
-		if t.cluster.MayBeLeaving(a.worker) {
-			t.mu.Unlock()
-			t.abandonStart(ctx, a, r, attempt > 1)
+		if next := t.prepareStart(a, r, &order, attempt); next != sendStart {
+			leave()
+			if next == abandonStart {
+				t.abandonStart(ctx, a, r, attempt > 1)
+			}
 			return
 		}
-		target := a.target()
-		t.mu.Unlock()
-
-		call, cancel := context.WithTimeout(ctx, orderTimeout(attempt))
-		clock, err := t.opts.Workers.Start(call, target, order)
+		call, cancel := context.WithTimeout(ctx, t.orderTimeout(attempt))
+		clock, err := t.opts.Workers.Start(call, a.target(), order)
 		cancel()
+		leave()
 		if err == nil {
 			t.startConfirmed(a, r, clock)
 			return
@@ -120,6 +114,34 @@
 	}
 }
 
+// startStep is what follows a check of a start before it is sent.
+type startStep int
+
+const (
+	sendStart    startStep = iota
+	dropStart              // the run is confirmed, is being stopped, or has ended with its worker
+	abandonStart           // the worker may be leaving
+)
+
+// prepareStart checks whether the start may still be sent. The first attempt sets the lease: all attempts
+// grant the same one, so that an unreachable worker does not get a longer one.
+func (t *Term) prepareStart(a *agent, r *jobstate.Run, order *workerapi.Start, attempt int) startStep {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() || t.agents[a.worker.ID] != a {
+		return dropStart
+	}
+	t.checkListAge(now) // this process may have been paused since the decision
+	if t.cluster.MayBeLeaving(a.worker) {
+		return abandonStart
+	}
+	if attempt == 1 {
+		order.LeaseUntil = a.extendLease(now)
+	}
+	return sendStart
+}
+
 // abandonStart ends the attempts to start a run on a worker that is leaving. sent is whether an order
 // may have reached the worker.
 func (t *Term) abandonStart(ctx context.Context, a *agent, r *jobstate.Run, sent bool) {
@@ -152,7 +174,7 @@
 		order := workerapi.Renew{Token: a.token(), AckSequence: a.storedEnd}
 		target := a.target()
 		t.mu.Unlock()
-		call, cancel := context.WithTimeout(ctx, runLookupTimeout)
+		call, cancel := context.WithTimeout(ctx, runLookupTimeout+t.lagAllowance())
 		report, err := t.opts.Workers.Renew(call, target, order)
 		cancel()
 		if err == nil {
@@ -257,9 +279,14 @@
 		if !present {
 			return
 		}
-		call, cancel := context.WithTimeout(ctx, orderTimeout(attempt))
+		leave, ok := t.orders.enter(ctx)
+		if !ok {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, t.orderTimeout(attempt))
 		_, err := t.opts.Workers.Stop(call, target, order)
 		cancel()
+		leave()
 		if err == nil {
 			t.mu.Lock()
 			r.CannotStartSince = time.Now()
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -46,7 +46,9 @@
 	// it has left. A later removal may mean that the entry expired without heartbeats.
 	HeartbeatGap time.Duration
 	// Suspended returns the machine's total time in suspension; nil reads it from the system.
-	Suspended  func() time.Duration
+	Suspended func() time.Duration
+	// Lag returns how late the goroutines of this process run; nil for a process that always runs in time.
+	Lag        func() time.Duration
 	MaxListAge time.Duration // maximum age of the list of workers for new orders; 0 for no limit
 
 	// WriteTimeout returns the timeout of the nth attempt of a write, from 1.
@@ -115,6 +117,7 @@
 	intakeStale       bool      // intakeAsOf is older than maxIntakeAge
 	loading           loadReport
 	listAsOf          suspend.Stamp // the list of workers includes all entries written before
+	lagging           bool          // the lag was reported and has not ended
 	listStale         bool          // the list is older than MaxListAge
 	nextDue           int64         // Unix milliseconds of the next occurrence; 0 for none
 	writes            int           // transactions in progress
@@ -122,8 +125,9 @@
 	ended             bool
 
 	adviceQueue  chan *jobstate.Step // steps that wait for advice
-	firstReports chan struct{}       // semaphore for first reports in progress
-	loaded       chan struct{}       // closed when all jobs are loaded
+	orders       *orderGate
+	firstReports chan struct{} // semaphore for first reports in progress
+	loaded       chan struct{} // closed when all jobs are loaded
 	loadOnce     sync.Once
 
 	endsStored chan struct{} // closed and replaced when the end of a job has been stored
@@ -134,6 +138,8 @@
 
 	waitGauges           waitGauges
 	intakeAge            metrics.Gauge     // milliseconds
+	lagGauge             metrics.Gauge     // milliseconds
+	ordersGauge          metrics.Gauge     // orders in progress
 	announcementsIgnored metrics.Counter   // before all jobs were loaded
 	decisions            metrics.Histogram // the histograms are in microseconds
 	commits              metrics.Histogram
@@ -161,7 +167,10 @@
 	if o.Suspended == nil {
 		o.Suspended = suspend.Total
 	}
-	return &Term{
+	if o.Lag == nil {
+		o.Lag = func() time.Duration { return 0 }
+	}
+	t := &Term{
 		opts: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, unlistedSince: map[*jobstate.Worker]time.Time{},
 		entries: map[string]*workerapi.Entry{},
@@ -173,6 +182,8 @@
 		wake:         make(chan struct{}, 1),
 		waitGauges:   newWaitGauges(o.Metrics),
 		intakeAge:    metrics.GetOrRegisterGauge("owner.intake_age_ms", o.Metrics),
+		lagGauge:     metrics.GetOrRegisterGauge("owner.lag_ms", o.Metrics),
+		ordersGauge:  metrics.GetOrRegisterGauge("owner.orders_in_progress", o.Metrics),
 
 		announcementsIgnored: metrics.GetOrRegisterCounter("owner.announcements_ignored", o.Metrics),
 
@@ -184,6 +195,8 @@
 		preempted: metrics.GetOrRegisterCounter("owner.runs_preempted", o.Metrics),
 		discarded: metrics.GetOrRegisterCounter("owner.preempted_core_seconds", o.Metrics),
 	}
+	t.orders = newOrderGate(t.lagAllowance)
+	return t
 }
 
 // Run loads the job records and makes decisions until ctx or the term ends. jobs watches the intake
--- a/jobowner/waits.go
+++ b/jobowner/waits.go
@@ -78,6 +78,7 @@
 	}
 	t.waitGauges.update(&search)
 	t.intakeAge.Update(now.Sub(t.intakeAsOf).Milliseconds())
+	t.checkLag()
 	for _, i := range search.due {
 		for now.Sub(i.since) >= waitReportAfter<<i.step.WaitReports {
 			i.step.WaitReports++
--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -422,3 +422,21 @@
 		assert.False(t, m.Suspect())
 	})
 }
+
+// Guards against an instance that takes its own lag for a store that does not respond, and hands over its
+// ownership although another instance on the same kind of machine does no better.
+func TestLagOfTheInstanceIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testplatform.NewStore().NewClient()
+		client.SetLatency(700 * time.Millisecond)
+		lag := 100 * time.Millisecond
+		m := metastore.NewMonitor(client)
+		m.AllowFor(func() time.Duration { return lag })
+		assert.True(t, m.Check(context.Background(), 0))
+		assert.True(t, m.Healthy())
+		lag = 0
+		time.Sleep(2 * time.Second) // the last answer is no proof any more
+		assert.False(t, m.Check(context.Background(), 0))
+		assert.False(t, m.Healthy())
+	})
+}
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -25,6 +25,10 @@
 	MaxCallTimeout = 500 * time.Millisecond // a store 60 times slower than its usual 4 ms is still usable
 	// timeoutMargin allows for timers that fire slightly early as measured by another goroutine.
 	timeoutMargin = 50 * time.Millisecond
+	// lagFactor is how often a call waits for the CPU of this instance, from the request until its answer is
+	// processed. maxLagAllowance limits what that adds to a timeout.
+	lagFactor       = 4
+	maxLagAllowance = time.Second
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.2
 	// probeKey is a key that need not exist.
@@ -35,6 +39,7 @@
 // probes it, so that callers need not try calls whose outcome would be unknown.
 type Monitor struct {
 	Store
+	lag func() time.Duration // how late the goroutines of this process run
 
 	mu               sync.Mutex
 	failing          bool
@@ -52,9 +57,13 @@
 
 // NewMonitor returns a monitor that initially reports the store as healthy.
 func NewMonitor(store Store) *Monitor {
-	return &Monitor{Store: store, wake: make(chan struct{}, 1), probeRequests: make(chan struct{}, 1)}
+	return &Monitor{Store: store, lag: func() time.Duration { return 0 }, wake: make(chan struct{}, 1), probeRequests: make(chan struct{}, 1)}
 }
 
+// AllowFor makes all timeouts longer by what the lag of this process may add to a call: answers that come late for
+// this reason do not show that the store is slow or unreachable. It is called before the first call.
+func (m *Monitor) AllowFor(lag func() time.Duration) { m.lag = lag }
+
 // Healthy reports whether the store responds, as far as the calls so far show.
 func (m *Monitor) Healthy() bool {
 	m.mu.Lock()
@@ -100,7 +109,7 @@
 	if recent {
 		return true
 	}
-	for _, timeout := range []time.Duration{m.CallTimeout(1), MaxCallTimeout} {
+	for _, timeout := range []time.Duration{m.CallTimeout(1), m.maxCallTimeout()} {
 		call, cancel := context.WithTimeout(ctx, timeout)
 		_, err := m.Get(call, probeKey)
 		cancel()
@@ -150,7 +159,7 @@
 // timeout of a first attempt, or of a slow call if the store is only suspected to be unreachable.
 func (m *Monitor) ProbeNow(ctx context.Context) bool {
 	if m.Healthy() {
-		return m.probe(ctx, MaxCallTimeout-timeoutMargin)
+		return m.probe(ctx, m.maxCallTimeout()-timeoutMargin)
 	}
 	return m.probe(ctx, m.CallTimeout(1))
 }
@@ -161,9 +170,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	timeout := max(timeoutFactor*m.meanLatency+timeoutSlack, MinCallTimeout)
-	return min(timeout<<min(attempt-1, 4), MaxCallTimeout)
+	return min(timeout<<min(attempt-1, 4), MaxCallTimeout) + m.lagAllowance()
 }
 
+// maxCallTimeout returns the time after which a call without an answer shows that the store does not respond.
+func (m *Monitor) maxCallTimeout() time.Duration { return MaxCallTimeout + m.lagAllowance() }
+
+func (m *Monitor) lagAllowance() time.Duration { return min(lagFactor*m.lag(), maxLagAllowance) }
+
 // Run probes the store while it does not respond, until ctx ends. Probes overlap, because the response
 // to an earlier probe may have been lost in the outage.
 func (m *Monitor) Run(ctx context.Context) {
@@ -177,7 +191,7 @@
 			}
 			continue
 		}
-		probes.Go(func() { m.probe(ctx, MaxCallTimeout) })
+		probes.Go(func() { m.probe(ctx, m.maxCallTimeout()) })
 		select {
 		case <-ctx.Done():
 		case <-m.probeRequests:
@@ -202,7 +216,7 @@
 		return // the store responds over a slow link
 	}
 	waited := time.Since(sent)
-	if !longPoll && !answered && errors.Is(err, context.DeadlineExceeded) && waited < MaxCallTimeout-timeoutMargin {
+	if !longPoll && !answered && errors.Is(err, context.DeadlineExceeded) && waited < m.maxCallTimeout()-timeoutMargin {
 		// This is no proof of an outage, because the store may be slow. The next call waits longer.
 		m.meanLatency = max(m.meanLatency, waited/2)
 		if sent.After(m.lastAnsweredSent) {
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
+	"github.com/cyclamenyard/cyclamenyard/internal/lag"
 	"github.com/cyclamenyard/cyclamenyard/jobfront"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/jobservice"
@@ -114,6 +115,7 @@
 	term           atomic.Pointer[jobowner.Term]
 	previousTerm   atomic.Pointer[jobowner.Term] // the last term of this instance that has ended
 	draining       atomic.Bool
+	lag            lag.Meter // measures during a term
 	guard          *contain.Guard
 }
 
@@ -121,6 +123,7 @@
 func New(o Options) *Node {
 	n := &Node{opts: o, log: o.Log, guard: contain.New(o.Log, o.Metrics), clients: peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})}
 	n.store = metastore.NewMonitor(o.Adapter.Store)
+	n.store.AllowFor(n.lag.Lag)
 	n.operatorData = newOperatorData(n)
 	n.elector = ownership.New(ownership.Options{
 		Store: n.store, Self: ownership.Instance{Name: o.Instance, Address: o.Peers.Addr().String(), CPUShare: o.CPUShare},
@@ -185,7 +188,7 @@
 		Store: n.store, Workers: a.Workers, Advisor: a.Advisor, Log: n.log, Metrics: n.opts.Metrics, Guard: n.guard, Token: token, Fence: fence,
 		Config: n.operatorData.config, WallClock: time.Now, MaxLease: n.opts.MaxLease, Placement: n.opts.Placement,
 		OwnershipConfirmed: func() bool { return n.elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
-		EndedRetention:     n.opts.EndedRetention, StoreTimeout: storeTimeout, MaxListAge: n.opts.MaxListAge, HeartbeatGap: n.opts.HeartbeatGap,
+		EndedRetention:     n.opts.EndedRetention, StoreTimeout: storeTimeout, MaxListAge: n.opts.MaxListAge, HeartbeatGap: n.opts.HeartbeatGap, Lag: n.lag.Lag,
 		StoreStable:  func() bool { return n.store.SinceFailure() > storeStableAfter },
 		WriteTimeout: n.store.CallTimeout, StoreOutage: n.operatorData.storeOutage.Load, Completed: n.collectCompleted,
 	})
@@ -196,6 +199,9 @@
 	})
 	n.operatorData.attach(term, waves)
 	n.term.Store(term)
+	measuring, stopMeasuring := context.WithCancel(ctx)
+	defer stopMeasuring()
+	go n.guard.Loop(measuring, "lag meter", n.lag.Run)
 	defer func() {
 		n.previousTerm.Store(term)
 		n.term.Store(nil)
