--- a/jobowner/waits.go
+++ b/jobowner/waits.go
@@ -269,8 +269,13 @@
 			excluded = append(excluded, zap.Int(jobstate.Exclusion(n).String(), count))
 		}
 	}
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.Int("workers", e.Workers), zap.Int("eligible", e.Eligible), zap.Dict("excluded", excluded...), zap.Int("room", e.Room),
-		zap.Int("free_accelerators", e.FreeAccelerators), zap.Float64("headroom", e.Headroom), zap.Duration("rack_wait", e.RackWait),
+		zap.Int("free_accelerators", e.FreeAccelerators), zap.Float64("headroom", e.Headroom),
+	}
+	if k := e.Rack; k != nil {
+		fields = append(fields, zap.Int("rack_room", k.Room), zap.Int("rack_capacity", k.Capacity),
+			zap.Duration("rack_wait", k.Wait), zap.Duration("rack_waited", now.Sub(s.WaitingSince)))
 	}
+	return fields
 }
--- a/placement/wait_test.go
+++ b/placement/wait_test.go
@@ -160,3 +160,21 @@
 		assert.Equal(t, 1, e.Excluded[cause], jobstate.Exclusion(cause).String())
 	}
 }
+
+// Guards against an explanation that does not tell a rack that is full from one that is too small.
+func TestExplanationOfARack(t *testing.T) {
+	w := newFixture(2, 2)
+	w.submit(urgent, "a", gang(1, 8, time.Minute))
+	w.advance(0)
+	s := w.submit(urgent, "a", gang(3, 8, time.Minute)).Occurrences[0].Steps[0]
+	assert.Equal(t, 3, w.p.Explain(w.c, s, w.now).Room)
+	rack := w.p.Explain(w.c, s, w.now).Rack
+	assert.Equal(t, 2, rack.Room)
+	assert.Equal(t, 2, rack.Capacity)
+	s.Spec.DataRack = "r0" // where the first gang runs
+	rack = w.p.Explain(w.c, s, w.now).Rack
+	assert.Equal(t, 1, rack.Room)
+	assert.Equal(t, 2, rack.Capacity)
+	s.Spec.DataRack, s.Spec.SameRack = "", false
+	assert.Nil(t, w.p.Explain(w.c, s, w.now).Rack)
+}
