--- a/jobowner/intake_test.go
+++ b/jobowner/intake_test.go
@@ -107,3 +107,30 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// Each read of a page of the list of workers takes long, and its workers write their heartbeats. Guards against a list
+// that stays older than its limit without end, because its pages do not fit into one timeout: nothing is started.
+func TestJobsStartWithASlowListOfWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		for n := range 30 {
+			s.addWorker(fmt.Sprint("w", n), n)
+		}
+		a := s.start("a")
+		time.Sleep(time.Second)
+		a.client.SetLatencyOf("range", 650*time.Millisecond)
+		a.client.SetLatencyOf("watch", 650*time.Millisecond)
+		for n := range 40 {
+			id := fmt.Sprint("w", n%30)
+			raw, _ := s.store.Value(workersPrefix + id)
+			s.store.Put(workersPrefix+id, raw)
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.submit("job", "batch", tasks(1, 1))
+		s.announce(a, "job")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, 1, s.fleet.StartCount())
+		s.requireNoViolations(t)
+	})
+}
