jobowner, ownership: an owner that cannot read its jobs hands over

Callers saw: accepted jobs that stand without end while their owner is elected and renews its lease. Cause: a term reads the records and the intake before it makes its first decision, and repeats a read without limit. While the store answers the renewals of this instance and none of its reads, the ownership is confirmed, and nothing ends the term. Why it works: a term that has not read its jobs after 15 s of confirmed ownership ends. Nothing runs under its control by then, so that nothing is lost. Time in which the ownership is not confirmed does not count: in an outage no other instance can read either.

--- a/jobowner/handover_test.go
+++ b/jobowner/handover_test.go
@@ -128,3 +128,27 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// The store answers the owner's renewals and none of its reads, and answers the other instance. Guards against an
+// owner that never loads its jobs and keeps the ownership, so that no accepted job starts.
+func TestOwnerThatCannotReadHandsOver(t *testing.T) {
+	for _, fault := range []testplatform.Fault{testplatform.Silent, testplatform.Refused} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSystem()
+			defer s.stop()
+			s.addWorker("w0", 0)
+			a := s.start("a")
+			a.client.SetFault(func(call string) testplatform.Fault {
+				if call == "range" && s.currentTerm(a) != nil {
+					return fault
+				}
+				return testplatform.None
+			})
+			time.Sleep(time.Second)
+			s.submit("job", "batch", tasks(1, 1))
+			s.start("b")
+			assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 20*time.Second))
+			s.requireNoViolations(t)
+		})
+	}
+}
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -122,10 +122,7 @@
 			}
 			term.OnWorker(entry)
 		}})
-		err := term.Run(ctx, mirror(jobowner.IntakePrefix, term.OnIntake, term.Loaded), workers.Run)
-		if err != nil && ctx.Err() == nil {
-			panic(err)
-		}
+		term.Run(ctx, mirror(jobowner.IntakePrefix, term.OnIntake, term.Loaded), workers.Run)
 	}
 	elector = ownership.New(ownership.Options{Store: c.client, Self: ownership.Instance{Name: name, CPUShare: 1}, Suspended: s.suspended, Log: log, RunTerm: lead,
 		CallTimeout: func(int) time.Duration { return 120 * time.Millisecond }, Partitioned: func() bool { return false }})
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 	"github.com/cyclamenyard/cyclamenyard/placement"
@@ -92,6 +93,11 @@
 	// was draining and the store was stable. Entries that expired in an outage of the store are written
 	// again within two seconds of its return.
 	relistGrace = 2500 * time.Millisecond
+	// maxLoadTime is how long a term may take to read its jobs while its ownership is confirmed. Then another
+	// instance may have better access to the store.
+	maxLoadTime = 15 * time.Second
+	// loadCheckInterval is the time between two checks of maxLoadTime.
+	loadCheckInterval = time.Second
 )
 
 // Term is one term of ownership.
@@ -178,13 +184,15 @@
 // and calls Loaded. workers watches the platform's list of workers; it starts once all jobs are
 // loaded, because the runs in a worker's report can only be matched then. All goroutines of the
 // term have returned when Run returns.
-func (t *Term) Run(ctx context.Context, jobs, workers func(context.Context)) error {
+func (t *Term) Run(ctx context.Context, jobs, workers func(context.Context)) {
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	defer t.cancel()
 	ctx = t.ctx
 	t.startedAt = time.Now()
-	if err := t.load(ctx); err != nil {
-		return err
+	defer t.tasks.Wait()
+	defer t.cancel()
+	t.goGuarded(ctx, t.limitLoadTime)
+	if !t.load(ctx) {
+		return
 	}
 	t.goGuarded(ctx, jobs)
 	select {
@@ -194,9 +202,26 @@
 		t.goGuarded(ctx, t.advise)
 		t.loop(ctx)
 	}
-	t.cancel()
-	t.tasks.Wait()
-	return nil
+}
+
+// limitLoadTime ends the term if its jobs are not loaded after maxLoadTime of confirmed ownership. Time without
+// confirmation does not count: in an outage of the store no other instance could read them either.
+func (t *Term) limitLoadTime(ctx context.Context) {
+	confirmed := time.Duration(0)
+	for confirmed < maxLoadTime {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.loaded:
+			return
+		case <-time.After(loadCheckInterval):
+		}
+		confirmed += loadCheckInterval
+		if !t.opts.OwnershipConfirmed() {
+			confirmed = 0
+		}
+	}
+	t.terminate("the jobs could not be read in time")
 }
 
 // goGuarded runs f in a goroutine of the term and restarts it after a panic.
@@ -208,21 +233,19 @@
 	}()
 }
 
-// load reads the records of all jobs. Former owners cannot change them any more, because every
-// write of an owner is conditional on its own term.
-func (t *Term) load(ctx context.Context) error {
+// load reads the records of all jobs, and returns false if ctx ends before. Former owners cannot change the
+// records any more, because every write of an owner is conditional on its own term.
+func (t *Term) load(ctx context.Context) bool {
 	records := metastore.NewRangeReader(t.opts.Store, RecordPrefix)
 	for {
 		items, _, err := records.Read(ctx)
 		if err == nil {
 			t.indexRecords(items, t.opts.Completed(ctx))
-			return nil
+			return true
 		}
 		t.opts.Log.Warn("cannot read job records; retrying", zap.Error(err))
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(retryDelay):
+		if !wait.For(ctx, retryDelay) {
+			return false
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -218,9 +218,7 @@
 		workers.Run(ctx)
 		waveLoop.Wait()
 	}
-	if err := term.Run(ctx, intake.Run, manage); err != nil && ctx.Err() == nil {
-		n.log.Error("term of ownership failed", zap.Error(err))
-	}
+	term.Run(ctx, intake.Run, manage)
 }
 
 // deposeViaPeer asks the peers in turn to remove the ownership with the token from the store, until
--- a/ownership/members.go
+++ b/ownership/members.go
@@ -50,6 +50,7 @@
 	e.mu.Lock()
 	spread := max(minJitter, jitterPerPeer*time.Duration(len(e.instances)))
 	weak, alone := e.isWeak(), len(e.instances) == 0
+	failed := !e.termFailedAt.IsZero() && time.Since(e.termFailedAt) < failedTermInterval
 	e.mu.Unlock()
 	wait := time.Duration(float64(baseDelay)/share) + rand.N(spread)
 	if alone {
@@ -58,6 +59,9 @@
 	if weak {
 		wait += weakDelay
 	}
+	if failed {
+		wait += weakDelay
+	}
 	return wait
 }
 
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -62,6 +62,9 @@
 	// more CPU win. firstBaseDelay replaces it while no instance is listed, as when all start at once.
 	baseDelay      = 8 * time.Millisecond
 	firstBaseDelay = 20 * time.Millisecond
+	// failedTermInterval is how long after a term ended by itself, because it could not go on, its instance
+	// campaigns weakDelay later, so that another one is elected if there is one.
+	failedTermInterval = 30 * time.Second
 	// instancesTimeout limits how long a candidate waits for the list of instances.
 	instancesTimeout = 500 * time.Millisecond
 	// jitterPerPeer spreads candidates of equal CPU share over the time that the result of an election
@@ -125,6 +128,7 @@
 	formerOwner   string        // last owner, cleared when its entry is written again
 	lastConfirmed suspend.Stamp // when the last successful renewal was sent
 	yieldedAt     time.Time     // when this instance last handed over to a stronger one
+	termFailedAt  time.Time     // when a term of this instance last ended by itself
 	wake          chan struct{}
 }
 
@@ -356,6 +360,11 @@
 	renewing.Go(func() { e.stopWhenPartitioned(term, stop, token) })
 	renewing.Go(func() { e.yieldWhenWeak(term, stop, token) })
 	e.opts.RunTerm(term, token, metastore.Condition{Key: ownerKey, Revision: token})
+	if term.Err() == nil {
+		e.mu.Lock()
+		e.termFailedAt = time.Now()
+		e.mu.Unlock()
+	}
 	stop()
 	renewing.Wait()
 	e.resign(lease, token)
