--- a/jobowner/intake_test.go
+++ b/jobowner/intake_test.go
@@ -134,3 +134,28 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// A job is accepted while the owner's reads of the store are not answered, nobody announces it, and the store drops its
+// history. Guards against a job that waits for the next owner after the store answers again.
+func TestJobAcceptedWhileTheOwnerCannotRead(t *testing.T) {
+	for _, compact := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSystem()
+			defer s.stop()
+			s.addWorker("w0", 0)
+			a := s.start("a")
+			time.Sleep(time.Second)
+			a.hangCalls("watch", "range")
+			time.Sleep(4 * time.Second)
+			s.submit("job", "batch", tasks(1, 1))
+			time.Sleep(6 * time.Second)
+			if compact {
+				s.store.Compact()
+			}
+			a.hangCalls()
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, 1, s.fleet.StartCount())
+			s.requireNoViolations(t)
+		})
+	}
+}
