--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,7 +18,7 @@
 	orderLatency = 2 * time.Millisecond
 	// gangTimeout is how long a run of a gang waits for the other members to start.
 	gangTimeout = 3 * time.Second
-	// MaxLease is the maximum duration of a worker's lease.
+	// MaxLease is the default of Fleet.MaxLease.
 	MaxLease = 10 * time.Second
 	// cancelBound is how long after the acknowledged cancellation of its job a task may still be started.
 	cancelBound = 3 * time.Second
@@ -41,14 +40,25 @@
 	// Outcome returns how long a run works and how it ends.
 	Outcome func(task workload.TaskName, run int) (time.Duration, jobstate.End)
 
+	// Failing reports whether all runs that start on the worker fail. If it is nil, none does.
+	Failing func(worker string) bool
 	// Load returns the tail latency in milliseconds that every run reports. speedPercents holds the
 	// ordered percentages of full speed by task. If Load is nil, runs report 0.
 	Load func(speedPercents map[string]int) float64
 	// Guarantees holds the number of accelerators guaranteed to the urgent jobs of each workspace.
 	Guarantees map[string]int
+	// AdvanceInterval is the minimum time between two checks of all workers for runs that have ended, for
+	// large fleets; 0 checks at each call. A call always checks the worker that it is sent to.
+	AdvanceInterval time.Duration
 	// Undisturbed reports whether the last fault ended long enough ago that its effects are over. Some
 	// rules apply only then.
 	Undisturbed func() bool
+	// CalmSince returns when the last fault ended, or the zero time during a fault.
+	CalmSince func() time.Time
+	// Ended reports whether callers see the job as ended, and Accepted whether its submission was acknowledged.
+	Ended, Accepted func(job string) bool
+	// MaxLease is the maximum duration of a worker's lease.
+	MaxLease time.Duration
 
 	faultMu sync.Mutex // held during calls of fault, so that they do not overlap
 	fault   func(worker, call string) Fault
@@ -61,8 +71,10 @@
 	ackedDone     map[string]bool // tasks whose end as done the owner has acknowledged
 	ackedFailures map[string]int  // failed runs that the owner has acknowledged, by task
 	speedPercents map[string]int
-	startedJobs   map[string]bool // jobs with a task that was started
-	failedRuns    map[string]int  // all failed runs, by task
+	gangs         map[workload.TaskName]map[*run]bool // runs of gangs that are on workers, by gangName
+	advancedAt    time.Time                           // when all workers were last checked
+	startedJobs   map[string]bool                     // jobs with a task that was started
+	failedRuns    map[string]int                      // all failed runs, by task
 
 	startedTasks    map[string]bool
 	urgentUnchecked map[string]time.Time // submission times of urgent jobs that checkReclaim has not checked
@@ -71,6 +83,7 @@
 	starts          int
 	violations      []string
 	lastIncarnation int64 // of the last worker that was added
+	standing        standing
 }
 
 type worker struct {
@@ -106,8 +119,11 @@
 		Undisturbed: func() bool { return true },
 		workers:     map[string]*worker{}, jobs: map[string]*workload.Submission{}, cancelled: map[string]time.Time{},
 		doneTasks: map[string]bool{}, ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, startedJobs: map[string]bool{}, speedPercents: map[string]int{},
-		failedRuns: map[string]int{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
+		gangs: map[workload.TaskName]map[*run]bool{}, failedRuns: map[string]int{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
+	created := time.Now()
+	f.standing, f.CalmSince, f.Ended = newStanding(), func() time.Time { return created }, f.jobDone
+	f.Accepted, f.MaxLease = func(string) bool { return true }, MaxLease
 	f.SetFault(func(string, string) Fault { return None })
 	return f
 }
@@ -134,6 +150,11 @@
 		Worker: workerapi.Target{ID: id, Address: "10.0.0.1:" + id}, Incarnation: f.lastIncarnation, Service: "service",
 		DataCentre: dataCentre, Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
 	}
+	if former := f.workers[id]; former != nil {
+		f.standing.runsLost(former, 0)
+	}
+	delete(f.standing.leases, id)
+	f.discardRuns(id)
 	f.workers[id] = &worker{entry: entry, born: time.Now(), runs: map[string]*run{}, lastClosed: map[string]int{}, changed: make(chan struct{})}
 	return entry
 }
@@ -191,21 +212,41 @@
 // caller holds the lock.
 func (f *Fleet) advance() {
 	now := time.Now()
+	f.advancedAt = now
 	for _, w := range f.workers {
-		if len(w.runs) > 0 && now.After(w.lease) {
-			for task := range w.runs {
-				f.end(w, task, jobstate.EndLeaseExpired)
-			}
-		}
+		f.expireLease(w, now)
 	}
 	for _, w := range f.workers {
-		for task, r := range w.runs {
-			f.advanceRun(w, task, r, now)
-		}
+		f.advanceWorker(w, now)
 	}
 	f.checkReclaim(now)
 }
 
+// advanceFor is advance for a call to one worker. It checks the others at most once in AdvanceInterval.
+func (f *Fleet) advanceFor(id string) {
+	now := time.Now()
+	if now.Sub(f.advancedAt) >= f.AdvanceInterval {
+		f.advance()
+	} else if w := f.workers[id]; w != nil {
+		f.expireLease(w, now)
+		f.advanceWorker(w, now)
+	}
+}
+
+func (f *Fleet) expireLease(w *worker, now time.Time) {
+	if len(w.runs) > 0 && now.After(w.lease) {
+		for task := range w.runs {
+			f.end(w, task, jobstate.EndLeaseExpired)
+		}
+	}
+}
+
+func (f *Fleet) advanceWorker(w *worker, now time.Time) {
+	for task, r := range w.runs {
+		f.advanceRun(w, task, r, now)
+	}
+}
+
 func (f *Fleet) advanceRun(w *worker, task string, r *run, now time.Time) {
 	if w.runs[task] != r {
 		return // ended together with its gang
@@ -229,25 +270,47 @@
 	f.end(w, task, r.outcome)
 }
 
+// gangName returns the name of the first member of the run's gang, as a key of Fleet.gangs.
+func (r *run) gangName() workload.TaskName {
+	name := r.name
+	name.Index = 0
+	return name
+}
+
 // gang returns the started members of the run's gang, and whether all members have started.
 func (f *Fleet) gang(r *run) ([]*run, bool) {
-	job := f.jobs[r.name.Job]
-	step := job.Steps[r.name.Step]
 	var members []*run
-	for _, w := range f.workers {
-		for _, other := range w.runs {
-			if other.number == r.number && other.name.Job == r.name.Job && other.name.Occurrence == r.name.Occurrence && other.name.Step == r.name.Step {
-				members = append(members, other)
-			}
+	for other := range f.gangs[r.gangName()] {
+		if other.number == r.number {
+			members = append(members, other)
+		}
+	}
+	return members, len(members) == f.jobs[r.name.Job].Steps[r.name.Step].Tasks
+}
+
+// discardRuns removes the runs of a worker that stops without an end of them.
+func (f *Fleet) discardRuns(id string) {
+	if w := f.workers[id]; w != nil {
+		for _, r := range w.runs {
+			f.leaveGang(r)
 		}
 	}
-	return members, len(members) == step.Tasks
+}
+
+func (f *Fleet) leaveGang(r *run) {
+	members := f.gangs[r.gangName()]
+	delete(members, r)
+	if len(members) == 0 {
+		delete(f.gangs, r.gangName())
+	}
 }
 
 // end ends a run and the other runs of its gang. The caller holds the lock.
 func (f *Fleet) end(w *worker, task string, outcome jobstate.End) {
 	r := w.runs[task]
 	delete(w.runs, task)
+	f.standing.runEnded(r.name, time.Now())
+	f.leaveGang(r)
 	w.lastClosed[task] = max(w.lastClosed[task], r.number)
 	w.number++
 	w.ended = append(w.ended, workerapi.EndedRun{Sequence: w.number, Task: task, Run: r.number, Outcome: outcome, Checkpoint: fmt.Sprint("cp-", task, "-", r.number)})
@@ -282,7 +345,7 @@
 	locked := func() error {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.advance()
+		f.advanceFor(id)
 		return order()
 	}
 	switch f.nextFault(id, call) {
@@ -297,27 +360,13 @@
 		}
 		return ErrNoAnswer
 	case Late:
-		incarnation := f.incarnation(id)
-		time.AfterFunc(lateDelay, func() {
-			if f.incarnation(id) == incarnation { // a restart of the worker discards delayed orders
-				_ = locked() // the caller of a delayed order has returned
-			}
-		})
+		time.AfterFunc(lateDelay, func() { _ = locked() }) // the caller has returned, and the worker may have restarted
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	return locked()
 }
 
-func (f *Fleet) incarnation(id string) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if w := f.workers[id]; w != nil {
-		return w.entry.Incarnation
-	}
-	return 0
-}
-
 // authorize returns the target worker and stores the fencing token, unless the worker has seen a higher
 // one. The caller holds the lock.
 func (f *Fleet) authorize(t workerapi.Target, token uint64) (*worker, error) {
@@ -332,12 +381,12 @@
 	return w, nil
 }
 
-// extendLease extends the lease up to a time on the worker's clock, at most by MaxLease.
-func (w *worker) extendLease(until int64) {
+// extendLease extends the lease up to a time on the worker's clock, at most by limit.
+func (w *worker) extendLease(until int64, limit time.Duration) {
 	if time.Now().After(w.lease) {
 		w.voidUpTo = w.number
 	}
-	left := min(time.Duration(until-w.clock())*time.Millisecond, MaxLease)
+	left := min(time.Duration(until-w.clock())*time.Millisecond, limit)
 	if expires := time.Now().Add(left); expires.After(w.lease) {
 		w.lease = expires
 	}
@@ -345,6 +394,7 @@
 
 // Start implements workerapi.Client.
 func (f *Fleet) Start(ctx context.Context, t workerapi.Target, o workerapi.Start) (clock int64, err error) {
+	f.recordOrder(t.ID, o.Task)
 	err = f.do(ctx, t.ID, "start", func() error {
 		w, err := f.authorize(t, o.Token)
 		if err != nil {
@@ -354,7 +404,7 @@
 		if o.LeaseUntil <= clock {
 			return workerapi.ErrLeaseExpired
 		}
-		w.extendLease(o.LeaseUntil)
+		w.extendLease(o.LeaseUntil, f.MaxLease)
 		if r := w.runs[o.Task]; r != nil && r.number == o.Run {
 			return nil
 		}
@@ -375,6 +425,9 @@
 	}
 	f.checkStart(w, name, o)
 	duration, outcome := f.Outcome(name, o.Run)
+	if f.Failing != nil && f.Failing(w.entry.Worker.ID) {
+		outcome = jobstate.EndFailed
+	}
 	job := f.jobs[name.Job]
 	if job == nil {
 		return
@@ -385,6 +438,12 @@
 	r := &run{number: o.Run, name: name, started: time.Now(), outcome: outcome, finish: time.Now().Add(duration), restored: o.Checkpoint}
 	r.working = !job.Steps[name.Step].Gang
 	w.runs[o.Task] = r
+	if job.Steps[name.Step].Gang {
+		if f.gangs[r.gangName()] == nil {
+			f.gangs[r.gangName()] = map[*run]bool{}
+		}
+		f.gangs[r.gangName()][r] = true
+	}
 }
 
 // Stop implements workerapi.Client.
@@ -405,24 +464,6 @@
 	return clock, err
 }
 
-// Throttle implements workerapi.Client.
-func (f *Fleet) Throttle(ctx context.Context, t workerapi.Target, o workerapi.Throttle) error {
-	return f.do(ctx, t.ID, "pace", func() error {
-		_, err := f.authorize(t, o.Token)
-		if err == nil {
-			f.speedPercents[o.Task] = o.Percent
-		}
-		return err
-	})
-}
-
-// SpeedPercents returns the ordered percentages of full speed by task.
-func (f *Fleet) SpeedPercents() map[string]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return maps.Clone(f.speedPercents)
-}
-
 // pollInterval is how often a waiting Renew checks for ended runs.
 const pollInterval = 50 * time.Millisecond
 
@@ -435,7 +476,7 @@
 			return err
 		}
 		if o.LeaseUntil != 0 {
-			w.extendLease(o.LeaseUntil)
+			w.extendLease(o.LeaseUntil, f.MaxLease)
 		}
 		f.acknowledge(w, o.AckSequence)
 		for len(w.ended) == 0 && time.Now().Before(deadline) {
@@ -448,7 +489,7 @@
 			if f.workers[t.ID] != w {
 				return ErrNoAnswer
 			}
-			f.advance()
+			f.advanceFor(t.ID)
 		}
 		report = workerapi.Report{Clock: w.clock(), Incarnation: w.entry.Incarnation, Ended: slices.Clone(w.ended)}
 		load := 0.0
@@ -484,9 +525,3 @@
 		w.ended = w.ended[1:]
 	}
 }
-
-// longRunning reports whether the task belongs to a long-running step, which restarts it after any end.
-func (f *Fleet) longRunning(task string) bool {
-	name, err := workload.ParseTaskName(task)
-	return err == nil && f.jobs[name.Job].Steps[name.Step].LongRunning
-}
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -80,10 +80,12 @@
 	defer t.mu.Unlock()
 	t.applyTimers(now)
 	t.checkListAge(now)
+	t.checkIntakeAge(now)
 	plan := t.policy.Decide(t.cluster, t.guarantee, now)
 	stops := t.runsToStop(now)
 	batches := t.nextBatches()
 	t.logPlan(plan)
+	t.checkWaits(now)
 	t.queueAdvice(plan.NeedAdvice)
 	for _, run := range stops {
 		t.orderStop(ctx, run)
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -93,11 +93,6 @@
 	// was draining and the store was stable. Entries that expired in an outage of the store are written
 	// again within two seconds of its return.
 	relistGrace = 2500 * time.Millisecond
-	// maxLoadTime is how long a term may take to read its jobs while its ownership is confirmed. Then another
-	// instance may have better access to the store.
-	maxLoadTime = 15 * time.Second
-	// loadCheckInterval is the time between two checks of maxLoadTime.
-	loadCheckInterval = time.Second
 )
 
 // Term is one term of ownership.
@@ -116,6 +111,10 @@
 	pendingCancels    map[string]bool                // jobs whose cancellation arrived before their submission
 	reportedCompleted map[string]bool                // jobs whose completion only a former owner observed
 	checkedAt         time.Time
+	waitsCheckedAt    time.Time
+	intakeAsOf        time.Time // all jobs accepted before are loaded
+	intakeStale       bool      // intakeAsOf is older than maxIntakeAge
+	loading           loadReport
 	listAsOf          suspend.Stamp // the list of workers includes all entries written before
 	listStale         bool          // the list is older than MaxListAge
 	nextDue           int64         // Unix milliseconds of the next occurrence; 0 for none
@@ -134,13 +133,16 @@
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
 
-	decisions metrics.Histogram // the histograms are in microseconds
-	commits   metrics.Histogram
-	startWait metrics.Histogram
-	started   metrics.Counter
-	stopped   metrics.Counter
-	preempted metrics.Counter
-	discarded metrics.Counter // core-seconds
+	waitGauges           waitGauges
+	intakeAge            metrics.Gauge     // milliseconds
+	announcementsIgnored metrics.Counter   // before all jobs were loaded
+	decisions            metrics.Histogram // the histograms are in microseconds
+	commits              metrics.Histogram
+	startWait            metrics.Histogram
+	started              metrics.Counter
+	stopped              metrics.Counter
+	preempted            metrics.Counter
+	discarded            metrics.Counter // core-seconds
 }
 
 type storedRecord struct {
@@ -170,13 +172,18 @@
 		loaded:       make(chan struct{}),
 		endsStored:   make(chan struct{}),
 		wake:         make(chan struct{}, 1),
-		decisions:    histogram("owner.decision_us", o.Metrics),
-		commits:      histogram("owner.commit_us", o.Metrics),
-		startWait:    histogram("owner.ready_to_started_us", o.Metrics),
-		started:      metrics.GetOrRegisterCounter("owner.runs_started", o.Metrics),
-		stopped:      metrics.GetOrRegisterCounter("owner.runs_stopped", o.Metrics),
-		preempted:    metrics.GetOrRegisterCounter("owner.runs_preempted", o.Metrics),
-		discarded:    metrics.GetOrRegisterCounter("owner.preempted_core_seconds", o.Metrics),
+		waitGauges:   newWaitGauges(o.Metrics),
+		intakeAge:    metrics.GetOrRegisterGauge("owner.intake_age_ms", o.Metrics),
+
+		announcementsIgnored: metrics.GetOrRegisterCounter("owner.announcements_ignored", o.Metrics),
+
+		decisions: histogram("owner.decision_us", o.Metrics),
+		commits:   histogram("owner.commit_us", o.Metrics),
+		startWait: histogram("owner.ready_to_started_us", o.Metrics),
+		started:   metrics.GetOrRegisterCounter("owner.runs_started", o.Metrics),
+		stopped:   metrics.GetOrRegisterCounter("owner.runs_stopped", o.Metrics),
+		preempted: metrics.GetOrRegisterCounter("owner.runs_preempted", o.Metrics),
+		discarded: metrics.GetOrRegisterCounter("owner.preempted_core_seconds", o.Metrics),
 	}
 }
 
@@ -195,35 +202,14 @@
 		return
 	}
 	t.goGuarded(ctx, jobs)
-	select {
-	case <-ctx.Done():
-	case <-t.loaded:
+	if t.awaitLoaded(ctx) {
 		t.goGuarded(ctx, workers)
 		t.goGuarded(ctx, t.advise)
 		t.loop(ctx)
+		t.resetGauges()
 	}
 }
 
-// limitLoadTime ends the term if its jobs are not loaded after maxLoadTime of confirmed ownership. Time without
-// confirmation does not count: in an outage of the store no other instance could read them either.
-func (t *Term) limitLoadTime(ctx context.Context) {
-	confirmed := time.Duration(0)
-	for confirmed < maxLoadTime {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.loaded:
-			return
-		case <-time.After(loadCheckInterval):
-		}
-		confirmed += loadCheckInterval
-		if !t.opts.OwnershipConfirmed() {
-			confirmed = 0
-		}
-	}
-	t.terminate("the jobs could not be read in time")
-}
-
 // goGuarded runs f in a goroutine of the term and restarts it after a panic.
 func (t *Term) goGuarded(ctx context.Context, f func(context.Context)) {
 	t.tasks.Add(1)
@@ -240,7 +226,10 @@
 	for {
 		items, _, err := records.Read(ctx)
 		if err == nil {
-			t.indexRecords(items, t.opts.Completed(ctx))
+			read := time.Now()
+			completed := t.opts.Completed(ctx)
+			t.loading = loadReport{records: len(items), completed: len(completed), recordsTook: read.Sub(t.startedAt), completedTook: time.Since(read)}
+			t.indexRecords(items, completed)
 			return true
 		}
 		t.opts.Log.Warn("cannot read job records; retrying", zap.Error(err))
@@ -294,8 +283,11 @@
 	f(t.cluster)
 }
 
-// Loaded records that all jobs accepted before the term are loaded.
-func (t *Term) Loaded(time.Time) {
+// Loaded records that all jobs accepted before asOf are loaded.
+func (t *Term) Loaded(asOf time.Time) {
+	t.mu.Lock()
+	t.intakeAsOf = asOf
+	t.mu.Unlock()
 	t.loadOnce.Do(func() { close(t.loaded) })
 }
 
