jobowner: records are written in the order in which they are due

It moves when fewer jobs arrive. Cause: a run starts once the record of its job is stored. Among equally urgent jobs the record that was written least often went first. While more records change than the store takes (15 in a transaction, 2 transactions at a time for less urgent jobs, once in each decision), each new job was ahead of a job with many writes, and the planned runs of that job waited without end. Why it works: a record is due when it has changed, 1 s later if its job is less urgent, and 2 s later if it neither starts a run nor ends its job. The earliest due goes first, so that no record is passed by others without end. One that is overdue may use all 6 transactions.

--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -303,3 +303,10 @@
 	defer f.mu.Unlock()
 	return f.starts
 }
+
+// HasStarted reports whether a run of the task was started.
+func (f *Fleet) HasStarted(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.startedTasks[task]
+}
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -33,6 +33,11 @@
 	// maxBatchWrites limits the transactions in progress that hold records of less urgent jobs only. While
 	// they are slow, further changes are collected, which saves writes and leaves writes to urgent jobs.
 	maxBatchWrites = 2
+	// lessUrgentDelay and progressDelay are how much later than an urgent start the record of a less urgent job
+	// and one that neither starts a run nor ends its job are due. When the store takes fewer records than change,
+	// they are written in the order in which they are due, so that each is written.
+	lessUrgentDelay = time.Second
+	progressDelay   = 2 * time.Second
 )
 
 // batch holds the job records that one transaction writes.
@@ -53,22 +58,23 @@
 	recovered []*jobstate.Worker       // workers that no record marks as unresponsive any more
 }
 
-// nextBatches collects changed records for new transactions, those of urgent jobs first. A job whose
+// nextBatches collects changed records for new transactions, in the order in which they are due. A job whose
 // record is being written waits for the result, because its next write is conditional on it.
 func (t *Term) nextBatches() []*batch {
 	t.prepareAcknowledgement()
+	now := time.Now()
 	var list []*batch
 	b := &batch{}
-	for _, j := range t.unwrittenJobs() {
+	for _, u := range t.unwrittenRecords(now) {
 		if b.full() {
 			list = append(list, b)
 			b = &batch{}
 		}
-		if !t.mayWrite(len(list), b, j) {
-			break
+		if len(b.jobs) == 0 && t.writes+len(list) >= u.maxWrites(now) {
+			continue
 		}
-		if err := t.addRecord(b, j); err != nil {
-			t.opts.Log.Error("cannot encode job record", zap.String("job", j.Submission.ID), zap.Error(err))
+		if err := t.addRecord(b, u.job); err != nil {
+			t.opts.Log.Error("cannot encode job record", zap.String("job", u.job.Submission.ID), zap.Error(err))
 		}
 	}
 	if len(b.jobs) > 0 {
@@ -78,32 +84,49 @@
 	return list
 }
 
-// unwrittenJobs returns the jobs with a changed record that is not being written, the most urgent first
-// and among equals those that were written least often.
-func (t *Term) unwrittenJobs() []*jobstate.Job {
-	var list []*jobstate.Job
+// unwrittenRecord is a changed record that is not being written.
+type unwrittenRecord struct {
+	job *jobstate.Job
+	due time.Time
+}
+
+// maxWrites returns the number of transactions in progress below which the record may begin another one.
+func (u unwrittenRecord) maxWrites(now time.Time) int {
+	if u.job.Route.Priority == 0 || now.After(u.due) {
+		return maxWrites
+	}
+	return maxBatchWrites
+}
+
+// unwrittenRecords returns the changed records that are not being written, in the order in which they are due.
+func (t *Term) unwrittenRecords(now time.Time) []unwrittenRecord {
+	var list []unwrittenRecord
 	for _, j := range t.cluster.Jobs {
-		if j.Dirty && !j.Writing {
-			list = append(list, j)
+		if !j.Dirty {
+			continue
+		}
+		if j.UnwrittenSince.IsZero() {
+			j.UnwrittenSince = now
+		}
+		if !j.Writing {
+			list = append(list, unwrittenRecord{j, recordDue(j)})
 		}
 	}
-	slices.SortFunc(list, func(a, b *jobstate.Job) int {
-		return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), cmp.Compare(a.Sequence, b.Sequence),
-			cmp.Compare(a.Submission.ID, b.Submission.ID))
+	slices.SortFunc(list, func(a, b unwrittenRecord) int {
+		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.job.Sequence, b.job.Sequence), cmp.Compare(a.job.Submission.ID, b.job.Submission.ID))
 	})
 	return list
 }
 
-// mayWrite reports whether the job's record may be added to the batch, which follows further new ones.
-func (t *Term) mayWrite(further int, b *batch, j *jobstate.Job) bool {
-	if len(b.jobs) > 0 {
-		return true
+func recordDue(j *jobstate.Job) time.Time {
+	delay := time.Duration(0)
+	if j.Route.Priority > 0 {
+		delay += lessUrgentDelay
 	}
-	limit := maxBatchWrites
-	if j.Route.Priority == 0 {
-		limit = maxWrites
+	if !j.State.Ended() && !j.HasPlannedRun() {
+		delay += progressDelay
 	}
-	return t.writes+further < limit
+	return j.UnwrittenSince.Add(delay)
 }
 
 func (t *Term) addRecord(b *batch, j *jobstate.Job) error {
@@ -112,6 +135,7 @@
 		return err
 	}
 	j.Dirty, j.Writing, j.WritingFrom = false, true, time.Now()
+	j.UnwrittenSince = time.Time{}
 	b.size += len(raw)
 	b.jobs = append(b.jobs, j)
 	b.states = append(b.states, j.State)
--- a/jobowner/commit_test.go
+++ b/jobowner/commit_test.go
@@ -111,3 +111,44 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// A slow store takes fewer records than change, and new jobs keep arriving. Guards against a job that is never written
+// because each new job has been written less often: its next step would not start until the arrivals end.
+func TestRecordOfAnOldJobIsWrittenWhileNewJobsArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(name workload.TaskName, _ int) (time.Duration, jobstate.End) {
+			if name.Job == "old" {
+				return time.Duration(name.Index+1) * 200 * time.Millisecond, jobstate.EndDone
+			}
+			return time.Duration(name.Index+1) * 500 * time.Millisecond, jobstate.EndDone
+		}
+		for n := range 20 {
+			s.addWorker(fmt.Sprint("w", n), n)
+		}
+		a := s.start("a")
+		time.Sleep(2 * time.Second)
+		next := tasks(3, 0)
+		next.After = []int{0}
+		s.submit("old", "batch", tasks(30, 0), next)
+		waited := time.Duration(0)
+		for n := range 400 {
+			if n == 40 {
+				a.client.SetLatencyOf("commit", 240*time.Millisecond) // 60 times slower than usual
+			}
+			if n >= 40 {
+				s.submit(fmt.Sprint("new", n), "batch", tasks(8, 0))
+			}
+			time.Sleep(50 * time.Millisecond)
+			s.currentTerm(a).WithCluster(func(c *jobstate.Cluster) {
+				if j := c.Jobs["old"]; j != nil && j.Occurrences[0].Steps[0].Done() && !s.fleet.HasStarted("old.0.1.0") {
+					waited += 50 * time.Millisecond
+				}
+			})
+		}
+		assert.True(t, s.fleet.HasStarted("old.0.1.0"))
+		assert.Less(t, waited, 3*time.Second)
+		s.requireNoViolations(t)
+	})
+}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -4,6 +4,7 @@
 package jobstate
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -177,19 +178,20 @@
 
 // Job is an accepted job.
 type Job struct {
-	Submission  *workload.Submission
-	Route       workload.Route
-	State       workload.State
-	StoredState workload.State // the state in the newest stored record
-	Started     bool           // at least one task has started
-	ArrivedAt   time.Time      // when this owner added the job
-	EndedAt     time.Time
-	Revision    uint64    // store revision of the record; 0 before the first write
-	Sequence    uint64    // sequence number in the stored record
-	Dirty       bool      // the record differs from the stored one and from the one that is being written
-	Writing     bool      // a record is being written
-	WritingFrom time.Time // when its write began; valid while Writing
-	EndsAtRisk  bool      // an end that is not stored yet was reported by a worker that may leave
+	Submission     *workload.Submission
+	Route          workload.Route
+	State          workload.State
+	StoredState    workload.State // the state in the newest stored record
+	Started        bool           // at least one task has started
+	ArrivedAt      time.Time      // when this owner added the job
+	EndedAt        time.Time
+	Revision       uint64    // store revision of the record; 0 before the first write
+	Sequence       uint64    // sequence number in the stored record
+	Dirty          bool      // the record differs from the stored one and from the one that is being written
+	UnwrittenSince time.Time // when it was first found to differ; zero if it does not
+	Writing        bool      // a record is being written
+	WritingFrom    time.Time // when its write began; valid while Writing
+	EndsAtRisk     bool      // an end that is not stored yet was reported by a worker that may leave
 
 	Occurrences []*Occurrence // occurrences that have been due, by number
 }
@@ -452,5 +454,17 @@
 	return runs
 }
 
+// HasPlannedRun reports whether a run waits for the job's record to be stored.
+func (j *Job) HasPlannedRun() bool {
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			if s.Active > 0 && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Run != nil && t.Run.Phase == Planned }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Queue returns the name of the queue to which the job was submitted.
 func (j *Job) Queue() string { return j.Submission.Queue.Name }
