--- a/jobowner/intake_test.go
+++ b/jobowner/intake_test.go
@@ -107,3 +107,55 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// Each read of a page of the list of workers takes long, and its workers write their heartbeats. Guards against a list
+// that stays older than its limit without end, because its pages do not fit into one timeout: nothing is started.
+func TestJobsStartWithASlowListOfWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		for n := range 30 {
+			s.addWorker(fmt.Sprint("w", n), n)
+		}
+		a := s.start("a")
+		time.Sleep(time.Second)
+		a.client.SetLatencyOf("range", 650*time.Millisecond)
+		a.client.SetLatencyOf("watch", 650*time.Millisecond)
+		for n := range 40 {
+			id := fmt.Sprint("w", n%30)
+			raw, _ := s.store.Value(workersPrefix + id)
+			s.store.Put(workersPrefix+id, raw)
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.submit("job", "batch", tasks(1, 1))
+		s.announce(a, "job")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, 1, s.fleet.StartCount())
+		s.requireNoViolations(t)
+	})
+}
+
+// A job is accepted while the owner's reads of the store are not answered, nobody announces it, and the store drops its
+// history. Guards against a job that waits for the next owner after the store answers again.
+func TestJobAcceptedWhileTheOwnerCannotRead(t *testing.T) {
+	for _, compact := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSystem()
+			defer s.stop()
+			s.addWorker("w0", 0)
+			a := s.start("a")
+			time.Sleep(time.Second)
+			a.hangCalls("watch", "range")
+			time.Sleep(4 * time.Second)
+			s.submit("job", "batch", tasks(1, 1))
+			time.Sleep(6 * time.Second)
+			if compact {
+				s.store.Compact()
+			}
+			a.hangCalls()
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, 1, s.fleet.StartCount())
+			s.requireNoViolations(t)
+		})
+	}
+}
--- a/jobowner/load.go
+++ b/jobowner/load.go
@@ -16,6 +16,11 @@
 	// maxIntakeAge is the age from which the jobs read from the store count as stale. A watch of the intake
 	// answers within two seconds, and may take one more.
 	maxIntakeAge = 4 * time.Second
+	// maxLoadTime is how long a term may take to read its jobs while its ownership is confirmed. Then another
+	// instance may have better access to the store.
+	maxLoadTime = 15 * time.Second
+	// loadCheckInterval is the time between two checks of maxLoadTime.
+	loadCheckInterval = time.Second
 )
 
 // loadReport describes the read of the job records at the start of a term.
@@ -48,6 +53,26 @@
 	}
 }
 
+// limitLoadTime ends the term if its jobs are not loaded after maxLoadTime of confirmed ownership. Time without
+// confirmation does not count: in an outage of the store no other instance could read them either.
+func (t *Term) limitLoadTime(ctx context.Context) {
+	confirmed := time.Duration(0)
+	for confirmed < maxLoadTime {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.loaded:
+			return
+		case <-time.After(loadCheckInterval):
+		}
+		confirmed += loadCheckInterval
+		if !t.opts.OwnershipConfirmed() {
+			confirmed = 0
+		}
+	}
+	t.terminate("the jobs could not be read in time")
+}
+
 func (t *Term) logLoaded(intakeTook time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 	"github.com/cyclamenyard/cyclamenyard/placement"
@@ -203,13 +204,15 @@
 // and calls Loaded. workers watches the platform's list of workers; it starts once all jobs are
 // loaded, because the runs in a worker's report can only be matched then. All goroutines of the
 // term have returned when Run returns.
-func (t *Term) Run(ctx context.Context, jobs, workers func(context.Context)) error {
+func (t *Term) Run(ctx context.Context, jobs, workers func(context.Context)) {
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	defer t.cancel()
 	ctx = t.ctx
 	t.startedAt = time.Now()
-	if err := t.load(ctx); err != nil {
-		return err
+	defer t.tasks.Wait()
+	defer t.cancel()
+	t.goGuarded(ctx, t.limitLoadTime)
+	if !t.load(ctx) {
+		return
 	}
 	t.goGuarded(ctx, jobs)
 	if t.awaitLoaded(ctx) {
@@ -218,9 +221,6 @@
 		t.loop(ctx)
 		t.resetGauges()
 	}
-	t.cancel()
-	t.tasks.Wait()
-	return nil
 }
 
 // goGuarded runs f in a goroutine of the term and restarts it after a panic.
@@ -232,9 +232,9 @@
 	}()
 }
 
-// load reads the records of all jobs. Former owners cannot change them any more, because every
-// write of an owner is conditional on its own term.
-func (t *Term) load(ctx context.Context) error {
+// load reads the records of all jobs, and returns false if ctx ends before. Former owners cannot change the
+// records any more, because every write of an owner is conditional on its own term.
+func (t *Term) load(ctx context.Context) bool {
 	records := metastore.NewRangeReader(t.opts.Store, RecordPrefix)
 	for {
 		items, _, err := records.Read(ctx)
@@ -243,13 +243,11 @@
 			completed := t.opts.Completed(ctx)
 			t.loading = loadReport{records: len(items), completed: len(completed), recordsTook: read.Sub(t.startedAt), completedTook: time.Since(read)}
 			t.indexRecords(items, completed)
-			return nil
+			return true
 		}
 		t.opts.Log.Warn("cannot read job records; retrying", zap.Error(err))
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(retryDelay):
+		if !wait.For(ctx, retryDelay) {
+			return false
 		}
 	}
 }
