--- a/internal/testplatform/standing.go
+++ b/internal/testplatform/standing.go
@@ -88,14 +88,18 @@
 type survey struct {
 	jobs   map[string]bool // jobs with a run
 	tasks  map[string]bool // tasks with a run
+	used   float64         // largest share of a resource of all workers that is in use
 	listed map[string]bool // tasks of which a worker lists an end as done that counts and is not acknowledged
 }
 
 func (f *Fleet) survey() *survey {
 	v := &survey{jobs: map[string]bool{}, tasks: map[string]bool{}, listed: map[string]bool{}}
+	var used, capacity workload.Resources
 	for _, w := range f.workers {
+		capacity = capacity.Add(w.entry.Capacity)
 		for task, r := range w.runs {
 			v.jobs[r.name.Job], v.tasks[task] = true, true
+			used = used.Add(f.jobs[r.name.Job].Steps[r.name.Step].Allocation())
 		}
 		for _, e := range w.ended {
 			if e.Outcome == jobstate.EndDone && e.Sequence > w.voidUpTo {
@@ -103,6 +107,8 @@
 			}
 		}
 	}
+	share := func(a, b int) float64 { return float64(a) / max(1, float64(b)) }
+	v.used = max(share(used.MilliCPU, capacity.MilliCPU), share(used.MemoryMB, capacity.MemoryMB), share(used.Accelerators, capacity.Accelerators))
 	return v
 }
 
@@ -122,7 +128,7 @@
 		if v.jobs[id] {
 			waiting = ""
 		}
-		f.checkStandingSince(id, waiting, f.standing.ended[id])
+		f.checkStandingSince(v, id, waiting, f.standing.ended[id])
 	}
 }
 
@@ -155,7 +161,7 @@
 					task = name.String()
 				}
 				if step.LongRunning {
-					f.checkStandingSince(name.String(), task, f.standing.ended[name.String()].Add(restartGrace))
+					f.checkStandingSince(v, name.String(), task, f.standing.ended[name.String()].Add(restartGrace))
 				} else if waiting == "" {
 					waiting = task
 				}
@@ -167,7 +173,7 @@
 
 // checkStandingSince updates since when the job or task with the key stands, and checks how long that is.
 // waiting is the task that can run, or "" if there is none. Times before earliest do not count.
-func (f *Fleet) checkStandingSince(key, waiting string, earliest time.Time) {
+func (f *Fleet) checkStandingSince(v *survey, key, waiting string, earliest time.Time) {
 	s := &f.standing
 	calm := f.CalmSince()
 	now := time.Now()
@@ -180,7 +186,7 @@
 	}
 	since := later(later(s.since[key], earliest), later(calm, s.mayStandUntil(key)).Add(calmBefore))
 	if now.Sub(since) > standingBound {
-		f.violate("LOST", "%s has nothing running although %s can run, for %v", key, waiting, now.Sub(s.since[key]))
+		f.violate("LOST", "%s has nothing running although %s can run, for %v, with %.0f%% of the capacity in use", key, waiting, now.Sub(s.since[key]), 100*v.used)
 		s.since[key] = now
 	}
 }
