--- a/internal/testplatform/store.go
+++ b/internal/testplatform/store.go
@@ -48,6 +48,7 @@
 	revision    uint64
 	compactedTo uint64 // the history starts after this revision
 	items       map[string]metastore.Item
+	keys        []string // of items, in order
 	leases      map[int64]*lease
 	keyLeases   map[string]int64 // lease of each key that has one
 	history     []metastore.Change
@@ -125,6 +126,9 @@
 	created := s.revision
 	if old, ok := s.items[key]; ok {
 		created = old.Created
+	} else {
+		n, _ := slices.BinarySearch(s.keys, key)
+		s.keys = slices.Insert(s.keys, n, key)
 	}
 	item := metastore.Item{Key: key, Value: value, Revision: s.revision, Created: created}
 	s.items[key] = item
@@ -138,6 +142,8 @@
 	}
 	delete(s.items, key)
 	delete(s.keyLeases, key)
+	n, _ := slices.BinarySearch(s.keys, key)
+	s.keys = slices.Delete(s.keys, n, n+1)
 	s.record(metastore.Change{Item: metastore.Item{Key: key, Revision: s.revision}, Removed: true})
 }
 
@@ -305,10 +311,14 @@
 		defer s.mu.Unlock()
 		s.expire()
 		page = metastore.Page{AsOf: s.revision}
-		for _, key := range slices.Sorted(maps.Keys(s.items)) {
-			if !strings.HasPrefix(key, prefix) || key <= after {
+		first, _ := slices.BinarySearch(s.keys, max(prefix, after))
+		for _, key := range s.keys[first:] {
+			if key == after {
 				continue
 			}
+			if !strings.HasPrefix(key, prefix) {
+				break
+			}
 			if len(page.Items) == s.PageSize {
 				page.More = true
 				break
