jobservice: an owner that was paused answers queries from the store

Cause: the term of a process that is stopped or suspended ends only when its next call to the store is answered; until then State, Pending and the peers' queries are answered from its memory, although its lease has expired and a successor may have gone on.

The memory is used only while the ownership was confirmed within the lifetime of the owner's lease, so that no successor can exist, or while the store answers nobody. Otherwise the answer comes from the store. TestPausedOwnerAnswersFromTheStore failed before: running instead of completed, and a reply as owner.

--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -71,9 +71,11 @@
 	Elector      *ownership.Elector
 	Instance     string
 	Term         func() Term // nil when this instance is not the owner
-	PeerClient   func(address string) relay.DRPCRelayClient
-	Log          *zap.Logger
-	Metrics      metrics.Registry
+	// OwnershipValid reports whether no other instance can have become the owner without this one's knowledge.
+	OwnershipValid func() bool
+	PeerClient     func(address string) relay.DRPCRelayClient
+	Log            *zap.Logger
+	Metrics        metrics.Registry
 }
 
 // Service serves the job calls of one instance.
@@ -302,10 +304,19 @@
 	return s.createKey(ctx, jobowner.CancelKey(id), []byte("{}"))
 }
 
+// currentTerm returns the term of this instance, or nil if it has none or another instance may have become the
+// owner, so that the store may hold newer states.
+func (s *Service) currentTerm() Term {
+	if term := s.opts.Term(); term != nil && s.opts.OwnershipValid() {
+		return term
+	}
+	return nil
+}
+
 // State returns the state of the job as reported to callers. It asks the owner first, and reads
 // the store if the owner does not have the job or does not answer.
 func (s *Service) State(ctx context.Context, id string) (workload.State, error) {
-	if term := s.opts.Term(); term != nil {
+	if term := s.currentTerm(); term != nil {
 		if state, ok := term.State(ctx, id); ok {
 			s.local.Inc(1)
 			return state, nil
@@ -393,7 +404,7 @@
 // Pending returns the number of accepted jobs of the route that have not started.
 func (s *Service) Pending(ctx context.Context, route string) (int, error) {
 	for timeRemains(ctx) {
-		if term := s.opts.Term(); term != nil {
+		if term := s.currentTerm(); term != nil {
 			if n, ok := term.Pending(route); ok {
 				return n, nil
 			}
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -59,6 +59,7 @@
 	client  *testplatform.Client
 	elector *ownership.Elector
 	metrics metrics.Registry
+	deposed bool // another instance may have become the owner
 }
 
 func (i *instance) count(name string) int64 {
@@ -76,7 +77,7 @@
 	i.elector = elector
 	i.Service = jobservice.New(jobservice.Options{Store: monitor, StoreHealthy: monitor.Healthy, CheckStore: monitor.Check, WriteTimeout: monitor.CallTimeout,
 		Elector: elector, Instance: "self", Log: zap.NewNop(), Metrics: i.metrics,
-		Term: func() jobservice.Term { return term },
+		Term: func() jobservice.Term { return term }, OwnershipValid: func() bool { return !i.deposed },
 		PeerClient: func(string) relay.DRPCRelayClient {
 			if peer == nil {
 				return failingPeer{}
@@ -103,6 +104,35 @@
 	return &workload.Submission{ID: id, Steps: []workload.Step{{Tasks: 1}}}
 }
 
+// staleTerm is a term that shows each job as running.
+type staleTerm struct{ jobservice.Term }
+
+func (staleTerm) State(context.Context, string) (workload.State, bool) { return workload.Running, true }
+
+// Guards against a job that callers see as running again after it was shown as completed: an owner that was
+// paused answered queries from the memory of its term before it was told of its successor.
+func TestPausedOwnerAnswersFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		raw, err := (&workload.Record{State: workload.Completed}).Encode()
+		assert.NoError(t, err)
+		s.Put(jobowner.RecordKey(id), raw)
+		i := newInstance(s, staleTerm{}, nil)
+		ctx, cancel := deadline()
+		defer cancel()
+		state, err := i.State(ctx, id)
+		assert.NoError(t, err)
+		assert.Equal(t, workload.Running, state)
+		i.deposed = true
+		state, err = i.State(ctx, id)
+		assert.NoError(t, err)
+		assert.Equal(t, workload.Completed, state)
+		reply, err := i.HandleQuery(ctx, &relay.QueryRequest{Job: id})
+		assert.NoError(t, err)
+		assert.False(t, reply.Owner)
+	})
+}
+
 // Guards against an accepted submission that is not stored, and against one that a repeated submission of its
 // id replaces.
 func TestSubmitTwice(t *testing.T) {
@@ -310,7 +340,7 @@
 		elector.Apply(metastore.Change{Item: metastore.Item{Key: ownership.OwnerPrefix, Value: []byte(`{"name":"peer","address":"peer"}`), Created: 7}})
 		service := jobservice.New(jobservice.Options{Store: monitor, StoreHealthy: monitor.Healthy, CheckStore: monitor.Check, WriteTimeout: monitor.CallTimeout,
 			Elector: elector, Instance: "self", Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
-			Term: func() jobservice.Term { return nil }, PeerClient: func(string) relay.DRPCRelayClient { return unresponsivePeer{} }})
+			Term: func() jobservice.Term { return nil }, OwnershipValid: func() bool { return false }, PeerClient: func(string) relay.DRPCRelayClient { return unresponsivePeer{} }})
 		ctx, cancel := deadline()
 		defer cancel()
 		began := time.Now()
--- a/jobservice/peer.go
+++ b/jobservice/peer.go
@@ -10,7 +10,7 @@
 
 // HandleQuery handles a peer's query. If this instance is not the owner, the reply is empty.
 func (s *Service) HandleQuery(ctx context.Context, q *relay.QueryRequest) (*relay.QueryReply, error) {
-	term := s.opts.Term()
+	term := s.currentTerm()
 	if term == nil {
 		return &relay.QueryReply{}, nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -137,7 +137,10 @@
 	})
 	n.jobs = jobservice.New(jobservice.Options{
 		Store: n.store, StoreHealthy: n.store.Healthy, CheckStore: n.store.Check, WriteTimeout: n.store.CallTimeout, Elector: n.elector, Instance: o.Instance, Log: o.Log, Metrics: o.Metrics,
-		Term:       n.currentTerm,
+		Term: n.currentTerm,
+		OwnershipValid: func() bool {
+			return n.elector.ConfirmedWithin(ownership.OwnerTTL) || n.operatorData.storeOutage.Load()
+		},
 		PeerClient: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
 	})
 	n.front = jobfront.New(jobfront.Options{Codec: o.Adapter.Codec, Jobs: n.jobs, Config: n.operatorData.confirmedConfig, StoreOutage: n.store.FailingFor, Guard: n.guard, Log: o.Log, Metrics: o.Metrics})
