jobowner: record lease ends on the clock of another worker

Callers saw jobs stand after a worker had vanished and the owner had changed, the longer the more often it changed: up to 8 s beyond the end of the lease.

Cause: an owner records the end of the lease of a worker that does not answer as a wall-clock time. A successor trusts it only 8 s later, because the wall clocks of both instances may have jumped, and otherwise waits for its own start plus 13 s. With two or three changes of owner within 13 s the later of these counts, so that each change extended the wait.

The fix adds the same end on the clock of another worker (the reference), which all owners can read: workers' clocks are steady and at most 2% slow. A worker that has answered after the vanished one, or is in another data centre, is chosen, and another one when it is gone. The reading is an upper bound of the reference's clock, with the time since its request was sent and the time in suspension; a successor counts with the slowest clock. Without a reference, everything is as before.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
 )
@@ -47,6 +48,7 @@
 	storedEnd   int64 // sequence number of the newest end whose effect is in the store
 	clockMs     int64 // the worker's clock in its newest answer, received at clockAt
 	clockAt     time.Time
+	clockAsked  suspend.Stamp // when the request for that answer was sent
 	failures    int
 	lastAnswer  time.Time
 	throttledAt time.Time // when the fillers on the worker were last adjusted
--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -46,28 +46,6 @@
 	t.wakeLoop()
 }
 
-// inheritedLease is how long after the start of the term a worker that has not answered yet may
-// hold a lease from a former owner.
-func (t *Term) inheritedLease() time.Duration {
-	return predecessorRenewal + t.maxLeaseDuration()
-}
-
-// inheritedLeaseEnd returns the time by which the lease of a worker that has not answered in this term
-// has expired: the end of the longest lease that the predecessor may have granted. If a former owner got
-// no answer from the worker and recorded the end of its lease, this end plus wallClockMargin is used if
-// it is earlier.
-func (t *Term) inheritedLeaseEnd(w *jobstate.Worker, now time.Time) time.Time {
-	ends := t.startedAt.Add(t.inheritedLease())
-	if w.RecordedLeaseEnds == 0 {
-		return ends
-	}
-	left := time.Duration(w.RecordedLeaseEnds-t.opts.WallClock().UnixMilli()) * time.Millisecond
-	if recorded := now.Add(left + wallClockMargin); recorded.Before(ends) {
-		return recorded
-	}
-	return ends
-}
-
 // isUnresponsive reports whether the last requests to the worker failed, or whether firstListingGrace has
 // passed for a worker that is not listed.
 func (t *Term) isUnresponsive(w *jobstate.Worker, now time.Time) bool {
@@ -78,12 +56,6 @@
 	return a.failures >= maxFailedReports
 }
 
-// maxLeaseDuration is how long a lease granted now lasts at most by this process's clock, with
-// clockDrift and leaseMargin added.
-func (t *Term) maxLeaseDuration() time.Duration {
-	return t.opts.MaxLease + time.Duration(clockDrift*float64(t.opts.MaxLease)) + leaseMargin
-}
-
 // dropReplacedWorker drops the worker that w has replaced at its address.
 func (t *Term) dropReplacedWorker(w *jobstate.Worker, e workerapi.Entry, now time.Time) {
 	if e.Worker.Address == "" {
@@ -136,10 +108,15 @@
 		if w.LeaseEnds.IsZero() && len(w.Runs) > 0 {
 			w.LeaseEnds = t.inheritedLeaseEnd(w, now) // only job records mention it
 		}
+		t.applyRecordedLeaseClock(w, now)
 		if !w.Unresponsive && t.hasOrderedRuns(w) && t.isUnresponsive(w, now) {
 			w.Unresponsive = true
 			w.MarkJobsDirty()
 		}
+		if w.Unresponsive && len(w.Runs) > 0 && t.needsLeaseClock(w, now) {
+			w.RecordedLeaseClock = t.leaseClock(w, now)
+			w.MarkJobsDirty()
+		}
 		if since, ok := t.unlistedSince[w]; ok && t.hasLeft(w, since, now) {
 			t.dropWorker(w, "no entry and no answer", now)
 			continue
--- /dev/null
+++ b/jobowner/lease.go
@@ -0,0 +1,116 @@
+package jobowner
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// inheritedLease is how long after the start of the term a worker that has not answered yet may
+// hold a lease from a former owner.
+func (t *Term) inheritedLease() time.Duration {
+	return predecessorRenewal + t.maxLeaseDuration()
+}
+
+// inheritedLeaseEnd returns the time by which the lease of a worker that has not answered in this term
+// has expired: the end of the longest lease that the predecessor may have granted. If a former owner got
+// no answer from the worker and recorded the end of its lease, this end plus wallClockMargin is used if
+// it is earlier.
+func (t *Term) inheritedLeaseEnd(w *jobstate.Worker, now time.Time) time.Time {
+	ends := t.startedAt.Add(t.inheritedLease())
+	if w.RecordedLeaseEnds == 0 {
+		return ends
+	}
+	left := time.Duration(w.RecordedLeaseEnds-t.opts.WallClock().UnixMilli()) * time.Millisecond
+	if recorded := now.Add(left + wallClockMargin); recorded.Before(ends) {
+		return recorded
+	}
+	return ends
+}
+
+// maxLeaseDuration is how long a lease granted now lasts at most by this process's clock, with
+// clockDrift and leaseMargin added.
+func (t *Term) maxLeaseDuration() time.Duration {
+	return t.opts.MaxLease + time.Duration(clockDrift*float64(t.opts.MaxLease)) + leaseMargin
+}
+
+// needsLeaseClock reports whether the end of the worker's lease is to be recorded on the clock of another worker:
+// that was not done, or the other worker is gone, and there is a worker to replace it.
+func (t *Term) needsLeaseClock(w *jobstate.Worker, now time.Time) bool {
+	if end := w.RecordedLeaseClock; end != nil && t.mayAnswer(end, now) {
+		return false
+	}
+	return t.referenceFor(w) != nil
+}
+
+// mayAnswer reports whether the incarnation of the worker has answered in this term or still may.
+func (t *Term) mayAnswer(reading *workload.ClockReading, now time.Time) bool {
+	a := t.agents[reading.Worker]
+	if a == nil {
+		return now.Sub(t.startedAt) < firstListingGrace
+	}
+	return a.worker.Incarnation <= reading.Incarnation && (!a.clockAt.IsZero() || a.failures < maxFailedReports)
+}
+
+// referenceFor returns the agent of the worker with the best clock for leaseClock, or nil.
+func (t *Term) referenceFor(w *jobstate.Worker) *agent {
+	var lastAnswer time.Time
+	if a := t.agents[w.ID]; a != nil {
+		lastAnswer = a.lastAnswer
+	}
+	// A worker that has answered later, or is in another data centre, is less likely to have failed too.
+	rank := func(a *agent) int {
+		n := 0
+		if a.lastAnswer.After(lastAnswer) {
+			n += 2
+		}
+		if a.worker.DataCentre != w.DataCentre {
+			n++
+		}
+		return n
+	}
+	var best *agent
+	for _, a := range t.agents {
+		if a.worker == w || !a.worker.Answered || !a.worker.Listed || a.worker.Draining || a.failures > 0 || a.clockAt.IsZero() {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(rank(a), rank(best)), cmp.Compare(best.worker.ID, a.worker.ID)) > 0 {
+			best = a
+		}
+	}
+	return best
+}
+
+// leaseClock returns the end of the worker's lease on the clock of another worker, so that later owners can tell
+// without a common wall clock whether it has passed. It returns nil if no other worker answers.
+func (t *Term) leaseClock(w *jobstate.Worker, now time.Time) *workload.ClockReading {
+	reference := t.referenceFor(w)
+	if reference == nil {
+		return nil
+	}
+	// The worker read its clock after the request was sent.
+	clock := reference.clockMs + reference.clockAsked.Age(now, t.opts.Suspended()).Milliseconds()
+	return &workload.ClockReading{Worker: reference.worker.ID, Incarnation: reference.worker.Incarnation,
+		Clock: clock + w.LeaseEnds.Sub(now).Milliseconds() + 1}
+}
+
+// applyRecordedLeaseClock shortens the lease of a worker that has not answered in this term to the end that a
+// former owner recorded on the clock of another worker, if that worker has answered. The caller holds the lock.
+func (t *Term) applyRecordedLeaseClock(w *jobstate.Worker, now time.Time) {
+	end := w.RecordedLeaseClock
+	if end == nil || w.Answered || w.LeaseEnds.IsZero() {
+		return
+	}
+	a := t.agents[end.Worker]
+	if a == nil || a.worker.Incarnation != end.Incarnation || a.clockAt.IsZero() {
+		return
+	}
+	// Both the time since the reading and the time left may be longer than a slow clock shows.
+	elapsed := float64(now.Sub(a.clockAt).Milliseconds()) * (1 - clockDrift)
+	left := (float64(end.Clock-a.clockMs) - elapsed) / (1 - clockDrift)
+	if ends := now.Add(time.Duration(left * float64(time.Millisecond))); ends.Before(w.LeaseEnds) {
+		w.LeaseEnds = ends
+	}
+}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -92,11 +92,12 @@
 		target := a.target()
 		t.mu.Unlock()
 
+		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, orderTimeout(attempt))
 		clock, err := t.opts.Workers.Start(call, target, order)
 		cancel()
 		if err == nil {
-			t.startConfirmed(a, r, clock)
+			t.startConfirmed(a, r, clock, sent)
 			return
 		}
 		if ctx.Err() != nil {
@@ -175,11 +176,11 @@
 	}
 }
 
-func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64) {
+func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64, sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	a.recordAnswer(clock, now)
+	a.recordAnswer(clock, sent, now)
 	if r.Worker == a.worker && r.StartedAt.IsZero() {
 		if _, present := a.worker.Runs[r]; present {
 			r.StartAnswered = true
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/placement"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
@@ -27,7 +28,7 @@
 		return
 	}
 	changed := !w.Answered || w.Unresponsive || len(w.Untracked) > 0
-	a.recordAnswer(report.Clock, now)
+	a.recordAnswer(report.Clock, sent, now)
 	w.ReportedAt = later(w.ReportedAt, sent)
 	runs := make(map[runKey]*jobstate.Run, len(w.Runs))
 	for r := range w.Runs {
@@ -85,8 +86,9 @@
 	t.wakeLoop()
 }
 
-// recordAnswer updates the worker's liveness and clock after an answer. The caller holds the lock.
-func (a *agent) recordAnswer(clock int64, now time.Time) {
+// recordAnswer updates the worker's liveness and clock after an answer to a request that was sent at sent. The
+// caller holds the lock.
+func (a *agent) recordAnswer(clock int64, sent, now time.Time) {
 	if !a.worker.Answered {
 		a.worker.Answered = true
 		a.worker.LeaseEnds = now.Add(a.t.maxLeaseDuration()) // after this answer no former owner can renew it
@@ -95,11 +97,11 @@
 	a.failures = 0
 	a.lastAnswer = now
 	if a.worker.Unresponsive {
-		a.worker.Unresponsive, a.worker.RecordedLeaseEnds = false, 0
+		a.worker.Unresponsive, a.worker.RecordedLeaseEnds, a.worker.RecordedLeaseClock = false, 0, nil
 		a.worker.MarkJobsDirty()
 	}
 	if a.clockAt.IsZero() || clock > a.clockMs {
-		a.clockMs, a.clockAt = clock, now
+		a.clockMs, a.clockAt, a.clockAsked = clock, now, suspend.NewStamp(sent, a.t.opts.Suspended())
 	}
 }
 
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -214,7 +214,10 @@
 	// renewed, because the stored end must remain valid.
 	Unresponsive       bool
 	UnresponsiveStored bool  // a stored record may contain the end of its lease
-	RecordedLeaseEnds  int64 // end of its lease as stored by a former owner, Unix milliseconds; 0 if none is stored
+	RecordedLeaseEnds  int64 // end of its lease as stored, Unix milliseconds; 0 if none is stored
+	// RecordedLeaseClock is the same end on the clock of another worker, which does not depend on the wall
+	// clocks of instances; nil if none is stored.
+	RecordedLeaseClock *workload.ClockReading
 
 	// Epoch is the number of earlier incarnations with the same id since the start of the term.
 	Epoch uint64
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -43,25 +43,25 @@
 		if t.Run != nil {
 			w := t.Run.Worker
 			tr.Worker, tr.Incarnation, tr.Address = w.ID, w.Incarnation, w.Address
-			tr.LeaseEnds = w.unresponsiveLeaseEnds(wall, now)
+			tr.LeaseEnds, tr.LeaseClock = w.storeLeaseEnds(wall, now)
 		}
 		r.Tasks = append(r.Tasks, tr)
 	}
 	return r
 }
 
-// unresponsiveLeaseEnds returns the latest possible end of the lease of a worker that does not answer, in
-// Unix milliseconds, and sets UnresponsiveStored because the caller stores the result. It returns 0 for a
-// worker that answers.
-func (w *Worker) unresponsiveLeaseEnds(wall int64, now time.Time) int64 {
+// storeLeaseEnds returns the latest possible end of the lease of a worker that does not answer, in Unix
+// milliseconds and, if set, on the clock of another worker. It sets UnresponsiveStored because the caller stores
+// the result. It returns 0 for a worker that answers.
+func (w *Worker) storeLeaseEnds(wall int64, now time.Time) (int64, *workload.ClockReading) {
 	if !w.Unresponsive {
-		return 0
+		return 0, nil
 	}
 	w.UnresponsiveStored = true
-	if w.RecordedLeaseEnds != 0 {
-		return w.RecordedLeaseEnds
+	if w.RecordedLeaseEnds == 0 {
+		w.RecordedLeaseEnds = wall + w.LeaseEnds.Sub(now).Milliseconds()
 	}
-	return wall + w.LeaseEnds.Sub(now).Milliseconds()
+	return w.RecordedLeaseEnds, w.RecordedLeaseClock
 }
 
 // Restore sets the job's progress from its stored record. Runs whose end is not recorded become ordered
@@ -123,7 +123,10 @@
 			w.Address = tr.Address
 		}
 		if w.Incarnation == tr.Incarnation && tr.LeaseEnds != 0 {
-			w.Unresponsive, w.UnresponsiveStored, w.RecordedLeaseEnds = true, true, max(w.RecordedLeaseEnds, tr.LeaseEnds)
+			w.Unresponsive, w.UnresponsiveStored = true, true
+			if tr.LeaseEnds > w.RecordedLeaseEnds {
+				w.RecordedLeaseEnds, w.RecordedLeaseClock = tr.LeaseEnds, tr.LeaseClock
+			}
 		}
 		run := c.Place(t, w, tr.LastRun, now)
 		run.Phase = Ordered
--- a/workload/record.go
+++ b/workload/record.go
@@ -31,6 +31,15 @@
 	Incarnation int64  `json:"l,omitempty"` // of that worker
 	Address     string `json:"a,omitempty"` // of that worker; lets a later owner detect that another worker replaced it
 	LeaseEnds   int64  `json:"u,omitempty"` // latest end of the lease of an unresponsive worker, Unix milliseconds
+
+	LeaseClock *ClockReading `json:"uc,omitempty"` // latest end of that lease, on the clock of another worker
+}
+
+// ClockReading is a time on the clock of an incarnation of a worker.
+type ClockReading struct {
+	Worker      string `json:"w"`
+	Incarnation int64  `json:"l"`
+	Clock       int64  `json:"c"` // milliseconds
 }
 
 // StepRecord is the stored progress of a step.
