jobowner: keep the lease of starts that reached the next incarnation

Callers could see a task run twice: rule TWICE, found by the fuzz with releases and power losses.

Cause: a worker restarts, and a start that this owner had sent to it is carried out by the next incarnation, whose answers are lost. When the owner reads the new entry, it moves the run to the next incarnation, whose lease end is not known. It took the end of the longest lease of a former owner, 13 s after the start of its own term, which has passed in an older term: the run was ended at once and the task started elsewhere.

The fix takes 12 s for an order that is carried out late plus a full lease, if this owner has sent such a start. The wait ends with the first answer of the worker, which shows whether it runs the task.

--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -40,7 +40,7 @@
 	}
 	a := t.ensureAgent(w)
 	if a.clockAt.IsZero() && w.LeaseEnds.IsZero() {
-		w.LeaseEnds = t.inheritedLeaseEnd(w, now)
+		w.LeaseEnds = t.initialLeaseEnd(w, now)
 	}
 	a.signal()
 	t.wakeLoop()
@@ -106,7 +106,7 @@
 func (t *Term) checkWorkers(now time.Time) {
 	for _, w := range t.cluster.Workers {
 		if w.LeaseEnds.IsZero() && len(w.Runs) > 0 {
-			w.LeaseEnds = t.inheritedLeaseEnd(w, now) // only job records mention it
+			w.LeaseEnds = t.initialLeaseEnd(w, now) // it is not listed
 		}
 		t.applyRecordedLeaseClock(w, now)
 		if !w.Unresponsive && t.hasOrderedRuns(w) && t.isUnresponsive(w, now) {
--- a/jobowner/lease.go
+++ b/jobowner/lease.go
@@ -8,6 +8,21 @@
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
+// maxOrderDelay is the longest time after which an order without an answer is carried out.
+const maxOrderDelay = 12 * time.Second
+
+// initialLeaseEnd returns the time by which the lease of a worker that has not answered in this term has
+// expired. If this owner has sent starts to a former incarnation of the worker, the worker may carry them out
+// late, and they grant a full lease.
+func (t *Term) initialLeaseEnd(w *jobstate.Worker, now time.Time) time.Time {
+	for r := range w.Runs {
+		if r.StartSent {
+			return now.Add(maxOrderDelay + t.maxLeaseDuration())
+		}
+	}
+	return t.inheritedLeaseEnd(w, now)
+}
+
 // inheritedLease is how long after the start of the term a worker that has not answered yet may
 // hold a lease from a former owner.
 func (t *Term) inheritedLease() time.Duration {
