jobowner: record lease ends of unlisted workers at once

Callers saw jobs stand for about 20 s after a worker had vanished, when several owners in a row were lost within 2 s.

Cause: an owner records the end of the lease of a worker that does not answer. A worker that only job records mention counted as unresponsive 2 s after the start of the term, whether or not the list of workers had been read. Owners that were lost sooner recorded nothing, and each successor waited for 13 s from its own start.

The fix records the lease end as soon as the list of workers has been read without the worker. If it is listed later and answers, the record is written again and its lease is renewed, as for each worker that recovers.

TestOwnerChangesKeepTheRecordedLeaseEnd shares its steps with the new test and runs one instance at a time, so that the instance that is ended is the owner.

--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
 )
@@ -46,12 +47,12 @@
 	t.wakeLoop()
 }
 
-// isUnresponsive reports whether the last requests to the worker failed, or whether firstListingGrace has
-// passed for a worker that is not listed.
+// isUnresponsive reports whether the last requests to the worker failed. A worker that is not listed counts as
+// unresponsive once the list has been read, and after firstListingGrace.
 func (t *Term) isUnresponsive(w *jobstate.Worker, now time.Time) bool {
 	a := t.agents[w.ID]
 	if a == nil || a.worker != w {
-		return now.Sub(t.startedAt) > firstListingGrace
+		return t.listAsOf != (suspend.Stamp{}) || now.Sub(t.startedAt) > firstListingGrace
 	}
 	return a.failures >= maxFailedReports
 }
--- a/jobowner/standing_test.go
+++ b/jobowner/standing_test.go
@@ -1,6 +1,7 @@
 package jobowner_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,25 +47,37 @@
 // Guards against jobs that stand because each change of owner extends the wait for the lease of a worker that
 // vanished: the lease end that a former owner recorded was trusted only 8 s later.
 func TestOwnerChangesKeepTheRecordedLeaseEnd(t *testing.T) {
+	requireRestartAcrossOwners(t, 3, 4500*time.Millisecond)
+}
+
+// Guards against the same wait after terms that are too short to record a lease end: an owner waited 2 s for the
+// entry of a worker that its list did not contain.
+func TestShortTermsRecordTheLeaseEnd(t *testing.T) {
+	requireRestartAcrossOwners(t, 5, 2200*time.Millisecond)
+}
+
+// requireRestartAcrossOwners requires that the tasks of a worker that vanished together with the owner run on
+// another worker in time, although the owner changes further times at the given interval.
+func requireRestartAcrossOwners(t *testing.T, changes int, interval time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem()
 		defer s.stop()
 		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
 		s.addWorker("w0", 0)
-		s.start("a")
+		s.start("a0")
 		time.Sleep(time.Second)
 		s.submit("job", "batch", tasks(2, 1))
 		time.Sleep(time.Second)
 		s.addWorker("w1", 0)
-		s.start("b")
 		s.fleet.RemoveWorker("w0")
 		s.store.Remove(workersPrefix + "w0")
-		for _, name := range []string{"a", "b", "c", "d"} {
-			s.kill(name)
-			s.start(string(name[0] + 2))
-			time.Sleep(3 * time.Second)
+		limit := time.Now().Add(leaseLimit + standingLimit)
+		for n := range changes {
+			s.kill(fmt.Sprint("a", n))
+			s.start(fmt.Sprint("a", n+1)) // it becomes the owner 1.5 s later
+			time.Sleep(interval)
 		}
-		time.Sleep(leaseLimit + standingLimit - 12*time.Second)
+		time.Sleep(time.Until(limit))
 		assert.Equal(t, 4, s.fleet.StartCount(), "when the lease has been over for %v", standingLimit)
 		s.requireNoViolations(t)
 	})
