--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -78,19 +78,21 @@
 		if !ok {
 			return
 		}
-		if next := t.prepareStart(a, r, &order, attempt); next != sendStart {
+		target, next := t.prepareStart(a, r, &order, attempt)
+		if next != sendStart {
 			leave()
 			if next == abandonStart {
 				t.abandonStart(ctx, a, r, attempt > 1)
 			}
 			return
 		}
+		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, t.orderTimeout(attempt))
-		clock, err := t.opts.Workers.Start(call, a.target(), order)
+		clock, err := t.opts.Workers.Start(call, target, order)
 		cancel()
 		leave()
 		if err == nil {
-			t.startConfirmed(a, r, clock)
+			t.startConfirmed(a, r, clock, sent)
 			return
 		}
 		if ctx.Err() != nil {
@@ -123,23 +125,23 @@
 	abandonStart           // the worker may be leaving
 )
 
-// prepareStart checks whether the start may still be sent. The first attempt sets the lease: all attempts
-// grant the same one, so that an unreachable worker does not get a longer one.
-func (t *Term) prepareStart(a *agent, r *jobstate.Run, order *workerapi.Start, attempt int) startStep {
+// prepareStart checks whether the start may still be sent, and returns its target. The first attempt sets the
+// lease: all attempts grant the same one, so that an unreachable worker does not get a longer one.
+func (t *Term) prepareStart(a *agent, r *jobstate.Run, order *workerapi.Start, attempt int) (workerapi.Target, startStep) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	if r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() || t.agents[a.worker.ID] != a {
-		return dropStart
+		return workerapi.Target{}, dropStart
 	}
 	t.checkListAge(now) // this process may have been paused since the decision
 	if t.cluster.MayBeLeaving(a.worker) {
-		return abandonStart
+		return workerapi.Target{}, abandonStart
 	}
 	if attempt == 1 {
 		order.LeaseUntil = a.extendLease(now)
 	}
-	return sendStart
+	return a.target(), sendStart
 }
 
 // abandonStart ends the attempts to start a run on a worker that is leaving. sent is whether an order
@@ -197,11 +199,11 @@
 	}
 }
 
-func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64) {
+func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64, sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	a.recordAnswer(clock, now)
+	a.recordAnswer(clock, sent, now)
 	if r.Worker == a.worker && r.StartedAt.IsZero() {
 		if _, present := a.worker.Runs[r]; present {
 			r.StartAnswered = true
--- a/jobowner/standing_test.go
+++ b/jobowner/standing_test.go
@@ -1,16 +1,21 @@
 package jobowner_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
+// leaseLimit is the longest time that a lease may last on a worker's clock that is 2% slow.
+const leaseLimit = testplatform.MaxLease + testplatform.MaxLease/50
+
 // standingLimit is how long a task that can run may wait in calm times before and after the workers restart: 4 s
 // of calm, and 3 s in which its job has nothing running.
 const standingLimit = 7 * time.Second
@@ -38,3 +43,42 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// Guards against jobs that stand because each change of owner extends the wait for the lease of a worker that
+// vanished: the lease end that a former owner recorded was trusted only 8 s later.
+func TestOwnerChangesKeepTheRecordedLeaseEnd(t *testing.T) {
+	requireRestartAcrossOwners(t, 3, 4500*time.Millisecond)
+}
+
+// Guards against the same wait after terms that are too short to record a lease end: an owner waited 2 s for the
+// entry of a worker that its list did not contain.
+func TestShortTermsRecordTheLeaseEnd(t *testing.T) {
+	requireRestartAcrossOwners(t, 5, 2200*time.Millisecond)
+}
+
+// requireRestartAcrossOwners requires that the tasks of a worker that vanished together with the owner run on
+// another worker in time, although the owner changes further times at the given interval.
+func requireRestartAcrossOwners(t *testing.T, changes int, interval time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a0")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(2, 1))
+		time.Sleep(time.Second)
+		s.addWorker("w1", 0)
+		s.fleet.RemoveWorker("w0")
+		s.store.Remove(workersPrefix + "w0")
+		limit := time.Now().Add(leaseLimit + standingLimit)
+		for n := range changes {
+			s.kill(fmt.Sprint("a", n))
+			s.start(fmt.Sprint("a", n+1)) // it becomes the owner 1.5 s later
+			time.Sleep(interval)
+		}
+		time.Sleep(time.Until(limit))
+		assert.Equal(t, 4, s.fleet.StartCount(), "when the lease has been over for %v", standingLimit)
+		s.requireNoViolations(t)
+	})
+}
