--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +58,8 @@
 	CalmSince func() time.Time
 	// Ended reports whether callers see the job as ended, and Accepted whether its submission was acknowledged.
 	Ended, Accepted func(job string) bool
+	// BusyShare is the share of the workers' capacity in use from which CheckStanding lets jobs wait.
+	BusyShare float64
 	// MaxLease is the maximum duration of a worker's lease.
 	MaxLease time.Duration
 
@@ -123,7 +126,7 @@
 	}
 	created := time.Now()
 	f.standing, f.CalmSince, f.Ended = newStanding(), func() time.Time { return created }, f.jobDone
-	f.Accepted, f.MaxLease = func(string) bool { return true }, MaxLease
+	f.Accepted, f.MaxLease, f.BusyShare = func(string) bool { return true }, MaxLease, math.Inf(1)
 	f.SetFault(func(string, string) Fault { return None })
 	return f
 }
