jobowner, metastore: counters of two tests are atomic

The race detector reported the counter of TestResetWritesAreRepeatedWithAPause (go test -race ./jobowner); the one of TestMirrorContinuesTheWatchAfterAnOutage is of the same kind. The bounds are unchanged. go test -race -count=2 of metastore, ownership, node and jobowner: ok.

--- a/jobowner/commit_test.go
+++ b/jobowner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,18 +95,18 @@
 		s.addWorker("w0", 0)
 		a := s.start("a")
 		time.Sleep(time.Second)
-		commits := 0
+		var commits atomic.Int64
 		a.client.SetFault(func(call string) testplatform.Fault {
 			if call == "commit" {
-				commits++
+				commits.Add(1)
 				return testplatform.AnswerLost
 			}
 			return testplatform.None
 		})
 		s.submit("job", "batch", tasks(1, 1))
 		time.Sleep(2 * time.Second)
-		assert.Positive(t, commits)
-		assert.LessOrEqual(t, commits, 200, "one transaction every 10 ms")
+		assert.Positive(t, commits.Load())
+		assert.LessOrEqual(t, commits.Load(), int64(200), "one transaction every 10 ms")
 		a.hangCalls()
 		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 5*time.Second))
 		s.requireNoViolations(t)
--- a/metastore/range_test.go
+++ b/metastore/range_test.go
@@ -175,11 +175,11 @@
 		running.Go(func() { monitor.Run(ctx) })
 		running.Go(func() { m.Run(ctx) })
 		time.Sleep(time.Second)
-		reads := 0
+		var reads atomic.Int64
 		answerWith := func(fault testplatform.Fault) {
 			client.SetFault(func(call string) testplatform.Fault {
 				if call == "range" {
-					reads++
+					reads.Add(1)
 				}
 				return fault
 			})
@@ -188,7 +188,7 @@
 		time.Sleep(10 * time.Second)
 		answerWith(testplatform.None)
 		time.Sleep(5 * time.Second)
-		assert.Zero(t, reads)
+		assert.Zero(t, reads.Load())
 		cancel()
 		running.Wait()
 	})
