jobstate: workers that must get no work apart from those that are avoided

AvoidUntil had two meanings. A worker where runs failed or were slow is better left alone, but may be tried when there is no other. One that did not answer, refused a start, or may carry out a late order of its former incarnation must get no work: its runs would be uncertain, or could run twice. The latter is now BlockedUntil, and Cluster.Available tells which workers may be tried at all.

Probation and the count of failures no longer depend on the times in which a worker did not answer: these extended AvoidUntil, from which both are measured. Otherwise no change of behaviour.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -261,7 +261,7 @@
 		events.Warn(t.opts.Log, events.WorkerUnresponsive, zap.String("worker", a.worker.ID), zap.Int("runs", len(a.worker.Runs)), zap.Error(err))
 	}
 	if a.failures >= maxFailedReports {
-		a.worker.AvoidUntil = later(a.worker.AvoidUntil, now.Add(unresponsiveAvoidance))
+		a.worker.BlockedUntil = later(a.worker.BlockedUntil, now.Add(unresponsiveAvoidance))
 	}
 	if errors.Is(err, workerapi.ErrWorkerRestarted) {
 		t.dropWorker(a.worker, "another incarnation of the worker answered at its address", now)
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -200,7 +200,7 @@
 	now := time.Now()
 	events.Warn(t.opts.Log, events.StartRefused, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 		zap.String("worker", a.worker.ID), zap.Error(err))
-	a.worker.AvoidUntil = later(a.worker.AvoidUntil, now.Add(refusedStartAvoidance))
+	a.worker.BlockedUntil = later(a.worker.BlockedUntil, now.Add(refusedStartAvoidance))
 	r.Task.Step.NotBefore = now.Add(startRetryDelay)
 	if errors.Is(err, workerapi.ErrWorkerRestarted) {
 		t.dropWorker(a.worker, "another incarnation of the worker answered at its address", now)
@@ -224,7 +224,7 @@
 	now := time.Now()
 	events.Warn(t.opts.Log, events.StartUncertain, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 		zap.String("worker", a.worker.ID), zap.Error(err))
-	a.worker.AvoidUntil = later(a.worker.AvoidUntil, now.Add(unresponsiveAvoidance))
+	a.worker.BlockedUntil = later(a.worker.BlockedUntil, now.Add(unresponsiveAvoidance))
 	r.RequestStop("start not confirmed by the worker", now)
 	t.orderStop(ctx, r)
 	t.wakeLoop()
--- a/jobstate/cluster.go
+++ b/jobstate/cluster.go
@@ -32,9 +32,14 @@
 	return c.sorted
 }
 
-// Accepts reports whether new work may be placed on the worker.
+// Available reports whether the worker may be given new work, if need be although it is avoided.
+func (c *Cluster) Available(w *Worker, now time.Time) bool {
+	return !c.WorkerListStale && w.Listed && w.Answered && !w.Draining && !w.UpkeepPending && !w.UnresponsiveStored && !c.Evacuated[w.DataCentre] && !now.Before(w.BlockedUntil)
+}
+
+// Accepts reports whether the worker is available and not avoided.
 func (c *Cluster) Accepts(w *Worker, now time.Time) bool {
-	return !c.WorkerListStale && w.Listed && w.Answered && !w.Draining && !w.UpkeepPending && !w.UnresponsiveStored && !c.Evacuated[w.DataCentre] && !now.Before(w.AvoidUntil)
+	return c.Available(w, now) && !now.Before(w.AvoidUntil)
 }
 
 // MayBeLeaving reports whether the worker must get no new work because it leaves or may have announced
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -203,7 +203,8 @@
 	Draining          bool
 	UpkeepPending     bool          // its machine is the next one to be taken down for upkeep
 	Answered          bool          // it has answered this owner, and its lease has not expired since
-	AvoidUntil        time.Time     // it gets no new work before this time
+	AvoidUntil        time.Time     // it gets no new work before this time, because runs failed or were slow there
+	BlockedUntil      time.Time     // it must get no new work before this time: it did not answer, refused a start, or may carry out a late order
 	EntryWrittenAfter suspend.Stamp // a time before its newest entry was written
 	ReportedAt        time.Time     // when its newest report was requested
 	LeaseEnds         time.Time     // latest possible end of its lease, by this process's clock, unless it is renewed
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -16,7 +16,7 @@
 	}
 	next := &Worker{ID: id, Incarnation: incarnation, Runs: map[*Run]struct{}{}, Untracked: map[string]workload.Resources{}}
 	if w != nil {
-		next.AvoidUntil, next.LateAckUntil = w.LateAckUntil, w.LateAckUntil
+		next.BlockedUntil, next.LateAckUntil = w.LateAckUntil, w.LateAckUntil
 		c.transferUncertainRuns(w, next, now)
 		c.RemoveWorker(w, now)
 	}
--- a/placement/unhealthy_worker_test.go
+++ b/placement/unhealthy_worker_test.go
@@ -215,3 +215,18 @@
 	}
 	assert.Equal(t, 1, stops)
 }
+
+// A worker did not answer or may carry out a late order. Guards against giving it work because there is no
+// other worker.
+func TestBlockedWorkersAreNotUsed(t *testing.T) {
+	w := newFixture(1, 2)
+	for _, worker := range w.c.Workers {
+		worker.BlockedUntil = w.now.Add(10 * time.Second)
+	}
+	w.submit(urgent, "a", gang(1, 8, time.Second))
+	for range 99 {
+		require.Empty(t, w.advance(100*time.Millisecond).Starts)
+	}
+	w.now = w.now.Add(100 * time.Millisecond)
+	assert.Len(t, w.advance(0).Starts, 1)
+}
