placement: no wait for a rack that cannot hold the unit

Callers saw gangs and tasks without a run for up to 0.35 of their objective, 12 s for a gang of 11 s, on an idle service. The cause: a unit waits for one rack, or for the rack of its data, for a share of its objective, and nothing asks whether that rack could ever have room. A gang of 13 tasks of 8 accelerators exceeds a rack of 12 workers; the workers of a data rack may be draining, unlisted or evacuated.

rackMayFit compares the unit with the whole capacity of the available workers of a rack. Where no rack can hold it, there is nothing to wait for. Avoided workers count: they are back within the time that the rack saves.

--- a/placement/fit.go
+++ b/placement/fit.go
@@ -14,11 +14,33 @@
 const rackWaitShare = 0.35
 
 // acceptsOtherRack reports whether the unit has waited long enough to accept workers outside its
-// preferred rack, where it runs FarFactor times as long.
+// preferred rack, where it runs FarFactor times as long, or has nothing to wait for.
 func (r *round) acceptsOtherRack(u *unit) bool {
 	wait := rackWaitShare * float64(u.deadline.Sub(u.step.ReadyAt))
 	saved := (r.opts.FarFactor - 1) * float64(u.step.Spec.Estimate)
-	return r.now.Sub(u.step.WaitingSince) >= time.Duration(min(wait, saved))
+	return r.now.Sub(u.step.WaitingSince) >= time.Duration(min(wait, saved)) || !r.rackMayFit(u)
+}
+
+// rackMayFit reports whether the unit could run in its preferred rack or, for a gang without one, in any single
+// rack, if everything else there ended. Workers that are only avoided count: they are back soon.
+func (r *round) rackMayFit(u *unit) bool {
+	preferred, need := preferredRack(u.step), 1
+	if u.step.Spec.Gang {
+		need = len(u.waiting)
+	}
+	room := map[string]int{}
+	for _, w := range r.c.SortedWorkers() {
+		if w.Service != u.job.Route.Service || preferred != "" && w.Rack != preferred {
+			continue
+		}
+		if !w.HasLabel(u.step.Spec.Label) || !r.c.Available(w, r.now) {
+			continue
+		}
+		if room[w.Rack] += countIn(u.step, w.Capacity, 0); room[w.Rack] >= need {
+			return true
+		}
+	}
+	return false
 }
 
 // fitGang assigns all waiting tasks of the gang to workers. It returns false if they do not all fit.
