jobstate: a start that is not carried out does not restart the step's waits

Callers saw jobs without a run for longer than any wait of the policy lasts. The cause: each end but "done" set WaitingSince, also that of a run that had never started: a start that a worker refused, or that was dropped because its worker became unavailable while the record was written. The wait for a rack began anew each time, so that a slow store or a refusing rack could prolong it without end.

Only ends of runs that had started restart the waits now; these the caller has seen running.

Evidence, before the change:

go test ./placement -run NotCarriedOut --- FAIL: TestStartsThatAreNotCarriedOutDoNotRestartTheWait: expected: 500ms, actual: 250ms

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -101,7 +101,7 @@
 	failedRun       int // highest run number counted in Failures: each member of a gang reports the failure
 	Checkpoint      string
 	ReadyAt         time.Time         // when its tasks could first start; zero while it waits for other steps
-	WaitingSince    time.Time         // ReadyAt, or when the last run ended that has to be repeated
+	WaitingSince    time.Time         // ReadyAt, or when the last run ended that had started and has to be repeated
 	NotBefore       time.Time         // earliest next start, after a refused start or a failed call for advice
 	ReclaimedAt     time.Time         // when runs were last preempted for it
 	Reserved        []Reservation     // resources that were chosen for it
@@ -326,7 +326,7 @@
 	j.Dirty = true
 	j.EndsAtRisk = j.EndsAtRisk || r.Worker.Draining || !r.Worker.Listed
 	t.SetCheckpoint(checkpoint)
-	if outcome != EndDone {
+	if outcome != EndDone && outcome != EndNeverStarted {
 		s.WaitingSince = now
 	}
 	switch outcome {
--- a/placement/rack_test.go
+++ b/placement/rack_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 )
@@ -45,3 +46,19 @@
 		})
 	}
 }
+
+// The record of each start is stored too late, and the worker has become unavailable by then. Guards against
+// waits that begin anew with each start that is not carried out.
+func TestStartsThatAreNotCarriedOutDoNotRestartTheWait(t *testing.T) {
+	w := newFixture(2, 4)
+	spec := gang(2, 8, 10*time.Second)
+	spec.DataRack = "r1"
+	j := w.submit(draft, "a", spec)
+	for n := range 6 {
+		for _, r := range w.decide().Starts {
+			w.c.End(r, jobstate.EndNeverStarted, "", w.now)
+		}
+		w.now = w.now.Add(250 * time.Millisecond)
+		require.Equal(t, time.Duration(n+1)*250*time.Millisecond, w.now.Sub(j.Occurrences[0].Steps[0].WaitingSince))
+	}
+}
