placement: bound the waits for better room

The cause is one class of fault: the policy has four reasons to keep a unit waiting although it fits, and each ends by something else. The wait for a rack lasts 0.35 of the objective, 12 s for a gang of 11 s. The headroom for urgent jobs binds small work without checkpoints as long as urgent jobs go on, and preempted work for 0.35 of its objective. Reserved room is kept until all of it is free, at most two batch units at a time but without an end. Of a long-running step, the end of any task starts the wait of all anew.

The change bounds their sum: a unit is overdue when nothing of its job has run for 1.5 s, whatever kept it waiting, and then starts in any room in which it fits twice. Of a step that is not a gang one task starts, so that a stream of small jobs does not take the room reserved for a gang. For long-running tasks the bound holds for each task. Room that suffices only once is still kept for others, so that waits which pay off while the service is busy remain. Job.RanUntil is when the job last had a run that had started; a start that is not carried out does not move it.

TestWideGangGetsAReservation: a small job starts one task in the reserved room, which the gang stops later. The test planned stops without carrying them out; it carries them out now. Its assertion is unchanged.

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -78,9 +78,10 @@
 	Checkpoint  string
 	Done        bool
 	Run         *Run
-	FailedOn    string // id of the worker where a run failed last
-	Preempted   bool   // its last run was stopped for a more urgent job
-	StoppedSlow bool   // a run was stopped as slow; that is done only once, because the task itself may be long
+	FailedOn    string    // id of the worker where a run failed last
+	Preempted   bool      // its last run was stopped for a more urgent job
+	RanUntil    time.Time // when the last of its runs ended that had started
+	StoppedSlow bool      // a run was stopped as slow; that is done only once, because the task itself may be long
 }
 
 // Name returns the name that identifies the task to workers.
@@ -177,11 +178,12 @@
 	Started     bool           // at least one task has started
 	ArrivedAt   time.Time      // when this owner added the job
 	EndedAt     time.Time
-	Revision    uint64 // store revision of the record; 0 before the first write
-	Sequence    uint64 // sequence number in the stored record
-	Dirty       bool   // the record differs from the stored one and from the one that is being written
-	Writing     bool   // a record is being written
-	EndsAtRisk  bool   // an end that is not stored yet was reported by a worker that may leave
+	RanUntil    time.Time // when the last of its runs ended that had started
+	Revision    uint64    // store revision of the record; 0 before the first write
+	Sequence    uint64    // sequence number in the stored record
+	Dirty       bool      // the record differs from the stored one and from the one that is being written
+	Writing     bool      // a record is being written
+	EndsAtRisk  bool      // an end that is not stored yet was reported by a worker that may leave
 
 	Occurrences []*Occurrence // occurrences that have been due, by number
 }
@@ -329,6 +331,9 @@
 	if outcome != EndDone && outcome != EndNeverStarted {
 		s.WaitingSince = now
 	}
+	if !r.StartedAt.IsZero() {
+		t.RanUntil, j.RanUntil = now, now
+	}
 	switch outcome {
 	case EndDone:
 		if s.Spec.LongRunning {
@@ -443,5 +448,17 @@
 	return runs
 }
 
+// HasRuns reports whether a task of the job has a run.
+func (j *Job) HasRuns() bool {
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			if s.Active > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Queue returns the name of the queue to which the job was submitted.
 func (j *Job) Queue() string { return j.Submission.Queue.Name }
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -154,17 +154,22 @@
 
 // pack assigns all waiting tasks, filling the workers with the least free resources first (best fit).
 func (r *round) pack(u *unit, workers []*jobstate.Worker) ([]slot, bool) {
+	if !r.allFit(u, workers) {
+		return nil, false
+	}
+	return packInto(u.step, workers, len(u.waiting), r.free)
+}
+
+// packInto assigns the number of tasks of the step to the workers, whose free resources room returns.
+func packInto(s *jobstate.Step, workers []*jobstate.Worker, need int, room func(*jobstate.Worker) workload.Resources) ([]slot, bool) {
 	type candidate struct {
 		slot
 		left workload.Resources
 	}
-	if !r.allFit(u, workers) {
-		return nil, false
-	}
 	candidates := make([]candidate, 0, len(workers))
 	for _, w := range workers {
-		free := r.free(w)
-		n := countIn(u.step, free, present(u.step, w))
+		free := room(w)
+		n := countIn(s, free, present(s, w))
 		if n == 0 {
 			continue
 		}
@@ -177,16 +182,15 @@
 			cmp.Compare(a.worker.ID, b.worker.ID),
 		)
 	})
-	need := len(u.waiting)
 	var slots []slot
 	for _, c := range candidates {
 		n := min(need, c.count)
 		slots = append(slots, slot{c.worker, n})
 		if need -= n; need == 0 {
-			break
+			return slots, true
 		}
 	}
-	return slots, true
+	return nil, false
 }
 
 // bestWorker returns the worker for one task of a step that is not a gang, or nil. It prefers workers
--- /dev/null
+++ b/placement/overdue.go
@@ -0,0 +1,113 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+const (
+	// maxPolicyWait bounds how long a job of which nothing runs waits for better room than there is. Callers
+	// may expect a start within 3 s; the decision, its record and the start order take part of that.
+	maxPolicyWait = 1500 * time.Millisecond
+	// spareRoom is how many times an overdue unit must fit into the room that is free or becoming free. It
+	// leaves room for other units.
+	spareRoom = 2
+)
+
+// startOverdue starts an overdue unit in any room, also in what the policy keeps for others. Of a step that is
+// not a gang it starts one task: the others wait for better room. It reports whether it started all waiting
+// tasks.
+func (r *round) startOverdue(u *unit, workers []*jobstate.Worker) bool {
+	tasks := r.overdueTasks(u)
+	if len(tasks) == 0 {
+		return false
+	}
+	if u.step.Spec.Gang {
+		return r.startInAnyRoom(u, tasks, workers)
+	}
+	for _, t := range tasks {
+		if !r.startInAnyRoom(u, []*jobstate.Task{t}, workers) {
+			break
+		}
+	}
+	u.waiting = slices.DeleteFunc(u.waiting, func(t *jobstate.Task) bool { return t.Run != nil })
+	return len(u.waiting) == 0
+}
+
+// startInAnyRoom starts all of the tasks, if they fit spareRoom times.
+func (r *round) startInAnyRoom(u *unit, tasks []*jobstate.Task, workers []*jobstate.Worker) bool {
+	if !r.hasSpareRoom(u, workers, len(tasks)) {
+		return false
+	}
+	for _, room := range []func(*jobstate.Worker) workload.Resources{r.free, (*jobstate.Worker).Free} {
+		if slots, ok := r.fitOverdue(u, workers, len(tasks), room); ok {
+			r.startOn(u, tasks, slots)
+			return true
+		}
+	}
+	return false
+}
+
+// overdueTasks returns the waiting tasks of the unit that must not wait for better room any longer: all tasks
+// of a gang or one task of another step if nothing of the job has run for maxPolicyWait, and each long-running
+// task that has not run for as long.
+func (r *round) overdueTasks(u *unit) []*jobstate.Task {
+	if u.step.Spec.LongRunning && !u.step.Spec.Gang {
+		var tasks []*jobstate.Task
+		for _, t := range u.waiting {
+			if r.now.Sub(maxTime(u.step.ReadyAt, t.RanUntil)) >= maxPolicyWait {
+				tasks = append(tasks, t)
+			}
+		}
+		return tasks
+	}
+	if r.now.Sub(maxTime(u.step.ReadyAt, u.job.RanUntil)) < maxPolicyWait || u.job.HasRuns() {
+		return nil
+	}
+	if u.step.Spec.Gang {
+		return u.waiting
+	}
+	return u.waiting[:1]
+}
+
+// hasSpareRoom reports whether the tasks would fit spareRoom times into what is free or becoming free.
+func (r *round) hasSpareRoom(u *unit, workers []*jobstate.Worker, tasks int) bool {
+	need := spareRoom * tasks
+	for _, w := range workers {
+		free := w.Free()
+		for run := range w.Runs {
+			if run.Phase == jobstate.Stopping {
+				free = free.Add(run.Task.Step.Spec.Allocation())
+			}
+		}
+		if need -= countUpTo(need, u.step, free, present(u.step, w)); need <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// fitOverdue assigns the tasks to workers with room, if possible in the rack of the data, else those of a gang
+// in a single rack.
+func (r *round) fitOverdue(u *unit, workers []*jobstate.Worker, tasks int, room func(*jobstate.Worker) workload.Resources) ([]slot, bool) {
+	spec := u.step.Spec
+	var groups [][]*jobstate.Worker
+	if spec.SameRack || spec.DataRack != "" {
+		racks := byRack(workers)
+		groups = append(groups, inRack(racks, spec.DataRack))
+		for _, k := range racks {
+			if spec.SameRack && k.name != spec.DataRack {
+				groups = append(groups, k.workers)
+			}
+		}
+	}
+	for _, group := range append(groups, workers) {
+		if slots, ok := packInto(u.step, group, tasks, room); ok {
+			return slots, true
+		}
+	}
+	return nil, false
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -224,23 +224,28 @@
 }
 
 func (r *round) scheduleGang(u *unit, workers []*jobstate.Worker) {
-	if !r.leavesHeadroom(u, len(u.waiting)) {
-		return
+	leavesHeadroom := r.leavesHeadroom(u, len(u.waiting))
+	if leavesHeadroom {
+		if slots, ok := r.fitGang(u, workers); ok {
+			r.startOn(u, u.waiting, slots)
+			return
+		}
 	}
-	if slots, ok := r.fitGang(u, workers); ok {
-		r.startGang(u, slots)
-		return
+	if !r.startOverdue(u, workers) && leavesHeadroom {
+		r.reserveOrReclaim(u, workers)
 	}
-	r.reserveOrReclaim(u, workers)
 }
 
-func (r *round) startGang(u *unit, slots []slot) {
-	number := u.step.NextRunNumber(nil)
+// startOn starts the tasks of the unit on the workers to which they are assigned.
+func (r *round) startOn(u *unit, tasks []*jobstate.Task, slots []slot) {
+	number := u.step.NextRunNumber(tasks[0]) // of a gang, the same for all
 	n := 0
 	for _, s := range slots {
 		for range s.count {
-			r.plan.Starts = append(r.plan.Starts, r.c.Place(u.waiting[n], s.worker, number, r.now))
-			r.freeAccelerators -= u.step.Spec.Demand.Accelerators
+			if !u.step.Spec.Gang {
+				number = u.step.NextRunNumber(tasks[n])
+			}
+			r.start(u, tasks[n], s.worker, number)
 			n++
 		}
 	}
@@ -256,15 +261,19 @@
 		if w == nil {
 			break
 		}
-		r.freeAccelerators -= u.step.Spec.Demand.Accelerators
-		r.plan.Starts = append(r.plan.Starts, r.c.Place(t, w, u.step.NextRunNumber(t), r.now))
+		r.start(u, t, w, u.step.NextRunNumber(t))
 		placed++
 	}
-	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 {
+	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 && !r.startOverdue(u, workers) {
 		r.reserveOrReclaim(u, workers)
 	}
 }
 
+func (r *round) start(u *unit, t *jobstate.Task, w *jobstate.Worker, number int) {
+	r.plan.Starts = append(r.plan.Starts, r.c.Place(t, w, number, r.now))
+	r.freeAccelerators -= u.step.Spec.Demand.Accelerators
+}
+
 // eligible returns the workers that may run the step's tasks, whether or not enough of their resources are
 // free.
 func (r *round) eligible(u *unit) []*jobstate.Worker {
@@ -275,13 +284,19 @@
 		if excludeProbation && onProbation(w, r.now) {
 			continue
 		}
-		if w.HasLabel(spec.Label) && spec.Allocation().Fits(w.Capacity) && u.step.Admits(w, r.now) {
+		if r.mayRun(u, w) {
 			list = append(list, w)
 		}
 	}
 	return list
 }
 
+// mayRun reports whether the worker has what the step's tasks require.
+func (r *round) mayRun(u *unit, w *jobstate.Worker) bool {
+	spec := u.step.Spec
+	return w.HasLabel(spec.Label) && spec.Allocation().Fits(w.Capacity) && u.step.Admits(w, r.now)
+}
+
 // free returns the worker's free resources without what units scheduled earlier in the round have
 // reserved.
 func (r *round) free(w *jobstate.Worker) workload.Resources {
@@ -301,8 +316,12 @@
 // countIn returns how many tasks of the step fit into the free resources of a worker that has present
 // other runs of the step.
 func countIn(s *jobstate.Step, free workload.Resources, present int) int {
+	return countUpTo(len(s.Tasks), s, free, present)
+}
+
+// countUpTo returns how many tasks like those of the step fit, but n at most.
+func countUpTo(n int, s *jobstate.Step, free workload.Resources, present int) int {
 	allocation := s.Spec.Allocation()
-	n := len(s.Tasks)
 	limit := func(need, have int) {
 		if need > 0 {
 			n = min(n, max(0, have)/need)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -231,11 +231,13 @@
 	started := time.Time{}
 	for _, r := range first { // the first tasks end one after another
 		w.c.End(r, jobstate.EndDone, "", w.now)
-		for _, s := range w.advance(250 * time.Millisecond).Starts {
+		plan := w.advance(250 * time.Millisecond)
+		for _, s := range plan.Starts {
 			if s.Task.Step.Occurrence.Job == wide && started.IsZero() {
 				started = w.now
 			}
 		}
+		w.endStops(plan)
 		w.requireWithinCapacity(t)
 	}
 	assert.False(t, started.IsZero(), "the gang starts while small tasks still arrive")
