placement: use avoided workers when there are no others

Callers saw jobs without a run for up to 16 s, and gangs and urgent jobs for up to 22 s, while the workers that could take them were idle: after failures or slow runs these get no work for 2 to 16 s, and neither gangs nor urgent work for another 6 s. The policy excluded them without asking whether anybody else could take the task. A fault that touches many workers at once, or the few of a label, stops all jobs there until it has long ended.

An overdue unit considers the available workers in order: sound ones with unreserved room, those on probation, reserved room, and at last avoided ones and those where the task failed. Blocked workers stay excluded. A start that is decided so is also sent (jobowner dropped starts on avoided workers), unless the worker has become unavailable since. Its end tells about the worker: "done" ends the probation, "failed" prolongs it.

Evidence, before the change:

go test ./placement ./jobowner --- FAIL: TestNoJobIsKeptWaitingWhileThereIsRoom: after 2.05s: job job001 of priority 0 (1x1 gang rack, 1 waiting) has nothing running for 2.05s --- FAIL: TestAvoidedWorkersAreUsedIfThereAreNoOthers (avoided, on_probation): nothing started --- FAIL: TestOnlyWorkerIsUsedWhileItIsAvoided: expected: "completed", actual: "queued"

--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -45,7 +45,7 @@
 func (t *Term) orderStart(ctx context.Context, r *jobstate.Run, now time.Time) {
 	w := r.Worker
 	a := t.agents[w.ID]
-	if a == nil || a.worker != w || !t.cluster.Accepts(w, now) || t.ended {
+	if a == nil || a.worker != w || !t.mayStart(r, now) || t.ended {
 		t.cluster.End(r, jobstate.EndNeverStarted, "", now)
 		return
 	}
@@ -70,6 +70,11 @@
 	}()
 }
 
+// mayStart reports whether the worker is still available and is not avoided since the run was decided.
+func (t *Term) mayStart(r *jobstate.Run, now time.Time) bool {
+	return t.cluster.Accepts(r.Worker, now) || r.OnAvoided && t.cluster.Available(r.Worker, now)
+}
+
 // start sends the order until its outcome is known, or stops the run.
 func (t *Term) start(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Start) {
 	uncertain := false
--- a/jobowner/orders_test.go
+++ b/jobowner/orders_test.go
@@ -49,6 +49,30 @@
 	}
 }
 
+// The only worker is avoided because runs of another job failed there. Guards against a start that is decided all
+// the same and then not sent, and against a job that waits until the worker is no longer avoided.
+func TestOnlyWorkerIsUsedWhileItIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(name workload.TaskName, _ int) (time.Duration, jobstate.End) {
+			if name.Job == "bad" {
+				return 50 * time.Millisecond, jobstate.EndFailed
+			}
+			return 200 * time.Millisecond, jobstate.EndDone
+		}
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("bad", "batch", tasks(1, 1))
+		time.Sleep(2500 * time.Millisecond) // its second run has failed
+		s.submit("good", "batch", tasks(1, 1))
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, workload.Completed, s.state("good"))
+		s.requireNoViolations(t)
+	})
+}
+
 // Workers carry out starts whose answers are lost. Guards against stopping such a run although it
 // works; with long-running tasks, more than MaxUnavailable could become unavailable.
 func TestStartWithLostAnswerIsConfirmedByReport(t *testing.T) {
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -43,6 +43,7 @@
 	Worker           *Worker
 	Phase            Phase
 	PlannedAt        time.Time // when the run was decided
+	OnAvoided        bool      // its worker was avoided then, and there was no other
 	StartedAt        time.Time // when the worker confirmed the start; zero before
 	StartAnswered    bool      // StartedAt is when the worker answered the start, and not a later report
 	Resumed          bool      // it started from a checkpoint
--- a/placement/health.go
+++ b/placement/health.go
@@ -23,11 +23,11 @@
 	w := run.Worker
 	switch outcome {
 	case jobstate.EndDone:
-		if run.PlannedAt.After(w.AvoidUntil) { // an earlier run says nothing about new ones
+		if run.PlannedAt.After(w.AvoidUntil) || run.OnAvoided { // an earlier run says nothing about new ones
 			w.FailStreak, w.StragglerStreak = 0, 0
 		}
 	case jobstate.EndFailed:
-		if now.Before(w.AvoidUntil) && w.FailStreak > 0 {
+		if now.Before(w.AvoidUntil) && w.FailStreak > 0 && !run.OnAvoided {
 			return 0 // the run started before AvoidUntil was set
 		}
 		avoidance := min(failureAvoidance<<min(w.FailStreak, 8), maxFailureAvoidance)
--- a/placement/overdue.go
+++ b/placement/overdue.go
@@ -17,14 +17,26 @@
 	spareRoom = 2
 )
 
-// startOverdue starts an overdue unit in any room, also in what the policy keeps for others. Of a step that is
+// exception says why the policy keeps a unit from a worker.
+type exception int
+
+// The exceptions, by how likely a run there is to fail.
+const (
+	noException exception = iota
+	probationException
+	avoidedException // avoided, or one of the tasks failed there last
+)
+
+// startOverdue starts an overdue unit in any room, also in what the policy keeps for others or on
+// workers that it avoids. Of a step that is
 // not a gang it starts one task: the others wait for better room. It reports whether it started all waiting
 // tasks.
-func (r *round) startOverdue(u *unit, workers []*jobstate.Worker) bool {
+func (r *round) startOverdue(u *unit) bool {
 	tasks := r.overdueTasks(u)
 	if len(tasks) == 0 {
 		return false
 	}
+	workers := r.candidates(u)
 	if u.step.Spec.Gang {
 		return r.startInAnyRoom(u, tasks, workers)
 	}
@@ -42,8 +54,15 @@
 	if !r.hasSpareRoom(u, workers, len(tasks)) {
 		return false
 	}
-	for _, room := range []func(*jobstate.Worker) workload.Resources{r.free, (*jobstate.Worker).Free} {
-		if slots, ok := r.fitOverdue(u, workers, len(tasks), room); ok {
+	anyRoom := (*jobstate.Worker).Free
+	for _, attempt := range []struct {
+		exceptions exception
+		room       func(*jobstate.Worker) workload.Resources
+	}{
+		{noException, r.free}, {probationException, r.free}, {probationException, anyRoom}, {avoidedException, anyRoom},
+	} {
+		accepted := r.upTo(attempt.exceptions, tasks, workers)
+		if slots, ok := r.fitOverdue(u, accepted, len(tasks), attempt.room); ok {
 			r.startOn(u, tasks, slots)
 			return true
 		}
@@ -73,6 +92,39 @@
 	return u.waiting[:1]
 }
 
+// candidates returns the available workers that may run the step's tasks, avoided ones included.
+func (r *round) candidates(u *unit) []*jobstate.Worker {
+	var list []*jobstate.Worker
+	for _, w := range r.available[u.job.Route.Service] {
+		if r.mayRun(u, w) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// upTo returns the workers that run the tasks by the given exception or a lesser one.
+func (r *round) upTo(limit exception, tasks []*jobstate.Task, workers []*jobstate.Worker) []*jobstate.Worker {
+	var list []*jobstate.Worker
+	for _, w := range workers {
+		if r.exceptionFor(tasks, w) <= limit {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+func (r *round) exceptionFor(tasks []*jobstate.Task, w *jobstate.Worker) exception {
+	failed := func(t *jobstate.Task) bool { return t.FailedOn == w.ID }
+	switch {
+	case !r.c.Accepts(w, r.now) || slices.ContainsFunc(tasks, failed):
+		return avoidedException
+	case onProbation(w, r.now):
+		return probationException
+	}
+	return noException
+}
+
 // hasSpareRoom reports whether the tasks would fit spareRoom times into what is free or becoming free.
 func (r *round) hasSpareRoom(u *unit, workers []*jobstate.Worker, tasks int) bool {
 	need := spareRoom * tasks
--- a/placement/overdue_test.go
+++ b/placement/overdue_test.go
@@ -78,6 +78,29 @@
 	assert.Len(t, w.startsWithin(t, small), 1)
 }
 
+// All workers are avoided after failures, or on probation. Guards against jobs that wait although nobody else
+// can take their tasks, and against a start on avoided workers while others have room.
+func TestAvoidedWorkersAreUsedIfThereAreNoOthers(t *testing.T) {
+	for name, avoidedFor := range map[string]time.Duration{"avoided": 16 * time.Second, "on probation": 0} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(2, 4)
+			for _, worker := range w.c.Workers {
+				worker.FailStreak, worker.AvoidUntil = 4, w.now.Add(avoidedFor)
+			}
+			w.startsWithin(t, w.submit(urgent, "a", gang(3, 8, 8*time.Second)))
+		})
+	}
+	w := newFixture(2, 4)
+	for _, worker := range w.c.Workers {
+		if worker.Rack == "r0" {
+			worker.FailStreak, worker.AvoidUntil = 4, w.now.Add(time.Minute)
+		}
+	}
+	for _, r := range w.startsWithin(t, w.submit(urgent, "a", gang(3, 8, 8*time.Second))) {
+		assert.Equal(t, "r1", r.Worker.Rack)
+	}
+}
+
 // Tasks that run until their job is cancelled stay down because the rack of their data is full, while other
 // tasks of their job run. Guards against long-running tasks of which each end starts the wait of all anew.
 func TestLongRunningTasksDoNotWaitForEachOther(t *testing.T) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,6 +70,7 @@
 	c             *jobstate.Cluster
 	now           time.Time
 	workers       map[string][]*jobstate.Worker // workers that accept work, by service
+	available     map[string][]*jobstate.Worker // these and the avoided ones, by service
 	racks         map[string][]rack             // of all these workers, by service; filled when needed
 	reserved      map[*jobstate.Worker]workload.Resources
 	plan          Plan
@@ -89,9 +90,13 @@
 	if len(units) == 0 {
 		return r.plan
 	}
-	r.workers = map[string][]*jobstate.Worker{}
+	r.workers, r.available = map[string][]*jobstate.Worker{}, map[string][]*jobstate.Worker{}
 	r.racks = map[string][]rack{}
 	for _, w := range c.SortedWorkers() {
+		if !c.Available(w, now) {
+			continue
+		}
+		r.available[w.Service] = append(r.available[w.Service], w)
 		if c.Accepts(w, now) {
 			r.workers[w.Service] = append(r.workers[w.Service], w)
 		}
@@ -231,7 +236,7 @@
 			return
 		}
 	}
-	if !r.startOverdue(u, workers) && leavesHeadroom {
+	if !r.startOverdue(u) && leavesHeadroom {
 		r.reserveOrReclaim(u, workers)
 	}
 }
@@ -264,13 +269,15 @@
 		r.start(u, t, w, u.step.NextRunNumber(t))
 		placed++
 	}
-	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 && !r.startOverdue(u, workers) {
+	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 && !r.startOverdue(u) {
 		r.reserveOrReclaim(u, workers)
 	}
 }
 
 func (r *round) start(u *unit, t *jobstate.Task, w *jobstate.Worker, number int) {
-	r.plan.Starts = append(r.plan.Starts, r.c.Place(t, w, number, r.now))
+	run := r.c.Place(t, w, number, r.now)
+	run.OnAvoided = !r.c.Accepts(w, r.now)
+	r.plan.Starts = append(r.plan.Starts, run)
 	r.freeAccelerators -= u.step.Spec.Demand.Accelerators
 }
 
