jobowner: name further workers when the admitted ones do not suffice

Callers of a queue that needs advice could see a job without a run for ever: advice was asked for only when the step had no admitted worker at all. A gang that needs five workers, of which the first call admitted four, waited until the tickets expired, and then named the same workers again. A job whose admitted workers were busy waited for them although others were idle.

Advice is now also asked for when the admitted workers could not hold the gang, and for overdue units. Workers with a valid ticket are not named again, so that each call tells about new ones.

--- a/jobowner/advice.go
+++ b/jobowner/advice.go
@@ -89,7 +89,7 @@
 }
 
 // adviceCandidates returns the workers to name for the step, those with the most free capacity
-// first, without workers that are known to be excluded. The caller holds the lock.
+// first, without workers that are known to be excluded or have a valid ticket. The caller holds the lock.
 func (t *Term) adviceCandidates(s *jobstate.Step) ([]string, map[string]int64) {
 	now := time.Now()
 	var list []*jobstate.Worker
@@ -100,6 +100,9 @@
 		if ticket, ok := s.Tickets[w.ID]; ok && ticket.Incarnation == w.Incarnation && !ticket.Allowed {
 			continue
 		}
+		if s.Admits(w, now) {
+			continue
+		}
 		list = append(list, w)
 	}
 	slices.SortFunc(list, func(a, b *jobstate.Worker) int {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -220,12 +220,31 @@
 	workers := r.eligible(u)
 	switch {
 	case len(workers) == 0 && u.job.Route.Advice != nil:
-		r.plan.NeedAdvice = append(r.plan.NeedAdvice, u.step)
+		r.startOverdue(u)
 	case u.step.Spec.Gang:
 		r.scheduleGang(u, workers)
 	default:
 		r.scheduleTasks(u, workers)
 	}
+	if u.job.Route.Advice != nil && r.needsAdvice(u, workers) {
+		r.plan.NeedAdvice = append(r.plan.NeedAdvice, u.step)
+	}
+}
+
+// needsAdvice reports whether the unit, which has been scheduled, needs advice on further workers: it may use none,
+// or fewer than a gang needs, or it is overdue.
+func (r *round) needsAdvice(u *unit, workers []*jobstate.Worker) bool {
+	need := u.step.Waiting()
+	if need == 0 {
+		return false
+	}
+	if !u.step.Spec.Gang {
+		need = 1
+	}
+	for _, w := range workers {
+		need -= countIn(u.step, w.Capacity, 0)
+	}
+	return need > 0 || len(r.overdueTasks(u)) > 0
 }
 
 func (r *round) scheduleGang(u *unit, workers []*jobstate.Worker) {
