jobowner: avoid workers that refuse starts for longer each time

Callers could see a gang that starts again and again and never works. The cause: a worker that refuses a start (429, 503, no connection) was left alone for 1 s. The other members of the gang must be stopped first, which takes about as long (StopTimeoutMs 900 and the orders), so that the next attempt found the same workers free again, in the same order. Half of a rack that refuses for 6 s keeps a gang from starting for as long; a wide gang meets such a worker at nearly every attempt.

The worker is now avoided for 1 s, doubled each time up to 8 s, until it confirms a start. Starts refused at the same time count once. It must get no work for 1 s, as before; after that a job with nothing running may try it when there is no other worker.

Evidence, before the change:

go test ./jobowner -run LeavesWorkersThatRefuse --- FAIL: TestGangLeavesWorkersThatRefuseStarts: expected: "completed", actual: "running"

--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -27,8 +27,13 @@
 	maxOrderRetryDelay = time.Second
 	// runLookupTimeout is the timeout of a report that is requested to find a run.
 	runLookupTimeout = 300 * time.Millisecond
-	// refusedStartAvoidance is how long a worker gets no new work after it refused a start.
-	refusedStartAvoidance = time.Second
+	// refusedStartBlock is how long a worker must get no new work after it refused a start.
+	refusedStartBlock = time.Second
+	// refusedStartAvoidance is how long a worker is avoided after it was unhealthy or not reached. It doubles
+	// each time, up to maxRefusedStartAvoidance: the members of a gang take about a second to stop, and would
+	// otherwise be sent to the same worker again.
+	refusedStartAvoidance    = time.Second
+	maxRefusedStartAvoidance = 8 * time.Second
 	// startRetryDelay is how long a step waits after a refused start.
 	startRetryDelay = 100 * time.Millisecond
 )
@@ -189,6 +194,7 @@
 	if r.Worker == a.worker && r.StartedAt.IsZero() {
 		if _, present := a.worker.Runs[r]; present {
 			r.StartAnswered = true
+			a.worker.RefusalStreak = 0
 			t.confirm(r, now)
 			t.wakeLoop()
 		}
@@ -205,7 +211,8 @@
 	now := time.Now()
 	events.Warn(t.opts.Log, events.StartRefused, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 		zap.String("worker", a.worker.ID), zap.Error(err))
-	a.worker.BlockedUntil = later(a.worker.BlockedUntil, now.Add(refusedStartAvoidance))
+	avoidAfterRefusal(a.worker, err, now)
+	a.worker.BlockedUntil = later(a.worker.BlockedUntil, now.Add(refusedStartBlock))
 	r.Task.Step.NotBefore = now.Add(startRetryDelay)
 	if errors.Is(err, workerapi.ErrWorkerRestarted) {
 		t.dropWorker(a.worker, "another incarnation of the worker answered at its address", now)
@@ -219,6 +226,16 @@
 	t.wakeLoop()
 }
 
+// avoidAfterRefusal updates how long the worker is avoided. Starts that it refuses at about the same time count
+// once.
+func avoidAfterRefusal(w *jobstate.Worker, err error, now time.Time) {
+	if now.Before(w.BlockedUntil) || !errors.Is(err, workerapi.ErrUnhealthy) && !errors.Is(err, workerapi.ErrNotReached) {
+		return
+	}
+	w.AvoidUntil = later(w.AvoidUntil, now.Add(min(refusedStartAvoidance<<min(w.RefusalStreak, 8), maxRefusedStartAvoidance)))
+	w.RefusalStreak++
+}
+
 // startUncertain stops a run that may have started, or may still start.
 func (t *Term) startUncertain(ctx context.Context, a *agent, r *jobstate.Run, err error) {
 	t.mu.Lock()
--- a/jobowner/orders_test.go
+++ b/jobowner/orders_test.go
@@ -1,6 +1,8 @@
 package jobowner_test
 
 import (
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -73,6 +75,41 @@
 	})
 }
 
+// Two workers refuse all starts for long, and stops take about as long as such a worker is left alone. Guards against
+// a gang that is sent to the same workers each time, because the other members take so long to stop.
+func TestGangLeavesWorkersThatRefuseStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		for n := range 8 {
+			s.addWorker(fmt.Sprint("w", n), 0)
+		}
+		var mu sync.Mutex
+		stopSince := map[string]time.Time{}
+		s.fleet.SetFault(func(worker, order string) testplatform.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case order == "start" && (worker == "w0" || worker == "w1"):
+				return testplatform.Refused
+			case order == "start":
+				delete(stopSince, worker)
+			case order == "stop" && stopSince[worker].IsZero():
+				stopSince[worker] = time.Now()
+				return testplatform.Silent
+			case order == "stop" && time.Since(stopSince[worker]) < 900*time.Millisecond:
+				return testplatform.Silent
+			}
+			return testplatform.None
+		})
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("gang", "batch", gang(4, 8))
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "gang", 10*time.Second))
+		s.requireNoViolations(t)
+	})
+}
+
 // Workers carry out starts whose answers are lost. Guards against stopping such a run although it
 // works; with long-running tasks, more than MaxUnavailable could become unavailable.
 func TestStartWithLostAnswerIsConfirmedByReport(t *testing.T) {
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -229,6 +229,7 @@
 	Untracked map[string]workload.Resources // resources of the tasks on the worker that match no entry of Runs, by task name
 
 	FailStreak      int // consecutive failed runs
+	RefusalStreak   int // consecutive times at which it refused starts or was not reached
 	StragglerStreak int // consecutive runs that were stopped as stragglers
 }
 
