placement: count the resources of stopping runs once per round

The check whether an overdue unit fits twice examined all runs of all workers for each such unit. The resources of stopping runs are now counted once per round.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -28,3 +28,22 @@
 		})
 	}
 }
+
+// BenchmarkDecideWithOverdueGangs measures one decision with many gangs that cannot start and have waited for long.
+func BenchmarkDecideWithOverdueGangs(b *testing.B) {
+	w := newFixture(45, 12)
+	for range 135 {
+		w.submit(batch, "b", step(14, 1, time.Hour))
+		w.submit(draft, "b", gang(3, 4, time.Hour))
+	}
+	w.advance(time.Second)
+	for range 100 {
+		w.submit(draft, "c", gang(64, 8, time.Hour))
+	}
+	w.now = w.now.Add(3 * time.Second)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		w.decide()
+	}
+}
--- a/placement/overdue.go
+++ b/placement/overdue.go
@@ -128,13 +128,9 @@
 // hasSpareRoom reports whether the tasks would fit spareRoom times into what is free or becoming free.
 func (r *round) hasSpareRoom(u *unit, workers []*jobstate.Worker, tasks int) bool {
 	need := spareRoom * tasks
+	stopping := r.stoppingOn()
 	for _, w := range workers {
-		free := w.Free()
-		for run := range w.Runs {
-			if run.Phase == jobstate.Stopping {
-				free = free.Add(run.Task.Step.Spec.Allocation())
-			}
-		}
+		free := w.Free().Add(stopping[w])
 		if need -= countUpTo(need, u.step, free, present(u.step, w)); need <= 0 {
 			return true
 		}
@@ -142,6 +138,22 @@
 	return false
 }
 
+// stoppingOn returns the resources of the runs that were being stopped when it was called first in the round.
+func (r *round) stoppingOn() map[*jobstate.Worker]workload.Resources {
+	if r.stopping != nil {
+		return r.stopping
+	}
+	r.stopping = map[*jobstate.Worker]workload.Resources{}
+	for _, w := range r.c.Workers {
+		for run := range w.Runs {
+			if run.Phase == jobstate.Stopping {
+				r.stopping[w] = r.stopping[w].Add(run.Task.Step.Spec.Allocation())
+			}
+		}
+	}
+	return r.stopping
+}
+
 // fitOverdue assigns the tasks to workers with room, if possible in the rack of the data, else those of a gang
 // in a single rack.
 func (r *round) fitOverdue(u *unit, workers []*jobstate.Worker, tasks int, room func(*jobstate.Worker) workload.Resources) ([]slot, bool) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -73,6 +73,7 @@
 	available     map[string][]*jobstate.Worker // these and the avoided ones, by service
 	racks         map[string][]rack             // of all these workers, by service; filled when needed
 	reserved      map[*jobstate.Worker]workload.Resources
+	stopping      map[*jobstate.Worker]workload.Resources // cache of stoppingOn
 	plan          Plan
 	preemptibleOn map[*jobstate.Worker][]victim // cache of the results of preemptible
 
