--- a/jobstate/wait.go
+++ b/jobstate/wait.go
@@ -64,7 +64,8 @@
 	ExcludeDraining
 	ExcludeUpkeep    // its machine is the next one to be taken down
 	ExcludeEvacuated // its data centre is evacuated
-	ExcludeAvoided   // until Worker.AvoidUntil
+	ExcludeBlocked   // until Worker.BlockedUntil
+	ExcludeAvoided   // until Worker.AvoidUntil; last of the causes of Cluster.Exclusion
 	ExcludeProbation // after failures or stragglers; for urgent steps and gangs only
 	ExcludeLabel     // the step requires another label
 	ExcludeCapacity  // a task does not fit, even if the worker is idle
@@ -74,7 +75,7 @@
 )
 
 var exclusionNames = [exclusions]string{
-	"", "not_listed", "not_answered", "lease_end_recorded", "draining", "upkeep", "evacuated", "avoided",
+	"", "not_listed", "not_answered", "lease_end_recorded", "draining", "upkeep", "evacuated", "blocked", "avoided",
 	"probation", "label", "capacity", "ticket",
 }
 
@@ -98,6 +99,8 @@
 		return ExcludeUpkeep
 	case c.Evacuated[w.DataCentre]:
 		return ExcludeEvacuated
+	case now.Before(w.BlockedUntil):
+		return ExcludeBlocked
 	case now.Before(w.AvoidUntil):
 		return ExcludeAvoided
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,8 +70,10 @@
 	c             *jobstate.Cluster
 	now           time.Time
 	workers       map[string][]*jobstate.Worker // workers that accept work, by service
+	available     map[string][]*jobstate.Worker // these and the avoided ones, by service
 	racks         map[string][]rack             // of all these workers, by service; filled when needed
 	reserved      map[*jobstate.Worker]workload.Resources
+	stopping      map[*jobstate.Worker]workload.Resources // cache of stoppingOn
 	plan          Plan
 	preemptibleOn map[*jobstate.Worker][]victim // cache of the results of preemptible
 
@@ -89,9 +91,13 @@
 	if len(units) == 0 {
 		return r.plan
 	}
-	r.workers = map[string][]*jobstate.Worker{}
+	r.workers, r.available = map[string][]*jobstate.Worker{}, map[string][]*jobstate.Worker{}
 	r.racks = map[string][]rack{}
 	for _, w := range c.SortedWorkers() {
+		if !c.Available(w, now) {
+			continue
+		}
+		r.available[w.Service] = append(r.available[w.Service], w)
 		if c.Accepts(w, now) {
 			r.workers[w.Service] = append(r.workers[w.Service], w)
 		}
@@ -221,7 +227,7 @@
 	reason := jobstate.WaitUndecided
 	switch {
 	case len(workers) == 0 && u.job.Route.Advice != nil:
-		r.plan.NeedAdvice = append(r.plan.NeedAdvice, u.step)
+		r.startOverdue(u)
 	case u.step.Spec.Gang:
 		reason = r.scheduleGang(u, workers)
 	default:
@@ -231,6 +237,9 @@
 		reason = r.whyNoWorker(u)
 	}
 	u.step.WaitReason = reason
+	if u.job.Route.Advice != nil && r.needsAdvice(u, workers) {
+		r.plan.NeedAdvice = append(r.plan.NeedAdvice, u.step)
+	}
 }
 
 // whyNoWorker returns why a unit waits that no worker may run.
@@ -246,29 +255,55 @@
 	return jobstate.WaitNoWorkerEligible
 }
 
+// needsAdvice reports whether the unit, which has been scheduled, needs advice on further workers: it may use none,
+// or fewer than a gang needs, or it is overdue.
+func (r *round) needsAdvice(u *unit, workers []*jobstate.Worker) bool {
+	need := u.step.Waiting()
+	if need == 0 {
+		return false
+	}
+	if !u.step.Spec.Gang {
+		need = 1
+	}
+	for _, w := range workers {
+		need -= countIn(u.step, w.Capacity, 0)
+	}
+	return need > 0 || len(r.overdueTasks(u)) > 0
+}
+
 // scheduleGang returns why the gang waits, if it does.
 func (r *round) scheduleGang(u *unit, workers []*jobstate.Worker) jobstate.WaitReason {
-	if !r.leavesHeadroom(u, len(u.waiting)) {
-		return jobstate.WaitHeadroom
+	wait := jobstate.WaitHeadroom
+	leavesHeadroom := r.leavesHeadroom(u, len(u.waiting))
+	if leavesHeadroom {
+		var slots []slot
+		if slots, wait = r.fitGang(u, workers); slots != nil {
+			r.startOn(u, u.waiting, slots)
+			return jobstate.WaitUndecided
+		}
 	}
-	slots, wait := r.fitGang(u, workers)
-	if slots != nil {
-		r.startGang(u, slots)
+	if r.startOverdue(u) {
 		return jobstate.WaitUndecided
 	}
+	if !leavesHeadroom {
+		return wait
+	}
 	if further := r.reserveOrReclaim(u, workers); wait == jobstate.WaitNoRoom {
 		return further
 	}
 	return wait
 }
 
-func (r *round) startGang(u *unit, slots []slot) {
-	number := u.step.NextRunNumber(nil)
+// startOn starts the tasks of the unit on the workers to which they are assigned.
+func (r *round) startOn(u *unit, tasks []*jobstate.Task, slots []slot) {
+	number := u.step.NextRunNumber(tasks[0]) // of a gang, the same for all
 	n := 0
 	for _, s := range slots {
 		for range s.count {
-			r.plan.Starts = append(r.plan.Starts, r.c.Place(u.waiting[n], s.worker, number, r.now))
-			r.freeAccelerators -= u.step.Spec.Demand.Accelerators
+			if !u.step.Spec.Gang {
+				number = u.step.NextRunNumber(tasks[n])
+			}
+			r.start(u, tasks[n], s.worker, number)
 			n++
 		}
 	}
@@ -287,11 +322,10 @@
 		if w, wait = r.bestWorker(u, t, workers); w == nil {
 			break
 		}
-		r.freeAccelerators -= u.step.Spec.Demand.Accelerators
-		r.plan.Starts = append(r.plan.Starts, r.c.Place(t, w, u.step.NextRunNumber(t), r.now))
+		r.start(u, t, w, u.step.NextRunNumber(t))
 		placed++
 	}
-	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 {
+	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 && !r.startOverdue(u) {
 		if further := r.reserveOrReclaim(u, workers); wait == jobstate.WaitNoRoom {
 			wait = further
 		}
@@ -299,6 +333,13 @@
 	return wait
 }
 
+func (r *round) start(u *unit, t *jobstate.Task, w *jobstate.Worker, number int) {
+	run := r.c.Place(t, w, number, r.now)
+	run.OnAvoided = !r.c.Accepts(w, r.now)
+	r.plan.Starts = append(r.plan.Starts, run)
+	r.freeAccelerators -= u.step.Spec.Demand.Accelerators
+}
+
 // eligible returns the workers that may run the step's tasks, whether or not enough of their resources are
 // free.
 func (r *round) eligible(u *unit) []*jobstate.Worker {
@@ -313,10 +354,16 @@
 
 // stepExclusion returns why a worker that accepts work may not run the step's tasks.
 func stepExclusion(s *jobstate.Step, w *jobstate.Worker, now time.Time) jobstate.Exclusion {
+	if onProbation(w, now) && (s.Spec.Gang || s.Occurrence.Job.Route.Priority == 0) {
+		return jobstate.ExcludeProbation
+	}
+	return requirementExclusion(s, w, now)
+}
+
+// requirementExclusion returns which requirement of the step's tasks the worker does not meet.
+func requirementExclusion(s *jobstate.Step, w *jobstate.Worker, now time.Time) jobstate.Exclusion {
 	spec := s.Spec
 	switch {
-	case onProbation(w, now) && (spec.Gang || s.Occurrence.Job.Route.Priority == 0):
-		return jobstate.ExcludeProbation
 	case !w.HasLabel(spec.Label):
 		return jobstate.ExcludeLabel
 	case !spec.Allocation().Fits(w.Capacity):
@@ -327,6 +374,11 @@
 	return jobstate.NotExcluded
 }
 
+// mayRun reports whether the worker has what the step's tasks require.
+func (r *round) mayRun(u *unit, w *jobstate.Worker) bool {
+	return requirementExclusion(u.step, w, r.now) == jobstate.NotExcluded
+}
+
 // free returns the worker's free resources without what units scheduled earlier in the round have
 // reserved.
 func (r *round) free(w *jobstate.Worker) workload.Resources {
@@ -346,8 +398,12 @@
 // countIn returns how many tasks of the step fit into the free resources of a worker that has present
 // other runs of the step.
 func countIn(s *jobstate.Step, free workload.Resources, present int) int {
+	return countUpTo(len(s.Tasks), s, free, present)
+}
+
+// countUpTo returns how many tasks like those of the step fit, but n at most.
+func countUpTo(n int, s *jobstate.Step, free workload.Resources, present int) int {
 	allocation := s.Spec.Allocation()
-	n := len(s.Tasks)
 	limit := func(need, have int) {
 		if need > 0 {
 			n = min(n, max(0, have)/need)
--- a/placement/wait_test.go
+++ b/placement/wait_test.go
@@ -123,7 +123,7 @@
 // Guards against counts in an explanation that do not add up to the workers of the service, and against a
 // worker that is counted for another cause than the one that holds.
 func TestExplanationCountsExcludedWorkers(t *testing.T) {
-	w := newFixture(2, 6)
+	w := newFixture(1, 13)
 	causes := []func(*jobstate.Worker){
 		jobstate.NotExcluded:          func(*jobstate.Worker) {},
 		jobstate.ExcludeUnlisted:      func(worker *jobstate.Worker) { worker.Listed = false },
@@ -135,6 +135,7 @@
 			worker.DataCentre = "evacuated"
 			w.c.Evacuated["evacuated"] = true
 		},
+		jobstate.ExcludeBlocked:   func(worker *jobstate.Worker) { worker.BlockedUntil = w.now.Add(time.Second) },
 		jobstate.ExcludeAvoided:   func(worker *jobstate.Worker) { worker.AvoidUntil = w.now.Add(time.Second) },
 		jobstate.ExcludeProbation: func(worker *jobstate.Worker) { worker.FailStreak, worker.AvoidUntil = 1, w.now },
 		jobstate.ExcludeLabel:     func(worker *jobstate.Worker) { worker.Labels = nil },
