--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -27,8 +27,13 @@
 	maxOrderRetryDelay = time.Second
 	// runLookupTimeout is the timeout of a report that is requested to find a run.
 	runLookupTimeout = 300 * time.Millisecond
-	// refusedStartAvoidance is how long a worker gets no new work after it refused a start.
-	refusedStartAvoidance = time.Second
+	// refusedStartBlock is how long a worker must get no new work after it refused a start.
+	refusedStartBlock = time.Second
+	// refusedStartAvoidance is how long a worker is avoided after it was unhealthy or not reached. It doubles
+	// each time, up to maxRefusedStartAvoidance: the members of a gang take about a second to stop, and would
+	// otherwise be sent to the same worker again.
+	refusedStartAvoidance    = time.Second
+	maxRefusedStartAvoidance = 8 * time.Second
 	// startRetryDelay is how long a step waits after a refused start.
 	startRetryDelay = 100 * time.Millisecond
 )
@@ -45,7 +50,7 @@
 func (t *Term) orderStart(ctx context.Context, r *jobstate.Run, now time.Time) {
 	w := r.Worker
 	a := t.agents[w.ID]
-	if a == nil || a.worker != w || !t.cluster.Accepts(w, now) || t.ended {
+	if a == nil || a.worker != w || !t.mayStart(r, now) || t.ended {
 		t.cluster.End(r, jobstate.EndNeverStarted, "", now)
 		return
 	}
@@ -70,6 +75,11 @@
 	}()
 }
 
+// mayStart reports whether the worker is still available and is not avoided since the run was decided.
+func (t *Term) mayStart(r *jobstate.Run, now time.Time) bool {
+	return t.cluster.Accepts(r.Worker, now) || r.OnAvoided && t.cluster.Available(r.Worker, now)
+}
+
 // start sends the order until its outcome is known, or stops the run.
 func (t *Term) start(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Start) {
 	uncertain := false
@@ -207,6 +217,7 @@
 	if r.Worker == a.worker && r.StartedAt.IsZero() {
 		if _, present := a.worker.Runs[r]; present {
 			r.StartAnswered = true
+			a.worker.RefusalStreak = 0
 			t.confirm(r, now)
 			t.wakeLoop()
 		}
@@ -223,7 +234,8 @@
 	now := time.Now()
 	events.Warn(t.opts.Log, events.StartRefused, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 		zap.String("worker", a.worker.ID), zap.Error(err))
-	a.worker.AvoidUntil = later(a.worker.AvoidUntil, now.Add(refusedStartAvoidance))
+	avoidAfterRefusal(a.worker, err, now)
+	a.worker.BlockedUntil = later(a.worker.BlockedUntil, now.Add(refusedStartBlock))
 	r.Task.Step.NotBefore = now.Add(startRetryDelay)
 	if errors.Is(err, workerapi.ErrWorkerRestarted) {
 		t.dropWorker(a.worker, "another incarnation of the worker answered at its address", now)
@@ -237,6 +249,16 @@
 	t.wakeLoop()
 }
 
+// avoidAfterRefusal updates how long the worker is avoided. Starts that it refuses at about the same time count
+// once.
+func avoidAfterRefusal(w *jobstate.Worker, err error, now time.Time) {
+	if now.Before(w.BlockedUntil) || !errors.Is(err, workerapi.ErrUnhealthy) && !errors.Is(err, workerapi.ErrNotReached) {
+		return
+	}
+	w.AvoidUntil = later(w.AvoidUntil, now.Add(min(refusedStartAvoidance<<min(w.RefusalStreak, 8), maxRefusedStartAvoidance)))
+	w.RefusalStreak++
+}
+
 // startUncertain stops a run that may have started, or may still start.
 func (t *Term) startUncertain(ctx context.Context, a *agent, r *jobstate.Run, err error) {
 	t.mu.Lock()
@@ -247,7 +269,7 @@
 	now := time.Now()
 	events.Warn(t.opts.Log, events.StartUncertain, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 		zap.String("worker", a.worker.ID), zap.Error(err))
-	a.worker.AvoidUntil = later(a.worker.AvoidUntil, now.Add(unresponsiveAvoidance))
+	a.worker.BlockedUntil = later(a.worker.BlockedUntil, now.Add(unresponsiveAvoidance))
 	r.RequestStop("start not confirmed by the worker", now)
 	t.orderStop(ctx, r)
 	t.wakeLoop()
--- a/jobstate/cluster.go
+++ b/jobstate/cluster.go
@@ -34,7 +34,13 @@
 	return c.sorted
 }
 
-// Accepts reports whether new work may be placed on the worker.
+// Available reports whether the worker may be given new work, if need be although it is avoided.
+func (c *Cluster) Available(w *Worker, now time.Time) bool {
+	excluded := c.Exclusion(w, now)
+	return !c.WorkerListStale && (excluded == NotExcluded || excluded == ExcludeAvoided)
+}
+
+// Accepts reports whether the worker is available and not avoided.
 func (c *Cluster) Accepts(w *Worker, now time.Time) bool {
 	return !c.WorkerListStale && c.Exclusion(w, now) == NotExcluded
 }
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -48,6 +48,7 @@
 	Worker           *Worker
 	Phase            Phase
 	PlannedAt        time.Time // when the run was decided
+	OnAvoided        bool      // its worker was avoided then, and there was no other
 	StartedAt        time.Time // when the worker confirmed the start; zero before
 	StartAnswered    bool      // StartedAt is when the worker answered the start, and not a later report
 	Resumed          bool      // it started from a checkpoint
@@ -85,8 +86,8 @@
 	Run         *Run
 	FailedOn    string    // id of the worker where a run failed last
 	Preempted   bool      // its last run was stopped for a more urgent job
+	RanUntil    time.Time // when the last of its runs ended that had started; zero before
 	StoppedSlow bool      // a run was stopped as slow; that is done only once, because the task itself may be long
-	RanUntil    time.Time // when a run that had started last ended; zero before
 }
 
 // Name returns the name that identifies the task to workers.
@@ -107,7 +108,7 @@
 	failedRun       int // highest run number counted in Failures: each member of a gang reports the failure
 	Checkpoint      string
 	ReadyAt         time.Time         // when its tasks could first start; zero while it waits for other steps
-	WaitingSince    time.Time         // ReadyAt, or when the last run ended that has to be repeated
+	WaitingSince    time.Time         // ReadyAt, or when the last run ended that had started and has to be repeated
 	NotBefore       time.Time         // earliest next start, after a refused start or a failed call for advice
 	ReclaimedAt     time.Time         // when runs were last preempted for it
 	Reserved        []Reservation     // resources that were chosen for it
@@ -185,6 +186,7 @@
 	Started        bool           // at least one task has started
 	ArrivedAt      time.Time      // when this owner added the job
 	EndedAt        time.Time
+	RanUntil       time.Time // when the last of its runs ended that had started
 	Revision       uint64    // store revision of the record; 0 before the first write
 	Sequence       uint64    // sequence number in the stored record
 	Dirty          bool      // the record differs from the stored one and from the one that is being written
@@ -213,7 +215,8 @@
 	Draining          bool
 	UpkeepPending     bool          // its machine is the next one to be taken down for upkeep
 	Answered          bool          // it has answered this owner, and its lease has not expired since
-	AvoidUntil        time.Time     // it gets no new work before this time
+	AvoidUntil        time.Time     // it gets no new work before this time, because runs failed or were slow there
+	BlockedUntil      time.Time     // it must get no new work before this time: it did not answer, refused a start, or may carry out a late order
 	EntryWrittenAfter suspend.Stamp // a time before its newest entry was written
 	ReportedAt        time.Time     // when its newest report was requested
 	LeaseEnds         time.Time     // latest possible end of its lease, by this process's clock, unless it is renewed
@@ -237,6 +240,7 @@
 	Untracked map[string]workload.Resources // resources of the tasks on the worker that match no entry of Runs, by task name
 
 	FailStreak      int // consecutive failed runs
+	RefusalStreak   int // consecutive times at which it refused starts or was not reached
 	StragglerStreak int // consecutive runs that were stopped as stragglers
 }
 
@@ -337,11 +341,11 @@
 	j.Dirty = true
 	j.EndsAtRisk = j.EndsAtRisk || r.Worker.Draining || !r.Worker.Listed
 	t.SetCheckpoint(checkpoint)
-	if outcome != EndDone {
+	if outcome != EndDone && outcome != EndNeverStarted {
 		s.WaitingSince = now
 	}
 	if !r.StartedAt.IsZero() {
-		t.RanUntil = now
+		t.RanUntil, j.RanUntil = now, now
 	}
 	switch outcome {
 	case EndDone:
@@ -469,5 +473,17 @@
 	return false
 }
 
+// HasRuns reports whether a task of the job has a run.
+func (j *Job) HasRuns() bool {
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			if s.Active > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Queue returns the name of the queue to which the job was submitted.
 func (j *Job) Queue() string { return j.Submission.Queue.Name }
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -14,9 +14,31 @@
 const rackWaitShare = 0.35
 
 // acceptsOtherRack reports whether the unit has waited long enough to accept workers outside its
-// preferred rack, where it runs FarFactor times as long.
+// preferred rack, where it runs FarFactor times as long, or has nothing to wait for.
 func (r *round) acceptsOtherRack(u *unit) bool {
-	return r.now.Sub(u.step.WaitingSince) >= r.rackWait(u)
+	return r.now.Sub(u.step.WaitingSince) >= r.rackWait(u) || !r.rackMayFit(u)
+}
+
+// rackMayFit reports whether the unit could run in its preferred rack or, for a gang without one, in any single
+// rack, if everything else there ended. Workers that are only avoided count: they are back soon.
+func (r *round) rackMayFit(u *unit) bool {
+	preferred, need := preferredRack(u.step), 1
+	if u.step.Spec.Gang {
+		need = len(u.waiting)
+	}
+	room := map[string]int{}
+	for _, w := range r.c.SortedWorkers() {
+		if w.Service != u.job.Route.Service || preferred != "" && w.Rack != preferred {
+			continue
+		}
+		if !w.HasLabel(u.step.Spec.Label) || !r.c.Available(w, r.now) {
+			continue
+		}
+		if room[w.Rack] += countIn(u.step, w.Capacity, 0); room[w.Rack] >= need {
+			return true
+		}
+	}
+	return false
 }
 
 // rackWait returns how long the unit waits for its preferred rack.
@@ -138,17 +160,22 @@
 
 // pack assigns all waiting tasks, filling the workers with the least free resources first (best fit).
 func (r *round) pack(u *unit, workers []*jobstate.Worker) ([]slot, bool) {
+	if !r.allFit(u, workers) {
+		return nil, false
+	}
+	return packInto(u.step, workers, len(u.waiting), r.free)
+}
+
+// packInto assigns the number of tasks of the step to the workers, whose free resources room returns.
+func packInto(s *jobstate.Step, workers []*jobstate.Worker, need int, room func(*jobstate.Worker) workload.Resources) ([]slot, bool) {
 	type candidate struct {
 		slot
 		left workload.Resources
 	}
-	if !r.allFit(u, workers) {
-		return nil, false
-	}
 	candidates := make([]candidate, 0, len(workers))
 	for _, w := range workers {
-		free := r.free(w)
-		n := countIn(u.step, free, present(u.step, w))
+		free := room(w)
+		n := countIn(s, free, present(s, w))
 		if n == 0 {
 			continue
 		}
@@ -161,16 +188,15 @@
 			cmp.Compare(a.worker.ID, b.worker.ID),
 		)
 	})
-	need := len(u.waiting)
 	var slots []slot
 	for _, c := range candidates {
 		n := min(need, c.count)
 		slots = append(slots, slot{c.worker, n})
 		if need -= n; need == 0 {
-			break
+			return slots, true
 		}
 	}
-	return slots, true
+	return nil, false
 }
 
 // bestWorker returns the worker for one task of a step that is not a gang, or nil and the reason. It
