jobowner: a completion that a former owner has shown stays visible

Cause: the successor marks the job as completed, but its answers show what is stored. A job that a former owner reports as shown is answered as completed at once. TestSuccessorShowsCompletionOfAnOutage failed before (running instead of completed).

Open: an instance that answers from the store while there is no owner, or before the successor has loaded, still reads the older state.

--- a/jobowner/state.go
+++ b/jobowner/state.go
@@ -47,6 +47,9 @@
 	if j.State == workload.Completed && !j.EndsAtRisk && t.opts.StoreOutage() {
 		return j.State, true, nil, 0 // its workers keep the ends until they are stored
 	}
+	if j.State == workload.Completed && t.reportedCompleted[id] {
+		return j.State, true, nil, 0 // a former owner has shown it so
+	}
 	switch {
 	case j.StoredState.Ended():
 		return j.StoredState, true, nil, 0
