testplatform: ends on a worker are void when its lease expires

The oracle took an end as acknowledged, and a later start of the task for a violation of rule TWICE, although the worker's lease had expired between the end and its acknowledgement ("unless the worker's lease lapsed between the two"): it marked such ends only when a lease was extended, and an acknowledgement without an extension came first.

Ends are now marked when the lease expires. The check itself is unchanged; its case in TestOracleSeesEachBrokenRule still fails it.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -214,6 +214,9 @@
 		for task, r := range w.runs {
 			f.advanceRun(w, task, r, now)
 		}
+		if now.After(w.lease) {
+			w.voidUpTo = w.number
+		}
 	}
 	f.checkReclaim(now)
 }
@@ -333,9 +336,6 @@
 
 // extendLease extends the lease up to a time on the worker's clock, at most by MaxLease.
 func (w *worker) extendLease(until int64) {
-	if time.Now().After(w.lease) {
-		w.voidUpTo = w.number
-	}
 	left := min(time.Duration(until-w.clock())*time.Millisecond, MaxLease)
 	if expires := time.Now().Add(left); expires.After(w.lease) {
 		w.lease = expires
--- a/internal/testplatform/oracle_test.go
+++ b/internal/testplatform/oracle_test.go
@@ -67,6 +67,20 @@
 	require.NoError(o.t, err)
 }
 
+// Guards against an oracle that counts an end as acknowledged although the lease expired before, because the
+// acknowledgement did not renew it.
+func TestOracleVoidsEndsWhenTheLeaseExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newHarness(t)
+		o.start("w0", "plain.0.0.0", 1)
+		time.Sleep(MaxLease + time.Second)
+		_, err := o.fleet.Renew(context.Background(), workerapi.Target{ID: "w0"}, workerapi.Renew{Token: 1, AckSequence: 1})
+		require.NoError(t, err)
+		o.start("w1", "plain.0.0.0", 2)
+		assert.Empty(t, o.fleet.Violations())
+	})
+}
+
 // Guards against an oracle that does not detect violations: each case breaks one rule.
 func TestOracleSeesEachBrokenRule(t *testing.T) {
 	for rule, violate := range map[string]func(o *harness){
