testplatform: tasks recorded on a vanished worker may wait for its lease

The check for standing jobs allowed the wait for the lease of a vanished worker only for tasks that the worker had been asked to start. The rule for a second run (TWICE) requires the wait. The check now asks the job's record (Fleet.RecordedOn), for each task and each member of its gang.

jobstate.TestRecordIsRestored covers the lease end on another worker's clock.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -54,6 +54,8 @@
 	CalmSince func() time.Time
 	// Ended reports whether callers see the job as ended.
 	Ended func(job string) bool
+	// RecordedOn returns the worker on which the job's record shows a run of the task, or "".
+	RecordedOn func(task workload.TaskName) string
 
 	faultMu sync.Mutex // held during calls of fault, so that they do not overlap
 	fault   func(worker, call string) Fault
@@ -75,7 +77,8 @@
 
 	starts          int
 	violations      []string
-	lastIncarnation int64 // of the last worker that was added
+	lastIncarnation int64             // of the last worker that was added
+	addresses       map[string]string // by worker id
 	standing        standing
 }
 
@@ -115,7 +118,9 @@
 		failedRuns: map[string]int{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
 	created := time.Now()
+	f.addresses = map[string]string{}
 	f.standing, f.CalmSince, f.Ended = newStanding(), func() time.Time { return created }, f.jobDone
+	f.RecordedOn = func(workload.TaskName) string { return "" }
 	f.SetFault(func(string, string) Fault { return None })
 	return f
 }
@@ -138,8 +143,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastIncarnation++
+	if f.addresses[id] == "" {
+		f.addresses[id] = "10.0.0.1:" + id
+	}
 	entry := workerapi.Entry{
-		Worker: workerapi.Target{ID: id, Address: "10.0.0.1:" + id}, Incarnation: f.lastIncarnation, Service: "service",
+		Worker: workerapi.Target{ID: id, Address: f.addresses[id]}, Incarnation: f.lastIncarnation, Service: "service",
 		DataCentre: dataCentre, Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
 	}
 	if former := f.workers[id]; former != nil {
@@ -209,14 +217,14 @@
 				f.end(w, task, jobstate.EndLeaseExpired)
 			}
 		}
+		if now.After(w.lease) {
+			w.voidUpTo = w.number
+		}
 	}
 	for _, w := range f.workers {
 		for task, r := range w.runs {
 			f.advanceRun(w, task, r, now)
 		}
-		if now.After(w.lease) {
-			w.voidUpTo = w.number
-		}
 	}
 	f.checkReclaim(now)
 }
@@ -344,7 +352,6 @@
 
 // Start implements workerapi.Client.
 func (f *Fleet) Start(ctx context.Context, t workerapi.Target, o workerapi.Start) (clock int64, err error) {
-	f.recordOrder(t.ID, o.Task)
 	err = f.do(ctx, t.ID, "start", func() error {
 		w, err := f.authorize(t, o.Token)
 		if err != nil {
--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -257,16 +257,15 @@
 
 // Replace removes a worker with all runs on it, and starts one with another ID at its address.
 func (f *Fleet) Replace(former, id, dataCentre, rack string, capacity workload.Resources) workerapi.Entry {
-	entry := f.Add(id, dataCentre, rack, capacity)
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.addresses[id] = f.addresses[former]
 	if w := f.workers[former]; w != nil {
-		entry.Worker.Address = w.entry.Worker.Address
-		f.workers[id].entry = entry
 		f.standing.runsLost(w, true)
-		delete(f.workers, former)
 	}
-	return entry
+	delete(f.workers, former)
+	delete(f.standing.leases, former)
+	f.mu.Unlock()
+	return f.Add(id, dataCentre, rack, capacity)
 }
 
 // Done reports whether all tasks of the job have ended as done.
--- a/internal/testplatform/standing.go
+++ b/internal/testplatform/standing.go
@@ -22,21 +22,13 @@
 	since    map[string]time.Time // since when a job, or a long-running task, stands
 	ended    map[string]time.Time // end of the last run, by job and by task
 	finished map[string]bool      // jobs that callers see as ended
-	ordered  map[string]string    // the last worker that was asked to start the task
-	// leases holds, by job and by task, until when a worker that vanished may seem to run the tasks that it was
-	// asked to start: it cannot be told from a worker that is cut off.
-	leases map[string]map[string]time.Time // by worker
+	// leases holds until when a worker that vanished may seem to run the tasks recorded on it: it cannot be told
+	// from a worker that is cut off.
+	leases map[string]time.Time
 }
 
 func newStanding() standing {
-	return standing{since: map[string]time.Time{}, ended: map[string]time.Time{}, finished: map[string]bool{}, ordered: map[string]string{}, leases: map[string]map[string]time.Time{}}
-}
-
-// recordOrder records that the worker is asked to start the task.
-func (f *Fleet) recordOrder(worker, task string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.standing.ordered[task] = worker
+	return standing{since: map[string]time.Time{}, ended: map[string]time.Time{}, finished: map[string]bool{}, leases: map[string]time.Time{}}
 }
 
 // runEnded records the end of a run.
@@ -45,28 +37,15 @@
 }
 
 // runsLost records the end of all runs of a worker that crashed or left. If no other worker has replaced it,
-// the tasks that it was asked to start may have to wait until its lease has expired on a clock that is 2% slow.
+// the tasks recorded on it may have to wait until its lease has expired on a clock that is 2% slow.
 func (s *standing) runsLost(w *worker, replaced bool) {
 	now := time.Now()
-	id := w.entry.Worker.ID
 	for _, r := range w.runs {
 		s.runEnded(r.name, now)
 	}
-	s.leases[id] = map[string]time.Time{}
-	for task, worker := range s.ordered {
-		if name, err := workload.ParseTaskName(task); err == nil && worker == id && !replaced {
-			expires := now.Add(MaxLease + MaxLease/50)
-			s.leases[id][task], s.leases[id][name.Job] = expires, expires
-		}
-	}
-}
-
-// mayStandUntil returns the end of the last lease that may still hold a run of the job or task.
-func (s *standing) mayStandUntil(key string) (until time.Time) {
-	for _, keys := range s.leases {
-		until = later(until, keys[key])
+	if !replaced {
+		s.leases[w.entry.Worker.ID] = now.Add(MaxLease + MaxLease/50)
 	}
-	return until
 }
 
 func later(a, b time.Time) time.Time {
@@ -143,7 +122,7 @@
 	if s.since[key].IsZero() {
 		s.since[key] = now
 	}
-	since := later(later(s.since[key], earliest), later(calm, s.mayStandUntil(key)).Add(calmBefore))
+	since := later(later(s.since[key], earliest), calm.Add(calmBefore))
 	if now.Sub(since) > standingBound {
 		f.violate("LOST", "%s has nothing running although %s can run, for %v", key, waiting, now.Sub(s.since[key]))
 		s.since[key] = now
@@ -169,9 +148,28 @@
 	if step.Gang {
 		need = step.Tasks
 	}
+	if f.held(name, step) {
+		return false
+	}
 	return f.room(job, name) >= 2*need
 }
 
+// held reports whether the task, or a member of its gang, is recorded on a worker that vanished and whose lease
+// ended less than calmBefore ago.
+func (f *Fleet) held(name workload.TaskName, step *workload.Step) bool {
+	first, last := name.Index, name.Index
+	if step.Gang {
+		first, last = 0, step.Tasks-1
+	}
+	for name.Index = first; name.Index <= last; name.Index++ {
+		expires, vanished := f.standing.leases[f.RecordedOn(name)]
+		if vanished && time.Since(expires) < calmBefore {
+			return true
+		}
+	}
+	return false
+}
+
 // endStands reports whether the task, or a member of its gang, has ended as done on a worker that is still
 // up, or with an acknowledged end.
 func (f *Fleet) endStands(name workload.TaskName, gang bool) bool {
--- a/internal/testplatform/standing_test.go
+++ b/internal/testplatform/standing_test.go
@@ -41,6 +41,14 @@
 	require.NoError(o.t, err)
 }
 
+// vanish removes a worker with a run of each task of the job, and adds another one.
+func (o *harness) vanish(worker string) {
+	o.fleet.RecordedOn = func(workload.TaskName) string { return worker }
+	o.start(worker, "job.0.0.0", 1)
+	o.fleet.RemoveWorker(worker)
+	o.fleet.Add("w2", "z", "r", halfWorker)
+}
+
 // watch looks for standing jobs for the given time, in which the leases are renewed.
 func (o *harness) watch(span time.Duration) {
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
@@ -70,10 +78,8 @@
 			o.fleet.Replace("w1", "w2", "z", "r", halfWorker)
 		},
 		"the lease at a vanished worker has expired": func(o *harness) {
-			o.start("w1", "job.0.0.0", 1)
-			o.fleet.RemoveWorker("w1")
-			o.fleet.Add("w2", "z", "r", halfWorker)
-			o.watch(MaxLease + MaxLease/50)
+			o.vanish("w1")
+			o.watch(MaxLease + MaxLease/50 + calmBefore)
 		},
 		"a long-running task does not run": func(o *harness) {
 			o.start("w0", "job.0.0.0", 1)
@@ -110,9 +116,7 @@
 			o.start("w0", "job.0.0.0", 1)
 		},
 		"a worker has vanished": func(o *harness) {
-			o.start("w1", "job.0.0.0", 1)
-			o.fleet.RemoveWorker("w1")
-			o.fleet.Add("w2", "z", "r", halfWorker)
+			o.vanish("w1")
 		},
 		"a long-running task has just ended": func(o *harness) {
 			o.start("w0", "job.0.0.0", 1)
--- a/jobstate/record_test.go
+++ b/jobstate/record_test.go
@@ -26,7 +26,7 @@
 	}
 	c.End(tasks[0].Run, jobstate.EndDone, "", now)
 	c.End(tasks[1].Run, jobstate.EndFailed, "cp", now)
-	w.Unresponsive = true
+	w.Unresponsive, w.RecordedLeaseClock = true, &workload.ClockReading{Worker: "w1", Incarnation: 8, Clock: 70_000}
 	record := j.Record(5, 50_000, now)
 
 	nextOwner := jobstate.New()
@@ -43,6 +43,7 @@
 	assert.Equal(t, jobstate.Ordered, run.Phase)
 	assert.Equal(t, "10.0.0.1:80", run.Worker.Address)
 	assert.EqualValues(t, 59_000, run.Worker.RecordedLeaseEnds)
+	assert.Equal(t, w.RecordedLeaseClock, run.Worker.RecordedLeaseClock)
 	assert.False(t, nextOwner.Accepts(run.Worker, now))
 	assert.Equal(t, record.Occurrences, restored.Record(5, 80_000, now.Add(30*time.Second)).Occurrences, "a later owner keeps the recorded end of the lease")
 }
