jobowner: fuzz of standing jobs

The fuzz of terms asked only that jobs end within minutes after the last fault. Both fuzz tests now look for standing jobs (rule LOST, testplatform.Fleet.CheckStanding) five times a second, from the first event on. Jobs end when their record says so, which is what callers see. No fault in progress and no event but submissions, cancellations and evacuations in the last 4 s counts as calm.

TestFuzzStanding adds series of owner changes, releases (workers that drain, restart or are replaced at their address, one after another), data centres that lose power, with their instance, workers that fail everything, a slow store, and quiet times between the faults. TestFuzzTerms keeps its actions, so that its seeds stay the same. A failure prints the workers as the owner sees them. Ended jobs stay in the store for the whole scenario, which may last longer than the minute of the other tests; scenarios with quiet times reported removed jobs as queued otherwise.

--- /dev/null
+++ b/jobowner/fuzz_faults_test.go
@@ -0,0 +1,262 @@
+package jobowner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+const (
+	storeLatency = 4 * time.Millisecond
+	// entryExpiry is how long after its last heartbeat the platform removes the entry of a worker.
+	entryExpiry = 4500 * time.Millisecond
+	// checkInterval is how often the oracle checks for standing jobs.
+	checkInterval = 200 * time.Millisecond
+)
+
+// undisturbing are the actions that are no fault.
+var undisturbing = map[string]bool{"submit": true, "gang": true, "chain": true, "labelled": true, "long_running": true, "evacuate": true,
+	"cancel": true, "quiet": true}
+
+// standingActions are the actions of TestFuzzStanding. TestFuzzTerms keeps its own, so that its seeds stay the same.
+var standingActions = append([]string{"power", "owners", "owners", "release", "release", "failing", "slow_store", "quiet", "quiet", "quiet", "quiet"}, actions...)
+
+// Guards against accepted jobs that stand although there is room for them (LOST), after whole data centres have
+// lost power, releases of workers, series of owner changes, failing workers and a slow store.
+func TestFuzzStanding(t *testing.T) {
+	fuzzScenarios(t, func(t *rapid.T) []event { return drawFrom(t, standingActions) })
+}
+
+// updateCalm records whether the system is calm after an action.
+func (d *scenario) updateCalm(action string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.fault)+len(d.storeFaults)+len(d.failing) > 0 || len(d.instances) == 0 {
+		d.calmSince.Store(nil)
+		return
+	}
+	if d.calmSince.Load() == nil || !undisturbing[action] {
+		now := time.Now()
+		d.calmSince.Store(&now)
+	}
+}
+
+// checkContinuously has the oracle look for standing jobs until stopChecks is closed.
+func (d *scenario) checkContinuously() {
+	d.fleet.CalmSince = func() time.Time {
+		if at := d.calmSince.Load(); at != nil {
+			return *at
+		}
+		return time.Time{}
+	}
+	d.retention = time.Hour // the states are read after the last fault
+	d.fleet.Ended = func(id string) bool { return d.state(id).Ended() }
+	d.fleet.RecordedOn = d.recordedOn
+	d.fleet.Failing = func(worker string) bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.failing[worker]
+	}
+	go func() {
+		for {
+			select {
+			case <-d.stopChecks:
+				return
+			case <-time.After(checkInterval):
+				before := len(d.fleet.Violations())
+				d.fleet.CheckStanding()
+				if len(d.fleet.Violations()) > before {
+					view := d.ownerView()
+					d.mu.Lock()
+					d.views = append(d.views, view)
+					d.mu.Unlock()
+				}
+			}
+		}
+	}()
+}
+
+// recordedOn returns the worker on which the job's record shows a run of the task, or "".
+func (d *scenario) recordedOn(task workload.TaskName) string {
+	raw, ok := d.store.Value(jobowner.RecordKey(task.Job))
+	if !ok {
+		return ""
+	}
+	record, err := workload.DecodeRecord(raw)
+	if err != nil {
+		panic(err)
+	}
+	for _, o := range record.Occurrences {
+		if o.Number != task.Occurrence || task.Step >= len(o.Steps) {
+			continue
+		}
+		for _, t := range o.Steps[task.Step].Tasks {
+			if t.Index == task.Index {
+				return t.Worker
+			}
+		}
+	}
+	return ""
+}
+
+// ownerView describes the workers as the newest term sees them, for the report of a failure.
+func (d *scenario) ownerView() string {
+	d.mu.Lock()
+	term := d.terms[len(d.terms)-1]
+	d.mu.Unlock()
+	view := fmt.Sprintf("%v:", time.Now().Format("04:05.000"))
+	term.WithCluster(func(c *jobstate.Cluster) {
+		for _, w := range c.SortedWorkers() {
+			view += fmt.Sprintf(" %s listed=%t answered=%t draining=%t unresponsive=%t/%t avoided=%v failures=%d/%d runs=", w.ID, w.Listed, w.Answered,
+				w.Draining, w.Unresponsive, w.UnresponsiveStored, time.Until(w.AvoidUntil).Round(time.Millisecond), w.FailStreak, w.StragglerStreak)
+			for r := range w.Runs {
+				view += fmt.Sprintf("%s.%d phase %d lease %v,", r.Task.Name(), r.Number, r.Phase, time.Until(w.LeaseEnds).Round(time.Millisecond))
+			}
+			view += ";"
+		}
+	})
+	return view
+}
+
+// applyFurther applies the events of standingActions.
+func (d *scenario) applyFurther(e event) {
+	switch e.action {
+	case "power":
+		d.losePower(e.target%2, e.amount)
+	case "owners":
+		for n := range e.amount {
+			instance := fmt.Sprint("i", n%2)
+			d.kill(instance)
+			d.start(instance)
+			d.updateCalm(e.action)
+			time.Sleep(time.Duration(e.target) * 400 * time.Millisecond)
+		}
+	case "release":
+		d.release(e.target/3, e.amount)
+	case "failing":
+		d.mu.Lock()
+		d.failing[d.worker(e.target)] = true
+		d.mu.Unlock()
+	case "slow_store":
+		d.slowStore(e.amount)
+	case "quiet":
+		d.quiet(time.Duration(8+e.amount) * time.Second)
+	}
+}
+
+// losePower takes all workers of a data centre away at once, and the instance there. Some workers come back.
+func (d *scenario) losePower(zone, amount int) {
+	d.calmSince.Store(nil)
+	d.kill(fmt.Sprint("i", zone))
+	for n := range fuzzWorkers / 2 {
+		id := d.worker(3*zone + n)
+		d.lost[id] = zone
+		d.fleet.RemoveWorker(id)
+	}
+	time.Sleep(entryExpiry)
+	for id, rack := range d.lost {
+		if rack == zone {
+			d.store.Remove(workersPrefix + id)
+		}
+	}
+	for n := range amount % 4 {
+		id := d.worker(3*zone + n%3)
+		d.addWorker(id, zone)
+	}
+	if amount%2 == 0 {
+		d.start(fmt.Sprint("i", zone))
+	}
+}
+
+// restorePower starts the workers again that have lost power.
+func (d *scenario) restorePower() {
+	for id, rack := range d.lost {
+		d.addWorker(id, rack)
+	}
+}
+
+// release replaces the workers of a data centre one after the other: each restarts under its id, after it has
+// drained or at once, or is replaced by another one at its address.
+func (d *scenario) release(zone, how int) {
+	for n := range fuzzWorkers / 2 {
+		number := 3*zone + n
+		id := d.worker(number)
+		switch how % 3 {
+		case 0:
+			d.drainAndReplace(id, zone)
+		case 1:
+			d.addWorker(id, zone)
+		case 2:
+			d.replace(number, id, zone)
+		}
+		d.updateCalm("release")
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// replace starts a worker with a new id at the address of another one, which has ended.
+func (d *scenario) replace(number int, former string, zone int) {
+	delete(d.lost, former)
+	d.next++
+	d.renamed[number] = fmt.Sprint("w", number, "-", d.next)
+	d.list(d.fleet.Replace(former, d.renamed[number], fmt.Sprint("zone-", zone), fmt.Sprint("rack-", zone), workerCapacity))
+	d.store.Remove(workersPrefix + former)
+}
+
+// worker returns the current id of the worker with the number.
+func (d *scenario) worker(number int) string {
+	if id, ok := d.renamed[number]; ok {
+		return id
+	}
+	return fmt.Sprint("w", number)
+}
+
+func (d *scenario) slowStore(amount int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, c := range d.instances {
+		c.client.SetLatency(time.Duration(amount) * 60 * time.Millisecond)
+		d.storeFaults[name] = true
+	}
+}
+
+// quiet ends all faults and lets the time pass.
+func (d *scenario) quiet(span time.Duration) {
+	d.clearFaults()
+	for _, name := range []string{"i0", "i1"} {
+		if d.instances[name] == nil {
+			d.start(name)
+			d.updateCalm("restart")
+		}
+	}
+	d.restorePowerIfNone()
+	d.updateCalm("quiet")
+	time.Sleep(span)
+}
+
+// restorePowerIfNone starts the lost workers again if too few are left for the jobs.
+func (d *scenario) restorePowerIfNone() {
+	if len(d.lost) > fuzzWorkers/2 {
+		d.restorePower()
+	}
+}
+
+// kill stops an instance at once, which ends the faults of its store client.
+func (d *scenario) kill(name string) {
+	d.mu.Lock()
+	delete(d.storeFaults, name)
+	d.mu.Unlock()
+	d.system.kill(name)
+}
+
+// addWorker starts a worker, or a new incarnation of it, and lists it.
+func (d *scenario) addWorker(id string, rack int) {
+	delete(d.lost, id)
+	d.system.addWorker(id, rack)
+}
--- a/jobowner/fuzz_test.go
+++ b/jobowner/fuzz_test.go
@@ -27,7 +27,9 @@
 var actions = []string{"submit", "submit", "submit", "gang", "chain", "labelled", "long_running", "evacuate", "cancel", "kill", "restart", "restart_worker",
 	"drain", "store_fault", "order_fault", "isolate", "compact", "clear_faults", "suspend"}
 
-func drawEvents(t *rapid.T) []event {
+func drawEvents(t *rapid.T) []event { return drawFrom(t, actions) }
+
+func drawFrom(t *rapid.T, actions []string) []event {
 	n := rapid.IntRange(5, 40).Draw(t, "steps")
 	events := make([]event, n)
 	for i := range events {
@@ -49,6 +51,13 @@
 	next          int
 	fault         map[string]testplatform.Fault // of orders, by worker; "" applies to all workers
 	faultsEndedAt atomic.Pointer[time.Time]     // when the last fault ended; nil until then
+	calmSince     atomic.Pointer[time.Time]     // when the last fault so far ended; nil during a fault
+	storeFaults   map[string]bool               // instances with a store fault
+	failing       map[string]bool               // workers on which all runs fail
+	lost          map[string]int                // racks of the workers that have lost power
+	renamed       map[int]string                // ids of workers that replaced others, by number of the first
+	stopChecks    chan struct{}
+	views         []string // of the owner, at violations while the scenario runs
 }
 
 const (
@@ -58,7 +67,8 @@
 )
 
 func newScenario() *scenario {
-	d := &scenario{system: newSystem(), fault: map[string]testplatform.Fault{}}
+	d := &scenario{system: newSystem(), fault: map[string]testplatform.Fault{}, storeFaults: map[string]bool{}, failing: map[string]bool{},
+		lost: map[string]int{}, renamed: map[int]string{}, stopChecks: make(chan struct{})}
 	d.fleet.Outcome = func(name workload.TaskName, run int) (time.Duration, jobstate.End) {
 		seed := len(name.Job)*7 + name.Index*13 + run*5 + name.Step
 		if name.Job[0] == 'l' { // long-running: fails if it is not cancelled before
@@ -85,8 +95,10 @@
 	for n := range fuzzWorkers {
 		d.addWorker(fmt.Sprint("w", n), n/3)
 	}
+	d.checkContinuously()
 	d.start("i0")
 	d.start("i1")
+	d.updateCalm("start")
 	return d
 }
 
@@ -111,7 +123,7 @@
 	time.Sleep(e.after)
 	faults := []testplatform.Fault{testplatform.Refused, testplatform.AnswerLost, testplatform.Late, testplatform.Silent}
 	fault := faults[e.amount%len(faults)]
-	worker := fmt.Sprint("w", e.target)
+	worker := d.worker(e.target)
 	instance := fmt.Sprint("i", e.target%2)
 	route := []string{"urgent", "batch"}[e.amount%2]
 	switch e.action {
@@ -163,13 +175,19 @@
 		d.suspendedFor.Add(int64(suspension)) // all leases and confirmations are older by this time at once
 	case "clear_faults":
 		d.clearFaults()
+	default:
+		d.applyFurther(e)
 	}
+	d.updateCalm(e.action)
 }
 
 // suspension is how long the machines are suspended.
 const suspension = 5 * time.Second
 
 func (d *scenario) drainAndReplace(worker string, rack int) {
+	if _, lost := d.lost[worker]; lost {
+		return
+	}
 	d.list(d.fleet.Drain(worker))
 	time.Sleep(2500 * time.Millisecond)
 	d.fleet.RemoveWorker(worker)
@@ -185,6 +203,7 @@
 	if c == nil {
 		return
 	}
+	d.storeFaults[instance] = true
 	n := 0
 	c.client.SetFault(func(string) testplatform.Fault {
 		if n++; n%3 == 0 {
@@ -198,8 +217,10 @@
 func (d *scenario) clearFaults() {
 	d.mu.Lock()
 	d.fault = map[string]testplatform.Fault{}
+	d.storeFaults, d.failing = map[string]bool{}, map[string]bool{}
 	for _, c := range d.instances {
 		c.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		c.client.SetLatency(storeLatency)
 	}
 	d.mu.Unlock()
 }
@@ -214,6 +235,8 @@
 			d.start(name)
 		}
 	}
+	d.restorePower()
+	d.updateCalm("finish")
 	for _, id := range d.longRunning {
 		d.cancelJob(id)
 	}
@@ -234,7 +257,9 @@
 	if n := d.fleet.Running(); n > 0 {
 		failures = append(failures, fmt.Sprintf("UNASKED: %d runs after all jobs have ended", n))
 	}
-	return append(failures, d.fleet.Violations()...)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append(append(failures, d.fleet.Violations()...), d.views...)
 }
 
 // reclaimGuarantee fills all workers except one that is draining, and then submits a job for the
@@ -242,7 +267,8 @@
 // worker gets no work.
 func (d *scenario) reclaimGuarantee(t *testing.T) {
 	time.Sleep(2 * recoveryTime)
-	d.list(d.fleet.Drain(fmt.Sprint("w", fuzzWorkers-1)))
+	d.list(d.fleet.Drain(d.worker(fuzzWorkers - 1)))
+	d.updateCalm("drain")
 	time.Sleep(3 * time.Second)
 	d.submit("fill", "batch", tasks(8*fuzzWorkers, 1))
 	time.Sleep(time.Second)
@@ -256,6 +282,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newScenario()
 		defer d.stop()
+		defer close(d.stopChecks)
 		for _, e := range events {
 			d.apply(e)
 		}
@@ -265,9 +292,13 @@
 }
 
 // Guards against violations of the rules for running tasks (LIMIT, TWICE, ORDER, BUDGET, GANG, UNASKED,
-// DRAIN) and against lost jobs under owner changes and lost, late and refused calls.
+// DRAIN) and against lost and standing jobs under owner changes and lost, late and refused calls.
 // JOBOWNER_FUZZ_CHECKS sets the number of scenarios; JOBOWNER_FUZZ_SEED runs a single seed.
 func TestFuzzTerms(t *testing.T) {
+	fuzzScenarios(t, drawEvents)
+}
+
+func fuzzScenarios(t *testing.T, draw func(*rapid.T) []event) {
 	checks := 60
 	if n, err := strconv.Atoi(os.Getenv("JOBOWNER_FUZZ_CHECKS")); err == nil {
 		checks = n
@@ -277,7 +308,7 @@
 		first, checks = n, 1
 	}
 	for seed := first; seed < first+checks; seed++ {
-		events := rapid.Custom(drawEvents).Example(seed)
+		events := rapid.Custom(draw).Example(seed)
 		if failures := runScenario(t, events); len(failures) > 0 {
 			t.Errorf("seed %d: %v\nsteps: %+v", seed, failures, events)
 		}
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -47,6 +47,7 @@
 	configPanics atomic.Bool       // reading the configuration panics
 	storeStable  atomic.Bool       // the store has recently answered all calls
 	suspendedFor atomic.Int64      // total suspension of all machines, nanoseconds
+	retention    time.Duration     // of ended jobs
 
 	mu        sync.Mutex
 	evacuated map[string]bool // data centres
@@ -63,7 +64,7 @@
 }
 
 func newSystem() *system {
-	s := &system{store: testplatform.NewStore(), fleet: testplatform.NewFleet(), instances: map[string]*testInstance{}, evacuated: map[string]bool{}}
+	s := &system{retention: time.Minute, store: testplatform.NewStore(), fleet: testplatform.NewFleet(), instances: map[string]*testInstance{}, evacuated: map[string]bool{}}
 	s.config = workload.NewConfig(workload.Config{Version: 1, Routes: []workload.Route{
 		{Name: "urgent", Service: "service", Priority: 0, MaxAttempts: 3, Stretch: 1.5, TargetLatency: time.Second},
 		{Name: "batch", Service: "service", Priority: 1, MaxAttempts: 3, Stretch: 3, TargetLatency: time.Second},
@@ -98,7 +99,7 @@
 			Config: s.readConfig, Guard: guard, WallClock: time.Now, MaxLease: testplatform.MaxLease,
 			OwnershipConfirmed: func() bool { return elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
 			Placement:          placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
-			EndedRetention:     time.Minute, StoreTimeout: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3750 * time.Millisecond, StoreStable: func() bool { return s.storeStable.Load() },
+			EndedRetention:     s.retention, StoreTimeout: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3750 * time.Millisecond, StoreStable: func() bool { return s.storeStable.Load() },
 			Suspended:    s.suspended,
 			WriteTimeout: func(int) time.Duration { return 500 * time.Millisecond },
 			StoreOutage:  func() bool { return s.outage.Load() }, Completed: func(context.Context) []string { return s.completed() },
