--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -62,6 +62,8 @@
 	BusyShare float64
 	// MaxLease is the maximum duration of a worker's lease.
 	MaxLease time.Duration
+	// RecordedOn returns the worker on which the job's record shows a run of the task, or "".
+	RecordedOn func(task workload.TaskName) string
 
 	faultMu sync.Mutex // held during calls of fault, so that they do not overlap
 	fault   func(worker, call string) Fault
@@ -85,7 +87,8 @@
 
 	starts          int
 	violations      []string
-	lastIncarnation int64 // of the last worker that was added
+	lastIncarnation int64             // of the last worker that was added
+	addresses       map[string]string // by worker id
 	standing        standing
 }
 
@@ -125,8 +128,10 @@
 		gangs: map[workload.TaskName]map[*run]bool{}, failedRuns: map[string]int{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
 	created := time.Now()
+	f.addresses = map[string]string{}
 	f.standing, f.CalmSince, f.Ended = newStanding(), func() time.Time { return created }, f.jobDone
 	f.Accepted, f.MaxLease, f.BusyShare = func(string) bool { return true }, MaxLease, math.Inf(1)
+	f.RecordedOn = func(workload.TaskName) string { return "" }
 	f.SetFault(func(string, string) Fault { return None })
 	return f
 }
@@ -149,8 +154,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastIncarnation++
+	if f.addresses[id] == "" {
+		f.addresses[id] = "10.0.0.1:" + id
+	}
 	entry := workerapi.Entry{
-		Worker: workerapi.Target{ID: id, Address: "10.0.0.1:" + id}, Incarnation: f.lastIncarnation, Service: "service",
+		Worker: workerapi.Target{ID: id, Address: f.addresses[id]}, Incarnation: f.lastIncarnation, Service: "service",
 		DataCentre: dataCentre, Rack: rack, Labels: []string{"a", rack}, Capacity: capacity,
 	}
 	if former := f.workers[id]; former != nil {
@@ -242,6 +250,9 @@
 			f.end(w, task, jobstate.EndLeaseExpired)
 		}
 	}
+	if now.After(w.lease) {
+		w.voidUpTo = w.number
+	}
 }
 
 func (f *Fleet) advanceWorker(w *worker, now time.Time) {
@@ -386,9 +397,6 @@
 
 // extendLease extends the lease up to a time on the worker's clock, at most by limit.
 func (w *worker) extendLease(until int64, limit time.Duration) {
-	if time.Now().After(w.lease) {
-		w.voidUpTo = w.number
-	}
 	left := min(time.Duration(until-w.clock())*time.Millisecond, limit)
 	if expires := time.Now().Add(left); expires.After(w.lease) {
 		w.lease = expires
@@ -397,7 +405,6 @@
 
 // Start implements workerapi.Client.
 func (f *Fleet) Start(ctx context.Context, t workerapi.Target, o workerapi.Start) (clock int64, err error) {
-	f.recordOrder(t.ID, o.Task)
 	err = f.do(ctx, t.ID, "start", func() error {
 		w, err := f.authorize(t, o.Token)
 		if err != nil {
--- a/internal/testplatform/standing.go
+++ b/internal/testplatform/standing.go
@@ -19,31 +19,16 @@
 
 // standing records what CheckStanding needs to know about the past.
 type standing struct {
-	since    map[string]time.Time       // since when a job, or a long-running task, stands
-	ended    map[string]time.Time       // end of the last run, by job and by task
-	finished map[string]bool            // jobs that callers see as ended
-	ordered  map[string]string          // the last worker that was asked to start the task
-	orders   map[string]map[string]bool // the tasks in ordered, by worker
-	// leases holds, by job and by task, until when a worker that vanished may seem to run the tasks that it was
-	// asked to start: it cannot be told from a worker that is cut off.
-	leases map[string]map[string]time.Time // by worker
+	since    map[string]time.Time // since when a job, or a long-running task, stands
+	ended    map[string]time.Time // end of the last run, by job and by task
+	finished map[string]bool      // jobs that callers see as ended
+	// leases holds until when a worker that vanished may seem to run the tasks recorded on it: it cannot be told
+	// from a worker that is cut off.
+	leases map[string]time.Time
 }
 
 func newStanding() standing {
-	return standing{since: map[string]time.Time{}, ended: map[string]time.Time{}, finished: map[string]bool{}, ordered: map[string]string{}, orders: map[string]map[string]bool{}, leases: map[string]map[string]time.Time{}}
-}
-
-// recordOrder records that the worker is asked to start the task.
-func (f *Fleet) recordOrder(worker, task string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := &f.standing
-	delete(s.orders[s.ordered[task]], task)
-	s.ordered[task] = worker
-	if s.orders[worker] == nil {
-		s.orders[worker] = map[string]bool{}
-	}
-	s.orders[worker][task] = true
+	return standing{since: map[string]time.Time{}, ended: map[string]time.Time{}, finished: map[string]bool{}, leases: map[string]time.Time{}}
 }
 
 // runEnded records the end of a run.
@@ -51,30 +36,16 @@
 	s.ended[name.Job], s.ended[name.String()] = now, now
 }
 
-// runsLost records the end of all runs of a worker that crashed or left. The tasks
-// that it was asked to start may have to wait until its lease has expired on a clock that is 2% slow; a lease of 0
-// means that another worker has replaced it.
+// runsLost records the end of all runs of a worker that crashed or left. The tasks recorded on it may have to wait
+// until its lease has expired on a clock that is 2% slow; a lease of 0 means that another worker has replaced it.
 func (s *standing) runsLost(w *worker, lease time.Duration) {
 	now := time.Now()
-	id := w.entry.Worker.ID
 	for _, r := range w.runs {
 		s.runEnded(r.name, now)
 	}
-	s.leases[id] = map[string]time.Time{}
-	for task := range s.orders[id] {
-		if name, err := workload.ParseTaskName(task); err == nil && lease > 0 {
-			expires := now.Add(lease + lease/50)
-			s.leases[id][task], s.leases[id][name.Job] = expires, expires
-		}
-	}
-}
-
-// mayStandUntil returns the end of the last lease that may still hold a run of the job or task.
-func (s *standing) mayStandUntil(key string) (until time.Time) {
-	for _, keys := range s.leases {
-		until = later(until, keys[key])
+	if lease > 0 {
+		s.leases[w.entry.Worker.ID] = now.Add(lease + lease/50)
 	}
-	return until
 }
 
 func later(a, b time.Time) time.Time {
@@ -158,7 +129,7 @@
 			for i := range step.Tasks {
 				name := workload.TaskName{Job: job.ID, Occurrence: k, Step: n, Index: i}
 				task := ""
-				if room && !v.tasks[name.String()] && !f.endStands(v, name, step.Gang) {
+				if room && !v.tasks[name.String()] && !f.endStands(v, name, step.Gang) && !f.held(name, step) {
 					task = name.String()
 				}
 				if step.LongRunning {
@@ -185,7 +156,7 @@
 	if s.since[key].IsZero() {
 		s.since[key] = now
 	}
-	since := later(later(s.since[key], earliest), later(calm, s.mayStandUntil(key)).Add(calmBefore))
+	since := later(later(s.since[key], earliest), calm.Add(calmBefore))
 	if now.Sub(since) > standingBound {
 		f.violate("LOST", "%s has nothing running although %s can run, for %v, with %.0f%% of the capacity in use", key, waiting, now.Sub(s.since[key]), 100*v.used)
 		s.since[key] = now
@@ -205,6 +176,22 @@
 	return true
 }
 
+// held reports whether the task, or a member of its gang, is recorded on a worker that vanished and whose lease
+// ended less than calmBefore ago.
+func (f *Fleet) held(name workload.TaskName, step *workload.Step) bool {
+	first, last := name.Index, name.Index
+	if step.Gang {
+		first, last = 0, step.Tasks-1
+	}
+	for name.Index = first; name.Index <= last; name.Index++ {
+		expires, vanished := f.standing.leases[f.RecordedOn(name)]
+		if vanished && time.Since(expires) < calmBefore {
+			return true
+		}
+	}
+	return false
+}
+
 // endStands reports whether the task, or a member of its gang, has ended as done on a worker that is still
 // up, or with an acknowledged end.
 func (f *Fleet) endStands(v *survey, name workload.TaskName, gang bool) bool {
