metastore: a busy link of the owner is no partition

It counted as cut off from the store and handed over. The successor reads all jobs over its own link, which takes seconds, and hands over in turn. The store was answering other calls of the owner all the while. Why it works: a probe without an answer shows a partition only if no answer to any other call, complete or not, has ended since it was sent. In a partition none does, so that its detection takes as long as before.

--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -43,6 +43,7 @@
 	lastFailedSent   time.Time     // when the newest failed call was sent
 	meanLatency      time.Duration // moving average
 	lastAnsweredSent time.Time     // when the newest answered call was sent
+	lastAnswerAt     time.Time     // when an answer, also an incomplete one, last ended
 	callerProbedAt   time.Time     // when the last probe on behalf of a caller was started
 	lastFailure      time.Time     // when the last refused or unanswered call ended
 	unansweredSent   time.Time     // when the newest call that timed out early was sent; zero after a later answer
@@ -147,12 +148,20 @@
 }
 
 // ProbeNow probes the store regardless of its recorded state and reports whether it answers within the
-// timeout of a first attempt, or of a slow call if the store is only suspected to be unreachable.
+// timeout of a first attempt, or of a slow call if the store is only suspected to be unreachable. An answer to
+// another call meanwhile also shows that the store can be reached: the link may be busy.
 func (m *Monitor) ProbeNow(ctx context.Context) bool {
+	timeout := m.CallTimeout(1)
 	if m.Healthy() {
-		return m.probe(ctx, MaxCallTimeout-timeoutMargin)
+		timeout = MaxCallTimeout - timeoutMargin
 	}
-	return m.probe(ctx, m.CallTimeout(1))
+	began := time.Now()
+	if m.probe(ctx, timeout) {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lastAnswerAt.After(began)
 }
 
 // CallTimeout returns the timeout of a call for the attempt, counted from 1. It starts short, so that a
@@ -198,6 +207,9 @@
 	if !answered {
 		m.lastFailure = time.Now()
 	}
+	if answered || errors.Is(err, ErrIncomplete) {
+		m.lastAnswerAt = time.Now()
+	}
 	if errors.Is(err, ErrIncomplete) {
 		return // the store responds over a slow link
 	}
--- a/metastore/range_test.go
+++ b/metastore/range_test.go
@@ -193,3 +193,17 @@
 		running.Wait()
 	})
 }
+
+// A probe gets no answer in time while another call is answered, because the link is busy. Guards against an owner that
+// counts as cut off from the store and hands over, so that its successor has to read all jobs over a busy link too.
+func TestBusyLinkIsNoPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := testplatform.NewStore().NewClient()
+		m := metastore.NewMonitor(client)
+		client.SetLatencyOf("get", time.Second)
+		client.SetLatencyOf("range", 300*time.Millisecond)
+		go func() { _, _ = m.Range(context.Background(), "p/", "") }() // only that it is answered counts
+		assert.True(t, m.ProbeNow(context.Background()))
+		assert.False(t, m.ProbeNow(context.Background()), "no other call is answered")
+	})
+}
