--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -58,8 +57,6 @@
 	CalmSince func() time.Time
 	// Ended reports whether callers see the job as ended, and Accepted whether its submission was acknowledged.
 	Ended, Accepted func(job string) bool
-	// BusyShare is the share of the workers' capacity in use from which CheckStanding lets jobs wait.
-	BusyShare float64
 	// MaxLease is the maximum duration of a worker's lease.
 	MaxLease time.Duration
 	// RecordedOn returns the worker on which the job's record shows a run of the task, or "".
@@ -130,7 +127,7 @@
 	created := time.Now()
 	f.addresses = map[string]string{}
 	f.standing, f.CalmSince, f.Ended = newStanding(), func() time.Time { return created }, f.jobDone
-	f.Accepted, f.MaxLease, f.BusyShare = func(string) bool { return true }, MaxLease, math.Inf(1)
+	f.Accepted, f.MaxLease = func(string) bool { return true }, MaxLease
 	f.RecordedOn = func(workload.TaskName) string { return "" }
 	f.SetFault(func(string, string) Fault { return None })
 	return f
--- a/internal/testplatform/standing.go
+++ b/internal/testplatform/standing.go
@@ -84,9 +84,8 @@
 }
 
 // CheckStanding checks that no accepted job has had nothing running for standingBound although it was calm,
-// the turn of one of its tasks had come, there was room for it twice over and less than BusyShare of the capacity
-// was in use. For a long-running step it checks each task, from restartGrace after its last run and however much
-// is in use. Tests call it many times a second.
+// the turn of one of its tasks had come and there was room for it twice over. For a long-running step it checks
+// each task, from restartGrace after its last run. Tests call it many times a second.
 func (f *Fleet) CheckStanding() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -97,7 +96,7 @@
 			continue
 		}
 		waiting := f.checkWaiting(v, job)
-		if v.jobs[id] || v.used >= f.BusyShare {
+		if v.jobs[id] {
 			waiting = ""
 		}
 		f.checkStandingSince(v, id, waiting, f.standing.ended[id])
