jobstate: measure the rate of a run on its worker's clock

Callers would see: after a pause of the owner, or while it lags, many runs at full speed are stopped and started again, and their workers get no work for 3 to 12 s.

Cause: the rate of a run was the progress between two reports divided by the time between their processing. A report that waits in a busy or paused owner makes this time longer than the work, so that runs look slow or stalled; a late answer to a start makes it shorter, so that others look slow in comparison. Class: a process takes its own delay for the failure of others, and the stops and starts that follow are more load.

Intervals are now differences of the worker's clock in its reports, which the delay of this process does not change. The first interval begins with the clock in the answer to the start. It is used only if one order was sent: the worker may have carried out an earlier one, and the rate came out too high. The work of a gang begins with its last member, whose worker has another clock; the time between the answers is used while each came within 50 ms, else the first report begins the interval. A run that moves to the next incarnation of its worker is measured anew. Run.Remaining still counts from when the report was processed: it is too long by that delay at most.

The placement tests pass the clock of their simulated time; their assertions are unchanged.

--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -102,7 +102,7 @@
 		cancel()
 		leave()
 		if err == nil {
-			t.startConfirmed(a, r, clock, sent)
+			t.startConfirmed(a, r, clock, sent, !uncertain)
 			return
 		}
 		if ctx.Err() != nil {
@@ -209,14 +209,16 @@
 	}
 }
 
-func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64, sent time.Time) {
+// startConfirmed applies the answer to a start order that was sent at sent. The run started then only if no order was
+// sent before.
+func (t *Term) startConfirmed(a *agent, r *jobstate.Run, clock int64, sent time.Time, onlyOrder bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	a.recordAnswer(clock, sent, now)
 	if r.Worker == a.worker && r.StartedAt.IsZero() {
 		if _, present := a.worker.Runs[r]; present {
-			r.StartAnswered = true
+			r.StartAnswered, r.StartSentAt, r.StartClock = onlyOrder, sent, clock
 			a.worker.RefusalStreak = 0
 			t.confirm(r, now)
 			t.wakeLoop()
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -41,7 +41,7 @@
 		if r := runs[runKey{row.Task, row.Run}]; r != nil {
 			present[r] = true
 			changed = changed || r.StartedAt.IsZero()
-			t.recordRunning(r, row, now)
+			t.recordRunning(r, row, report.Clock, now)
 			continue
 		}
 		changed = true
@@ -105,11 +105,12 @@
 	}
 }
 
-func (t *Term) recordRunning(r *jobstate.Run, row *workerapi.RunStatus, now time.Time) {
+// recordRunning applies a row of a report that its worker made at the time clock, in milliseconds.
+func (t *Term) recordRunning(r *jobstate.Run, row *workerapi.RunStatus, clock int64, now time.Time) {
 	if r.StartedAt.IsZero() {
 		t.confirm(r, now)
 	}
-	r.Observe(row.Percent, now)
+	r.Observe(row.Percent, clock, now)
 	r.Load = row.Load
 	r.Task.SetCheckpoint(row.Checkpoint)
 }
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -50,15 +50,19 @@
 	PlannedAt        time.Time // when the run was decided
 	OnAvoided        bool      // its worker was avoided then, and there was no other
 	StartedAt        time.Time // when the worker confirmed the start; zero before
-	StartAnswered    bool      // StartedAt is when the worker answered the start, and not a later report
+	StartAnswered    bool      // the worker answered its only start order, which was sent at StartSentAt, at StartedAt
+	StartSentAt      time.Time // valid if StartAnswered
+	StartClock       int64     // the worker's clock in that answer, milliseconds; valid if StartAnswered
 	Resumed          bool      // it started from a checkpoint
 	Percent          float64   // share of its work that is done
 	Rate             float64   // percent a second over the last measured interval; valid if HasRate
 	Stalled          bool      // almost no progress over the last measured interval
 	HasRate          bool
 	intervalPercent  float64   // Percent at the start of the current interval
-	intervalStart    time.Time // start of the current interval
-	Load             float64   // tail latency in milliseconds of a serving task; cores in use by another task
+	intervalClock    int64     // the worker's clock at the start of the current interval, milliseconds
+	intervalStart    time.Time // when the report of that clock was processed
+	intervalBegun    bool
+	Load             float64 // tail latency in milliseconds of a serving task; cores in use by another task
 	StopReason       string
 	StopRequestedAt  time.Time // when the stop was requested
 	StartSent        bool      // this owner has sent the start order
--- a/jobstate/rate.go
+++ b/jobstate/rate.go
@@ -2,7 +2,13 @@
 
 import "time"
 
+// The intervals over which rates are measured are differences of the worker's clock: the owner may process a report
+// or the answer to a start late.
+
 const (
+	// startTolerance is the longest time between the start order to a member of a gang and its answer that leaves the
+	// beginning of the gang's work certain enough for a rate.
+	startTolerance = 50 * time.Millisecond
 	// minRateInterval is the least time over which the rate of a run is measured.
 	minRateInterval = 400 * time.Millisecond
 	// rateShare is the least share of a task's estimate over which its rate is measured. Even a task that
@@ -12,13 +18,14 @@
 	stalledGain = 0.5
 )
 
-// Observe records the share of its work that the run has done, as reported at now, and updates its rate.
-func (r *Run) Observe(percent float64, now time.Time) {
+// Observe records the share of its work that the run had done at the time clock of its worker, in milliseconds, and
+// updates its rate. The report is processed at now.
+func (r *Run) Observe(percent float64, clock int64, now time.Time) {
 	r.Percent = percent
-	if r.intervalStart.IsZero() && !r.beginInterval(now) {
+	if !r.intervalBegun && !r.beginInterval(clock, now) {
 		return
 	}
-	interval := now.Sub(r.intervalStart)
+	interval := time.Duration(clock-r.intervalClock) * time.Millisecond
 	if interval < max(minRateInterval, time.Duration(rateShare*float64(r.Task.Step.Spec.Estimate))) {
 		return
 	}
@@ -26,37 +33,47 @@
 	r.Stalled = percent-r.intervalPercent < stalledGain
 	r.HasRate = true
 	r.Task.Step.RateCheckDue = true
-	r.intervalPercent, r.intervalStart = percent, now
+	r.intervalPercent, r.intervalClock, r.intervalStart = percent, clock, now
 }
 
 // beginInterval starts the first interval of the run and reports whether it may already have ended. The
-// interval begins with the work itself if that began at a known time and from nothing, otherwise now.
-func (r *Run) beginInterval(now time.Time) bool {
+// interval begins with the work itself if that began at a known time and from nothing, otherwise at clock.
+func (r *Run) beginInterval(clock int64, now time.Time) bool {
+	r.intervalBegun = true
 	if since, ok := r.workingSince(); ok && !r.Resumed {
-		r.intervalPercent, r.intervalStart = 0, since
+		r.intervalPercent, r.intervalClock, r.intervalStart = 0, since, now
 		return true
 	}
-	r.intervalPercent, r.intervalStart = r.Percent, now
+	r.intervalPercent, r.intervalClock, r.intervalStart = r.Percent, clock, now
 	return false
 }
 
-// workingSince returns when the run began to work: when its worker answered the start or, in a gang, when
-// the last of the workers did. ok is false if such an answer is missing: the run was started by a former
-// owner, or the answer was lost.
-func (r *Run) workingSince() (since time.Time, ok bool) {
+// workingSince returns the time on the worker's clock at which the run began to work: when its worker received the
+// start or, in a gang, when the last of the workers did. ok is false if such a time is missing or uncertain: the run
+// was started by a former owner, the answer to its start was lost, or an answer to a member of its gang came late.
+func (r *Run) workingSince() (since int64, ok bool) {
+	if !r.StartAnswered {
+		return 0, false
+	}
 	s := r.Task.Step
 	if !s.Spec.Gang {
-		return r.StartedAt, r.StartAnswered
+		return r.StartClock, true
 	}
+	last := r.StartedAt
 	for _, t := range s.Tasks {
-		if t.Run == nil || !t.Run.StartAnswered {
-			return time.Time{}, false
+		if t.Run == nil || !t.Run.StartAnswered || t.Run.StartedAt.Sub(t.Run.StartSentAt) > startTolerance {
+			return 0, false
 		}
-		if t.Run.StartedAt.After(since) {
-			since = t.Run.StartedAt
+		if t.Run.StartedAt.After(last) {
+			last = t.Run.StartedAt
 		}
 	}
-	return since, true
+	return r.StartClock + last.Sub(r.StartedAt).Milliseconds(), true
+}
+
+// resetRate discards what was measured on the clock of an earlier incarnation of the worker.
+func (r *Run) resetRate() {
+	r.HasRate, r.Stalled, r.StartAnswered, r.intervalBegun = false, false, false, false
 }
 
 // Remaining returns the time to the end of the run at its current rate. ok is false without a usable rate.
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -41,6 +41,7 @@
 		next.Runs[r] = struct{}{}
 		next.Used = next.Used.Add(allocation)
 		r.Worker = next
+		r.resetRate()
 		if !r.StartSent {
 			continue
 		}
--- a/placement/liveness_test.go
+++ b/placement/liveness_test.go
@@ -97,7 +97,7 @@
 	plan := p.decide()
 	for _, r := range plan.Starts {
 		r.Confirm(p.now)
-		r.StartAnswered = true
+		r.StartAnswered, r.StartSentAt, r.StartClock = true, r.StartedAt, r.StartedAt.UnixMilli()
 	}
 	p.now = p.now.Add(tick)
 	for _, w := range p.c.SortedWorkers() {
@@ -138,7 +138,7 @@
 		placement.RecordEnd(r, jobstate.EndDone, p.now)
 		p.c.End(r, jobstate.EndDone, "", p.now)
 	case age%(500*time.Millisecond) < tick:
-		r.Observe(100*float64(age)/float64(length), p.now)
+		r.Observe(100*float64(age)/float64(length), p.now.UnixMilli(), p.now)
 	}
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -250,9 +250,9 @@
 	runs := w.advance(0).Starts
 	for n := range 5 {
 		w.now = w.now.Add(450 * time.Millisecond)
-		runs[0].Observe(5, w.now)
-		runs[1].Observe(float64(20*n), w.now)
-		runs[2].Observe(float64(20*n), w.now)
+		runs[0].Observe(5, w.now.UnixMilli(), w.now)
+		runs[1].Observe(float64(20*n), w.now.UnixMilli(), w.now)
+		runs[2].Observe(float64(20*n), w.now.UnixMilli(), w.now)
 		if plan := w.decide(); len(plan.Stops) > 0 {
 			require.Len(t, plan.Stops, 3)
 			w.endStops(plan)
@@ -282,7 +282,7 @@
 				if r.Worker.ID[3] == '0' {
 					speed = 5
 				}
-				r.Observe(float64(n)*speed, w.now)
+				r.Observe(float64(n)*speed, w.now.UnixMilli(), w.now)
 			}
 		}
 		require.Empty(t, w.decide().Stops)
@@ -298,7 +298,7 @@
 	for n := range 1200 {
 		w.now = w.now.Add(time.Second)
 		for _, r := range runs {
-			r.Observe(float64(n/144), w.now) // takes twice its estimate
+			r.Observe(float64(n/144), w.now.UnixMilli(), w.now) // takes twice its estimate
 		}
 		require.Empty(t, w.decide().Stops, "after %d s", n)
 	}
--- a/placement/preemption_test.go
+++ b/placement/preemption_test.go
@@ -43,8 +43,8 @@
 	require.Len(t, runs, 2)
 	for range 3 {
 		w.now = w.now.Add(600 * time.Millisecond)
-		runs[0].Observe(50*w.now.Sub(runs[0].StartedAt).Seconds(), w.now)
-		runs[1].Observe(20*w.now.Sub(runs[1].StartedAt).Seconds(), w.now)
+		runs[0].Observe(50*w.now.Sub(runs[0].StartedAt).Seconds(), w.now.UnixMilli(), w.now)
+		runs[1].Observe(20*w.now.Sub(runs[1].StartedAt).Seconds(), w.now.UnixMilli(), w.now)
 	}
 	w.submit(urgent, "a", step(1, 8, time.Second))
 	require.Empty(t, w.decide().Stops, "a run ends within 200 ms")
--- a/placement/slow_worker_test.go
+++ b/placement/slow_worker_test.go
@@ -23,7 +23,7 @@
 			if slow[worker] {
 				rate /= 5
 			}
-			r.Observe(min(99, rate*w.now.Sub(r.StartedAt).Seconds()), w.now)
+			r.Observe(min(99, rate*w.now.Sub(r.StartedAt).Seconds()), w.now.UnixMilli(), w.now)
 		}
 	}
 }
@@ -32,7 +32,7 @@
 func (w *fixture) startAnswered() []*jobstate.Run {
 	plan := w.decide()
 	for _, r := range plan.Starts {
-		r.StartAnswered = true
+		r.StartAnswered, r.StartSentAt, r.StartClock = true, w.now, w.now.UnixMilli()
 		r.Confirm(w.now)
 	}
 	return plan.Starts
@@ -98,11 +98,11 @@
 	require.Len(t, runs, 2)
 	for _, r := range runs { // confirmed by reports
 		r.Confirm(w.now)
-		r.Observe(50, w.now)
+		r.Observe(50, w.now.UnixMilli(), w.now)
 	}
 	w.now = w.now.Add(time.Second)
 	for _, r := range runs {
-		r.Observe(60, w.now)
+		r.Observe(60, w.now.UnixMilli(), w.now)
 		assert.InDelta(t, 10, r.Rate, 0.1)
 	}
 	assert.Empty(t, w.decide().Stops)
--- a/placement/unhealthy_worker_test.go
+++ b/placement/unhealthy_worker_test.go
@@ -49,7 +49,7 @@
 	run := w.advance(0).Starts[0]
 	for n := range 7 {
 		w.now = w.now.Add(time.Second)
-		run.Observe(min(10*float64(n), 50), w.now)
+		run.Observe(min(10*float64(n), 50), w.now.UnixMilli(), w.now)
 		require.Empty(t, w.decide().Stops, "half of the work is done")
 	}
 	w.c.End(run, jobstate.EndStopped, "", w.now) // its job was cancelled
@@ -138,7 +138,7 @@
 	for _, age := range []time.Duration{200, 600} {
 		w.now = runs[0].StartedAt.Add(age * time.Millisecond)
 		for _, r := range runs {
-			r.Observe(0, w.now)
+			r.Observe(0, w.now.UnixMilli(), w.now)
 		}
 		plan = w.decide()
 	}
@@ -176,14 +176,14 @@
 	for range 3 {
 		w.now = w.now.Add(400 * time.Millisecond)
 		for _, r := range runs[1:] {
-			r.Observe(0, w.now)
+			r.Observe(0, w.now.UnixMilli(), w.now)
 		}
 		assert.Empty(t, w.decide().Stops)
 	}
 	runs[0].Confirm(w.now)
 	w.now = w.now.Add(300 * time.Millisecond)
 	for _, r := range runs {
-		r.Observe(10, w.now)
+		r.Observe(10, w.now.UnixMilli(), w.now)
 	}
 	assert.Empty(t, w.decide().Stops)
 }
@@ -203,7 +203,7 @@
 				if task == long {
 					rate = 3
 				}
-				r.Observe(min(99, rate*w.now.Sub(r.StartedAt).Seconds()), w.now)
+				r.Observe(min(99, rate*w.now.Sub(r.StartedAt).Seconds()), w.now.UnixMilli(), w.now)
 			}
 		}
 		plan := w.decide()
