--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -43,13 +43,15 @@
 	config *workload.Config
 	log    *zap.Logger
 
-	advisor      workerapi.Advisor // nil if no queue needs advice
-	callCost     time.Duration     // CPU time of a call; 0 for instances whose CPU is not modelled
-	outage       atomic.Bool       // the store answers no instance
-	configPanics atomic.Bool       // reading the configuration panics
-	storeStable  atomic.Bool       // the store has recently answered all calls
-	suspendedFor atomic.Int64      // total suspension of all machines, nanoseconds
-	retention    time.Duration     // of ended jobs
+	advisor      workerapi.Advisor                       // nil if no queue needs advice
+	callCost     time.Duration                           // CPU time of a call; 0 for instances whose CPU is not modelled
+	ownLag       time.Duration                           // lag of instances whose CPU is not modelled
+	wrapWorkers  func(workerapi.Client) workerapi.Client // changes the client of the workers; nil for none
+	outage       atomic.Bool                             // the store answers no instance
+	configPanics atomic.Bool                             // reading the configuration panics
+	storeStable  atomic.Bool                             // the store has recently answered all calls
+	suspendedFor atomic.Int64                            // total suspension of all machines, nanoseconds
+	retention    time.Duration                           // of ended jobs
 
 	mu        sync.Mutex
 	evacuated map[string]bool // data centres
@@ -60,6 +62,7 @@
 type testInstance struct {
 	client  *testplatform.Client
 	cpu     *processor // nil if it is not modelled
+	ownLag  time.Duration
 	metrics metrics.Registry
 	term    *jobowner.Term
 	elector *ownership.Elector
@@ -93,8 +96,11 @@
 // start starts an instance.
 func (s *system) start(name string) *testInstance {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &testInstance{client: s.store.NewClient(), metrics: metrics.NewRegistry(), cancel: cancel, done: make(chan struct{})}
+	c := &testInstance{ownLag: s.ownLag, client: s.store.NewClient(), metrics: metrics.NewRegistry(), cancel: cancel, done: make(chan struct{})}
 	store, orders := s.clients(c)
+	if s.wrapWorkers != nil {
+		orders = s.wrapWorkers(orders)
+	}
 	log := s.log
 	guard := contain.New(log, metrics.NewRegistry())
 	var elector *ownership.Elector
--- a/jobowner/overload_test.go
+++ b/jobowner/overload_test.go
@@ -41,7 +41,7 @@
 // lag is how long a call waits for the CPU now.
 func (c *testInstance) lag() time.Duration {
 	if c.cpu == nil {
-		return 0
+		return c.ownLag
 	}
 	return time.Duration(c.cpu.waiting.Load()) * c.cpu.cost
 }
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -24,6 +24,7 @@
 	elector     *ownership.Elector
 	termToken   atomic.Uint64 // token of its current term, or 0
 	partitioned atomic.Bool
+	timeout     atomic.Int64 // of a renewal, nanoseconds
 	cancel      context.CancelFunc
 	done        sync.WaitGroup
 }
@@ -35,10 +36,11 @@
 // startCandidateWithDelayedList starts a candidate that first reads the list of instances after listDelay.
 func startCandidateWithDelayedList(s *testplatform.Store, name string, share float64, listDelay time.Duration, peer func() *ownership.Elector) *candidate {
 	c := &candidate{name: name, client: s.NewClient()}
+	c.timeout.Store(int64(120 * time.Millisecond))
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.elector = ownership.New(ownership.Options{
-		Store: c.client, Self: ownership.Instance{Name: name, CPUShare: share}, Log: zap.NewNop(), CallTimeout: func(int) time.Duration { return 120 * time.Millisecond }, Partitioned: c.partitioned.Load,
+		Store: c.client, Self: ownership.Instance{Name: name, CPUShare: share}, Log: zap.NewNop(), CallTimeout: c.callTimeout, Partitioned: c.partitioned.Load,
 		DeposeViaPeer: func(ctx context.Context, token uint64) error { return peer().Depose(ctx, token) },
 		RunTerm: func(ctx context.Context, token uint64, _ metastore.Condition) {
 			c.termToken.Store(token)
@@ -60,6 +62,10 @@
 	return c
 }
 
+func (c *candidate) callTimeout(int) time.Duration {
+	return time.Duration(c.timeout.Load())
+}
+
 func (c *candidate) blockStore() {
 	c.client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
 }
@@ -309,3 +315,35 @@
 		assert.Equal(t, []string{"strong"}, owners(weak, strong))
 	})
 }
+
+// The owner lags by 250 ms, so that its calls take as long and get one second more, and the answer to a single renewal
+// is lost. Guards against a renewal whose timeout leaves no time for another one before the lease ends.
+func TestLostRenewalOfALaggingOwnerDoesNotEndTheTerm(t *testing.T) {
+	const lag = 250 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		a := startCandidate(s, "a", 0.8, nil)
+		defer a.stop()
+		m := metastore.NewMonitor(a.client)
+		m.AllowFor(func() time.Duration { return lag })
+		time.Sleep(time.Second)
+		a.client.SetLatency(lag)
+		for range 20 {
+			_, err := m.Get(t.Context(), "cy/probe")
+			assert.ErrorIs(t, err, metastore.ErrNotFound)
+		}
+		a.timeout.Store(int64(m.CallTimeout(1)))
+		token := a.termToken.Load()
+		lost := false
+		a.client.SetFault(func(call string) testplatform.Fault {
+			if call == "keepalive" && !lost {
+				lost = true
+				return testplatform.Silent
+			}
+			return testplatform.None
+		})
+		time.Sleep(5 * time.Second)
+		assert.True(t, lost)
+		assert.Equal(t, token, a.termToken.Load(), "timeout of a renewal: %v", time.Duration(a.timeout.Load()))
+	})
+}
--- a/placement/overdue_test.go
+++ b/placement/overdue_test.go
@@ -122,3 +122,24 @@
 		}
 	}
 }
+
+// One task of a job is recorded on a worker that does not answer, so that nothing of the job works; the other one may
+// run now, but the rack of its data is full for long. Guards against a wait for better room that such a run makes
+// unbounded.
+func TestRunOnAnUnresponsiveWorkerDoesNotKeepOtherTasksWaiting(t *testing.T) {
+	w := newFixture(3, 4)
+	spec := step(2, 8, time.Minute)
+	spec.DataRack = "r1"
+	full := step(24, 1, 10*time.Minute)
+	full.DataRack = "r1"
+	w.submit(draft, "b", full)
+	require.Len(t, w.advance(0).Starts, 24)
+	j := w.submit(draft, "a", spec)
+	require.Len(t, w.advance(0).Starts, 1)
+	worker := j.Runs()[0].Worker
+	worker.Unresponsive, worker.UnresponsiveStored = true, true
+	for range int(maxIdle/(50*time.Millisecond)) + 1 {
+		w.advance(50 * time.Millisecond)
+	}
+	require.Len(t, j.Runs(), 2, "room for the other task twice over is outside the rack")
+}
