ownership: a renewal without an answer does not use up the lease of a lagging owner

Callers would see a change of owner after a single lost answer. Since, the timeout of a renewal grows with the lag of the owner, by 1 s at a lag of 250 ms, so that no second renewal fits into the lease of 1.5 s. Why it works: after 0.4 s without an answer another renewal is sent beside the first one, which still counts when it is answered.

--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -34,6 +34,9 @@
 	OwnerTTL = 1500 * time.Millisecond
 	// renewInterval leaves time for several retries before the lease expires.
 	renewInterval = 300 * time.Millisecond
+	// maxRenewWait is how long a renewal without an answer is waited for before another one is sent beside it, so
+	// that a lost answer does not use up the lease although answers take long.
+	maxRenewWait = 400 * time.Millisecond
 	// renewRetryDelay is the delay after a renewal that got no response.
 	renewRetryDelay = 50 * time.Millisecond
 	// callTimeout limits one store call, except renewals of the owner's lease (Options.CallTimeout).
@@ -370,9 +373,18 @@
 	e.resign(lease, token)
 }
 
+// renewal is the outcome of a renewal of the owner's lease.
+type renewal struct {
+	sent suspend.Stamp
+	err  error
+}
+
 // renew renews the lease until the term ends, and ends the term when the store has another owner
 // or none.
 func (e *Elector) renew(ctx context.Context, stop context.CancelFunc, lease int64, token uint64) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	answers := make(chan renewal)
 	failures := 0
 	for ctx.Err() == nil {
 		if failures == 0 {
@@ -385,10 +397,9 @@
 			stop()
 			return
 		}
-		sent := e.stamp()
-		call, cancel := context.WithTimeout(ctx, e.opts.CallTimeout(failures+1))
-		err := e.opts.Store.KeepAlive(call, lease)
-		cancel()
+		timeout := e.opts.CallTimeout(failures + 1)
+		calls.Go(func() { e.sendRenewal(ctx, lease, timeout, answers) })
+		err := e.awaitRenewal(ctx, min(timeout, maxRenewWait), answers)
 		if errors.Is(err, metastore.ErrLeaseEnded) {
 			events.Warn(e.opts.Log, events.TermEnded, zap.Uint64("token", token), zap.String("reason", "lease ended"))
 			e.mu.Lock()
@@ -400,9 +411,6 @@
 			return
 		}
 		if err == nil {
-			e.mu.Lock()
-			e.lastConfirmed = sent
-			e.mu.Unlock()
 			failures = 0
 			continue
 		}
@@ -412,6 +420,36 @@
 	}
 }
 
+func (e *Elector) sendRenewal(ctx context.Context, lease int64, timeout time.Duration, answers chan<- renewal) {
+	sent := e.stamp()
+	call, cancel := context.WithTimeout(ctx, timeout)
+	err := e.opts.Store.KeepAlive(call, lease)
+	cancel()
+	select {
+	case answers <- renewal{sent, err}:
+	case <-ctx.Done():
+	}
+}
+
+// awaitRenewal waits for the answer to any renewal in progress, and returns its error or that of the wait.
+func (e *Elector) awaitRenewal(ctx context.Context, limit time.Duration, answers <-chan renewal) error {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return context.DeadlineExceeded
+	case r := <-answers:
+		if r.err == nil {
+			e.mu.Lock()
+			e.lastConfirmed = r.sent
+			e.mu.Unlock()
+		}
+		return r.err
+	}
+}
+
 // stopWhenPartitioned ends the term when only this instance cannot reach the store, because a peer
 // that reaches it can serve as owner.
 func (e *Elector) stopWhenPartitioned(ctx context.Context, stop context.CancelFunc, token uint64) {
