jobowner: avoided workers are named for advice after all others

Callers would see a job of a queue with advice stand for 16 s beside idle workers that are avoided: only workers that are not avoided were named to the advice service, so that the bound on policy waits found no admitted one. Evidence: go test ./jobowner -run TestAvoidedWorkersAreNamedForAdvice: 16.05 s before, ok now. Why it works: all available workers are candidates, those that are avoided last.

--- a/jobowner/advice.go
+++ b/jobowner/advice.go
@@ -88,13 +88,13 @@
 	t.wakeLoop()
 }
 
-// adviceCandidates returns the workers to name for the step, those with the most free capacity
+// adviceCandidates returns the workers to name for the step, avoided ones last and those with the most free capacity
 // first, without workers that are known to be excluded or have a valid ticket. The caller holds the lock.
 func (t *Term) adviceCandidates(s *jobstate.Step) ([]string, map[string]int64) {
 	now := time.Now()
 	var list []*jobstate.Worker
 	for _, w := range t.cluster.Workers {
-		if w.Service != s.Occurrence.Job.Route.Service || !t.cluster.Accepts(w, now) || !w.HasLabel(s.Spec.Label) || !s.Spec.Allocation().Fits(w.Capacity) {
+		if w.Service != s.Occurrence.Job.Route.Service || !t.cluster.Available(w, now) || !w.HasLabel(s.Spec.Label) || !s.Spec.Allocation().Fits(w.Capacity) {
 			continue
 		}
 		if ticket, ok := s.Tickets[w.ID]; ok && ticket.Incarnation == w.Incarnation && !ticket.Allowed {
@@ -106,7 +106,7 @@
 		list = append(list, w)
 	}
 	slices.SortFunc(list, func(a, b *jobstate.Worker) int {
-		return cmp.Or(cmp.Compare(b.Free().Accelerators, a.Free().Accelerators), cmp.Compare(b.Free().MilliCPU, a.Free().MilliCPU), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareBool(t.cluster.Accepts(a, now), t.cluster.Accepts(b, now)), cmp.Compare(b.Free().Accelerators, a.Free().Accelerators), cmp.Compare(b.Free().MilliCPU, a.Free().MilliCPU), cmp.Compare(a.ID, b.ID))
 	})
 	limit := min(maxAdviceWorkers, max(minAdviceWorkers, 2*s.Waiting()), len(list))
 	ids := make([]string, limit)
@@ -117,3 +117,14 @@
 	}
 	return ids, incarnations
 }
+
+// compareBool orders true before false.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
--- a/jobowner/own_delay_test.go
+++ b/jobowner/own_delay_test.go
@@ -31,7 +31,10 @@
 		s.addWorker("w1", 1)
 		a := s.start("a")
 		time.Sleep(2 * time.Second)
-		a.term.WithCluster(func(c *jobstate.Cluster) {
+		s.mu.Lock()
+		term := a.term
+		s.mu.Unlock()
+		term.WithCluster(func(c *jobstate.Cluster) {
 			for _, w := range c.Workers {
 				w.FailStreak, w.AvoidUntil = 4, time.Now().Add(16*time.Second)
 			}
