placement: a run on an unresponsive worker does not count as work of the job

Callers would see a job with nothing at work whose other tasks wait for the rack of their data until the lease of a worker that does not answer has expired: such a run counted as a run of the job, so that no task was overdue.

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -477,11 +477,11 @@
 	return false
 }
 
-// HasRuns reports whether a task of the job has a run.
-func (j *Job) HasRuns() bool {
+// MayBeRunning reports whether a task of the job has a run on a worker that responds.
+func (j *Job) MayBeRunning() bool {
 	for _, o := range j.Occurrences {
 		for _, s := range o.Steps {
-			if s.Active > 0 {
+			if s.Active > 0 && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Run != nil && !t.Run.Worker.Unresponsive }) {
 				return true
 			}
 		}
--- a/placement/overdue.go
+++ b/placement/overdue.go
@@ -83,7 +83,7 @@
 		}
 		return tasks
 	}
-	if r.now.Sub(maxTime(u.step.ReadyAt, u.job.RanUntil)) < maxPolicyWait || u.job.HasRuns() {
+	if r.now.Sub(maxTime(u.step.ReadyAt, u.job.RanUntil)) < maxPolicyWait || u.job.MayBeRunning() {
 		return nil
 	}
 	if u.step.Spec.Gang {
--- a/placement/overdue_test.go
+++ b/placement/overdue_test.go
@@ -22,7 +22,7 @@
 	for range int(maxIdle/(50*time.Millisecond)) + 1 {
 		w.endStops(w.advance(50 * time.Millisecond))
 		w.requireWithinCapacity(t)
-		if j.HasRuns() {
+		if j.MayBeRunning() {
 			return j.Runs()
 		}
 	}
