jobowner: silent workers do not take the places of calls to others

Callers would see an urgent job wait for 4 to 9 s for workers that answer, behind repeated orders to workers that do not, if the owner lags: an order without an answer keeps its place for 25 ms plus four times the lag. First reports of 300 silent workers kept the places of first reports for 4.4 s. Evidence: go test ./jobowner -run TestSilentWorkers: 4.1 s at a lag of 100 ms, 9.35 s at 250 ms, 4.35 s for first reports before; all below 3 s now. Why it works: at most two orders are in progress to one worker, and orders to a worker that has left a call without an answer wait for places of their own. A first report without an answer gives its place away after 0.1 s and the lag.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -22,9 +22,6 @@
 	reportSlack = 250 * time.Millisecond
 	// maxFailedReports is how many reports in a row fail before the worker counts as unresponsive.
 	maxFailedReports = 2
-	// maxFirstReports is how many workers without recorded runs are asked for their first report
-	// concurrently, so that workers with runs report first in a large fleet.
-	maxFirstReports = 48
 	// immediateReportTimeout is the timeout of a report that the worker is to send at once.
 	immediateReportTimeout = 700 * time.Millisecond
 	// reportRetryDelay is the delay after a failed report of an unresponsive worker.
@@ -43,6 +40,7 @@
 	worker *jobstate.Worker
 	wake   chan struct{}
 	cancel context.CancelFunc
+	orders *callGate // orders to the worker, unless it is silent
 
 	// Guarded by the term's lock.
 	appliedEnd  int64 // sequence number of the newest end applied to the state
@@ -51,6 +49,7 @@
 	clockAt     time.Time
 	clockAsked  suspend.Stamp // when the request for that answer was sent
 	failures    int
+	silent      bool // a call has had no answer in time since the last answer
 	lastAnswer  time.Time
 	throttledAt time.Time // when the fillers on the worker were last adjusted
 }
@@ -63,7 +62,7 @@
 		}
 		a.cancel()
 	}
-	a := &agent{t: t, worker: w, wake: make(chan struct{}, 1)}
+	a := &agent{t: t, worker: w, wake: make(chan struct{}, 1), orders: newCallGate(maxWorkerOrders, t.orders.slotTime)}
 	ctx, cancel := context.WithCancel(t.ctx)
 	a.cancel = cancel
 	t.agents[w.ID] = a
@@ -92,17 +91,16 @@
 // workers without runs are limited by firstReports.
 func (a *agent) run(ctx context.Context) {
 	if !a.hasRuns() {
-		select {
-		case <-ctx.Done():
+		leave, ok := a.t.firstReports.enter(ctx, a.setSilent)
+		if !ok {
 			return
-		case a.t.firstReports <- struct{}{}:
 		}
 		fault := a.t.opts.Guard.Do("report of "+a.worker.ID, func() {
 			if err := a.requestReport(ctx); err != nil && ctx.Err() == nil {
 				a.t.opts.Log.Debug("first report failed", zap.String("worker", a.worker.ID), zap.Error(err))
 			}
 		})
-		<-a.t.firstReports
+		leave()
 		if fault != nil {
 			a.sleep(ctx, reportWait)
 		}
--- a/jobowner/lag.go
+++ b/jobowner/lag.go
@@ -26,7 +26,7 @@
 
 // checkLag records the lag, and logs when the owner begins or ceases to lag. The caller holds the lock.
 func (t *Term) checkLag() {
-	lag, orders := t.opts.Lag(), len(t.orders.slots)
+	lag, orders := t.opts.Lag(), len(t.orders.slots)+len(t.silentOrders.slots)
 	t.lagGauge.Update(lag.Milliseconds())
 	t.ordersGauge.Update(int64(orders))
 	lagging := lag >= lagReportAt || t.lagging && lag >= lagReportAt/2
@@ -35,5 +35,5 @@
 	}
 	t.lagging = lagging
 	events.Info(t.opts.Log, events.OwnerLags, zap.Bool("lagging", lagging), zap.Duration("lag", lag), zap.Int("orders", orders),
-		zap.Int64("orders_waiting", t.orders.waiting.Load()))
+		zap.Int64("orders_waiting", t.orders.waiting.Load()+t.silentOrders.waiting.Load()))
 }
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -84,11 +84,11 @@
 func (t *Term) start(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Start) {
 	uncertain := false
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		leave, ok := t.orders.enter(ctx)
+		leave, ok := a.enterOrder(ctx)
 		if !ok {
 			return
 		}
-		target, next := t.prepareStart(a, r, &order, attempt)
+		target, timeout, next := t.prepareStart(a, r, &order, attempt)
 		if next != sendStart {
 			leave()
 			if next == abandonStart {
@@ -97,7 +97,7 @@
 			return
 		}
 		sent := time.Now()
-		call, cancel := context.WithTimeout(ctx, t.orderTimeout(attempt))
+		call, cancel := context.WithTimeout(ctx, timeout)
 		clock, err := t.opts.Workers.Start(call, target, order)
 		cancel()
 		leave()
@@ -135,23 +135,23 @@
 	abandonStart           // the worker may be leaving
 )
 
-// prepareStart checks whether the start may still be sent, and returns its target. The first attempt sets the
+// prepareStart checks whether the start may still be sent, and returns its target and timeout. The first attempt sets the
 // lease: all attempts grant the same one, so that an unreachable worker does not get a longer one.
-func (t *Term) prepareStart(a *agent, r *jobstate.Run, order *workerapi.Start, attempt int) (workerapi.Target, startStep) {
+func (t *Term) prepareStart(a *agent, r *jobstate.Run, order *workerapi.Start, attempt int) (target workerapi.Target, timeout time.Duration, next startStep) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	if r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() || t.agents[a.worker.ID] != a {
-		return workerapi.Target{}, dropStart
+		return target, 0, dropStart
 	}
 	t.checkListAge(now) // this process may have been paused since the decision
 	if t.cluster.MayBeLeaving(a.worker) {
-		return workerapi.Target{}, abandonStart
+		return target, 0, abandonStart
 	}
 	if attempt == 1 {
 		order.LeaseUntil = a.extendLease(now)
 	}
-	return a.target(), sendStart
+	return a.target(), t.orderTimeout(attempt), sendStart
 }
 
 // abandonStart ends the attempts to start a run on a worker that is leaving. sent is whether an order
@@ -305,7 +305,7 @@
 		if !present {
 			return
 		}
-		leave, ok := t.orders.enter(ctx)
+		leave, ok := a.enterOrder(ctx)
 		if !ok {
 			return
 		}
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -94,7 +94,7 @@
 		a.worker.LeaseEnds = now.Add(a.t.maxLeaseDuration()) // after this answer no former owner can renew it
 		events.Info(a.t.opts.Log, events.WorkerAnswered, zap.String("worker", a.worker.ID), zap.Int64("life", a.worker.Incarnation))
 	}
-	a.failures = 0
+	a.failures, a.silent = 0, false
 	a.lastAnswer = now
 	if a.worker.Unresponsive {
 		a.worker.Unresponsive, a.worker.RecordedLeaseEnds, a.worker.RecordedLeaseClock = false, 0, nil
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -126,8 +126,9 @@
 	ended             bool
 
 	adviceQueue  chan *jobstate.Step // steps that wait for advice
-	orders       *orderGate
-	firstReports chan struct{} // semaphore for first reports in progress
+	orders       *callGate
+	silentOrders *callGate // orders to workers that have left a call without an answer
+	firstReports *callGate
 	loaded       chan struct{} // closed when all jobs are loaded
 	loadOnce     sync.Once
 
@@ -176,15 +177,14 @@
 		agents: map[string]*agent{}, unlistedSince: map[*jobstate.Worker]time.Time{},
 		entries: map[string]*workerapi.Entry{},
 		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, reportedCompleted: map[string]bool{},
-		firstReports: make(chan struct{}, maxFirstReports),
-		adviceQueue:  make(chan *jobstate.Step, maxAdviceQueue),
-		loaded:       make(chan struct{}),
-		endsStored:   make(chan struct{}),
-		wake:         make(chan struct{}, 1),
-		waitGauges:   newWaitGauges(o.Metrics),
-		intakeAge:    metrics.GetOrRegisterGauge("owner.intake_age_ms", o.Metrics),
-		lagGauge:     metrics.GetOrRegisterGauge("owner.lag_ms", o.Metrics),
-		ordersGauge:  metrics.GetOrRegisterGauge("owner.orders_in_progress", o.Metrics),
+		adviceQueue: make(chan *jobstate.Step, maxAdviceQueue),
+		loaded:      make(chan struct{}),
+		endsStored:  make(chan struct{}),
+		wake:        make(chan struct{}, 1),
+		waitGauges:  newWaitGauges(o.Metrics),
+		intakeAge:   metrics.GetOrRegisterGauge("owner.intake_age_ms", o.Metrics),
+		lagGauge:    metrics.GetOrRegisterGauge("owner.lag_ms", o.Metrics),
+		ordersGauge: metrics.GetOrRegisterGauge("owner.orders_in_progress", o.Metrics),
 
 		announcementsIgnored: metrics.GetOrRegisterCounter("owner.announcements_ignored", o.Metrics),
 
@@ -196,7 +196,9 @@
 		preempted: metrics.GetOrRegisterCounter("owner.runs_preempted", o.Metrics),
 		discarded: metrics.GetOrRegisterCounter("owner.preempted_core_seconds", o.Metrics),
 	}
-	t.orders = newOrderGate(t.lagAllowance)
+	orderSlot := func() time.Duration { return orderSlotTime + t.lagAllowance() }
+	t.orders, t.silentOrders = newCallGate(maxOrders, orderSlot), newCallGate(maxSilentOrders, orderSlot)
+	t.firstReports = newCallGate(maxFirstReports, func() time.Duration { return firstReportSlotTime + t.lagAllowance() })
 	return t
 }
 
