jobowner: a start ends before its list of workers expires

A task could start on a worker 2.07 s after it began to drain (DRAIN, limit 2 s): the timeout of a start grows with the lag of the owner by up to 2 s, and the maximum age of the list of workers leaves 0.5 s for it. Evidence: go test ./jobowner -run TestStartOfALaggingOwner: DRAIN before, ok now. Why it works: a start may take at most the rest of the time for which its list of workers allows work.

--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -151,7 +151,16 @@
 	if attempt == 1 {
 		order.LeaseUntil = a.extendLease(now)
 	}
-	return a.target(), t.orderTimeout(attempt), sendStart
+	return a.target(), min(t.orderTimeout(attempt), t.untilListExpires(now)), sendStart
+}
+
+// untilListExpires returns how long a start may take from now. Workers that have begun to drain since the list of
+// workers was read may get work for a third longer than MaxListAge.
+func (t *Term) untilListExpires(now time.Time) time.Duration {
+	if t.opts.MaxListAge == 0 {
+		return maxOrderTimeout + maxLagAllowance
+	}
+	return t.opts.MaxListAge + t.opts.MaxListAge/3 - t.listAsOf.Age(now, t.opts.Suspended())
 }
 
 // abandonStart ends the attempts to start a run on a worker that is leaving. sent is whether an order
