jobowner: acknowledge ends once, and only in answer to a report

Callers could see: a task runs again after it was done (rule TWICE), when its worker restarts under its id while calls to it are carried out late.

Cause, from a trace of the worker's side: each report request repeated the number of ends that may be discarded (3), also while nothing answered. The next incarnation of the worker carried out a start to the former one at 9.5 s, the run ended as done at 10.4 s, and a report request of the former incarnation, also carried out late, discarded this end unread at 10.44 s. The higher token of the new incarnation, which protects against that, first arrived at 10.99 s.

Ends are now acknowledged only by a request that follows an answered one, and only until such a request is answered: a late one can discard ends of the next incarnation only if it was the first one without an answer. All later ones, the former reports and lookups of runs among them, carry 0. So that the acknowledgement is not lost, reports go on until it is answered: before, it was given up if its answer was lost and the worker had no runs.

What remains: one acknowledgement without an answer that is carried out after a start that was sent before it.

--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -309,3 +309,10 @@
 	defer f.mu.Unlock()
 	return f.startedTasks[task]
 }
+
+// UnacknowledgedEnds returns how many ends of runs the worker keeps because no request has acknowledged them.
+func (f *Fleet) UnacknowledgedEnds(worker string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.workers[worker].ended)
+}
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -47,6 +47,7 @@
 	// Guarded by the term's lock.
 	appliedEnd  int64 // sequence number of the newest end applied to the state
 	storedEnd   int64 // sequence number of the newest end whose effect is in the store
+	ackedEnd    int64 // sequence number of the newest end that an answered request has acknowledged
 	clockMs     int64 // the worker's clock in its newest answer, received at clockAt
 	clockAt     time.Time
 	clockAsked  suspend.Stamp // when the request for that answer was sent
@@ -173,7 +174,7 @@
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
 	w := a.worker
-	return !w.Answered || len(w.Runs) > 0 || len(w.Untracked) > 0 || a.appliedEnd > a.storedEnd
+	return !w.Answered || len(w.Runs) > 0 || len(w.Untracked) > 0 || a.appliedEnd > a.ackedEnd
 }
 
 // workerClock estimates the worker's clock, in milliseconds. The caller holds the lock.
@@ -194,12 +195,23 @@
 	return workerapi.Target{ID: a.worker.ID, Address: a.worker.Address}
 }
 
+// ackSequence returns the sequence number up to which the next request lets the worker discard ends, or 0. A request
+// without an answer may be carried out late by the next incarnation, which numbers its ends anew and has perhaps not
+// seen a higher token yet. So ends are acknowledged only in answer to a report, and once if that request is
+// answered. The caller holds the lock.
+func (a *agent) ackSequence() int64 {
+	if a.failures > 0 || a.storedEnd <= a.ackedEnd {
+		return 0
+	}
+	return a.storedEnd
+}
+
 // requestReport renews the lease, requests a report and applies it.
 func (a *agent) requestReport(ctx context.Context) error {
 	t := a.t
 	t.mu.Lock()
 	now := time.Now()
-	order := workerapi.Renew{Token: a.token(), AckSequence: a.storedEnd}
+	order := workerapi.Renew{Token: a.token(), AckSequence: a.ackSequence()}
 	bound := immediateReportTimeout
 	// A renewal without an answer may have taken effect. Repeating it would move LeaseEnds on
 	// for as long as the worker is unreachable, and its runs would never be started elsewhere.
@@ -223,6 +235,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.agents[a.worker.ID] == a {
+		a.ackedEnd = max(a.ackedEnd, order.AckSequence)
 		a.apply(report, now)
 	}
 	return nil
--- a/jobowner/late_order_test.go
+++ b/jobowner/late_order_test.go
@@ -54,3 +54,59 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// The answer to a report request that acknowledges ends is lost, the worker restarts under its id, and the new
+// incarnation carries out late what was sent to the former one: a start and, after the run has ended, a further
+// request. Guards against repeated acknowledgements, which discard the end unread: the task would run again after
+// it was done (seed 1705 of TestFuzzTerms).
+func TestUnansweredAcknowledgementIsNotRepeatedBlindly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(name workload.TaskName, _ int) (time.Duration, jobstate.End) {
+			if name.Job == "first" {
+				return time.Second, jobstate.EndDone
+			}
+			return 300 * time.Millisecond, jobstate.EndDone
+		}
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("first", "batch", tasks(4, 1))
+		time.Sleep(900 * time.Millisecond) // the request that returns the ends is in progress
+		s.fleet.SetFault(func(string, string) testplatform.Fault { return testplatform.Late })
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "first", time.Second))
+		time.Sleep(500 * time.Millisecond)
+		s.submit("second", "batch", tasks(1, 1))
+		time.Sleep(500 * time.Millisecond)
+		next := s.fleet.Add("w0", "zone-0", "rack-0", workerCapacity)
+		time.Sleep(time.Second)
+		s.list(next)
+		time.Sleep(2500 * time.Millisecond)
+		assert.True(t, s.fleet.Started("second"))
+		s.fleet.SetFault(func(string, string) testplatform.Fault { return testplatform.None })
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "second", 20*time.Second))
+		s.requireNoViolations(t)
+	})
+}
+
+// Guards against an end that is never acknowledged because the answer to its acknowledgement was lost and the worker
+// has no runs that require further reports.
+func TestUnansweredAcknowledgementIsRepeatedOnceTheWorkerAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(1, 1))
+		time.Sleep(900 * time.Millisecond) // the request that returns the end is in progress
+		s.isolateWorker("w0")
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", time.Second))
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, 1, s.fleet.UnacknowledgedEnds("w0"))
+		s.isolateWorker("")
+		time.Sleep(2 * time.Second)
+		assert.Zero(t, s.fleet.UnacknowledgedEnds("w0"))
+	})
+}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -183,7 +183,7 @@
 			return
 		}
 		sent := time.Now()
-		order := workerapi.Renew{Token: a.token(), AckSequence: a.storedEnd}
+		order := workerapi.Renew{Token: a.token()}
 		target := a.target()
 		t.mu.Unlock()
 		call, cancel := context.WithTimeout(ctx, runLookupTimeout+t.lagAllowance())
