jobowner, metastore: isolate job records that the store does not accept

Callers would see: after one record over the store's limit for values, accepted jobs stand that share its transaction, then all less urgent ones (it holds one of their two writes), and workers run out of ends that they may keep.

Cause: a write is repeated until the store confirms it, also when the store says that it does not accept the content (400, 413, ...). Such a wait has no end: the transaction keeps all its jobs from being written again, and the pending acknowledgement of ends waits for them. The monitor also counted each rejection as a call without an answer.

ErrRejected is a known outcome now. Nothing is lost: an end of the job is not acknowledged, nor are later ends of that worker, and a worker that the job's stored record shows as unresponsive is not renewed.

500 and 408 stay as before: they are repeated with a pause, because they may succeed.

--- a/events/events.go
+++ b/events/events.go
@@ -88,6 +88,7 @@
 	TermNotLoaded          ID = 246
 	IntakeStale            ID = 247
 	OwnerLags              ID = 248
+	RecordRejected         ID = 249
 	WaveAccepted           ID = 250
 	UpkeepOrdered          ID = 251
 	WaveCompleted          ID = 252
@@ -191,6 +192,7 @@
 	TermNotLoaded:          {"TermNotLoaded", "jobs not loaded since the start of the term"},
 	IntakeStale:            {"IntakeStale", "staleness of the accepted jobs changed"},
 	OwnerLags:              {"OwnerLags", "owner began or ceased to lag"},
+	RecordRejected:         {"RecordRejected", "job record not accepted by the store"},
 	WaveAccepted:           {"WaveTaken", "upkeep wave accepted or withdrawn"},
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -45,10 +45,11 @@
 	cancel context.CancelFunc
 
 	// Guarded by the term's lock.
-	appliedEnd  int64 // sequence number of the newest end applied to the state
-	storedEnd   int64 // sequence number of the newest end whose effect is in the store
-	ackedEnd    int64 // sequence number of the newest end that an answered request has acknowledged
-	clockMs     int64 // the worker's clock in its newest answer, received at clockAt
+	appliedEnd  int64               // sequence number of the newest end applied to the state
+	storedEnd   int64               // sequence number of the newest end whose effect is in the store
+	ackedEnd    int64               // sequence number of the newest end that an answered request has acknowledged
+	ends        []unacknowledgedEnd // of known runs, those after storedEnd, in ascending order
+	clockMs     int64               // the worker's clock in its newest answer, received at clockAt
 	clockAt     time.Time
 	clockAsked  suspend.Stamp // when the request for that answer was sent
 	failures    int
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -108,7 +108,7 @@
 		if j.UnwrittenSince.IsZero() {
 			j.UnwrittenSince = now
 		}
-		if !j.Writing {
+		if !j.Writing && !now.Before(j.RejectedUntil) {
 			list = append(list, unwrittenRecord{j, recordDue(j)})
 		}
 	}
@@ -136,6 +136,7 @@
 	}
 	j.Dirty, j.Writing, j.WritingFrom = false, true, time.Now()
 	j.UnwrittenSince = time.Time{}
+	j.WritingUnresponsive = j.UnresponsiveWorkers()
 	b.size += len(raw)
 	b.jobs = append(b.jobs, j)
 	b.states = append(b.states, j.State)
@@ -155,10 +156,14 @@
 		return
 	}
 	p := &ackPoint{unstored: map[*jobstate.Job]uint64{}, ends: t.unacknowledged(), recovered: t.recoveredWorkers()}
+	t.withoutRejected(p.ends)
 	if len(p.ends) == 0 && len(p.recovered) == 0 {
 		return
 	}
 	for _, j := range t.cluster.Jobs {
+		if !j.RejectedUntil.IsZero() {
+			continue
+		}
 		sequence := j.Sequence
 		if j.Writing {
 			sequence++
@@ -214,7 +219,7 @@
 func (t *Term) recoveredWorkers() []*jobstate.Worker {
 	var list []*jobstate.Worker
 	for _, w := range t.cluster.Workers {
-		if w.UnresponsiveStored && !w.Unresponsive {
+		if w.UnresponsiveStored && !w.Unresponsive && !t.mayBeMarked(w) {
 			list = append(list, w)
 		}
 	}
@@ -223,15 +228,18 @@
 
 // write writes the batch and carries out what its records allow.
 func (t *Term) write(ctx context.Context, b *batch) {
-	revision, stored := t.commit(ctx, b)
-	if stored {
+	revision, stored, err := t.commit(ctx, b)
+	switch {
+	case stored:
 		t.applyCommitted(ctx, b, revision)
+	case err != nil:
+		t.isolateRejected(ctx, b, err)
 	}
 }
 
 // commit writes the batch and returns its revision and whether it is in the store. It retries until the
-// store confirms the write, the term ends or ctx ends.
-func (t *Term) commit(ctx context.Context, b *batch) (revision uint64, stored bool) {
+// store confirms the write, the term ends or ctx ends, or returns an error if the store does not accept it.
+func (t *Term) commit(ctx context.Context, b *batch) (revision uint64, stored bool, rejected error) {
 	start := time.Now()
 	defer func() { t.commits.Update(time.Since(start).Microseconds()) }()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
@@ -243,12 +251,15 @@
 		revision, err := t.opts.Store.Commit(call, txn)
 		cancel()
 		if err == nil {
-			return revision, true
+			return revision, true, nil
+		}
+		if errors.Is(err, metastore.ErrRejected) {
+			return 0, false, err
 		}
 		var conflict *metastore.ConflictError
 		if errors.As(err, &conflict) {
 			if revision, stored := t.resolveConflict(b, conflict); stored {
-				return revision, true
+				return revision, true, nil
 			}
 			continue
 		}
@@ -260,7 +271,7 @@
 			wait.For(ctx, retryDelay)
 		}
 	}
-	return 0, false
+	return 0, false, nil
 }
 
 // resolveConflict handles a failed condition: either the term has ended, or an earlier attempt took
@@ -302,6 +313,8 @@
 		j.Revision = revision
 		j.Sequence++
 		j.Writing = false
+		j.StoredUnresponsive = j.WritingUnresponsive
+		t.endRejection(j)
 		if j.StoredState != b.states[n] && b.states[n].Ended() {
 			ended = true
 			events.Info(t.opts.Log, events.JobEndRecorded, zap.String("job", j.Submission.ID), zap.String("state", string(b.states[n])),
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -43,6 +43,7 @@
 	config *workload.Config
 	log    *zap.Logger
 
+	rejected     rejectedKeys
 	advisor      workerapi.Advisor // nil if no queue needs advice
 	callCost     time.Duration     // CPU time of a call; 0 for instances whose CPU is not modelled
 	outage       atomic.Bool       // the store answers no instance
--- a/jobowner/overload_test.go
+++ b/jobowner/overload_test.go
@@ -55,7 +55,7 @@
 // clients returns the instance's clients of the store and of the workers.
 func (s *system) clients(c *testInstance) (metastore.Store, workerapi.Client) {
 	if s.callCost == 0 {
-		return c.client, s.fleet
+		return rejectingStore{c.client, &s.rejected}, s.fleet
 	}
 	c.cpu = newProcessor(s.callCost)
 	return busyStore{c.client, c.cpu}, busyWorkers{s.fleet, c.cpu}
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -55,6 +55,7 @@
 		a.appliedEnd = e.Sequence
 		changed = true
 		if r := runs[runKey{e.Task, e.Run}]; r != nil {
+			a.ends = append(endsAfter(a.ends, a.storedEnd), unacknowledgedEnd{e.Sequence, r.Task.Step.Occurrence.Job})
 			t.recordEnd(r, e, now)
 		}
 	}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -197,7 +197,12 @@
 	UnwrittenSince time.Time // when it was first found to differ; zero if it does not
 	Writing        bool      // a record is being written
 	WritingFrom    time.Time // when its write began; valid while Writing
-	EndsAtRisk     bool      // an end that is not stored yet was reported by a worker that may leave
+	RejectedUntil  time.Time // the store did not accept the record, which is not written before; zero if it did
+	// StoredUnresponsive and WritingUnresponsive hold the workers that the newest stored record, and the newest one
+	// whose write has begun, show as unresponsive.
+	StoredUnresponsive, WritingUnresponsive map[*Worker]bool
+
+	EndsAtRisk bool // an end that is not stored yet was reported by a worker that may leave
 
 	Occurrences []*Occurrence // occurrences that have been due, by number
 }
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -64,6 +64,20 @@
 	return w.RecordedLeaseEnds, w.RecordedLeaseClock
 }
 
+// UnresponsiveWorkers returns the workers that the job's record now shows as unresponsive; nil for none.
+func (j *Job) UnresponsiveWorkers() map[*Worker]bool {
+	var workers map[*Worker]bool
+	for _, r := range j.Runs() {
+		if r.Worker.Unresponsive {
+			if workers == nil {
+				workers = map[*Worker]bool{}
+			}
+			workers[r.Worker] = true
+		}
+	}
+	return workers
+}
+
 // Restore sets the job's progress from its stored record. Runs whose end is not recorded become ordered
 // runs on their workers, which are added if they are missing.
 func (c *Cluster) Restore(j *Job, r *workload.Record, revision uint64, now time.Time) {
@@ -86,6 +100,7 @@
 		o.markReady(now)
 	}
 	j.Dirty = false
+	j.StoredUnresponsive = j.UnresponsiveWorkers()
 }
 
 func (s *Step) restoreDone() {
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -18,6 +18,9 @@
 	ErrCompacted = errors.New("history no longer available")
 	// ErrRefused reports that the store rejected the call without executing it.
 	ErrRefused = errors.New("refused by the store")
+	// ErrRejected reports that the store does not accept the content of the call, which had no effect: it fails
+	// again if it is repeated.
+	ErrRejected = errors.New("content rejected by the store")
 	// ErrIncomplete reports that an answer began and did not end within the timeout.
 	ErrIncomplete = errors.New("answer is incomplete")
 )
@@ -92,7 +95,7 @@
 	// Watch returns the changes after the revision and the revision to continue from. It waits for a
 	// change, and returns an empty list if there is none within the wait.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
-	// Commit returns the new revision, or an error such as *ConflictError, ErrLeaseEnded or ErrRefused.
+	// Commit returns the new revision, or an error such as *ConflictError, ErrLeaseEnded, ErrRefused or ErrRejected.
 	Commit(ctx context.Context, txn Txn) (uint64, error)
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	KeepAlive(ctx context.Context, lease int64) error
--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -191,6 +191,25 @@
 	})
 }
 
+// rejectingStore does not accept the content of any transaction.
+type rejectingStore struct{ metastore.Store }
+
+func (rejectingStore) Commit(context.Context, metastore.Txn) (uint64, error) {
+	return 0, metastore.ErrRejected
+}
+
+// Guards against a record that the store does not accept and that makes the owner take the store for unreachable.
+func TestRejectionIsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := metastore.NewMonitor(rejectingStore{testplatform.NewStore().NewClient()})
+		assert.True(t, m.Check(context.Background(), time.Second))
+		_, err := m.Commit(context.Background(), metastore.Txn{})
+		assert.ErrorIs(t, err, metastore.ErrRejected)
+		assert.True(t, m.Healthy())
+		assert.Zero(t, m.FailingFor())
+	})
+}
+
 // Guards against a slow store that counts as one that does not respond, so that the owner gives up its
 // term needlessly.
 func TestSlowStoreIsHealthy(t *testing.T) {
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -212,7 +212,7 @@
 // record records the outcome of a call. longPoll marks calls that wait for changes.
 func (m *Monitor) record(ctx context.Context, sent time.Time, err error, longPoll bool) {
 	var conflict *ConflictError
-	answered := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrNotFound) || errors.Is(err, ErrLeaseEnded) || errors.Is(err, ErrCompacted)
+	answered := err == nil || errors.As(err, &conflict) || errors.Is(err, ErrNotFound) || errors.Is(err, ErrLeaseEnded) || errors.Is(err, ErrCompacted) || errors.Is(err, ErrRejected)
 	if !answered && errors.Is(ctx.Err(), context.Canceled) {
 		return // cancelled by its caller, which is no evidence about the store
 	}
