metastore: watches of an owner that lags get more time

Callers would see: on a machine that is slow for the work of the owner, nothing starts for moments again and again, and each of these moments makes the owner slower.

Cause: the watch of the list of workers may take 0.3 s longer than its wait. An answer that the owner processes later than that counts as a failed watch, and the whole list is read at once. The timeout of the calls for other purposes has grown with the lag since; those of watches are set by the mirror. Class: a process takes its own delay for the failure of others, and what it does about it adds load.

Evidence, before the change (answers processed 0.4 s late, lag 0.1 s, 10 s):

go test ./metastore -run MirrorAllows --- FAIL: TestMirrorAllowsForTheLagOfTheInstance: expected: 1, actual: 6 (reads of the range)

The slack of both watches of a term grows by the same allowance as the timeouts of the monitor, at most 1 s. The age of the list, from which no more work is given, stays as it is: it follows from DrainMs and counts from when the watch was sent, so that a late answer makes the list older, never newer.

--- a/metastore/metastore_test.go
+++ b/metastore/metastore_test.go
@@ -17,6 +17,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 )
 
@@ -459,3 +460,40 @@
 		assert.False(t, m.Healthy())
 	})
 }
+
+// lateWatches processes each answer to a watch late, as an instance that lags does.
+type lateWatches struct {
+	metastore.Store
+	delay  time.Duration
+	ranges atomic.Int64
+}
+
+func (s *lateWatches) Watch(ctx context.Context, prefix string, after uint64, waitFor time.Duration) ([]metastore.Change, uint64, error) {
+	changes, asOf, err := s.Store.Watch(ctx, prefix, after, waitFor)
+	if !wait.For(ctx, s.delay) {
+		return nil, 0, ctx.Err()
+	}
+	return changes, asOf, err
+}
+
+func (s *lateWatches) Range(ctx context.Context, prefix, after string) (metastore.Page, error) {
+	s.ranges.Add(1)
+	return s.Store.Range(ctx, prefix, after)
+}
+
+// Guards against an instance that takes its own lag for a failed watch, and reads the whole range again and again,
+// which is more work than the watches.
+func TestMirrorAllowsForTheLagOfTheInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lateWatches{Store: testplatform.NewStore().NewClient(), delay: 400 * time.Millisecond}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		m := metastore.NewMirror(metastore.MirrorOptions{
+			Store: store, Prefix: "p/", Wait: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Slack: 300 * time.Millisecond, ReloadOnFailure: true,
+			Lag: func() time.Duration { return 100 * time.Millisecond }, Log: zap.NewNop(), Apply: func(metastore.Change) {},
+		})
+		go m.Run(ctx)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, int64(1), store.ranges.Load())
+	})
+}
--- a/metastore/mirror.go
+++ b/metastore/mirror.go
@@ -60,6 +60,9 @@
 	// Slack is how much longer than its wait a watch may take; 0 for watchSlack. It doubles with each
 	// failure in a row, up to watchSlack.
 	Slack time.Duration
+	// Lag returns how late the goroutines of this process run. What that may add to a watch is added to its slack. If
+	// it is nil, nothing is added.
+	Lag func() time.Duration
 	// Guard recovers from panics in Apply, so that a change that panics does not block the others. It is
 	// applied again later.
 	Guard *contain.Guard
@@ -237,6 +240,9 @@
 	if !m.Reachable() {
 		waitFor = retryWait // to detect the end of an outage soon
 	}
+	if m.opts.Lag != nil {
+		slack += lagAllowance(m.opts.Lag())
+	}
 	call, cancel := context.WithTimeout(ctx, waitFor+slack)
 	defer cancel()
 	changes, asOf, err := m.opts.Store.Watch(call, m.opts.Prefix, after, waitFor)
--- a/metastore/monitor.go
+++ b/metastore/monitor.go
@@ -185,7 +185,10 @@
 // maxCallTimeout returns the time after which a call without an answer shows that the store does not respond.
 func (m *Monitor) maxCallTimeout() time.Duration { return MaxCallTimeout + m.lagAllowance() }
 
-func (m *Monitor) lagAllowance() time.Duration { return min(lagFactor*m.lag(), maxLagAllowance) }
+func (m *Monitor) lagAllowance() time.Duration { return lagAllowance(m.lag()) }
+
+// lagAllowance returns what the lag of this process may add to a call.
+func lagAllowance(lag time.Duration) time.Duration { return min(lagFactor*lag, maxLagAllowance) }
 
 // Run probes the store while it does not respond, until ctx ends. Probes overlap, because the response
 // to an earlier probe may have been lost in the outage.
--- a/node/node.go
+++ b/node/node.go
@@ -211,11 +211,11 @@
 		n.operatorData.attach(nil, nil)
 	}()
 	intake := metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Log: n.log, Guard: n.guard, StoreHealthy: n.store.Healthy,
+		Store: n.store, Prefix: jobowner.IntakePrefix, Wait: watchWait, Lag: n.lag.Lag, Log: n.log, Guard: n.guard, StoreHealthy: n.store.Healthy,
 		Apply: term.OnIntake, Synced: term.Loaded,
 	})
 	workers := metastore.NewMirror(metastore.MirrorOptions{
-		Store: n.store, Prefix: a.WorkersPrefix, Wait: workersWait, Pause: workersPause, ReloadOnFailure: true, Slack: workersSlack, Log: n.log, Guard: n.guard,
+		Store: n.store, Prefix: a.WorkersPrefix, Wait: workersWait, Pause: workersPause, ReloadOnFailure: true, Slack: workersSlack, Lag: n.lag.Lag, Log: n.log, Guard: n.guard,
 		Synced: term.WorkersSynced,
 		Apply:  func(change metastore.Change) { n.onWorker(term, change) },
 	})
