--- a/jobowner/own_delay_test.go
+++ b/jobowner/own_delay_test.go
@@ -31,7 +31,10 @@
 		s.addWorker("w1", 1)
 		a := s.start("a")
 		time.Sleep(2 * time.Second)
-		a.term.WithCluster(func(c *jobstate.Cluster) {
+		s.mu.Lock()
+		term := a.term
+		s.mu.Unlock()
+		term.WithCluster(func(c *jobstate.Cluster) {
 			for _, w := range c.Workers {
 				w.FailStreak, w.AvoidUntil = 4, time.Now().Add(16*time.Second)
 			}
@@ -164,7 +167,10 @@
 		time.Sleep(3 * time.Second)
 		assert.EqualValues(t, 1, late.Load())
 		assert.Equal(t, 6, s.fleet.StartCount(), "no run is stopped and started again")
-		s.instances["a"].term.WithCluster(func(c *jobstate.Cluster) {
+		s.mu.Lock()
+		term := s.instances["a"].term
+		s.mu.Unlock()
+		term.WithCluster(func(c *jobstate.Cluster) {
 			for _, w := range c.Workers {
 				assert.Zero(t, w.AvoidUntil, "%s is not avoided", w.ID)
 			}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -334,16 +334,15 @@
 		}
 		a.timeout.Store(int64(m.CallTimeout(1)))
 		token := a.termToken.Load()
-		lost := false
+		var lost atomic.Bool
 		a.client.SetFault(func(call string) testplatform.Fault {
-			if call == "keepalive" && !lost {
-				lost = true
+			if call == "keepalive" && lost.CompareAndSwap(false, true) {
 				return testplatform.Silent
 			}
 			return testplatform.None
 		})
 		time.Sleep(5 * time.Second)
-		assert.True(t, lost)
+		assert.True(t, lost.Load())
 		assert.Equal(t, token, a.termToken.Load(), "timeout of a renewal: %v", time.Duration(a.timeout.Load()))
 	})
 }
