--- a/placement/overdue_test.go
+++ b/placement/overdue_test.go
@@ -143,3 +143,39 @@
 	}
 	require.Len(t, j.Runs(), 2, "room for the other task twice over is outside the rack")
 }
+
+// reclaimLimit is the time within which the first step of an urgent job within the guarantee of its workspace starts.
+const reclaimLimit = 2700 * time.Millisecond
+
+// A full service stops less urgent runs for a gang within the guarantee of its workspace. Guards against overdue jobs,
+// of which many wait, that take each place as soon as it becomes free, so that the gang stops run after run and does
+// not fit.
+func TestOverdueJobsLeaveReclaimedRoomToItsGang(t *testing.T) {
+	w := newFixture(1, 16)
+	w.guarantee["a"] = 64
+	w.submit(batch, "b", step(16*8, 1, time.Minute))
+	require.Len(t, w.advance(0).Starts, 16*8)
+	for range 300 {
+		w.submit(batch, "c", step(4, 1, time.Minute))
+	}
+	for range 40 {
+		require.Empty(t, w.advance(50*time.Millisecond).Starts)
+	}
+	j := w.submit(urgent, "a", gang(8, 8, 10*time.Second))
+	stops := 0
+	stopping := map[*jobstate.Run]time.Time{}
+	for since := w.now; !j.HasRuns() && w.now.Sub(since) < reclaimLimit; {
+		plan := w.advance(50 * time.Millisecond)
+		for n, r := range plan.Stops {
+			stopping[r] = w.now.Add(time.Duration(50+n*37%400) * time.Millisecond)
+		}
+		stops += len(plan.Stops)
+		for r, at := range stopping {
+			if !w.now.Before(at) {
+				w.c.End(r, jobstate.EndStopped, "", w.now)
+				delete(stopping, r)
+			}
+		}
+	}
+	assert.True(t, j.HasRuns(), "not started after %v and %d stops", reclaimLimit, stops)
+}
