--- a/placement/overdue.go
+++ b/placement/overdue.go
@@ -54,7 +54,7 @@
 	if !r.hasSpareRoom(u, workers, len(tasks)) {
 		return false
 	}
-	anyRoom := (*jobstate.Worker).Free
+	anyRoom := func(w *jobstate.Worker) workload.Resources { return w.Free().Sub(r.firm[w]) }
 	for _, attempt := range []struct {
 		exceptions exception
 		room       func(*jobstate.Worker) workload.Resources
@@ -130,7 +130,7 @@
 	need := spareRoom * tasks
 	stopping := r.stoppingOn()
 	for _, w := range workers {
-		free := w.Free().Add(stopping[w])
+		free := w.Free().Sub(r.firm[w]).Add(stopping[w])
 		if need -= countUpTo(need, u.step, free, present(u.step, w)); need <= 0 {
 			return true
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -73,6 +73,7 @@
 	available     map[string][]*jobstate.Worker // these and the avoided ones, by service
 	racks         map[string][]rack             // of all these workers, by service; filled when needed
 	reserved      map[*jobstate.Worker]workload.Resources
+	firm          map[*jobstate.Worker]workload.Resources // the part of reserved that overdue units do not get either
 	stopping      map[*jobstate.Worker]workload.Resources // cache of stoppingOn
 	plan          Plan
 	preemptibleOn map[*jobstate.Worker][]victim // cache of the results of preemptible
@@ -84,7 +85,7 @@
 // Decide plans starts and stops. guarantee returns the number of accelerators guaranteed to a workspace.
 func (p *Policy) Decide(c *jobstate.Cluster, guarantee func(workspace string) int, now time.Time) Plan {
 	r := &round{Policy: p, c: c, now: now,
-		reserved: map[*jobstate.Worker]workload.Resources{}, preemptibleOn: map[*jobstate.Worker][]victim{}}
+		reserved: map[*jobstate.Worker]workload.Resources{}, firm: map[*jobstate.Worker]workload.Resources{}, preemptibleOn: map[*jobstate.Worker][]victim{}}
 	r.stopStragglers()
 	r.stopOnLeaving()
 	units := r.units(guarantee)
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -46,7 +46,7 @@
 // unit waits.
 func (r *round) reserveOrReclaim(u *unit, workers []*jobstate.Worker) jobstate.WaitReason {
 	if r.now.Sub(u.step.ReclaimedAt) < r.stopBound() && r.reservationHolds(u.step) {
-		r.reserve(u.step)
+		r.reserve(u)
 		return jobstate.WaitReclaim
 	}
 	if u.priority > 0 && r.now.Sub(u.step.ReadyAt) < reservationDelay {
@@ -74,12 +74,12 @@
 	for _, t := range targets {
 		u.step.Reserved = append(u.step.Reserved, jobstate.Reservation{Worker: t.worker, Tasks: t.count})
 	}
-	r.reserve(u.step)
 	if u.priority > 0 {
 		r.reservations++
 	}
 	if loss > lossLimit(u) || !r.mayStop(u, targets) {
 		u.step.ReclaimFailedAt = r.now
+		r.reserve(u)
 		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "room is reserved; stopping the runs in it would discard too much work"})
 		return jobstate.WaitLossLimit
 	}
@@ -93,6 +93,7 @@
 		}
 	}
 	u.step.ReclaimedAt = r.now
+	r.reserve(u)
 	if stopped := len(r.plan.Stops) - before; stopped > 0 {
 		r.plan.Reclaims = append(r.plan.Reclaims, Reclaim{Step: u.step, Waited: r.now.Sub(u.step.ReadyAt), Runs: stopped, Discarded: loss, Limit: lossLimit(u)})
 	}
@@ -105,7 +106,7 @@
 	if len(u.step.Reserved) == 0 {
 		return
 	}
-	r.reserve(u.step)
+	r.reserve(u)
 	if u.priority > 0 {
 		r.reservations++
 	}
@@ -154,10 +155,16 @@
 	return need
 }
 
-// reserve keeps the step's reserved resources from units that are scheduled later in this round.
-func (r *round) reserve(s *jobstate.Step) {
-	for _, p := range s.Reserved {
-		r.reserved[p.Worker] = r.reserved[p.Worker].Add(allocationFor(s, p.Tasks))
+// reserve keeps the unit's reserved resources from units that are scheduled later in this round. Not even overdue
+// ones get them if the unit is within its guarantee, or while runs are being stopped for it.
+func (r *round) reserve(u *unit) {
+	firm := u.guaranteed || r.now.Sub(u.step.ReclaimedAt) < r.stopBound()
+	for _, p := range u.step.Reserved {
+		room := allocationFor(u.step, p.Tasks)
+		r.reserved[p.Worker] = r.reserved[p.Worker].Add(room)
+		if firm {
+			r.firm[p.Worker] = r.firm[p.Worker].Add(room)
+		}
 	}
 }
 
