jobowner, node: orders are paced to the owner's link, and timeouts allow for its queue

A burst of starts, each with the job's payload, and the record writes before it fill the owner's link. Their timeouts run while they wait for it, so that the owner repeats, looks up and stops starts, dials anew for each (a call that times out closes its connection) and repeats whole record writes. That keeps the link full.

Change: internal/link estimates the queue of the link from what the platform's clients send and from LinkMbps of the settings. (1) An order waits until the queue is below 30 ms, 100 ms for urgent jobs and stops, which go first; only then do its timeouts begin. (2) The queue counts as lag of the instance, so that timeouts of orders, reports and store calls are longer by four times the queue within the bounds that exist, and reports are requested less often. Silent workers delay no others, as before: an order without an answer gives its place away. Without LinkMbps nothing changes. Metric owner.link_queue_ms, and link_queue in event 248.

Why it works: the owner offers its link no more orders than it takes, so that an answer that is missing is again a sign of the party that was called.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/link"
 	"github.com/cyclamenyard/cyclamenyard/internal/logsink"
 	"github.com/cyclamenyard/cyclamenyard/node"
 	"github.com/cyclamenyard/cyclamenyard/placement"
@@ -78,8 +79,9 @@
 		Instance: s.Instance, CPUShare: s.CPUShare,
 		MaxLease: s.MaxLease, MaxListAge: s.DrainBound * 3 / 4, HeartbeatGap: s.Heartbeat * 5 / 2, GracePeriod: s.Grace, EndedRetention: s.KeepEnded,
 		Placement: placement.Options{FarFactor: s.FarFactor, StopTimeout: s.StopTimeout},
-		Adapter:   newAdapter(s, log, registry), Log: log, Metrics: registry,
+		Link:      link.New(s.LinkMbps), Log: log, Metrics: registry,
 	}
+	options.Adapter = newAdapter(s, log, registry, options.Link)
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
@@ -120,16 +122,16 @@
 	}
 }
 
-func newAdapter(s *platform.Settings, log *zap.Logger, registry metrics.Registry) node.Adapter {
+func newAdapter(s *platform.Settings, log *zap.Logger, registry metrics.Registry, l *link.Meter) node.Adapter {
 	adapter := node.Adapter{
-		Store: platform.NewStore(s.Store, registry), Workers: platform.NewWorkers(s.MaxFDs, log, registry), Advisor: platform.NewAdvice(s.Advice, registry), Codec: platform.JobCodec{},
+		Store: platform.NewStore(s.Store, registry, l), Workers: platform.NewWorkers(s.MaxFDs, log, registry, l), Advisor: platform.NewAdvice(s.Advice, registry, l), Codec: platform.JobCodec{},
 		OperatorPrefix: platform.OperatorPrefix, WorkersPrefix: platform.WorkersPrefix, ReadyPath: platform.ReadyPath,
 		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, EvacuatedDataCentre: platform.EvacuatedDataCentre,
 		DecodeWorker: platform.DecodeWorker, WorkerID: platform.WorkerID,
 		WaveNumber: platform.WaveNumber, DecodeWave: platform.DecodeWave, WaveStatus: platform.WaveStatus,
 	}
 	if s.Cloud != "" {
-		adapter.Cloud = platform.NewCloud(s.Cloud, registry)
+		adapter.Cloud = platform.NewCloud(s.Cloud, registry, l)
 	}
 	return adapter
 }
--- a/jobowner/lag.go
+++ b/jobowner/lag.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// lagFactor is how often a call waits for the CPU, from the request until its answer is processed.
+	// lagFactor is how often a call waits for the CPU or the link, from the request until its answer is processed.
 	lagFactor = 4
 	// maxLagAllowance limits what the lag adds to a timeout.
 	maxLagAllowance = 2 * time.Second
@@ -26,14 +26,16 @@
 
 // checkLag records the lag, and logs when the owner begins or ceases to lag. The caller holds the lock.
 func (t *Term) checkLag() {
-	lag, orders := t.opts.Lag(), len(t.orders.slots)
+	lag := t.opts.Lag()
+	orders, waiting := t.orders.counts()
 	t.lagGauge.Update(lag.Milliseconds())
+	t.linkGauge.Update(t.opts.Link.Queue().Milliseconds())
 	t.ordersGauge.Update(int64(orders))
 	lagging := lag >= lagReportAt || t.lagging && lag >= lagReportAt/2
 	if lagging == t.lagging {
 		return
 	}
 	t.lagging = lagging
-	events.Info(t.opts.Log, events.OwnerLags, zap.Bool("lagging", lagging), zap.Duration("lag", lag), zap.Int("orders", orders),
-		zap.Int64("orders_waiting", t.orders.waiting.Load()))
+	events.Info(t.opts.Log, events.OwnerLags, zap.Bool("lagging", lagging), zap.Duration("lag", lag), zap.Duration("link_queue", t.opts.Link.Queue()),
+		zap.Int("orders", orders), zap.Int("orders_waiting", waiting))
 }
--- /dev/null
+++ b/jobowner/link_test.go
@@ -0,0 +1,190 @@
+package jobowner_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/link"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// callBytes is the size of a call without its payload, with headers of all layers.
+const callBytes = 400
+
+// maxCallTime limits how long a call that was sent takes.
+const maxCallTime = 3 * time.Second
+
+// uplink models the link over which an owner sends: calls queue for it in the order in which they are made. What was
+// queued is sent although its caller has given up.
+type uplink struct {
+	bytesPerSecond int
+	meter          *link.Meter
+	starts         atomic.Int64 // start orders that were sent
+
+	mu     sync.Mutex
+	freeAt time.Time
+}
+
+func newUplink(bytesPerSecond int) *uplink {
+	return &uplink{bytesPerSecond: bytesPerSecond, meter: link.New(float64(bytesPerSecond) * 8 / 1e6)}
+}
+
+// meterOrNil returns the meter of the link, or nil if none is modelled.
+func (l *uplink) meterOrNil() *link.Meter {
+	if l == nil {
+		return nil
+	}
+	return l.meter
+}
+
+// queue adds a call and returns how long it takes until the last byte is sent.
+func (l *uplink) queue(bytes int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(bytes) * time.Second / time.Duration(l.bytesPerSecond))
+	return l.freeAt.Sub(now)
+}
+
+// overLink carries out a call over the link. It returns when the call is answered or ctx ends.
+func overLink[T any](ctx context.Context, l *uplink, bytes int, call func(context.Context) (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	done := make(chan result, 1)
+	delay := l.queue(bytes)
+	l.meter.Sent(bytes)
+	go func() {
+		time.Sleep(delay)
+		deliver, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxCallTime)
+		defer cancel()
+		value, err := call(deliver)
+		done <- result{value, err}
+	}()
+	select {
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	case r := <-done:
+		return r.value, r.err
+	}
+}
+
+// linkedStore is a store that is called over a link.
+type linkedStore struct {
+	metastore.Store
+	l *uplink
+}
+
+func (s linkedStore) Commit(ctx context.Context, txn metastore.Txn) (uint64, error) {
+	size := callBytes
+	for _, p := range txn.Puts {
+		size += len(p.Value) * 4 / 3
+	}
+	return overLink(ctx, s.l, size, func(ctx context.Context) (uint64, error) { return s.Store.Commit(ctx, txn) })
+}
+
+func (s linkedStore) KeepAlive(ctx context.Context, lease int64) error {
+	_, err := overLink(ctx, s.l, callBytes, func(ctx context.Context) (int, error) { return 0, s.Store.KeepAlive(ctx, lease) })
+	return err
+}
+
+// linkedWorkers are workers that are called over a link.
+type linkedWorkers struct {
+	workerapi.Client
+	l *uplink
+}
+
+func (w linkedWorkers) Start(ctx context.Context, target workerapi.Target, o workerapi.Start) (int64, error) {
+	w.l.starts.Add(1)
+	return overLink(ctx, w.l, callBytes+len(o.Payload), func(ctx context.Context) (int64, error) { return w.Client.Start(ctx, target, o) })
+}
+
+func (w linkedWorkers) Stop(ctx context.Context, target workerapi.Target, o workerapi.Stop) (int64, error) {
+	return overLink(ctx, w.l, callBytes, func(ctx context.Context) (int64, error) { return w.Client.Stop(ctx, target, o) })
+}
+
+func (w linkedWorkers) Renew(ctx context.Context, target workerapi.Target, o workerapi.Renew) (workerapi.Report, error) {
+	return overLink(ctx, w.l, callBytes, func(ctx context.Context) (workerapi.Report, error) { return w.Client.Renew(ctx, target, o) })
+}
+
+// submitWithPayload submits a less urgent job whose start orders have a payload of the size.
+func (s *system) submitWithPayload(id string, bytes int, steps ...workload.Step) {
+	s.submitJob(&workload.Submission{ID: id, Queue: *s.config.Route("batch"), Workspace: "team", Payload: strings.Repeat("x", bytes),
+		Steps: steps, AcceptedAt: time.Now().UnixMilli()})
+}
+
+// stopAndDrainLinks stops all instances and waits until what they sent has been carried out.
+func (s *system) stopAndDrainLinks() {
+	s.stop()
+	for _, l := range s.links {
+		time.Sleep(l.queue(0) + maxCallTime)
+	}
+}
+
+// Guards against an owner that fills its own link with a burst of orders and takes the delay for workers and a store
+// that do not respond: it repeated and stopped the starts, which kept the link full, and lost its ownership, so that
+// accepted jobs stood on an idle service.
+func TestBurstOfStartsOverASlowLink(t *testing.T) {
+	const workers = 60
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stopAndDrainLinks()
+		s.linkBytesPerSecond = 250_000
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 20 * time.Second, jobstate.EndDone }
+		for n := range workers {
+			s.addWorker(fmt.Sprintf("w%02d", n), n/12)
+		}
+		s.start("a")
+		s.start("b")
+		time.Sleep(2 * time.Second)
+		for n := range 12 {
+			s.submitWithPayload(fmt.Sprint("job-", n), 1000, tasks(workers*8/12, 1))
+		}
+		time.Sleep(4500 * time.Millisecond) // the starts take 2.7 s of the link
+		assert.Equal(t, workers*8, s.fleet.StartCount())
+		sent := s.links[0].starts.Load() + s.links[1].starts.Load()
+		assert.Equal(t, int64(workers*8), sent, "no start is repeated")
+		assert.Len(t, s.terms, 1)
+		s.requireNoViolations(t)
+	})
+}
+
+// Guards against starts of less urgent jobs that keep the start of an urgent job waiting for a slow link.
+func TestUrgentStartPassesOthersOnASlowLink(t *testing.T) {
+	const workers = 40
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stopAndDrainLinks()
+		s.linkBytesPerSecond = 125_000
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 20 * time.Second, jobstate.EndDone }
+		for n := range workers {
+			s.addWorker(fmt.Sprintf("w%02d", n), n/10)
+		}
+		s.start("a")
+		time.Sleep(2 * time.Second)
+		for n := range 4 {
+			s.submitWithPayload(fmt.Sprint("job-", n), 2000, tasks(60, 1))
+		}
+		time.Sleep(200 * time.Millisecond) // the starts take 4.6 s of the link
+		s.submit("urgent", "urgent", tasks(4, 1))
+		time.Sleep(500 * time.Millisecond)
+		assert.True(t, s.fleet.Started("urgent"))
+		s.requireNoViolations(t)
+	})
+}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -84,7 +84,7 @@
 func (t *Term) start(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Start) {
 	uncertain := false
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		leave, ok := t.orders.enter(ctx)
+		leave, ok := t.orders.enter(ctx, len(order.Payload), r.Task.Step.Occurrence.Job.Route.Priority == 0)
 		if !ok {
 			return
 		}
@@ -303,7 +303,7 @@
 		if !present {
 			return
 		}
-		leave, ok := t.orders.enter(ctx)
+		leave, ok := t.orders.enter(ctx, 0, true)
 		if !ok {
 			return
 		}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -13,6 +13,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
+	"github.com/cyclamenyard/cyclamenyard/internal/link"
 	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
@@ -48,8 +49,10 @@
 	HeartbeatGap time.Duration
 	// Suspended returns the machine's total time in suspension; nil reads it from the system.
 	Suspended func() time.Duration
-	// Lag returns how late the goroutines of this process run; nil for a process that always runs in time.
+	// Lag returns how long calls of this process wait for its own CPU and its own link; nil for a process in which
+	// none waits.
 	Lag        func() time.Duration
+	Link       *link.Meter   // over which this process sends; nil if its speed is not known
 	MaxListAge time.Duration // maximum age of the list of workers for new orders; 0 for no limit
 
 	// WriteTimeout returns the timeout of the nth attempt of a write, from 1.
@@ -140,6 +143,7 @@
 	waitGauges           waitGauges
 	intakeAge            metrics.Gauge     // milliseconds
 	lagGauge             metrics.Gauge     // milliseconds
+	linkGauge            metrics.Gauge     // milliseconds
 	ordersGauge          metrics.Gauge     // orders in progress
 	announcementsIgnored metrics.Counter   // before all jobs were loaded
 	decisions            metrics.Histogram // the histograms are in microseconds
@@ -184,6 +188,7 @@
 		waitGauges:   newWaitGauges(o.Metrics),
 		intakeAge:    metrics.GetOrRegisterGauge("owner.intake_age_ms", o.Metrics),
 		lagGauge:     metrics.GetOrRegisterGauge("owner.lag_ms", o.Metrics),
+		linkGauge:    metrics.GetOrRegisterGauge("owner.link_queue_ms", o.Metrics),
 		ordersGauge:  metrics.GetOrRegisterGauge("owner.orders_in_progress", o.Metrics),
 
 		announcementsIgnored: metrics.GetOrRegisterCounter("owner.announcements_ignored", o.Metrics),
@@ -196,7 +201,7 @@
 		preempted: metrics.GetOrRegisterCounter("owner.runs_preempted", o.Metrics),
 		discarded: metrics.GetOrRegisterCounter("owner.preempted_core_seconds", o.Metrics),
 	}
-	t.orders = newOrderGate(t.lagAllowance)
+	t.orders = newOrderGate(o.Link, t.lagAllowance)
 	return t
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
 	"github.com/cyclamenyard/cyclamenyard/internal/lag"
+	"github.com/cyclamenyard/cyclamenyard/internal/link"
 	"github.com/cyclamenyard/cyclamenyard/jobfront"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/jobservice"
@@ -54,7 +55,8 @@
 type Options struct {
 	Adapter  Adapter
 	Instance string
-	CPUShare float64 // cores
+	CPUShare float64     // cores
+	Link     *link.Meter // of this machine; nil if its speed is not known
 
 	Callers, Ready, Peers, Admin net.Listener
 
@@ -123,7 +125,7 @@
 func New(o Options) *Node {
 	n := &Node{opts: o, log: o.Log, guard: contain.New(o.Log, o.Metrics), clients: peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})}
 	n.store = metastore.NewMonitor(o.Adapter.Store)
-	n.store.AllowFor(n.lag.Lag)
+	n.store.AllowFor(n.callDelay)
 	n.operatorData = newOperatorData(n)
 	n.elector = ownership.New(ownership.Options{
 		Store: n.store, Self: ownership.Instance{Name: o.Instance, Address: o.Peers.Addr().String(), CPUShare: o.CPUShare},
@@ -150,6 +152,9 @@
 	return n
 }
 
+// callDelay returns how long calls of this process wait for its own CPU and its own link.
+func (n *Node) callDelay() time.Duration { return n.lag.Lag() + n.opts.Link.Queue() }
+
 func (n *Node) currentTerm() jobservice.Term {
 	if t := n.term.Load(); t != nil {
 		return t
@@ -191,7 +196,7 @@
 		Store: n.store, Workers: a.Workers, Advisor: a.Advisor, Log: n.log, Metrics: n.opts.Metrics, Guard: n.guard, Token: token, Fence: fence,
 		Config: n.operatorData.config, WallClock: time.Now, MaxLease: n.opts.MaxLease, Placement: n.opts.Placement,
 		OwnershipConfirmed: func() bool { return n.elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
-		EndedRetention:     n.opts.EndedRetention, StoreTimeout: storeTimeout, MaxListAge: n.opts.MaxListAge, HeartbeatGap: n.opts.HeartbeatGap, Lag: n.lag.Lag,
+		EndedRetention:     n.opts.EndedRetention, StoreTimeout: storeTimeout, MaxListAge: n.opts.MaxListAge, HeartbeatGap: n.opts.HeartbeatGap, Lag: n.callDelay, Link: n.opts.Link,
 		StoreStable:  func() bool { return n.store.SinceFailure() > storeStableAfter },
 		WriteTimeout: n.store.CallTimeout, StoreOutage: n.operatorData.storeOutage.Load, Completed: n.collectCompleted,
 	})
