jobowner: a start that waits for its turn is withdrawn instead of stopped

Cause: a run counts as ordered while its start waits for the link. When an urgent job preempted it, the owner sent a stop, although the worker had never received the start, and its room stayed taken until the stop and a report after it were answered. The stops took the link from starts, the urgent job got other room meanwhile, and the next decision preempted more.

Change: a start that has not been sent is withdrawn: the run ends at once as never started. prepareStart, which runs under the same lock just before each start is sent, does not send it any more.

Why it works: an order that is not sent needs no answer, so that preempting planned work costs nothing of the link.

--- a/jobowner/link_test.go
+++ b/jobowner/link_test.go
@@ -32,12 +32,14 @@
 	meter          *link.Meter
 	starts         atomic.Int64 // start orders that were sent
 
-	mu     sync.Mutex
-	freeAt time.Time
+	mu            sync.Mutex
+	freeAt        time.Time
+	started       map[string]bool // tasks whose start was sent
+	unneededStops int             // stops of tasks whose start was not sent
 }
 
 func newUplink(bytesPerSecond int) *uplink {
-	return &uplink{bytesPerSecond: bytesPerSecond, meter: link.New(float64(bytesPerSecond) * 8 / 1e6)}
+	return &uplink{bytesPerSecond: bytesPerSecond, started: map[string]bool{}, meter: link.New(float64(bytesPerSecond) * 8 / 1e6)}
 }
 
 // meterOrNil returns the meter of the link, or nil if none is modelled.
@@ -60,6 +62,21 @@
 	return l.freeAt.Sub(now)
 }
 
+func (l *uplink) countStart(task string) {
+	l.starts.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.started[task] = true
+}
+
+func (l *uplink) countStop(task string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.started[task] {
+		l.unneededStops++
+	}
+}
+
 // overLink carries out a call over the link. It returns when the call is answered or ctx ends.
 func overLink[T any](ctx context.Context, l *uplink, bytes int, call func(context.Context) (T, error)) (T, error) {
 	type result struct {
@@ -111,11 +128,12 @@
 }
 
 func (w linkedWorkers) Start(ctx context.Context, target workerapi.Target, o workerapi.Start) (int64, error) {
-	w.l.starts.Add(1)
+	w.l.countStart(o.Task)
 	return overLink(ctx, w.l, callBytes+len(o.Payload), func(ctx context.Context) (int64, error) { return w.Client.Start(ctx, target, o) })
 }
 
 func (w linkedWorkers) Stop(ctx context.Context, target workerapi.Target, o workerapi.Stop) (int64, error) {
+	w.l.countStop(o.Task)
 	return overLink(ctx, w.l, callBytes, func(ctx context.Context) (int64, error) { return w.Client.Stop(ctx, target, o) })
 }
 
@@ -165,6 +183,32 @@
 	})
 }
 
+// Guards against preempted runs whose start waits for a slow link: a stop for each of them, and an answer to it, kept
+// their room from the urgent job and the link from other orders.
+func TestStartThatWaitsForTheLinkIsWithdrawn(t *testing.T) {
+	const workers = 20
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stopAndDrainLinks()
+		s.linkBytesPerSecond = 125_000
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 20 * time.Second, jobstate.EndDone }
+		for n := range workers {
+			s.addWorker(fmt.Sprintf("w%02d", n), n/10)
+		}
+		s.start("a")
+		time.Sleep(2 * time.Second)
+		s.submitWithPayload("batch", 3000, tasks(workers*8, 1))
+		time.Sleep(300 * time.Millisecond) // the starts take 4.4 s of the link
+		s.submit("urgent", "urgent", tasks(guarantee, 1))
+		time.Sleep(700 * time.Millisecond)
+		for n := range guarantee {
+			assert.True(t, s.fleet.HasStarted(fmt.Sprint("urgent.0.0.", n)))
+		}
+		assert.Zero(t, s.links[0].unneededStops)
+		s.requireNoViolations(t)
+	})
+}
+
 // Guards against starts of less urgent jobs that keep the start of an urgent job waiting for a slow link.
 func TestUrgentStartPassesOthersOnASlowLink(t *testing.T) {
 	const workers = 40
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -55,7 +55,7 @@
 		return
 	}
 	r.Phase = jobstate.Ordered
-	r.StartSent = true
+	r.StartSent, r.StartWaits = true, true
 	a.extendLease(now) // the start grants a lease
 	s := r.Task.Step
 	events.Info(t.opts.Log, events.RunOrdered, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
@@ -141,7 +141,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() || t.agents[a.worker.ID] != a {
+	_, present := a.worker.Runs[r]
+	if !present || r.Phase == jobstate.Stopping || !r.StartedAt.IsZero() || t.agents[a.worker.ID] != a {
 		return workerapi.Target{}, dropStart
 	}
 	t.checkListAge(now) // this process may have been paused since the decision
@@ -151,6 +152,7 @@
 	if attempt == 1 {
 		order.LeaseUntil = a.extendLease(now)
 	}
+	r.StartWaits = false
 	return a.target(), sendStart
 }
 
@@ -275,14 +277,19 @@
 	t.wakeLoop()
 }
 
-// orderStop sends a stop until the worker answers or the run has ended. The caller holds the lock
-// and has set the phase of the run to Stopping.
+// orderStop sends a stop until the worker answers or the run has ended. A run whose start still waits ends at
+// once. The caller holds the lock and has set the phase of the run to Stopping.
 func (t *Term) orderStop(ctx context.Context, r *jobstate.Run) {
 	w := r.Worker
 	a := t.agents[w.ID]
 	if a == nil || a.worker != w {
 		return
 	}
+	if r.StartWaits {
+		t.cluster.End(r, jobstate.EndNeverStarted, "", time.Now())
+		t.wakeLoop()
+		return
+	}
 	r.StopSent = true
 	t.stopped.Inc(1)
 	order := workerapi.Stop{Task: r.Task.Name().String(), Run: r.Number, Token: a.token()}
--- a/jobowner/waits.go
+++ b/jobowner/waits.go
@@ -190,6 +190,8 @@
 		return jobstate.WaitStop
 	case r.Phase == jobstate.Running:
 		return jobstate.WaitUnresponsiveWorker
+	case r.StartWaits:
+		return jobstate.WaitStartOrder
 	case r.StartSent:
 		return jobstate.WaitStartAnswer
 	}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -61,7 +61,8 @@
 	Load             float64   // tail latency in milliseconds of a serving task; cores in use by another task
 	StopReason       string
 	StopRequestedAt  time.Time // when the stop was requested
-	StartSent        bool      // this owner has sent the start order
+	StartSent        bool      // this owner has sent the start order, or is about to
+	StartWaits       bool      // the start order has not been sent yet
 	StartUncertain   bool      // a newer incarnation of the worker may have received the start order or still may
 	StopSent         bool      // the stop order is being sent, or has been
 	CannotStartSince time.Time // when the worker confirmed a stop, after which it does not start the run; zero before
--- a/jobstate/wait.go
+++ b/jobstate/wait.go
@@ -24,6 +24,7 @@
 	// Reasons for which the runs of a step without waiting tasks do not work.
 
 	WaitRecordWrite        // the record of the planned run is not stored
+	WaitStartOrder         // the start has not been sent: other orders are in progress, or the link is busy
 	WaitStartAnswer        // the worker has not answered the start
 	WaitFormerRun          // ordered by a former owner; the worker has not reported yet
 	WaitUnresponsiveWorker // the run has started, and its worker does not respond
@@ -35,7 +36,7 @@
 var waitReasonNames = [waitReasons]string{
 	"undecided", "worker_list_stale", "no_worker_accepts", "no_worker_eligible", "advice", "headroom",
 	"preferred_rack", "no_room", "reclaim", "loss_limit", "reservations", "gang_members", "retry_delay",
-	"record_write", "start_answer", "former_run", "unresponsive_worker", "stop",
+	"record_write", "start_order", "start_answer", "former_run", "unresponsive_worker", "stop",
 }
 
 // WaitReasonCount is the number of reasons, which are numbered from 0.
