--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,7 +41,7 @@
 	worker *jobstate.Worker
 	wake   chan struct{}
 	cancel context.CancelFunc
-	orders *callGate // orders to the worker, unless it is silent
+	silent atomic.Bool // a call has had no answer in time since the last answer
 
 	// Guarded by the term's lock.
 	appliedEnd  int64               // sequence number of the newest end applied to the state
@@ -51,7 +52,6 @@
 	clockAt     time.Time
 	clockAsked  suspend.Stamp // when the request for that answer was sent
 	failures    int
-	silent      bool // a call has had no answer in time since the last answer
 	lastAnswer  time.Time
 	throttledAt time.Time // when the fillers on the worker were last adjusted
 }
@@ -64,7 +64,7 @@
 		}
 		a.cancel()
 	}
-	a := &agent{t: t, worker: w, wake: make(chan struct{}, 1), orders: newCallGate(maxWorkerOrders, t.orders.slotTime)}
+	a := &agent{t: t, worker: w, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(t.ctx)
 	a.cancel = cancel
 	t.agents[w.ID] = a
@@ -93,7 +93,7 @@
 // workers without runs are limited by firstReports.
 func (a *agent) run(ctx context.Context) {
 	if !a.hasRuns() {
-		leave, ok := a.t.firstReports.enter(ctx, a.setSilent)
+		leave, ok := a.t.firstReports.enter(ctx)
 		if !ok {
 			return
 		}
--- a/jobowner/late_order_test.go
+++ b/jobowner/late_order_test.go
@@ -73,7 +73,7 @@
 		s.start("a")
 		time.Sleep(time.Second)
 		s.submit("first", "batch", tasks(2, 1)) // as many as start at once on a worker, so that one report has their ends
-		time.Sleep(900 * time.Millisecond) // the request that returns the ends is in progress
+		time.Sleep(900 * time.Millisecond)      // the request that returns the ends is in progress
 		s.fleet.SetFault(func(string, string) testplatform.Fault { return testplatform.Late })
 		assert.Equal(t, workload.Completed, s.waitForEnd(t, "first", time.Second))
 		time.Sleep(500 * time.Millisecond)
