jobowner: a recorded lease end does not become later

Callers would see: after a worker has vanished and the owner has changed, jobs stand up to 1.2 s longer than the lease of the worker requires.

Cause: the end of the lease is recorded on the clock of another worker. Two allowances made it later than it is. (1) The bound of that clock counted from when the newest report was requested; workers hold reports back for up to 1 s. (2) The successor divided the time left by the slowest rate of the clock. A clock that is slow and never fast shows at most the time that has passed, so that what it shows as left is never too little.

Evidence, before the change:

go test ./jobowner -run SuccessorUses --- FAIL: TestSuccessorUsesTheRecordedLeaseEndAsItIs: "1.107399191s" is not less than or equal to "50ms"

The owner keeps the lowest upper bound of each worker's clock that a report has given, as of when the report was requested; the time in suspension counts from then too, and no longer from the answer. The successor subtracts what has passed. The test also requires that the end never becomes earlier.

--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -51,7 +51,7 @@
 	ends        []unacknowledgedEnd // of known runs, those after storedEnd, in ascending order
 	clockMs     int64               // the worker's clock in its newest answer, received at clockAt
 	clockAt     time.Time
-	clockAsked  suspend.Stamp // when the request for that answer was sent
+	clockBound  clockBound
 	failures    int
 	lastAnswer  time.Time
 	throttledAt time.Time // when the fillers on the worker were last adjusted
@@ -212,6 +212,7 @@
 	t := a.t
 	t.mu.Lock()
 	now := time.Now()
+	asked := suspend.NewStamp(now, t.opts.Suspended())
 	order := workerapi.Renew{Token: a.token(), AckSequence: a.ackSequence()}
 	bound := immediateReportTimeout
 	// A renewal without an answer may have taken effect. Repeating it would move LeaseEnds on
@@ -236,6 +237,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.agents[a.worker.ID] == a {
+		a.boundClock(report, asked, now)
 		a.ackedEnd = max(a.ackedEnd, order.AckSequence)
 		a.apply(report, now)
 	}
--- a/jobowner/lease.go
+++ b/jobowner/lease.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"time"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
@@ -88,7 +90,7 @@
 	}
 	var best *agent
 	for _, a := range t.agents {
-		if a.worker == w || !a.worker.Answered || !a.worker.Listed || a.worker.Draining || a.failures > 0 || a.clockAt.IsZero() {
+		if a.worker == w || !a.worker.Answered || !a.worker.Listed || a.worker.Draining || a.failures > 0 || a.clockBound == (clockBound{}) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(rank(a), rank(best)), cmp.Compare(best.worker.ID, a.worker.ID)) > 0 {
@@ -98,6 +100,31 @@
 	return best
 }
 
+// clockBound is an upper bound of a worker's clock: the clock that a report shows was read after the report was requested,
+// and is never fast.
+type clockBound struct {
+	clock int64         // milliseconds, as reported
+	asked suspend.Stamp // when the report was requested
+}
+
+// at returns the bound at now, in milliseconds.
+func (b clockBound) at(now time.Time, suspended time.Duration) int64 {
+	return b.clock + b.asked.Age(now, suspended).Milliseconds() + 1
+}
+
+// boundClock lowers the bound of the worker's clock if the report gives a lower one. Those that the worker holds back give
+// higher ones. The caller holds the lock.
+func (a *agent) boundClock(report workerapi.Report, asked suspend.Stamp, now time.Time) {
+	if report.Incarnation != 0 && report.Incarnation != a.worker.Incarnation {
+		return
+	}
+	suspended := a.t.opts.Suspended()
+	b := clockBound{report.Clock, asked}
+	if a.clockBound == (clockBound{}) || b.at(now, suspended) < a.clockBound.at(now, suspended) {
+		a.clockBound = b
+	}
+}
+
 // leaseClock returns the end of the worker's lease on the clock of another worker, so that later owners can tell
 // without a common wall clock whether it has passed. It returns nil if no other worker answers.
 func (t *Term) leaseClock(w *jobstate.Worker, now time.Time) *workload.ClockReading {
@@ -105,8 +132,7 @@
 	if reference == nil {
 		return nil
 	}
-	// The worker read its clock after the request was sent.
-	clock := reference.clockMs + reference.clockAsked.Age(now, t.opts.Suspended()).Milliseconds()
+	clock := reference.clockBound.at(now, t.opts.Suspended())
 	return &workload.ClockReading{Worker: reference.worker.ID, Incarnation: reference.worker.Incarnation,
 		Clock: clock + w.LeaseEnds.Sub(now).Milliseconds() + 1}
 }
@@ -122,10 +148,10 @@
 	if a == nil || a.worker.Incarnation != end.Incarnation || a.clockAt.IsZero() {
 		return
 	}
-	// Both the time since the reading and the time left may be longer than a slow clock shows.
-	elapsed := float64(now.Sub(a.clockAt).Milliseconds()) * (1 - clockDrift)
-	left := (float64(end.Clock-a.clockMs) - elapsed) / (1 - clockDrift)
-	if ends := now.Add(time.Duration(left * float64(time.Millisecond))); ends.Before(w.LeaseEnds) {
+	// The clock may be slow, never fast: at least as much time has passed since the end was recorded as it shows, and
+	// since the reading, so that at most this is left.
+	left := time.Duration(end.Clock-a.clockMs)*time.Millisecond - now.Sub(a.clockAt)
+	if ends := now.Add(left); ends.Before(w.LeaseEnds) {
 		w.LeaseEnds = ends
 	}
 }
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
-	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/placement"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
@@ -102,7 +101,7 @@
 		a.worker.MarkJobsDirty()
 	}
 	if a.clockAt.IsZero() || clock > a.clockMs {
-		a.clockMs, a.clockAt, a.clockAsked = clock, now, suspend.NewStamp(sent, a.t.opts.Suspended())
+		a.clockMs, a.clockAt = clock, now
 	}
 }
 
--- a/jobowner/standing_test.go
+++ b/jobowner/standing_test.go
@@ -56,6 +56,38 @@
 	requireRestartAcrossOwners(t, 5, 2200*time.Millisecond)
 }
 
+// Guards against jobs that stand because a lease end becomes later when it is recorded on the clock of another worker and
+// read by a successor: clocks are never fast, and the time at which a report was held back says nothing about its clock.
+func TestSuccessorUsesTheRecordedLeaseEndAsItIs(t *testing.T) {
+	const tolerance = 50 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.addWorker("w1", 1)
+		leaseEnds := func(c *testInstance) (at time.Time) {
+			s.currentTerm(c).WithCluster(func(c *jobstate.Cluster) {
+				assert.True(t, c.Workers["w0"].Unresponsive)
+				at = c.Workers["w0"].LeaseEnds
+			})
+			return at
+		}
+		a := s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(10, 1))
+		time.Sleep(3 * time.Second)
+		s.isolateWorker("w0")
+		time.Sleep(3 * time.Second)
+		recorded := leaseEnds(a)
+		s.kill("a")
+		b := s.start("b")
+		time.Sleep(3 * time.Second)
+		assert.False(t, leaseEnds(b).Before(recorded))
+		assert.LessOrEqual(t, leaseEnds(b).Sub(recorded), tolerance)
+	})
+}
+
 // requireRestartAcrossOwners requires that the tasks of a worker that vanished together with the owner run on
 // another worker in time, although the owner changes further times at the given interval.
 func requireRestartAcrossOwners(t *testing.T, changes int, interval time.Duration) {
