placement: the last attempt of a job is not spent on a worker that fails

Evidence: go test ./placement -run TestLastAttempt: a start at once before, ok now. Why it works: if a further failure ends the job, workers that are avoided after failures are no candidates.

--- a/placement/overdue.go
+++ b/placement/overdue.go
@@ -92,10 +92,15 @@
 	return u.waiting[:1]
 }
 
-// candidates returns the available workers that may run the step's tasks, avoided ones included.
+// candidates returns the available workers that may run the step's tasks, avoided ones included. If a further
+// failure would be the job's end, it excludes workers that are avoided because runs failed there.
 func (r *round) candidates(u *unit) []*jobstate.Worker {
 	var list []*jobstate.Worker
+	last := u.hasLastAttempt()
 	for _, w := range r.available[u.job.Route.Service] {
+		if last && w.FailStreak > 0 && r.now.Before(w.AvoidUntil) {
+			continue
+		}
 		if r.mayRun(u, w) {
 			list = append(list, w)
 		}
@@ -103,6 +108,19 @@
 	return list
 }
 
+// hasLastAttempt reports whether the job fails with the next failure of a waiting task.
+func (u *unit) hasLastAttempt() bool {
+	limit := u.job.Route.MaxAttempts
+	if limit == 0 || u.step.Spec.LongRunning {
+		return false
+	}
+	failures := u.step.Failures
+	for _, t := range u.waiting {
+		failures = max(failures, t.Failures)
+	}
+	return failures > 0 && failures == limit-1
+}
+
 // upTo returns the workers that run the tasks by the given exception or a lesser one.
 func (r *round) upTo(limit exception, tasks []*jobstate.Task, workers []*jobstate.Worker) []*jobstate.Worker {
 	var list []*jobstate.Worker
--- a/placement/overdue_test.go
+++ b/placement/overdue_test.go
@@ -101,6 +101,22 @@
 	}
 }
 
+// All workers are avoided after failures for a few seconds, and a further failure would be the job's end. Guards against
+// a last attempt on a worker that fails everything.
+func TestLastAttemptIsNotSpentOnAWorkerThatFails(t *testing.T) {
+	w := newFixture(1, 2)
+	j := w.submit(batch, "a", step(1, 1, time.Second))
+	j.Occurrences[0].Steps[0].Tasks[0].Failures = j.Route.MaxAttempts - 1
+	for _, worker := range w.c.Workers {
+		worker.FailStreak, worker.AvoidUntil = 2, w.now.Add(5*time.Second)
+	}
+	for range 19 {
+		require.Empty(t, w.advance(250*time.Millisecond).Starts)
+	}
+	w.advance(250 * time.Millisecond)
+	require.Len(t, w.advance(250*time.Millisecond).Starts, 1)
+}
+
 // Tasks that run until their job is cancelled stay down because the rack of their data is full, while other
 // tasks of their job run. Guards against long-running tasks of which each end starts the wait of all anew.
 func TestLongRunningTasksDoNotWaitForEachOther(t *testing.T) {
