jobowner: a start that waited is not sent to a worker that became unresponsive

A task could run twice (TWICE). A start waits for its turn since, and sets its lease when it is sent. If its worker became unresponsive meanwhile, its records already showed the end of the lease, and the start extended the lease beyond that: the next owner started the worker's tasks again while they ran. Why it works: the first attempt of a start is given up if the worker is unresponsive or a stored record may show its lease end; nothing has been sent then, so that the run ends as never started.

--- a/jobowner/link_test.go
+++ b/jobowner/link_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/cyclamenyard/cyclamenyard/internal/link"
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
@@ -232,3 +233,51 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// startsToUnresponsive counts the starts that are sent to workers that the owner has recorded as unresponsive.
+type startsToUnresponsive struct {
+	workerapi.Client
+	s     *system
+	count *atomic.Int64
+}
+
+func (c startsToUnresponsive) Start(ctx context.Context, target workerapi.Target, o workerapi.Start) (int64, error) {
+	c.s.mu.Lock()
+	term := c.s.instances["a"].term
+	c.s.mu.Unlock()
+	term.WithCluster(func(cluster *jobstate.Cluster) {
+		if w := cluster.Workers[target.ID]; w != nil && w.Unresponsive {
+			c.count.Add(1)
+		}
+	})
+	return c.Client.Start(ctx, target, o)
+}
+
+// Reports of the workers get no answer while their starts wait for the owner's link. Guards against a start that grants
+// a lease beyond the one that the records of an unresponsive worker show: the next owner would start its tasks a
+// second time while they still run.
+func TestWaitingStartIsNotSentToAnUnresponsiveWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stopAndDrainLinks()
+		var count atomic.Int64
+		s.wrapWorkers = func(c workerapi.Client) workerapi.Client { return startsToUnresponsive{c, s, &count} }
+		s.linkBytesPerSecond = 125_000
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 20 * time.Second, jobstate.EndDone }
+		for n := range 20 {
+			s.addWorker(fmt.Sprintf("w%02d", n), n/10)
+		}
+		s.start("a")
+		time.Sleep(2 * time.Second)
+		s.fleet.SetFault(func(_, call string) testplatform.Fault {
+			if call == "hold" {
+				return testplatform.Silent
+			}
+			return testplatform.None
+		})
+		s.submitWithPayload("job", 3000, tasks(20*8, 1)) // the starts take 4.4 s of the link
+		time.Sleep(8 * time.Second)
+		assert.Zero(t, count.Load())
+		assert.Positive(t, s.fleet.StartCount())
+	})
+}
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -132,7 +132,7 @@
 const (
 	sendStart    startStep = iota
 	dropStart              // the run is confirmed, is being stopped, or has ended with its worker
-	abandonStart           // the worker may be leaving
+	abandonStart           // the worker may be leaving, or became unresponsive while the start waited
 )
 
 // prepareStart checks whether the start may still be sent, and returns its target and timeout. The first attempt sets the
@@ -150,6 +150,9 @@
 		return target, 0, abandonStart
 	}
 	if attempt == 1 {
+		if a.worker.Unresponsive || a.worker.UnresponsiveStored {
+			return target, 0, abandonStart // its records show the end of the lease, which must remain valid
+		}
 		order.LeaseUntil = a.extendLease(now)
 	}
 	r.StartWaits = false
