testplatform: the results of a late call to a worker are copied under the lock

A call with the fault Late is carried out after its caller has returned, and then writes the results of the call, which the caller has read without the lock. What the workers do and what the oracle checks is unchanged.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -404,8 +404,9 @@
 }
 
 // Start implements workerapi.Client.
-func (f *Fleet) Start(ctx context.Context, t workerapi.Target, o workerapi.Start) (clock int64, err error) {
-	err = f.do(ctx, t.ID, "start", func() error {
+func (f *Fleet) Start(ctx context.Context, t workerapi.Target, o workerapi.Start) (int64, error) {
+	clock := int64(0)
+	err := f.do(ctx, t.ID, "start", func() error {
 		w, err := f.authorize(t, o.Token)
 		if err != nil {
 			return err
@@ -424,6 +425,8 @@
 		f.start(w, o)
 		return nil
 	})
+	f.mu.Lock() // a late call still writes the result
+	defer f.mu.Unlock()
 	return clock, err
 }
 
@@ -457,8 +460,9 @@
 }
 
 // Stop implements workerapi.Client.
-func (f *Fleet) Stop(ctx context.Context, t workerapi.Target, o workerapi.Stop) (clock int64, err error) {
-	err = f.do(ctx, t.ID, "stop", func() error {
+func (f *Fleet) Stop(ctx context.Context, t workerapi.Target, o workerapi.Stop) (int64, error) {
+	clock := int64(0)
+	err := f.do(ctx, t.ID, "stop", func() error {
 		w, err := f.authorize(t, o.Token)
 		if err != nil {
 			return err
@@ -471,6 +475,8 @@
 		w.lastClosed[o.Task] = max(w.lastClosed[o.Task], o.Run)
 		return nil
 	})
+	f.mu.Lock() // a late call still writes the result
+	defer f.mu.Unlock()
 	return clock, err
 }
 
@@ -478,9 +484,10 @@
 const pollInterval = 50 * time.Millisecond
 
 // Renew implements workerapi.Client.
-func (f *Fleet) Renew(ctx context.Context, t workerapi.Target, o workerapi.Renew) (report workerapi.Report, err error) {
+func (f *Fleet) Renew(ctx context.Context, t workerapi.Target, o workerapi.Renew) (workerapi.Report, error) {
+	report := workerapi.Report{}
 	deadline := time.Now().Add(o.Wait)
-	err = f.do(ctx, t.ID, "hold", func() error {
+	err := f.do(ctx, t.ID, "hold", func() error {
 		w, err := f.authorize(t, o.Token)
 		if err != nil {
 			return err
@@ -512,6 +519,8 @@
 		}
 		return nil
 	})
+	f.mu.Lock() // a late call still writes the result
+	defer f.mu.Unlock()
 	return report, err
 }
 
