jobowner: ask an idle worker again after its lease counts as expired

Callers saw, in the fuzz: gangs stand for minutes on a fleet without faults, because one worker gets no work:

Cause: an idle worker is not asked for reports, so that its lease ends after 10 s. If a run is planned there then and has to be stopped before its record is stored, the run counts as ordered, the lease as expired, and the worker as one that has not answered. Its agent had gone to sleep for an hour while there was nothing to ask for, and nothing woke it. A wait without a useful end: the worker got no work until then.

go test ./jobowner -run IdleWorkerIsAsked, before the change: --- FAIL: TestIdleWorkerIsAskedAgainAfterItsLease: expected: "completed", actual: "queued"

The agent is woken when the lease of its worker has expired.

--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -126,6 +126,9 @@
 			events.Warn(t.opts.Log, events.WorkerLeaseExpired, zap.String("worker", w.ID), zap.Int("runs", len(w.Runs)))
 			t.cluster.ExpireRuns(w, now)
 			w.Answered = false
+			if a := t.agents[w.ID]; a != nil {
+				a.signal() // it gets no work before it has answered again
+			}
 		}
 	}
 }
--- a/jobowner/orders_test.go
+++ b/jobowner/orders_test.go
@@ -137,3 +137,27 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// A worker has been idle for longer than a lease when a run that was planned there is stopped before its record is stored,
+// and the stop is not answered. Guards against a worker whose lease counts as expired then and that is never asked for a
+// report again: it got no work for an hour (seed 303 of TestFuzzTerms).
+func TestIdleWorkerIsAskedAgainAfterItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(testplatform.MaxLease + time.Second)
+		a.hangCalls("commit")
+		s.isolateWorker("w0")
+		s.submit("cancelled", "batch", tasks(1, 1))
+		time.Sleep(100 * time.Millisecond)
+		s.cancelJob("cancelled")
+		time.Sleep(time.Second)
+		s.isolateWorker("")
+		a.hangCalls()
+		s.submit("job", "batch", tasks(1, 1))
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 10*time.Second))
+		s.requireNoViolations(t)
+	})
+}
