jobowner: predecessors renew leases for 2.1 s at most, not 2.5 s

Callers would see: after a worker and the owner are lost, its jobs stand 0.4 s longer than needed; with an owner that starts 4.3 s after that, for more than the 7 s that rule LOST allows.

Cause: a successor allows for leases that the former owner renewed up to 3.5 s after its last confirmation, which it assumed to be a second older than the term. The key of the owner lasts OwnerTTL (1.5 s) from when the store receives the last renewal, and the confirmation counts from when that was sent, so that it is 1.5 s older. 0.1 s is kept for different clocks. Keys that are removed earlier are those of terms that have ended.

Evidence, before the change:

go test ./jobowner -run TestWaitForALease --- FAIL: TestWaitForALeaseOfTheFormerOwner: expected: 4, actual: 2 (when the lease has been over for 7s)

--- a/jobowner/standing_test.go
+++ b/jobowner/standing_test.go
@@ -88,6 +88,31 @@
 	})
 }
 
+// Guards against jobs that stand because the wait for the lease of a vanished worker allows a former owner a longer time
+// than it has: its ownership lasted until its key expired, OwnerTTL after its last confirmation.
+func TestWaitForALeaseOfTheFormerOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(2, 1))
+		time.Sleep(time.Second)
+		s.addWorker("w1", 0)
+		s.fleet.RemoveWorker("w0")
+		s.store.Remove(workersPrefix + "w0")
+		lost := time.Now()
+		s.kill("a")
+		time.Sleep(time.Until(lost.Add(4300 * time.Millisecond)))
+		s.start("b")
+		time.Sleep(time.Until(lost.Add(leaseLimit + standingLimit)))
+		assert.Equal(t, 4, s.fleet.StartCount(), "when the lease has been over for %v", standingLimit)
+		s.requireNoViolations(t)
+	})
+}
+
 // requireRestartAcrossOwners requires that the tasks of a worker that vanished together with the owner run on
 // another worker in time, although the owner changes further times at the given interval.
 func requireRestartAcrossOwners(t *testing.T, changes int, interval time.Duration) {
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -17,6 +17,7 @@
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/ownership"
 	"github.com/cyclamenyard/cyclamenyard/placement"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
 	"github.com/cyclamenyard/cyclamenyard/workload"
@@ -79,9 +80,9 @@
 	// leaseMargin is added to each estimate of when a lease has expired.
 	leaseMargin = 250 * time.Millisecond
 	// predecessorRenewal is how long after the start of a term a former owner without access to
-	// the store may still renew leases. Its ownership lease had to expire before this term, so its
-	// last confirmation is at least a second older than the start.
-	predecessorRenewal = MaxUnconfirmedRenewal - time.Second
+	// the store may still renew leases. The key of the former owner had to expire before this term, so its
+	// last confirmation is older than the start by ownership.OwnerTTL, less 0.1 s for different clocks.
+	predecessorRenewal = MaxUnconfirmedRenewal - ownership.OwnerTTL + 100*time.Millisecond
 	// MaxUnconfirmedRenewal is how long an owner renews the leases of workers without confirmation
 	// by the store. Runs survive an outage of the store for this time plus the length of a lease.
 	MaxUnconfirmedRenewal = 3500 * time.Millisecond
