--- a/jobowner/link_test.go
+++ b/jobowner/link_test.go
@@ -251,7 +251,7 @@
 func TestWaitingStartIsNotSentToAnUnresponsiveWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem()
-		defer s.stopAndDrainLinks()
+		defer s.stop()
 		var count atomic.Int64
 		s.wrapWorkers = func(c workerapi.Client) workerapi.Client { return startsToUnresponsive{c, s, &count} }
 		s.linkBytesPerSecond = 125_000
