--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -104,3 +104,10 @@
 	}
 	return http.StatusBadRequest, ""
 }
+
+// begun reports whether the machine has begun its upkeep for wave 1.
+func (c *cloud) begun(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.done[name+"/1"]
+}
