--- a/review/standin/ends.go
+++ b/review/standin/ends.go
@@ -12,10 +12,9 @@
 // lists.
 func manyEnds(s *system, trouble bool) error {
 	const (
-		tasks    = 1240
-		kind     = "b" // of two workers
-		cutAfter = 1500 * time.Millisecond
-		cut      = 5500 * time.Millisecond
+		tasks = 1240
+		kind  = "b" // of two workers
+		cut   = 5500 * time.Millisecond
 	)
 	var seen atomic.Int64
 	s.fleet.outcome = func(string, int) (time.Duration, string) {
--- a/review/standin/ledger.go
+++ b/review/standin/ledger.go
@@ -60,6 +60,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s.noted = true
+	l.record.line("end noted task=%s run=%d worker=%s", s.task, s.run, s.worker.id)
 }
 
 func (l *ledger) void(s *start) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +18,9 @@
 	cannotPlay = 2
 )
 
+// limit is the longest play.
+const limit = 112 * time.Second
+
 // cases holds the plays by name. Each returns an error if it could not be played.
 var cases = map[string]func(s *system, trouble bool) error{}
 
@@ -44,8 +49,22 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.line("case %s, trouble %v", os.Args[1], trouble)
-	s := newSystem(r, dir)
-	err = cases[os.Args[1]](s, trouble)
+	s, err := newSystem(r, dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return cannotPlay
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	played := make(chan error, 1)
+	go func() { played <- cases[os.Args[1]](s, trouble) }()
+	select {
+	case err = <-played:
+	case <-time.After(limit):
+		err = fmt.Errorf("longer than %v", limit)
+	case sig := <-stop:
+		err = fmt.Errorf("stopped: %v", sig)
+	}
 	s.close()
 	s.ledger.checkStartsAfterDone()
 	switch {
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -64,14 +65,38 @@
 	stop      chan struct{}
 }
 
-func newSystem(r *record, dir string) *system {
+func newSystem(r *record, dir string) (*system, error) {
 	s := &system{record: r, dir: dir, store: newStore(), ledger: newLedger(r), stop: make(chan struct{})}
-	s.network = fmt.Sprintf("127.%d", 20+rand.IntN(200))
+	if err := s.chooseNetwork(); err != nil {
+		return nil, err
+	}
 	s.fleet = &fleet{store: s.store, record: r, ledger: s.ledger, stop: s.stop,
 		outcome: func(string, int) (time.Duration, string) { return 2 * time.Second, "done" }}
 	s.cloud = newCloud(s.fleet)
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}, Timeout: deadline}
-	return s
+	return s, nil
+}
+
+// chooseNetwork chooses loopback addresses on which the ports of the instances are free.
+func (s *system) chooseNetwork() error {
+	for range 50 {
+		s.network = fmt.Sprintf("127.%d", 20+rand.IntN(200))
+		free := true
+		for n := range instanceZones {
+			for _, port := range []string{"8521", "8523", "7000", "7001"} {
+				listener, err := net.Listen("tcp", s.address(1, n+1, port))
+				if err != nil {
+					free = false
+					continue
+				}
+				_ = listener.Close()
+			}
+		}
+		if free {
+			return nil
+		}
+	}
+	return errors.New("no loopback network with free ports")
 }
 
 // serve serves a part of the platform at the address.
