--- a/review/standin/ledger.go
+++ b/review/standin/ledger.go
@@ -131,7 +131,7 @@
 }
 
 // checkStartsAfterShown reports each start, over a second after its job was shown as completed, by a machine in touch:
-// one from calm on, when the store has been without disruption for ContactMs, and machines that were not disturbed.
+// one from calm on, when no machine and not the store has been disturbed for ContactMs.
 func (l *ledger) checkStartsAfterShown(calm time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
