jobowner: show a job as completed only when its end is stored

The owner showed the completion from memory in an outage of the store and lost power with the workers that held the ends; the next owner found the runs as ordered in the job's record.

The only copies of an unstored end are in the owner and on workers, and all of them may be lost together. So the state that callers see is the stored one. Successors still learn of observed completions from former owners, and show them once they have stored them. EndsAtRisk and Options.StoreOutage have no use any more.

TestCompletionInAnOutageSurvivesTheOwner failed before: "TWICE: job.0.0.0 run 2 starts 13.4410711s after its job was reported as completed". The oracle has the check now (a start more than 1 s after a completion was shown).

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -27,6 +27,8 @@
 	// reclaimBound is the time after its acceptance by which an urgent job must have started if the
 	// urgent jobs of its workspace need no more than the guarantee.
 	reclaimBound = 2700 * time.Millisecond
+	// completedBound is how long after its job was reported as completed a task may still be started.
+	completedBound = time.Second
 	// overTargetBound is how long the tail latency of a serving task may stay over its target while
 	// fillers work on the same worker.
 	overTargetBound = 4 * time.Second
@@ -76,6 +78,8 @@
 	startedJobs   map[string]bool                     // jobs with a task that was started
 	failedRuns    map[string]int                      // all failed runs, by task
 
+	reportedCompleted map[string]time.Time // when callers were first told that a job is completed
+
 	startedTasks    map[string]bool
 	urgentUnchecked map[string]time.Time // submission times of urgent jobs that checkReclaim has not checked
 	evacuated       map[string]time.Time // evacuated data centres and when they were evacuated
@@ -120,7 +124,7 @@
 		Undisturbed: func() bool { return true },
 		workers:     map[string]*worker{}, jobs: map[string]*workload.Submission{}, cancelled: map[string]time.Time{},
 		doneTasks: map[string]bool{}, ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, startedJobs: map[string]bool{}, speedPercents: map[string]int{},
-		gangs: map[workload.TaskName]map[*run]bool{}, failedRuns: map[string]int{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
+		gangs: map[workload.TaskName]map[*run]bool{}, failedRuns: map[string]int{}, reportedCompleted: map[string]time.Time{}, startedTasks: map[string]bool{}, urgentUnchecked: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
 	created := time.Now()
 	f.addresses = map[string]string{}
--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -21,7 +21,7 @@
 	if o.Payload != job.Payload {
 		f.violate("UNASKED", "%s has a payload other than the submitted one", o.Task)
 	}
-	f.checkDuplicate(w, o)
+	f.checkDuplicate(w, name, o)
 	f.checkCapacity(w, job.Steps[name.Step].Allocation(), o.Task)
 	f.checkPlacement(w, job, name)
 	f.checkDependencies(job, name)
@@ -33,10 +33,13 @@
 	}
 }
 
-func (f *Fleet) checkDuplicate(w *worker, o workerapi.Start) {
+func (f *Fleet) checkDuplicate(w *worker, name workload.TaskName, o workerapi.Start) {
 	if f.ackedDone[o.Task] {
 		f.violate("TWICE", "%s run %d after the end of the task as done was acknowledged", o.Task, o.Run)
 	}
+	if at, reported := f.reportedCompleted[name.Job]; reported && time.Since(at) > completedBound {
+		f.violate("TWICE", "%s run %d starts %v after its job was reported as completed", o.Task, o.Run, time.Since(at))
+	}
 	for _, other := range f.workers {
 		if r := other.runs[o.Task]; r != nil && other != w {
 			f.violate("TWICE", "%s run %d on %s while run %d is on %s", o.Task, o.Run, w.entry.Worker.ID, r.number, other.entry.Worker.ID)
@@ -162,11 +165,15 @@
 	}
 }
 
-// CheckReportedState checks a job state that a caller received.
+// CheckReportedState checks a job state that a caller received. No task of a job that was reported as completed
+// may start later.
 func (f *Fleet) CheckReportedState(id string, state workload.State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, cancelled := f.cancelled[id]
+	if _, known := f.reportedCompleted[id]; state == workload.Completed && !known {
+		f.reportedCompleted[id] = time.Now()
+	}
 	switch {
 	case f.jobs[id] == nil:
 		f.violate("MIXED", "%s is reported as %s, but was not submitted", id, state)
--- a/internal/testplatform/oracle_test.go
+++ b/internal/testplatform/oracle_test.go
@@ -43,6 +43,9 @@
 	}
 	f.RecordSubmission(&workload.Submission{ID: "urgent", Workspace: "other", Payload: "p", Steps: []workload.Step{one}, Queue: urgent})
 	f.RecordSubmission(&workload.Submission{ID: "plain", Payload: "p", Steps: []workload.Step{one, second}, Queue: queue})
+	short := one
+	short.Tasks = 1
+	f.RecordSubmission(&workload.Submission{ID: "short", Payload: "p", Steps: []workload.Step{short}, Queue: queue})
 	f.RecordSubmission(&workload.Submission{ID: "gang", Payload: "p", Steps: []workload.Step{gang}, Queue: queue})
 	f.RecordSubmission(&workload.Submission{ID: "timed", Payload: "p", Steps: []workload.Step{one}, Queue: queue,
 		Schedule: workload.Schedule{Occurrences: 2, First: time.Now().Add(time.Minute).UnixMilli(), Interval: time.Minute}})
@@ -100,6 +103,13 @@
 			o.acknowledge("w0")
 			o.start("w1", "plain.0.0.0", 2)
 		},
+		"TWICE: short.0.0.0 run 2 starts": func(o *harness) {
+			o.start("w0", "short.0.0.0", 1)
+			time.Sleep(1100 * time.Millisecond)
+			o.fleet.CheckReportedState("short", workload.Completed)
+			time.Sleep(completedBound + time.Millisecond)
+			o.start("w1", "short.0.0.0", 2)
+		},
 		"LIMIT": func(o *harness) {
 			for _, task := range []string{"plain.0.0.0", "plain.0.0.1", "plain.0.0.2"} {
 				o.start("w0", task, 1)
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -321,7 +321,6 @@
 				zap.Duration("after", now.Sub(j.ArrivedAt)))
 		}
 		j.StoredState = b.states[n]
-		j.EndsAtRisk = j.EndsAtRisk && j.Dirty
 	}
 	for _, r := range b.starts {
 		if r.Phase == jobstate.Planned && r.Task.Run == r {
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -48,7 +48,6 @@
 	callCost           time.Duration                           // CPU time of a call; 0 for instances whose CPU is not modelled
 	ownLag             time.Duration                           // lag of instances whose CPU is not modelled
 	wrapWorkers        func(workerapi.Client) workerapi.Client // changes the client of the workers; nil for none
-	outage             atomic.Bool                             // the store answers no instance
 	configPanics       atomic.Bool                             // reading the configuration panics
 	storeStable        atomic.Bool                             // the store has recently answered all calls
 	suspendedFor       atomic.Int64                            // total suspension of all machines, nanoseconds
@@ -117,7 +116,7 @@
 			EndedRetention:     s.retention, StoreTimeout: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3750 * time.Millisecond, StoreStable: func() bool { return s.storeStable.Load() },
 			Suspended: s.suspended, Lag: c.lag, Link: c.link.meterOrNil(),
 			WriteTimeout: func(int) time.Duration { return 500*time.Millisecond + 4*c.lag() },
-			StoreOutage:  func() bool { return s.outage.Load() }, Completed: func(context.Context) []string { return s.completed() },
+			Completed:    func(context.Context) []string { return s.completed() },
 		})
 		s.mu.Lock()
 		c.term = term
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -99,7 +99,7 @@
 	if stored, ok := t.records[id]; ok {
 		t.cluster.Restore(j, stored.record, stored.revision, now)
 	}
-	if t.reportedCompleted[id] {
+	if t.observedCompleted[id] {
 		j.Complete(now)
 	}
 	events.Info(t.opts.Log, events.JobTakenOver, zap.String("job", id), zap.String("route", s.Queue.Name),
--- a/jobowner/jobowner_test.go
+++ b/jobowner/jobowner_test.go
@@ -327,9 +327,9 @@
 	})
 }
 
-// Guards against restarting the task of a job that was reported as completed: the completion was
-// reported during an outage of the store, the worker left, and another instance became the owner after
-// the outage.
+// Guards against running the task of a completed job again, and against showing the completion before it is stored:
+// the job ends during an outage of the store, the worker leaves, and another instance becomes the owner after the
+// outage.
 func TestCompletedInAnOutageStaysCompleted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem()
@@ -343,14 +343,10 @@
 		a.client.SetFault(down)
 		time.Sleep(time.Second)
 		state, _ := a.term.State(context.Background(), "job")
-		assert.Equal(t, workload.Running, state, "the store may answer others")
-		s.outage.Store(true)
-		state, _ = a.term.State(context.Background(), "job")
-		assert.Equal(t, workload.Completed, state)
+		assert.Equal(t, workload.Running, state, "the completion is not stored")
 		s.fleet.RemoveWorker("w0")
 		s.store.Remove(workersPrefix + "w0")
 		s.addWorker("w1", 0)
-		s.outage.Store(false)
 		s.start("b")
 		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 20*time.Second))
 		assert.Equal(t, 1, s.fleet.StartCount())
--- a/jobowner/state.go
+++ b/jobowner/state.go
@@ -35,8 +35,10 @@
 	}
 }
 
-// stateNow returns the job's state to answer to callers. If the job's end may be stored soon, it also
-// returns a channel that is closed when the end of any job is stored, and how long to wait for it.
+// stateNow returns the job's state to answer to callers, which is the stored one: an end in memory is lost with this
+// process and the workers, and the next owner would run tasks again that callers have seen as completed. If the job's
+// end may be stored soon, it also returns a channel that is closed when the end of any job is stored, and how long to
+// wait for it.
 func (t *Term) stateNow(id string) (state workload.State, found bool, changed <-chan struct{}, limit time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -44,12 +46,6 @@
 	if j == nil {
 		return "", false, nil, 0
 	}
-	if j.State == workload.Completed && !j.EndsAtRisk && t.opts.StoreOutage() {
-		return j.State, true, nil, 0 // its workers keep the ends until they are stored
-	}
-	if j.State == workload.Completed && t.reportedCompleted[id] {
-		return j.State, true, nil, 0 // a former owner has shown it so
-	}
 	switch {
 	case j.StoredState.Ended():
 		return j.StoredState, true, nil, 0
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -58,8 +58,6 @@
 
 	// WriteTimeout returns the timeout of the nth attempt of a write, from 1.
 	WriteTimeout func(attempt int) time.Duration
-	// StoreOutage reports whether the store is unreachable for all instances.
-	StoreOutage func() bool
 	// Completed returns the jobs whose completion a former owner observed and could not store.
 	Completed func(context.Context) []string
 }
@@ -115,7 +113,7 @@
 	addresses         map[string]*jobstate.Worker    // newest worker at each address; nil before the first entry
 	records           map[string]storedRecord        // read at the start, of jobs that are not loaded yet
 	pendingCancels    map[string]bool                // jobs whose cancellation arrived before their submission
-	reportedCompleted map[string]bool                // jobs whose completion only a former owner observed
+	observedCompleted map[string]bool                // jobs whose completion a former owner observed and could not store
 	checkedAt         time.Time
 	waitsCheckedAt    time.Time
 	intakeAsOf        time.Time // all jobs accepted before are loaded
@@ -181,7 +179,7 @@
 		opts: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, unlistedSince: map[*jobstate.Worker]time.Time{},
 		entries: map[string]*workerapi.Entry{},
-		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, reportedCompleted: map[string]bool{},
+		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, observedCompleted: map[string]bool{},
 		adviceQueue: make(chan *jobstate.Step, maxAdviceQueue),
 		loaded:      make(chan struct{}),
 		endsStored:  make(chan struct{}),
@@ -261,11 +259,11 @@
 	}
 }
 
-func (t *Term) indexRecords(items []metastore.Item, finished []string) {
+func (t *Term) indexRecords(items []metastore.Item, completed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range finished {
-		t.reportedCompleted[id] = true
+	for _, id := range completed {
+		t.observedCompleted[id] = true
 	}
 	for _, item := range items {
 		id := item.Key[len(RecordPrefix):]
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -203,8 +203,6 @@
 	// whose write has begun, show as unresponsive.
 	StoredUnresponsive, WritingUnresponsive map[*Worker]bool
 
-	EndsAtRisk bool // an end that is not stored yet was reported by a worker that may leave
-
 	Occurrences []*Occurrence // occurrences that have been due, by number
 }
 
@@ -349,7 +347,6 @@
 	j := s.Occurrence.Job
 	c.release(r)
 	j.Dirty = true
-	j.EndsAtRisk = j.EndsAtRisk || r.Worker.Draining || !r.Worker.Listed
 	t.SetCheckpoint(checkpoint)
 	if outcome != EndDone && outcome != EndNeverStarted {
 		s.WaitingSince = now
--- a/node/completed.go
+++ b/node/completed.go
@@ -19,8 +19,8 @@
 	maxLagAllowance = time.Second
 )
 
-// completedQuery asks the peers for the jobs whose completion a former owner observed but could not store. A new owner
-// that misses one of them runs tasks again that callers have seen as completed.
+// completedQuery asks the peers for the jobs whose completion a former owner observed but could not store. No caller
+// has seen it, but a new owner that misses one of them runs tasks again of which no worker holds the end any more.
 type completedQuery struct {
 	peers func() []ownership.Instance
 	call  func(ctx context.Context, address string) ([]string, error)
