upkeep: a repeated order ends only the worker that it was first sent for

The answer to the first order was lost; the order was repeated when the machine was up again, and its 200 was taken for the end of the worker that the list of machines showed then.

The record of a wave now holds the worker of each ordered machine, with its incarnation, as of the first order, and a confirmation ends this incarnation only. The incarnation matters because a machine may come back under the same worker id.

TestRepeatedOrderKeepsTheNewWorker failed before: "w-m0-2 is up and is recorded as ended".

--- a/jobowner/upkeep.go
+++ b/jobowner/upkeep.go
@@ -17,7 +17,7 @@
 	if w == nil {
 		return upkeep.Load{Idle: true} // the job records name the worker of every run
 	}
-	l := upkeep.Load{Idle: len(w.Runs) == 0 && len(w.Untracked) == 0, Draining: w.Draining}
+	l := upkeep.Load{Incarnation: w.Incarnation, Idle: len(w.Runs) == 0 && len(w.Untracked) == 0, Draining: w.Draining}
 	for r := range w.Runs {
 		spec := r.Task.Step.Spec
 		if !spec.Checkpointing {
@@ -71,10 +71,10 @@
 }
 
 // WorkerEnded implements upkeep.Workers.
-func (t *Term) WorkerEnded(id string) {
+func (t *Term) WorkerEnded(ended upkeep.WorkerIncarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.cluster.Workers[id]; w != nil {
+	if w := t.cluster.Workers[ended.ID]; w != nil && w.Incarnation <= ended.Number {
 		t.dropWorker(w, "its machine went down for upkeep", time.Now())
 	}
 }
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -219,12 +219,14 @@
 		c.sendOrder(ctx, w, m, true)
 	}
 	for _, m := range d.send {
-		w.record.Ordered = append(w.record.Ordered, m.Name)
+		w.record.addOrdered(m.Name, WorkerIncarnation{m.Worker, c.opts.Workers.Load(m.Worker).Incarnation})
 	}
 	if len(d.send) > 0 {
 		if err := c.save(ctx, w); err != nil {
 			c.opts.Log.Warn("cannot store record of wave", zap.Int64("wave", w.Number), zap.Error(err))
-			w.record.Ordered = w.record.Ordered[:len(w.record.Ordered)-len(d.send)]
+			for _, m := range d.send {
+				w.record.removeOrdered(m.Name)
+			}
 			return
 		}
 	}
@@ -266,12 +268,14 @@
 	err := c.opts.Cloud.Upkeep(call, Order{Machine: m.Name, Wave: w.Number, Holder: c.opts.Holder, Token: c.opts.Token})
 	cancel()
 	events.Info(c.opts.Log, events.UpkeepOrdered, zap.Int64("wave", w.Number), zap.String("machine", m.Name), zap.String("worker", m.Worker), zap.Error(err))
-	ordered := slices.DeleteFunc(slices.Clone(w.record.Ordered), func(name string) bool { return name == m.Name })
 	switch {
 	case err == nil:
 		w.confirmedAt[m.Name] = time.Now()
 		w.record.Started = append(w.record.Started, m.Name)
-		c.opts.Workers.WorkerEnded(m.Worker)
+		// The answer to a repeated order may come when the machine has a new worker already.
+		if former, ok := w.record.Workers[m.Name]; ok {
+			c.opts.Workers.WorkerEnded(former)
+		}
 	case errors.Is(err, ErrNotInWave), errors.Is(err, ErrUnknownMachine):
 		w.returned[m.Name] = true
 		w.record.Started = append(w.record.Started, m.Name) // no order for this machine can succeed
@@ -283,7 +287,7 @@
 	default:
 		return // may have been carried out: the order is resent
 	}
-	w.record.Ordered = ordered
+	w.record.removeOrdered(m.Name)
 	delete(w.reserved, m.Name)
 	c.opts.Workers.Reserve(m.Worker, false)
 	if err := c.save(ctx, w); err != nil {
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -22,6 +22,24 @@
 	Ordered   []string `json:"o,omitempty"` // machines whose order may have been carried out
 	Started   []string `json:"g,omitempty"` // machines that are confirmed to have begun their upkeep, or are gone
 	Completed bool     `json:"c,omitempty"`
+	// Workers holds the worker that was on each machine in Ordered when its order was first sent. Records of
+	// earlier versions lack it.
+	Workers map[string]WorkerIncarnation `json:"w,omitempty"`
+}
+
+// addOrdered records the machine and its worker before its order is first sent.
+func (r *Record) addOrdered(machine string, worker WorkerIncarnation) {
+	r.Ordered = append(r.Ordered, machine)
+	if r.Workers == nil {
+		r.Workers = map[string]WorkerIncarnation{}
+	}
+	r.Workers[machine] = worker
+}
+
+// removeOrdered removes a machine whose order has a definite answer, or was not sent.
+func (r *Record) removeOrdered(machine string) {
+	r.Ordered = slices.DeleteFunc(slices.Clone(r.Ordered), func(name string) bool { return name == machine })
+	delete(r.Workers, machine)
 }
 
 // wave is a requested wave and its progress.
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -47,18 +47,26 @@
 type Cloud interface {
 	Machines(ctx context.Context) ([]Machine, error)
 	// Upkeep takes a machine down. It also returns nil if the machine has already been taken down
-	// for the wave. After nil, all runs on the machine have ended.
+	// for the wave, and may be up again with a new worker. After nil, the worker that was on the machine
+	// when an order of the wave was first sent has ended, with all its runs.
 	Upkeep(ctx context.Context, o Order) error
 }
 
 // Load describes what a worker runs, for the decision whether to take its machine down.
 type Load struct {
+	Incarnation        int64   // of the worker; 0 if it is not known
 	Idle               bool    // no runs on the worker
 	Blocked            bool    // a long-running task on the worker must not be interrupted now
 	UnsavedCoreSeconds float64 // work that a stop would lose
 	Draining           bool
 }
 
+// WorkerIncarnation identifies one incarnation of a worker, which a restart ends.
+type WorkerIncarnation struct {
+	ID     string `json:"i"`
+	Number int64  `json:"l,omitempty"` // increases with each restart; 0 if it was not known
+}
+
 // Workers gives access to the workers through the owner of the jobs.
 type Workers interface {
 	Load(worker string) Load
@@ -66,6 +74,7 @@
 	Reserve(worker string, reserved bool)
 	// StopRuns stops all runs on the worker.
 	StopRuns(worker string)
-	// WorkerEnded records that the worker and all its runs have ended.
-	WorkerEnded(worker string)
+	// WorkerEnded records that the incarnation of the worker and all its runs have ended. It has no effect on
+	// later incarnations.
+	WorkerEnded(worker WorkerIncarnation)
 }
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -19,12 +19,14 @@
 
 const downTime = 2 * time.Second
 
-// fakeCloud simulates a cloud and the workers on its machines. It records violations of the limit
-// and losses of work.
+// fakeCloud simulates a cloud and the workers on its machines, each of which has a new worker after its upkeep. It
+// records violations of the limit, losses of work and workers that are up and are recorded as ended.
 type fakeCloud struct {
-	limit int // machines that may be down at once
+	limit  int  // machines that may be down at once
+	keepID bool // the new worker of a machine has the id of the former one
 
 	mu          sync.Mutex
+	unavailable bool                 // no call gets an answer; orders are not carried out
 	upAt        map[string]time.Time // when machines are up again
 	begun       []string
 	token       map[string]uint64
@@ -34,6 +36,7 @@
 	blocked     map[string]bool
 	reserved    map[string]bool
 	stoppedRuns []string
+	ended       []upkeep.WorkerIncarnation // workers that were recorded as ended
 	violations  []string
 }
 
@@ -58,12 +61,44 @@
 	return n
 }
 
+// worker returns the worker on the machine, and its incarnation.
+func (f *fakeCloud) worker(machine string) (id string, incarnation int64) {
+	id, incarnation = "w-"+machine, 1
+	if at, begun := f.upAt[machine]; begun && !time.Now().Before(at) {
+		incarnation = 2
+		if !f.keepID {
+			id += "-2"
+		}
+	}
+	return id, incarnation
+}
+
+// incarnation returns the incarnation of the worker with the id if it is up, or else 0.
+func (f *fakeCloud) incarnation(worker string) int64 {
+	for _, name := range f.names(6) {
+		if id, incarnation := f.worker(name); id == worker && !time.Now().Before(f.upAt[name]) {
+			return incarnation
+		}
+	}
+	return 0
+}
+
+func (f *fakeCloud) setUnavailable(unavailable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unavailable = unavailable
+}
+
 // Machines implements upkeep.Cloud.
 func (f *fakeCloud) Machines(context.Context) (list []upkeep.Machine, _ error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unavailable {
+		return nil, context.DeadlineExceeded
+	}
 	for _, name := range f.names(6) {
-		list = append(list, upkeep.Machine{Name: name, Worker: "w-" + name, Up: !time.Now().Before(f.upAt[name])})
+		worker, _ := f.worker(name)
+		list = append(list, upkeep.Machine{Name: name, Worker: worker, Up: !time.Now().Before(f.upAt[name])})
 	}
 	return list, nil
 }
@@ -72,6 +107,9 @@
 func (f *fakeCloud) Upkeep(ctx context.Context, o upkeep.Order) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unavailable {
+		return context.DeadlineExceeded
+	}
 	if o.Token < f.token[o.Machine] {
 		return upkeep.ErrStaleToken
 	}
@@ -100,7 +138,7 @@
 func (f *fakeCloud) Load(worker string) upkeep.Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return upkeep.Load{Idle: !f.busy[worker], Blocked: f.blocked[worker], UnsavedCoreSeconds: float64(len(worker))}
+	return upkeep.Load{Incarnation: f.incarnation(worker), Idle: !f.busy[worker], Blocked: f.blocked[worker], UnsavedCoreSeconds: float64(len(worker))}
 }
 
 // Reserve implements upkeep.Workers.
@@ -119,7 +157,14 @@
 }
 
 // WorkerEnded implements upkeep.Workers.
-func (f *fakeCloud) WorkerEnded(string) {}
+func (f *fakeCloud) WorkerEnded(worker upkeep.WorkerIncarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = append(f.ended, worker)
+	if up := f.incarnation(worker.ID); up != 0 && up <= worker.Number {
+		f.violations = append(f.violations, worker.ID+" is up and is recorded as ended")
+	}
+}
 
 // owner runs a controller for one term of ownership.
 type owner struct {
@@ -300,3 +345,45 @@
 		assert.Equal(t, "true", status(s))
 	})
 }
+
+// An order is carried out, and the cloud answers no call until the machine is up again with a new worker. Guards against
+// an answer to the repeated order that is taken for the end of the new worker: its runs would start elsewhere as well.
+func TestRepeatedOrderKeepsTheNewWorker(t *testing.T) {
+	for name, keepID := range map[string]bool{"new id": false, "same id": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, f := testplatform.NewStore(), newFakeCloud(1)
+				f.lost, f.keepID = 1, keepID
+				o := f.newOwner(s, 1)
+				defer o.stop()
+				o.controller.SetWave(upkeep.Wave{Number: 1, Machines: f.names(1), Duration: time.Minute, Cap: 1})
+				time.Sleep(100 * time.Millisecond)
+				f.setUnavailable(true)
+				time.Sleep(2 * downTime)
+				f.setUnavailable(false)
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, "true", status(s))
+				f.check(t, 1)
+				assert.Equal(t, []upkeep.WorkerIncarnation{{ID: "w-m0", Number: 1}}, f.ended)
+			})
+		})
+	}
+}
+
+// The record of a wave was written by a version that did not store the workers of ordered machines, and the machine is
+// up again. Guards against an owner that takes its present worker for the one that has ended.
+func TestRepeatedOrderOfARecordWithoutWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := testplatform.NewStore(), newFakeCloud(1)
+		f.upAt["m0"] = time.Now()
+		f.begun = []string{"m0"}
+		s.Put(upkeep.RecordPrefix+"1", fmt.Appendf(nil, `{"b":%d,"o":["m0"]}`, time.Now().UnixMilli()))
+		o := f.newOwner(s, 1)
+		defer o.stop()
+		o.controller.SetWave(upkeep.Wave{Number: 1, Machines: f.names(1), Duration: time.Minute, Cap: 1})
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, "true", status(s))
+		f.check(t, 1)
+		assert.Empty(t, f.ended)
+	})
+}
