upkeep: a repeated order waits for the runs on the machine

An order that got no answer may not have been carried out. Now the worker that the order was first sent for, while the list shows it up, is reserved and waited for like that of a first order.

TestRepeatedOrderWaitsForRuns failed before: "lost work on m0".

--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -62,7 +62,7 @@
 
 // decision holds the next steps of a wave.
 type decision struct {
-	resend    []Machine // already ordered, without a definite answer
+	resend    []Machine // already ordered, without a definite answer: the order can be repeated
 	send      []Machine // idle: the order can be sent
 	stop      []Machine // their runs must be stopped
 	completed bool
@@ -77,7 +77,7 @@
 		byName[m.Name] = m
 	}
 	down := 0
-	var pending []Machine
+	var pending, ordered []Machine
 	for _, name := range w.Machines {
 		m, found := byName[name]
 		switch {
@@ -90,20 +90,61 @@
 			}
 		case slices.Contains(w.record.Ordered, name):
 			down++
-			d.resend = append(d.resend, Machine{Name: name, Worker: m.Worker})
+			ordered = append(ordered, Machine{Name: name, Worker: m.Worker, Up: m.Up})
 		case found:
 			pending = append(pending, m)
 		}
 	}
-	d.completed = len(pending) == 0 && len(d.resend) == 0
-	w.selectMachines(&d, pending, w.Cap-down, now, timeLeft, load)
+	d.completed = len(pending) == 0 && len(ordered) == 0
+	late := timeLeft < w.timeNeeded(len(pending))
+	for _, m := range ordered {
+		w.planRepeat(&d, m, now, late, load(m.Worker))
+	}
+	w.selectMachines(&d, pending, w.Cap-down, now, late, load)
 	return d
 }
 
+// timeNeeded estimates how long the wave takes for the machines that remain.
+func (w *wave) timeNeeded(remaining int) time.Duration {
+	return time.Duration(float64(machineDownTime) * float64(remaining) / float64(max(1, w.Cap)) * timeMargin)
+}
+
+// planRepeat plans the next step for a machine whose order may have been carried out. If it is up with the worker that the
+// order was sent for, the order probably was not: a new owner, which has not reserved the worker, may find new runs there.
+func (w *wave) planRepeat(d *decision, m Machine, now time.Time, late bool, l Load) {
+	former := w.record.Workers[m.Name]
+	switch {
+	case !m.Up, m.Worker != former.ID, l.Incarnation > former.Number:
+		d.resend = append(d.resend, m)
+	case l.Blocked:
+		delete(w.reserved, m.Name)
+	case l.Idle:
+		w.reserve(m, now)
+		d.resend = append(d.resend, m)
+	default:
+		w.reserve(m, now)
+		w.awaitRuns(d, m, now, late)
+	}
+}
+
+// reserve reserves the machine's worker unless it is reserved already.
+func (w *wave) reserve(m Machine, now time.Time) {
+	if r, reserved := w.reserved[m.Name]; !reserved || r.worker != m.Worker {
+		w.reserved[m.Name] = reservation{m.Worker, now}
+	}
+}
+
+// awaitRuns has the runs on a reserved machine stopped if the wave is late or they have been waited for long enough.
+func (w *wave) awaitRuns(d *decision, m Machine, now time.Time, late bool) {
+	if late || now.Sub(w.reserved[m.Name].since) > maxRunWait {
+		d.stop = append(d.stop, m)
+	}
+}
+
 // selectMachines selects at most limit machines to go down next: idle ones first, then reserved
 // ones, then those on which a stop loses the least work. Machines that are not selected lose
 // their reservation.
-func (w *wave) selectMachines(d *decision, pending []Machine, limit int, now time.Time, timeLeft time.Duration, load func(worker string) Load) {
+func (w *wave) selectMachines(d *decision, pending []Machine, limit int, now time.Time, late bool, load func(worker string) Load) {
 	type candidate struct {
 		Machine
 		Load
@@ -122,21 +163,17 @@
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(compareTrue(a.Idle, b.Idle), compareTrue(a.reserved, b.reserved), cmp.Compare(a.UnsavedCoreSeconds, b.UnsavedCoreSeconds))
 	})
-	timeNeeded := time.Duration(float64(machineDownTime) * float64(len(pending)) / float64(max(1, w.Cap)) * timeMargin)
 	for n, c := range list {
 		if n >= limit {
 			delete(w.reserved, c.Name)
 			continue
 		}
-		if !c.reserved {
-			w.reserved[c.Name] = reservation{c.Worker, now}
-		}
-		switch {
-		case c.Idle:
+		w.reserve(c.Machine, now)
+		if c.Idle {
 			d.send = append(d.send, c.Machine)
-		case timeLeft < timeNeeded || now.Sub(w.reserved[c.Name].since) > maxRunWait:
-			d.stop = append(d.stop, c.Machine)
+			continue
 		}
+		w.awaitRuns(d, c.Machine, now, late)
 	}
 }
 
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -32,6 +32,7 @@
 	token       map[string]uint64
 	refused     int             // number of orders to refuse
 	lost        int             // number of answers to lose after carrying out the order
+	dropped     int             // number of orders that are not carried out and get no answer
 	busy        map[string]bool // workers with work
 	blocked     map[string]bool
 	reserved    map[string]bool
@@ -110,6 +111,9 @@
 	if f.unavailable {
 		return context.DeadlineExceeded
 	}
+	if f.dropped--; f.dropped >= 0 {
+		return context.DeadlineExceeded
+	}
 	if o.Token < f.token[o.Machine] {
 		return upkeep.ErrStaleToken
 	}
@@ -387,3 +391,41 @@
 		assert.Empty(t, f.ended)
 	})
 }
+
+// The order of a former owner was not carried out and got no answer, and the machine's worker has new runs. Guards
+// against a new owner that repeats the order at once: it would end runs that it could wait for, or long-running tasks
+// that must not be interrupted.
+func TestRepeatedOrderWaitsForRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, f := testplatform.NewStore(), newFakeCloud(1)
+		wave := upkeep.Wave{Number: 1, Machines: f.names(2), Duration: time.Minute, Cap: 1}
+		f.dropped = 1
+		former := f.newOwner(s, 1)
+		former.controller.SetWave(wave)
+		time.Sleep(100 * time.Millisecond)
+		former.stop()
+		f.mu.Lock()
+		f.busy["w-m0"], f.blocked["w-m0"] = true, true
+		f.mu.Unlock()
+		next := f.newOwner(s, 2)
+		defer next.stop()
+		next.controller.SetWave(wave)
+		time.Sleep(15 * time.Second)
+		f.check(t, 0)
+		f.mu.Lock()
+		assert.Empty(t, f.stoppedRuns)
+		f.blocked["w-m0"] = false
+		f.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		f.check(t, 0)
+		f.mu.Lock()
+		assert.True(t, f.reserved["w-m0"])
+		f.mu.Unlock()
+		time.Sleep(15 * time.Second)
+		f.check(t, 2)
+		f.mu.Lock()
+		assert.Equal(t, []string{"w-m0"}, f.stoppedRuns)
+		f.mu.Unlock()
+		assert.Equal(t, "true", status(s))
+	})
+}
