jobowner: hand over the ends that an owner could not store

A new owner now gets from former owners, besides the completed jobs, the ends that workers have listed and that no stored record includes, and applies them to the runs of the records. Only what a worker has listed is handed over: it is a fact about one run number. What an owner concluded itself, such as an expired lease, may be outdated.

--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -312,6 +312,7 @@
 	for n, j := range b.jobs {
 		j.Revision = revision
 		j.Sequence++
+		t.removeStoredEnds(j)
 		j.Writing = false
 		j.StoredUnresponsive = j.WritingUnresponsive
 		t.endRejection(j)
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -116,7 +116,7 @@
 			EndedRetention:     s.retention, StoreTimeout: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3750 * time.Millisecond, StoreStable: func() bool { return s.storeStable.Load() },
 			Suspended: s.suspended, Lag: c.lag, Link: c.link.meterOrNil(),
 			WriteTimeout: func(int) time.Duration { return 500*time.Millisecond + 4*c.lag() },
-			Completed:    func(context.Context) []string { return s.completed() },
+			Unstored:     func(context.Context) jobowner.Unstored { return s.unstored() },
 		})
 		s.mu.Lock()
 		c.term = term
@@ -210,15 +210,14 @@
 	}
 }
 
-// completed returns the jobs whose completion a term has recorded but not stored.
-func (s *system) completed() []string {
+// unstored returns what all terms have observed and not stored.
+func (s *system) unstored() (u jobowner.Unstored) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var jobs []string
 	for _, term := range s.terms {
-		jobs = append(jobs, term.UnstoredCompletions()...)
+		u.Add(term.Unstored())
 	}
-	return jobs
+	return u
 }
 
 // submit stores a job as the accepting instance does.
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -93,13 +93,15 @@
 	defer func() {
 		if !complete { // a panic; the mirror applies the change again
 			t.cluster.DiscardJob(j)
+			delete(t.unstoredEnds, j)
 		}
 	}()
 	t.refreshRoute(j)
 	if stored, ok := t.records[id]; ok {
 		t.cluster.Restore(j, stored.record, stored.revision, now)
 	}
-	if t.observedCompleted[id] {
+	t.applyFormerEnds(j, now)
+	if t.formerCompleted[id] {
 		j.Complete(now)
 	}
 	events.Info(t.opts.Log, events.JobTakenOver, zap.String("job", id), zap.String("route", s.Queue.Name),
@@ -110,6 +112,7 @@
 	}
 	t.openDue(j, now)
 	delete(t.records, id)
+	delete(t.formerEnds, id)
 	delete(t.pendingCancels, id)
 	complete = true
 }
--- a/jobowner/leave_test.go
+++ b/jobowner/leave_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
@@ -88,3 +89,37 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// Draining workers finish their tasks during an outage of the store, and leave. Guards against a job that has nothing
+// running for seconds because the next owner waits for the leases of these workers, and against running their tasks
+// again, although the former owner has received the ends.
+func TestEndsReceivedInAnOutageReachTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 6 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		second := tasks(1, 1)
+		second.After = []int{0}
+		s.submit("job", "batch", tasks(2, 1), second)
+		time.Sleep(2500 * time.Millisecond)
+		entry := s.fleet.Drain("w0")
+		entry.DrainTime = 5 * time.Second
+		s.list(entry)
+		time.Sleep(2500 * time.Millisecond)
+		a.client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+		time.Sleep(3 * time.Second)
+		s.fleet.RemoveWorker("w0")
+		s.store.Remove(workersPrefix + "w0")
+		time.Sleep(1500 * time.Millisecond)
+		s.addWorker("w1", 1)
+		s.start("b")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, 3, s.fleet.StartCount(), "the second step has started")
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 20*time.Second))
+		assert.Equal(t, 3, s.fleet.StartCount())
+		s.requireNoViolations(t)
+	})
+}
--- a/jobowner/load.go
+++ b/jobowner/load.go
@@ -26,7 +26,8 @@
 // loadReport describes the read of the job records at the start of a term.
 type loadReport struct {
 	records       int
-	completed     int // jobs that peers reported as completed
+	completed     int // jobs that former owners have seen completed and could not store
+	ends          int // the same for ends of runs
 	recordsTook   time.Duration
 	completedTook time.Duration
 }
@@ -88,7 +89,7 @@
 	l := t.loading
 	events.Info(t.opts.Log, events.TermLoaded, zap.Uint64("token", t.opts.Token),
 		zap.Int("jobs", len(t.cluster.Jobs)), zap.Int("open", open), zap.Int("runs", runs),
-		zap.Int("records", l.records), zap.Int("records_left", len(t.records)), zap.Int("completed", l.completed),
+		zap.Int("records", l.records), zap.Int("records_left", len(t.records)), zap.Int("completed", l.completed), zap.Int("ends", l.ends),
 		zap.Duration("records_took", l.recordsTook), zap.Duration("completed_took", l.completedTook), zap.Duration("intake_took", intakeTook))
 }
 
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -132,6 +132,7 @@
 	if avoidance := placement.RecordEnd(r, e.Outcome, now); avoidance > 0 {
 		events.Warn(t.opts.Log, events.WorkerAvoided, zap.String("worker", r.Worker.ID), zap.Int("failures", r.Worker.FailStreak), zap.Duration("for", avoidance))
 	}
+	t.addUnstoredEnd(r.Task.Step.Occurrence.Job, e)
 	t.cluster.End(r, e.Outcome, e.Checkpoint, now)
 }
 
--- a/jobowner/state.go
+++ b/jobowner/state.go
@@ -71,19 +71,6 @@
 	return t.cluster.Jobs[id] != nil
 }
 
-// UnstoredCompletions returns the completed jobs whose completion is not in the store yet.
-func (t *Term) UnstoredCompletions() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var ids []string
-	for id, j := range t.cluster.Jobs {
-		if j.State == workload.Completed && j.StoredState != workload.Completed {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Pending returns how many accepted jobs of the route have not started. ok is false until all
 // jobs are loaded.
 func (t *Term) Pending(route string) (n int, ok bool) {
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -58,8 +58,8 @@
 
 	// WriteTimeout returns the timeout of the nth attempt of a write, from 1.
 	WriteTimeout func(attempt int) time.Duration
-	// Completed returns the jobs whose completion a former owner observed and could not store.
-	Completed func(context.Context) []string
+	// Unstored returns what former owners have observed and could not store.
+	Unstored func(context.Context) Unstored
 }
 
 // Timing of a term.
@@ -105,27 +105,29 @@
 	policy    *placement.Policy
 	startedAt time.Time
 
-	mu                sync.Mutex
-	cluster           *jobstate.Cluster
-	agents            map[string]*agent
-	unlistedSince     map[*jobstate.Worker]time.Time // when the worker's entry was removed
-	entries           map[string]*workerapi.Entry    // newest entry of each listed worker, by id
-	addresses         map[string]*jobstate.Worker    // newest worker at each address; nil before the first entry
-	records           map[string]storedRecord        // read at the start, of jobs that are not loaded yet
-	pendingCancels    map[string]bool                // jobs whose cancellation arrived before their submission
-	observedCompleted map[string]bool                // jobs whose completion a former owner observed and could not store
-	checkedAt         time.Time
-	waitsCheckedAt    time.Time
-	intakeAsOf        time.Time // all jobs accepted before are loaded
-	intakeStale       bool      // intakeAsOf is older than maxIntakeAge
-	loading           loadReport
-	listAsOf          suspend.Stamp // the list of workers includes all entries written before
-	lagging           bool          // the lag was reported and has not ended
-	listStale         bool          // the list is older than MaxListAge
-	nextDue           int64         // Unix milliseconds of the next occurrence; 0 for none
-	writes            int           // transactions in progress
-	pendingAck        *ackPoint     // ends that may be discarded after certain writes; nil for none
-	ended             bool
+	mu              sync.Mutex
+	cluster         *jobstate.Cluster
+	agents          map[string]*agent
+	unlistedSince   map[*jobstate.Worker]time.Time  // when the worker's entry was removed
+	entries         map[string]*workerapi.Entry     // newest entry of each listed worker, by id
+	addresses       map[string]*jobstate.Worker     // newest worker at each address; nil before the first entry
+	records         map[string]storedRecord         // read at the start, of jobs that are not loaded yet
+	pendingCancels  map[string]bool                 // jobs whose cancellation arrived before their submission
+	formerCompleted map[string]bool                 // jobs whose completion a former owner observed and could not store
+	formerEnds      map[string][]workerapi.EndedRun // the same for ends of runs, by job, until the job is loaded
+	unstoredEnds    map[*jobstate.Job][]unstoredEnd // ends of runs that are not in the store yet, in the order of their arrival
+	checkedAt       time.Time
+	waitsCheckedAt  time.Time
+	intakeAsOf      time.Time // all jobs accepted before are loaded
+	intakeStale     bool      // intakeAsOf is older than maxIntakeAge
+	loading         loadReport
+	listAsOf        suspend.Stamp // the list of workers includes all entries written before
+	lagging         bool          // the lag was reported and has not ended
+	listStale       bool          // the list is older than MaxListAge
+	nextDue         int64         // Unix milliseconds of the next occurrence; 0 for none
+	writes          int           // transactions in progress
+	pendingAck      *ackPoint     // ends that may be discarded after certain writes; nil for none
+	ended           bool
 
 	adviceQueue  chan *jobstate.Step // steps that wait for advice
 	orders       *orderGate
@@ -179,7 +181,8 @@
 		opts: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
 		agents: map[string]*agent{}, unlistedSince: map[*jobstate.Worker]time.Time{},
 		entries: map[string]*workerapi.Entry{},
-		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, observedCompleted: map[string]bool{},
+		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, formerCompleted: map[string]bool{},
+		formerEnds: map[string][]workerapi.EndedRun{}, unstoredEnds: map[*jobstate.Job][]unstoredEnd{},
 		adviceQueue: make(chan *jobstate.Step, maxAdviceQueue),
 		loaded:      make(chan struct{}),
 		endsStored:  make(chan struct{}),
@@ -247,9 +250,10 @@
 		items, _, err := records.Read(ctx)
 		if err == nil {
 			read := time.Now()
-			completed := t.opts.Completed(ctx)
-			t.loading = loadReport{records: len(items), completed: len(completed), recordsTook: read.Sub(t.startedAt), completedTook: time.Since(read)}
-			t.indexRecords(items, completed)
+			former := t.opts.Unstored(ctx)
+			t.loading = loadReport{records: len(items), completed: len(former.Completed), ends: len(former.Ends),
+				recordsTook: read.Sub(t.startedAt), completedTook: time.Since(read)}
+			t.indexRecords(items, former)
 			return true
 		}
 		t.opts.Log.Warn("cannot read job records; retrying", zap.Error(err))
@@ -259,12 +263,13 @@
 	}
 }
 
-func (t *Term) indexRecords(items []metastore.Item, completed []string) {
+func (t *Term) indexRecords(items []metastore.Item, former Unstored) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range completed {
-		t.observedCompleted[id] = true
+	for _, id := range former.Completed {
+		t.formerCompleted[id] = true
 	}
+	t.indexFormerEnds(former.Ends)
 	for _, item := range items {
 		id := item.Key[len(RecordPrefix):]
 		record, err := workload.DecodeRecord(item.Value)
--- a/node/node.go
+++ b/node/node.go
@@ -198,7 +198,7 @@
 		OwnershipConfirmed: func() bool { return n.elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
 		EndedRetention:     n.opts.EndedRetention, StoreTimeout: storeTimeout, MaxListAge: n.opts.MaxListAge, HeartbeatGap: n.opts.HeartbeatGap, Lag: n.callDelay, Link: n.opts.Link,
 		StoreStable:  func() bool { return n.store.SinceFailure() > storeStableAfter },
-		WriteTimeout: n.store.CallTimeout, Completed: n.collectCompleted,
+		WriteTimeout: n.store.CallTimeout, Unstored: n.collectUnstored,
 	})
 	waves := upkeep.New(upkeep.Options{
 		Cloud: a.Cloud, Store: n.store, Workers: term, Holder: n.opts.Instance, Token: token, Fence: fence,
--- a/node/serve.go
+++ b/node/serve.go
@@ -15,7 +15,6 @@
 	"storj.io/drpc"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
-	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/peer"
 	"github.com/cyclamenyard/cyclamenyard/relay"
 )
@@ -172,13 +171,7 @@
 
 // Completed implements relay.DRPCRelayServer.
 func (p peerServer) Completed(context.Context, *relay.CompletedRequest) (*relay.CompletedReply, error) {
-	reply := &relay.CompletedReply{}
-	for _, term := range []*jobowner.Term{p.n.previousTerm.Load(), p.n.term.Load()} {
-		if term != nil {
-			reply.Jobs = append(reply.Jobs, term.UnstoredCompletions()...)
-		}
-	}
-	return reply, nil
+	return p.n.unstoredReply(), nil
 }
 
 // Operator implements relay.DRPCRelayServer.
