jobowner: a new owner asks workers that only job records mention

After a change of owner, a worker with runs that was not in the list was asked by nobody: only listed workers had an agent. A worker that is alive and only cut off from the store lost its lease, and its runs were started elsewhere after 12.5 s. It is now asked at the address in the record once the list has been read without it, and dropped like any other unlisted worker when it neither answers nor has runs.

TestUnlistedWorkerKeepsItsRunsUnderANewOwner failed before: 4 starts instead of 2.

--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -109,6 +109,7 @@
 		if w.LeaseEnds.IsZero() && len(w.Runs) > 0 {
 			w.LeaseEnds = t.initialLeaseEnd(w, now) // it is not listed
 		}
+		t.askUnlisted(w, now)
 		t.applyRecordedLeaseClock(w, now)
 		if !w.Unresponsive && t.hasOrderedRuns(w) && t.isUnresponsive(w, now) {
 			w.Unresponsive = true
@@ -133,6 +134,16 @@
 	}
 }
 
+// askUnlisted has reports requested from a worker with runs that only job records mention, once the list has been read
+// without it. The worker may be cut off from the store only; without an owner that renews its lease, its runs would end.
+func (t *Term) askUnlisted(w *jobstate.Worker, now time.Time) {
+	if w.Listed || len(w.Runs) == 0 || w.Address == "" || t.agents[w.ID] != nil || t.listAsOf == (suspend.Stamp{}) {
+		return
+	}
+	t.unlistedSince[w] = now
+	t.ensureAgent(w)
+}
+
 // hasOrderedRuns reports whether the worker has runs whose start may have been sent.
 func (t *Term) hasOrderedRuns(w *jobstate.Worker) bool {
 	for r := range w.Runs {
--- a/jobowner/leave_test.go
+++ b/jobowner/leave_test.go
@@ -123,3 +123,25 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// A worker that runs a task is cut off from the store, so that its entry expires, and the owner changes. Guards against a
+// new owner that does not ask the worker because it is not listed: the run would lose its lease and be started elsewhere.
+func TestUnlistedWorkerKeepsItsRunsUnderANewOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 20 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(2, 1))
+		time.Sleep(time.Second)
+		s.store.Remove(workersPrefix + "w0")
+		s.addWorker("w1", 1)
+		s.kill("a")
+		s.start("b")
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 40*time.Second))
+		assert.Equal(t, 2, s.fleet.StartCount())
+		s.requireNoViolations(t)
+	})
+}
