jobowner: no run counts as absent after a truncated report

A worker lists at most 500 ends at a time; a run that was neither running nor among them counted as gone. Such a report is now marked as truncated and ends no run; the other ends follow once the first ones are acknowledged.

--- a/internal/testplatform/calls.go
+++ b/internal/testplatform/calls.go
@@ -169,6 +169,9 @@
 			f.advanceFor(t.ID)
 		}
 		report = workerapi.Report{Clock: w.clock(), Incarnation: w.entry.Incarnation, Ended: slices.Clone(w.ended)}
+		if limit := f.MaxReportedEnds; limit > 0 && len(report.Ended) >= limit {
+			report.Ended, report.EndsTruncated = report.Ended[:limit], true
+		}
 		load := 0.0
 		if f.Load != nil {
 			load = f.Load(f.speedPercents)
--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -59,6 +59,8 @@
 	Ended, Accepted func(job string) bool
 	// MaxLease is the maximum duration of a worker's lease.
 	MaxLease time.Duration
+	// MaxReportedEnds limits the ends that a report lists, oldest first; 0 for no limit.
+	MaxReportedEnds int
 	// RecordedOn returns the worker on which the job's record shows a run of the task, or "".
 	RecordedOn func(task workload.TaskName) string
 
--- a/jobowner/late_report_test.go
+++ b/jobowner/late_report_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
@@ -69,3 +70,26 @@
 		assert.Zero(t, repeated, "repeated runs, paused after %v", pauseAfter)
 	}
 }
+
+// A worker that was cut off has more ends to list than fit into one report. Guards against runs whose ends are not listed
+// yet that count as gone: their tasks would start again although they have ended as done.
+func TestRunsBeyondATruncatedReportAreNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.MaxReportedEnds = 3
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 3 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(8, 1))
+		time.Sleep(time.Second)
+		s.isolateWorker("w0")
+		time.Sleep(5 * time.Second)
+		s.addWorker("w1", 0)
+		s.fleet.SetFault(func(string, string) testplatform.Fault { return testplatform.None })
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 20*time.Second))
+		assert.Equal(t, 8, s.fleet.StartCount())
+		s.requireNoViolations(t)
+	})
+}
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -63,7 +63,8 @@
 			w.RemoveUntracked(task)
 		}
 	}
-	absent := t.endAbsentRuns(w, present, sent, now)
+	// A run that is in neither list of a truncated report may have ended as done.
+	absent := !report.EndsTruncated && t.endAbsentRuns(w, present, sent, now)
 	t.throttleFillers(a, now)
 	if changed || absent {
 		t.wakeLoop() // progress alone waits for the next decision
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -100,7 +100,9 @@
 	Clock       int64 // milliseconds, monotonic within an incarnation of the worker
 	Incarnation int64 // start time of the worker process, Unix milliseconds; 0 if not reported
 	Running     []RunStatus
-	Ended       []EndedRun
+	Ended       []EndedRun // not acknowledged yet, oldest first
+	// EndsTruncated is set if Ended may lack newer ends. They are listed once those in Ended are acknowledged.
+	EndsTruncated bool
 }
 
 // Entry describes a worker in the platform's list.
