jobowner: a late end as done completes its task

A worker that was cut off for longer than its lease listed a run as done when it answered again. Such an end now completes the task or its gang; planned runs do not start and newer runs are stopped. It is stored before it is acknowledged.

--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -56,7 +56,9 @@
 		if r := runs[runKey{e.Task, e.Run}]; r != nil {
 			a.ends = append(endsAfter(a.ends, a.storedEnd), unacknowledgedEnd{e.Sequence, r.Task.Step.Occurrence.Job})
 			t.recordEnd(r, e, now)
+			continue
 		}
+		t.recordLateEnd(a, e, now)
 	}
 	for task := range w.Untracked {
 		if !unexpected[task] {
@@ -137,6 +139,29 @@
 	t.cluster.End(r, e.Outcome, e.Checkpoint, now)
 }
 
+// recordLateEnd applies an end as done of a run that is not tracked any more. The worker may have been cut off for longer than
+// its lease, so that the run counted as lost. The task has run whole: it must not start again, and newer runs are stopped.
+func (t *Term) recordLateEnd(a *agent, e workerapi.EndedRun, now time.Time) {
+	if e.Outcome != jobstate.EndDone {
+		return
+	}
+	name, err := workload.ParseTaskName(e.Task)
+	if err != nil {
+		t.opts.Log.Warn("end of a run ignored", zap.String("task", e.Task), zap.String("worker", a.worker.ID), zap.Error(err))
+		return
+	}
+	newer, completed := t.cluster.CompleteLate(name, e.Run, now)
+	if !completed {
+		return
+	}
+	a.ends = append(endsAfter(a.ends, a.storedEnd), unacknowledgedEnd{e.Sequence, t.cluster.Jobs[name.Job]})
+	events.Info(t.opts.Log, events.RunEnded, zap.String("task", e.Task), zap.Int("run", e.Run), zap.String("worker", a.worker.ID),
+		zap.String("how", string(e.Outcome)), zap.Bool("late", true), zap.Int("newer_runs", len(newer)))
+	for _, r := range newer {
+		r.RequestStop("another run of its task has ended as done", now)
+	}
+}
+
 // endAbsentRuns ends runs that are missing in the worker's report. A run that this owner ordered is
 // ended only if its start was confirmed or stopped before the report was requested, because answers can
 // arrive out of order. It returns whether it ended any.
