upkeep: a wave follows changes of its request

The first request of a wave was kept for the whole term, and a completed wave was never opened again. The newest request now applies at each poll, and a completed wave is reopened if its record does not cover all requested machines.

The fuzz of jobowner gets TestFuzzOutages, which follows the states that callers see, and whose workers list few ends at a time.

--- a/jobowner/completion_test.go
+++ b/jobowner/completion_test.go
@@ -71,7 +71,6 @@
 		s.kill("a")
 		s.fleet.RemoveWorker("w0")
 		s.store.Remove(workersPrefix + "w0")
-		s.terms = nil // no process has a copy of the end
 		s.addWorker("w1", 1)
 		s.start("b")
 		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 40*time.Second))
--- a/jobowner/fuzz_faults_test.go
+++ b/jobowner/fuzz_faults_test.go
@@ -1,12 +1,16 @@
 package jobowner_test
 
 import (
+	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workload"
@@ -30,7 +34,77 @@
 // Guards against accepted jobs that stand although there is room for them (LOST), after whole data centres have
 // lost power, releases of workers, series of owner changes, failing workers and a slow store.
 func TestFuzzStanding(t *testing.T) {
-	fuzzScenarios(t, func(t *rapid.T) []event { return drawFrom(t, standingActions) }, 0)
+	fuzzScenarios(t, func(t *rapid.T) []event { return drawFrom(t, standingActions) }, fuzzOptions{})
+}
+
+// outageActions are the actions of TestFuzzOutages.
+var outageActions = []string{"submit", "submit", "chain", "chain", "gang", "outage", "outage", "owners", "drain", "restart_worker", "isolate", "isolate",
+	"clear_faults", "quiet", "quiet"}
+
+// Guards against tasks that start again after callers have seen their job as completed or after their end was acknowledged,
+// and against jobs that stand, when the store is down for all instances while runs end and owners and workers are lost, and
+// when workers list few ends at a time.
+func TestFuzzOutages(t *testing.T) {
+	fuzzScenarios(t, func(t *rapid.T) []event { return drawFrom(t, outageActions) }, fuzzOptions{maxReportedEnds: 4})
+}
+
+// outage makes the store unreachable for all instances. A worker that drains leaves meanwhile, and in some cases a data
+// centre loses power with its instance.
+func (d *scenario) outage(target, amount int) {
+	worker := d.worker(target)
+	_, lost := d.lost[worker]
+	if !lost {
+		entry := d.fleet.Drain(worker)
+		entry.DrainTime = 4 * time.Second
+		d.list(entry)
+		time.Sleep(time.Duration(amount) * 400 * time.Millisecond)
+	}
+	d.mu.Lock()
+	for name, c := range d.instances {
+		d.storeFaults[name] = true
+		c.client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+	}
+	d.mu.Unlock()
+	d.updateCalm("outage")
+	time.Sleep(time.Duration(amount) * 800 * time.Millisecond)
+	if !lost {
+		d.fleet.RemoveWorker(worker)
+		d.store.Remove(workersPrefix + worker)
+	}
+	if amount%3 == 0 {
+		d.losePower(target%2, amount)
+	}
+	d.clearFaults()
+	switch {
+	case lost:
+	case amount%2 == 0:
+		d.addWorker(worker, target/3)
+	default:
+		d.lost[worker] = target / 3 // until power is restored
+	}
+}
+
+// checkStates has the oracle check the states that callers see, of all jobs and from all instances.
+func (d *scenario) checkStates() {
+	d.mu.Lock()
+	var terms []*jobowner.Term
+	for _, c := range d.instances {
+		if c.term != nil {
+			terms = append(terms, c.term)
+		}
+	}
+	d.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // the answer as of now
+	for _, term := range terms {
+		var ids []string
+		term.WithCluster(func(c *jobstate.Cluster) { ids = slices.Sorted(maps.Keys(c.Jobs)) })
+		for _, id := range ids {
+			if state, found := term.State(ctx, id); found && state == workload.Completed {
+				d.fleet.CheckReportedState(id, state)
+			}
+		}
+	}
 }
 
 // updateCalm records whether the system is calm after an action.
@@ -73,6 +147,7 @@
 			case <-time.After(checkInterval):
 				before := len(d.fleet.Violations())
 				d.fleet.CheckStanding()
+				d.checkStates()
 				if len(d.fleet.Violations()) > before {
 					view := d.ownerView()
 					d.mu.Lock()
@@ -116,6 +191,8 @@
 			d.updateCalm(e.action)
 			time.Sleep(time.Duration(e.target) * 400 * time.Millisecond)
 		}
+	case "outage":
+		d.outage(e.target, e.amount)
 	case "release":
 		d.release(e.target/3, e.amount)
 	case "failing":
--- a/jobowner/fuzz_test.go
+++ b/jobowner/fuzz_test.go
@@ -66,9 +66,10 @@
 	recoveryTime = 6 * time.Second
 )
 
-func newScenario() *scenario {
+func newScenario(maxReportedEnds int) *scenario {
 	d := &scenario{system: newSystem(), fault: map[string]testplatform.Fault{}, storeFaults: map[string]bool{}, failing: map[string]bool{},
 		lost: map[string]int{}, renamed: map[int]string{}, stopChecks: make(chan struct{})}
+	d.fleet.MaxReportedEnds = maxReportedEnds
 	d.fleet.Outcome = func(name workload.TaskName, run int) (time.Duration, jobstate.End) {
 		seed := len(name.Job)*7 + name.Index*13 + run*5 + name.Step
 		if name.Job[0] == 'l' { // long-running: fails if it is not cancelled before
@@ -277,11 +278,17 @@
 	d.waitForEnd(t, "fill", time.Minute)
 }
 
+// fuzzOptions holds the limits of the scenarios of a test; 0 for none.
+type fuzzOptions struct {
+	linkBytesPerSecond int // over which each instance sends
+	maxReportedEnds    int // in one report of a worker
+}
+
 // runScenario applies the events in a synctest bubble and returns the violated rules.
-func runScenario(t *testing.T, events []event, linkBytesPerSecond int) (failures []string) {
+func runScenario(t *testing.T, events []event, o fuzzOptions) (failures []string) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newScenario()
-		d.linkBytesPerSecond = linkBytesPerSecond
+		d := newScenario(o.maxReportedEnds)
+		d.linkBytesPerSecond = o.linkBytesPerSecond
 		defer d.stop()
 		defer close(d.stopChecks)
 		for _, e := range events {
@@ -296,16 +303,16 @@
 // DRAIN) and against lost and standing jobs under owner changes and lost, late and refused calls.
 // JOBOWNER_FUZZ_CHECKS sets the number of scenarios; JOBOWNER_FUZZ_SEED runs a single seed.
 func TestFuzzTerms(t *testing.T) {
-	fuzzScenarios(t, drawEvents, 0)
+	fuzzScenarios(t, drawEvents, fuzzOptions{})
 }
 
 // Guards against violations of the same rules, and of RECLAIM, by owners that fill their own link: they send no more
 // than it takes, and do not take its delay for failures of workers and the store.
 func TestFuzzTermsOverASlowLink(t *testing.T) {
-	fuzzScenarios(t, drawEvents, 30_000)
+	fuzzScenarios(t, drawEvents, fuzzOptions{linkBytesPerSecond: 30_000})
 }
 
-func fuzzScenarios(t *testing.T, draw func(*rapid.T) []event, linkBytesPerSecond int) {
+func fuzzScenarios(t *testing.T, draw func(*rapid.T) []event, o fuzzOptions) {
 	checks := 60
 	if n, err := strconv.Atoi(os.Getenv("JOBOWNER_FUZZ_CHECKS")); err == nil {
 		checks = n
@@ -316,7 +323,7 @@
 	}
 	for seed := first; seed < first+checks; seed++ {
 		events := rapid.Custom(draw).Example(seed)
-		if failures := runScenario(t, events, linkBytesPerSecond); len(failures) > 0 {
+		if failures := runScenario(t, events, o); len(failures) > 0 {
 			t.Errorf("seed %d: %v\nsteps: %+v", seed, failures, events)
 		}
 	}
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -68,6 +68,7 @@
 	link    *uplink // nil if it is not modelled
 	metrics metrics.Registry
 	term    *jobowner.Term
+	terms   []*jobowner.Term // all of its terms
 	elector *ownership.Elector
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -120,6 +121,7 @@
 		})
 		s.mu.Lock()
 		c.term = term
+		c.terms = append(c.terms, term)
 		s.terms = append(s.terms, term)
 		for dataCentre := range s.evacuated {
 			term.Evacuate(dataCentre, true)
@@ -210,12 +212,14 @@
 	}
 }
 
-// unstored returns what all terms have observed and not stored.
+// unstored returns what the terms of all running instances have observed and not stored.
 func (s *system) unstored() (u jobowner.Unstored) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, term := range s.terms {
-		u.Add(term.Unstored())
+	for _, c := range s.instances {
+		for _, term := range c.terms {
+			u.Add(term.Unstored())
+		}
 	}
 	return u
 }
--- a/upkeep/controller.go
+++ b/upkeep/controller.go
@@ -128,6 +128,15 @@
 			}
 			c.waves[number] = w
 		}
+		w.Wave = requested[number] // operators may have changed it
+		if w.record.Completed && !w.record.covers(w.Machines) {
+			if err := c.reopen(ctx, w); err != nil {
+				c.opts.Log.Warn("cannot store record of extended wave; will retry", zap.Int64("wave", number), zap.Error(err))
+				c.wakeLoop() // retry after the next poll
+				wait.For(ctx, pollInterval)
+				continue
+			}
+		}
 		if !w.record.Completed {
 			open = append(open, w)
 		}
@@ -135,6 +144,24 @@
 	return open
 }
 
+// reopen continues a completed wave to which operators have added machines. Its duration starts anew.
+func (c *Controller) reopen(ctx context.Context, w *wave) error {
+	former := w.record
+	w.record.Completed, w.record.StartedAt = false, c.opts.WallClock().UnixMilli()
+	err := c.save(ctx, w)
+	if err != nil {
+		w.record = former
+	}
+	return err
+}
+
+// requestedNow reports whether the wave is still requested with the same machines.
+func (c *Controller) requestedNow(w *wave) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Equal(c.requested[w.Number].Machines, w.Machines)
+}
+
 func recordKey(number int64) string { return RecordPrefix + strconv.FormatInt(number, 10) }
 
 // loadWave reads the stored progress of the wave, or stores a first record.
@@ -233,7 +260,7 @@
 	for _, m := range d.send {
 		c.sendOrder(ctx, w, m, false)
 	}
-	if d.completed && !w.record.Completed {
+	if d.completed && !w.record.Completed && c.requestedNow(w) {
 		c.complete(ctx, w)
 	}
 }
@@ -296,9 +323,10 @@
 }
 
 func (c *Controller) complete(ctx context.Context, w *wave) {
-	w.record.Completed = true
+	former := w.record
+	w.record.Completed, w.record.Machines = true, slices.Clone(w.Machines)
 	if err := c.save(ctx, w); err != nil {
-		w.record.Completed = false
+		w.record = former
 		c.opts.Log.Warn("cannot store record of wave", zap.Int64("wave", w.Number), zap.Error(err))
 		return
 	}
--- a/upkeep/fuzz_test.go
+++ b/upkeep/fuzz_test.go
@@ -27,32 +27,35 @@
 	for n := range events {
 		events[n] = fuzzEvent{
 			after:  time.Duration(rapid.IntRange(0, 3000).Draw(t, "after_ms")) * time.Millisecond,
-			action: rapid.SampledFrom([]string{"lose answer", "unavailable", "refuse", "new owner"}).Draw(t, "action"),
+			action: rapid.SampledFrom([]string{"lose answer", "unavailable", "refuse", "new owner", "extend"}).Draw(t, "action"),
 			length: time.Duration(rapid.IntRange(100, 6000).Draw(t, "length_ms")) * time.Millisecond,
 		}
 	}
 	return events
 }
 
-// Guards against waves that never complete, that take too many machines down at once, that lose work, or that record a
-// live worker as ended, under lost answers, outages of the cloud, refusals and owner changes in series.
+// Guards against waves that never complete or complete without an added machine, that take too many machines down at once,
+// that lose work, or that record a live worker as ended, under lost answers, outages of the cloud, refusals, extended waves
+// and owner changes in series.
 func TestFuzzWaves(t *testing.T) {
 	for seed := range fuzzChecks {
 		events := rapid.Custom(drawFuzzEvents).Example(seed)
 		synctest.Test(t, func(t *testing.T) {
 			s, f := testplatform.NewStore(), newFakeCloud(2)
 			f.keepID = seed%2 == 1
-			wave := upkeep.Wave{Number: 1, Machines: f.names(6), Duration: time.Minute, Cap: 2}
+			wave := upkeep.Wave{Number: 1, Machines: f.names(4), Duration: time.Minute, Cap: 2}
 			owners := []*owner{f.newOwner(s, 1)}
 			owners[0].controller.SetWave(wave)
 			for _, e := range events {
 				time.Sleep(e.after)
 				f.apply(e)
-				if e.action == "new owner" {
-					next := f.newOwner(s, uint64(len(owners)+1))
-					next.controller.SetWave(wave)
-					owners = append(owners, next)
+				switch e.action {
+				case "new owner":
+					owners = append(owners, f.newOwner(s, uint64(len(owners)+1)))
+				case "extend":
+					wave.Machines = f.names(6)
 				}
+				owners[len(owners)-1].controller.SetWave(wave)
 			}
 			time.Sleep(2 * time.Minute)
 			for _, o := range owners {
@@ -60,7 +63,7 @@
 			}
 			assert.Equal(t, "true", status(s), "seed %d", seed)
 			assert.Empty(t, f.violations, "seed %d: %s", seed, fmt.Sprint(events))
-			assert.Len(t, f.begun, 6, "seed %d", seed)
+			assert.Len(t, f.begun, len(wave.Machines), "seed %d", seed)
 		})
 	}
 }
--- a/upkeep/plan.go
+++ b/upkeep/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -22,11 +23,19 @@
 	Ordered   []string `json:"o,omitempty"` // machines whose order may have been carried out
 	Started   []string `json:"g,omitempty"` // machines that are confirmed to have begun their upkeep, or are gone
 	Completed bool     `json:"c,omitempty"`
+	Machines  []string `json:"m,omitempty"` // of the wave when it was completed; records of earlier versions lack it
 	// Workers holds the worker that was on each machine in Ordered when its order was first sent. Records of
 	// earlier versions lack it.
 	Workers map[string]WorkerIncarnation `json:"w,omitempty"`
 }
 
+// covers reports whether a completed wave included the machines.
+func (r *Record) covers(machines []string) bool {
+	return !slices.ContainsFunc(machines, func(name string) bool {
+		return !slices.Contains(r.Machines, name) && !slices.Contains(r.Started, name)
+	})
+}
+
 // addOrdered records the machine and its worker before its order is first sent.
 func (r *Record) addOrdered(machine string, worker WorkerIncarnation) {
 	r.Ordered = append(r.Ordered, machine)
@@ -76,6 +85,7 @@
 	for _, m := range machines {
 		byName[m.Name] = m
 	}
+	maps.DeleteFunc(w.reserved, func(name string, _ reservation) bool { return !slices.Contains(w.Machines, name) })
 	down := 0
 	var pending, ordered []Machine
 	for _, name := range w.Machines {
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -429,3 +429,33 @@
 		assert.Equal(t, "true", status(s))
 	})
 }
+
+// Operators add machines to a wave while it runs, or after it was completed. Guards against a wave that is reported as
+// completed although added machines have not begun their upkeep, also by an owner that finds it completed in the store.
+func TestExtendedWave(t *testing.T) {
+	for name, after := range map[string]time.Duration{"running": 100 * time.Millisecond, "completed": 20 * time.Second} {
+		for _, change := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " owner changes ", change), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s, f := testplatform.NewStore(), newFakeCloud(1)
+					o := f.newOwner(s, 1)
+					wave := upkeep.Wave{Number: 1, Machines: f.names(2), Duration: time.Minute, Cap: 1}
+					o.controller.SetWave(wave)
+					time.Sleep(after)
+					wave.Machines = f.names(4)
+					if change {
+						o.stop()
+						o = f.newOwner(s, 2)
+					}
+					defer o.stop()
+					o.controller.SetWave(wave)
+					time.Sleep(1500 * time.Millisecond)
+					assert.Equal(t, "false", status(s), "machines were added")
+					time.Sleep(30 * time.Second)
+					f.check(t, 4)
+					assert.Equal(t, "true", status(s))
+				})
+			})
+		}
+	}
+}
