jobowner: the lease of a leaving worker is final and recorded

Once its lease lasts 2 s longer than the worker announced to stay, it is not renewed any more and its end is written into the records of its runs, with the means that exist for workers that do not respond.

--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -243,6 +243,13 @@
 	return entry
 }
 
+// Undrain marks the worker as ready again.
+func (f *Fleet) Undrain(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].drainingSince = time.Time{}
+}
+
 // RemoveWorker removes the worker with all runs on it.
 func (f *Fleet) RemoveWorker(id string) {
 	f.mu.Lock()
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -215,7 +215,7 @@
 	bound := immediateReportTimeout
 	// A renewal without an answer may have taken effect. Repeating it would move LeaseEnds on
 	// for as long as the worker is unreachable, and its runs would never be started elsewhere.
-	if !a.clockAt.IsZero() && a.failures == 0 && !a.worker.UnresponsiveStored && t.opts.OwnershipConfirmed() {
+	if !a.clockAt.IsZero() && a.failures == 0 && !a.worker.Leaving && !a.worker.UnresponsiveStored && t.opts.OwnershipConfirmed() {
 		order.LeaseUntil = a.extendLease(now)
 	}
 	if a.worker.Answered && a.appliedEnd == a.storedEnd && a.failures == 0 {
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -199,7 +199,7 @@
 		a.acknowledge(n)
 	}
 	for _, w := range p.recovered {
-		w.UnresponsiveStored = w.Unresponsive // it may have become unresponsive again during the write
+		w.UnresponsiveStored = w.LeaseIsFinal() // it may have become unresponsive again during the write
 	}
 }
 
@@ -214,12 +214,12 @@
 	return ends
 }
 
-// recoveredWorkers returns the workers that answer again although a stored record may mark them as
-// unresponsive.
+// recoveredWorkers returns the workers whose leases are to be renewed although a stored record may show the end of
+// one.
 func (t *Term) recoveredWorkers() []*jobstate.Worker {
 	var list []*jobstate.Worker
 	for _, w := range t.cluster.Workers {
-		if w.UnresponsiveStored && !w.Unresponsive && !t.mayBeMarked(w) {
+		if w.UnresponsiveStored && !w.LeaseIsFinal() && !t.mayBeMarked(w) {
 			list = append(list, w)
 		}
 	}
--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -115,7 +115,8 @@
 			w.Unresponsive = true
 			w.MarkJobsDirty()
 		}
-		if w.Unresponsive && len(w.Runs) > 0 && t.needsLeaseClock(w, now) {
+		t.updateLeaving(w, now)
+		if w.LeaseIsFinal() && len(w.Runs) > 0 && t.needsLeaseClock(w, now) {
 			w.RecordedLeaseClock = t.leaseClock(w, now)
 			w.MarkJobsDirty()
 		}
@@ -134,6 +135,20 @@
 	}
 }
 
+// updateLeaving makes the lease of a draining worker final when it lasts until the worker may leave: the worker may be gone
+// before the next owner can ask it, and the record then shows how long its runs have to be waited for.
+func (t *Term) updateLeaving(w *jobstate.Worker, now time.Time) {
+	leaving := w.Draining && len(w.Runs) > 0 && !w.LeaseEnds.Before(w.LeavesAt.Add(leaveSlack))
+	if leaving == w.Leaving {
+		return
+	}
+	w.Leaving = leaving
+	if !w.Unresponsive {
+		w.RecordedLeaseEnds, w.RecordedLeaseClock = 0, nil
+	}
+	w.MarkJobsDirty()
+}
+
 // askUnlisted has reports requested from a worker with runs that only job records mention, once the list has been read
 // without it. The worker may be cut off from the store only; without an owner that renews its lease, its runs would end.
 func (t *Term) askUnlisted(w *jobstate.Worker, now time.Time) {
--- a/jobowner/leave_test.go
+++ b/jobowner/leave_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/workerapi"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
@@ -145,3 +146,92 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// A draining worker is lost during an outage of the store with its run unfinished, and the owner too. Guards against a next
+// owner that waits for the longest lease that its predecessor may have granted.
+func TestNextOwnerKnowsTheLeaseOfADrainingWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 5 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(1, 8))
+		time.Sleep(1500 * time.Millisecond)
+		s.addWorker("w1", 1)
+		entry := s.fleet.Drain("w0")
+		entry.DrainTime = 5 * time.Second
+		s.list(entry)
+		drained := time.Now()
+		time.Sleep(time.Second)
+		a.client.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+		time.Sleep(time.Second)
+		s.fleet.RemoveWorker("w0")
+		s.store.Remove(workersPrefix + "w0")
+		time.Sleep(4 * time.Second)
+		s.kill("a")
+		s.start("b")
+		time.Sleep(time.Until(drained.Add(11 * time.Second)))
+		assert.Equal(t, 2, s.fleet.StartCount(), "11 s after the last renewal")
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 40*time.Second))
+		s.requireNoViolations(t)
+	})
+}
+
+// Guards against runs that lose their lease on a worker that announces that it will stay for long.
+func TestLeasesAreRenewedInALongDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 25 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(2, 1))
+		time.Sleep(time.Second)
+		entry := s.fleet.Drain("w0")
+		entry.DrainTime = 30 * time.Second
+		s.list(entry)
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 40*time.Second))
+		assert.Equal(t, 2, s.fleet.StartCount())
+		s.requireNoViolations(t)
+	})
+}
+
+// A drain is withdrawn after the end of the lease was recorded for it. Guards against a worker that gets no work, or whose
+// leases are not renewed, because a record may still show that end.
+func TestLeasesAreRenewedAfterADrainIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(name workload.TaskName, _ int) (time.Duration, jobstate.End) {
+			if name.Job == "second" {
+				return 25 * time.Second, jobstate.EndDone
+			}
+			return 5 * time.Second, jobstate.EndDone
+		}
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("first", "batch", tasks(1, 1))
+		time.Sleep(time.Second)
+		entry := s.fleet.Drain("w0")
+		entry.DrainTime = 5 * time.Second
+		s.list(entry)
+		time.Sleep(time.Second)
+		s.undrain(entry)
+		s.submit("second", "batch", tasks(1, 1))
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "second", 40*time.Second))
+		assert.Equal(t, workload.Completed, s.state("first"))
+		assert.Equal(t, 2, s.fleet.StartCount())
+		s.requireNoViolations(t)
+	})
+}
+
+// undrain lists a worker as ready again.
+func (s *system) undrain(entry workerapi.Entry) {
+	s.fleet.Undrain(entry.Worker.ID)
+	entry.Draining, entry.DrainTime = false, 0
+	s.list(entry)
+}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -93,6 +93,9 @@
 	// firstListingGrace is how long after the start of a term a worker that only job records mention
 	// may take to appear in the list of workers before it counts as unresponsive.
 	firstListingGrace = 2 * time.Second
+	// leaveSlack is how much longer than the time that a draining worker announced its lease must last before it is no
+	// longer renewed: the worker may stay a little longer.
+	leaveSlack = 2 * time.Second
 	// relistGrace is the minimum time a worker stays in the state after its entry was removed, unless it
 	// was draining and the store was stable. Entries that expired in an outage of the store are written
 	// again within two seconds of its return.
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -230,10 +230,11 @@
 	LeaseEnds         time.Time     // latest possible end of its lease, by this process's clock, unless it is renewed
 	LeavesAt          time.Time     // a draining worker stays at least until this time
 
-	// For a worker that does not answer, the end of its lease is stored in the records of its runs, so that
-	// the next owner need not wait for a full lease again. While such a record may exist, the lease is not
-	// renewed, because the stored end must remain valid.
+	// For a worker that does not answer, or that is about to leave, the end of its lease is stored in the records
+	// of its runs, so that the next owner need not wait for a full lease again. While such a record may exist, the
+	// lease is not renewed, because the stored end must remain valid.
 	Unresponsive       bool
+	Leaving            bool  // it drains, and its lease lasts until it may leave
 	UnresponsiveStored bool  // a stored record may contain the end of its lease
 	RecordedLeaseEnds  int64 // end of its lease as stored, Unix milliseconds; 0 if none is stored
 	// RecordedLeaseClock is the same end on the clock of another worker, which does not depend on the wall
@@ -252,6 +253,9 @@
 	StragglerStreak int // consecutive runs that were stopped as stragglers
 }
 
+// LeaseIsFinal reports whether the lease is not renewed and its end belongs into the records of the worker's runs.
+func (w *Worker) LeaseIsFinal() bool { return w.Unresponsive || w.Leaving }
+
 func (w *Worker) Free() workload.Resources { return w.Capacity.Sub(w.Used) }
 
 // HasLabel reports whether the worker has the label. Every worker has the empty label.
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -50,11 +50,11 @@
 	return r
 }
 
-// storeLeaseEnds returns the latest possible end of the lease of a worker that does not answer, in Unix
-// milliseconds and, if set, on the clock of another worker. It sets UnresponsiveStored because the caller stores
-// the result. It returns 0 for a worker that answers.
+// storeLeaseEnds returns the latest possible end of a lease that is not renewed any more, in Unix milliseconds
+// and, if set, on the clock of another worker. It sets UnresponsiveStored because the caller stores the result. It
+// returns 0 for a lease that is renewed.
 func (w *Worker) storeLeaseEnds(wall int64, now time.Time) (int64, *workload.ClockReading) {
-	if !w.Unresponsive {
+	if !w.LeaseIsFinal() {
 		return 0, nil
 	}
 	w.UnresponsiveStored = true
@@ -64,11 +64,11 @@
 	return w.RecordedLeaseEnds, w.RecordedLeaseClock
 }
 
-// UnresponsiveWorkers returns the workers that the job's record now shows as unresponsive; nil for none.
+// UnresponsiveWorkers returns the workers of which the job's record now shows the end of the lease; nil for none.
 func (j *Job) UnresponsiveWorkers() map[*Worker]bool {
 	var workers map[*Worker]bool
 	for _, r := range j.Runs() {
-		if r.Worker.Unresponsive {
+		if r.Worker.LeaseIsFinal() {
 			if workers == nil {
 				workers = map[*Worker]bool{}
 			}
