jobowner: an unreadable entry does not show that a worker has left

An entry of a draining worker that another writer overwrites with something unreadable was treated as removed, and the removal soon after a heartbeat as proof that the worker had left: its runs started elsewhere while they went on. The users' pages say that such an entry names no worker to use. It now keeps new work away and is no proof.

TestUnreadableEntryIsNoDeparture failed before: 2 starts instead of 1.

--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -92,8 +92,25 @@
 func (t *Term) OnWorkerRemoved(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.cluster.Workers[id]
-	if w == nil || !w.Listed {
+	if w := t.cluster.Workers[id]; w != nil {
+		t.unlist(w)
+	}
+}
+
+// OnWorkerUnreadable applies an entry that names no worker. It may come from another writer, so that its time says nothing
+// about the worker.
+func (t *Term) OnWorkerUnreadable(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w := t.cluster.Workers[id]; w != nil {
+		t.unlist(w)
+		w.EntryWrittenAfter = suspend.Stamp{}
+	}
+}
+
+// unlist excludes the worker from new work until it has an entry again. The caller holds the lock.
+func (t *Term) unlist(w *jobstate.Worker) {
+	if !w.Listed {
 		return
 	}
 	w.Listed = false
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -133,11 +133,14 @@
 		workers := metastore.NewMirror(metastore.MirrorOptions{Store: store, Prefix: workersPrefix, Wait: 300 * time.Millisecond, Pause: 300 * time.Millisecond, Slack: 300 * time.Millisecond, ReloadOnFailure: true, Log: log, Synced: term.WorkersSynced, Apply: func(change metastore.Change) {
 			id := change.Key[len(workersPrefix):]
 			var entry workerapi.Entry
-			if change.Removed || json.Unmarshal(change.Value, &entry) != nil {
+			switch {
+			case change.Removed:
 				term.OnWorkerRemoved(id)
-				return
+			case json.Unmarshal(change.Value, &entry) != nil:
+				term.OnWorkerUnreadable(id)
+			default:
+				term.OnWorker(entry)
 			}
-			term.OnWorker(entry)
 		}})
 		term.Run(ctx, mirror(jobowner.IntakePrefix, term.OnIntake, term.Loaded), workers.Run)
 	}
--- a/jobowner/leave_test.go
+++ b/jobowner/leave_test.go
@@ -235,3 +235,35 @@
 	entry.Draining, entry.DrainTime = false, 0
 	s.list(entry)
 }
+
+// Another writer overwrites the entry of a draining worker with something unreadable. Guards against taking this for the
+// departure of the worker: its run would start elsewhere while it goes on.
+func TestUnreadableEntryIsNoDeparture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.storeStable.Store(true)
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 6 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.submit("job", "batch", tasks(1, 8))
+		time.Sleep(2 * time.Second)
+		s.addWorker("w1", 1)
+		entry := s.fleet.Drain("w0")
+		entry.DrainTime = 4500 * time.Millisecond
+		s.list(entry)
+		for range 3 { // heartbeats
+			time.Sleep(900 * time.Millisecond)
+			s.list(entry)
+		}
+		s.isolateWorker("w0")
+		time.Sleep(1200 * time.Millisecond)
+		s.store.Put(workersPrefix+"w0", []byte("{"))
+		time.Sleep(time.Second)
+		assert.Equal(t, 1, s.fleet.StartCount())
+		s.fleet.SetFault(func(string, string) testplatform.Fault { return testplatform.None })
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", 20*time.Second))
+		s.requireNoViolations(t)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -259,8 +259,8 @@
 	}
 	entry, err := n.opts.Adapter.DecodeWorker(change.Key, change.Value)
 	if err != nil {
-		n.log.Warn("worker entry not decoded; the worker counts as removed", zap.Error(err))
-		term.OnWorkerRemoved(id)
+		n.log.Warn("worker entry not decoded; the worker gets no new work", zap.Error(err))
+		term.OnWorkerUnreadable(id)
 		return
 	}
 	term.OnWorker(entry)
