--- /dev/null
+++ b/jobstate/late.go
@@ -0,0 +1,48 @@
+package jobstate
+
+import (
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// CompleteLate completes a task of which a worker lists a run as done that is not tracked any more, for example because the
+// worker was cut off for longer than its lease. It returns the newer runs of the task, or of its gang, which have to be
+// stopped, and whether the task was not done before.
+func (c *Cluster) CompleteLate(name workload.TaskName, number int, now time.Time) (newer []*Run, completed bool) {
+	t := c.task(name)
+	if t == nil || t.Done || number > t.LastRun || t.Step.Spec.LongRunning || t.Step.Occurrence.Job.State.Ended() {
+		return nil, false
+	}
+	tasks := []*Task{t}
+	if t.Step.Spec.Gang {
+		tasks = t.Step.Tasks
+	}
+	for _, member := range tasks {
+		switch r := member.Run; {
+		case r == nil:
+		case r.Phase == Planned:
+			c.End(r, EndNeverStarted, "", now)
+		default:
+			newer = append(newer, r)
+		}
+	}
+	j := t.Step.Occurrence.Job
+	j.Dirty = true
+	t.Step.completeTask(t, now)
+	j.completeIfDone(now)
+	return newer, true
+}
+
+// task returns the task with the name, or nil.
+func (c *Cluster) task(name workload.TaskName) *Task {
+	j := c.Jobs[name.Job]
+	if j == nil || name.Occurrence >= len(j.Occurrences) || name.Step >= len(j.Occurrences[name.Occurrence].Steps) {
+		return nil
+	}
+	s := j.Occurrences[name.Occurrence].Steps[name.Step]
+	if name.Index >= len(s.Tasks) {
+		return nil
+	}
+	return s.Tasks[name.Index]
+}
