node: an owner that may have been replaced does not answer from memory in an outage

The owner was paused, another one was elected and stored the end, and the store went down for all when the first one continued: it answered from memory, because nobody can be elected in an outage. It now does so only if its ownership was valid when the outage was first observed, and the outage was observed without a gap since.

TestOwnershipInAnOutage covers the cases; with the former condition (the store is down for all) "paused before the outage", "paused during the outage" and "a peer had access meanwhile" count as valid.

--- a/node/operator.go
+++ b/node/operator.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
+	"github.com/cyclamenyard/cyclamenyard/ownership"
 	"github.com/cyclamenyard/cyclamenyard/relay"
 	"github.com/cyclamenyard/cyclamenyard/upkeep"
 	"github.com/cyclamenyard/cyclamenyard/workload"
@@ -44,7 +45,7 @@
 	// and changes are passed to the term while mu is held.
 	activeConfig atomic.Pointer[workload.Config]
 
-	storeOutage atomic.Bool // the store answers neither this instance nor any peer that replied
+	outage      outage
 	partitioned atomic.Bool // the store answers a peer but not this instance
 
 	mu        sync.Mutex
@@ -203,15 +204,20 @@
 func (o *operatorData) queryPeersWhilePartitioned(ctx context.Context) {
 	for o.awaitPeerQuery(ctx) {
 		if o.storeAnswers() {
-			o.storeOutage.Store(false)
+			o.outage.end()
 			o.partitioned.Store(false)
 			continue
 		}
+		began, owned := time.Now(), o.n.elector.ConfirmedWithin(ownership.OwnerTTL)
 		replies, reachable := o.queryPeers(ctx, o.queryPeer)
 		if reply := selectReply(replies, o.config() != nil); reply != nil {
 			o.mergeReply(reply)
 		}
-		o.storeOutage.Store(len(replies) > 0 && !reachable && !o.n.store.Healthy())
+		if len(replies) > 0 && !reachable {
+			o.outage.observe(owned, began, time.Now())
+		} else {
+			o.outage.end()
+		}
 		// Some instances detect the end of an outage before others, so the store is probed once more.
 		o.partitioned.Store(reachable && !o.n.store.ProbeNow(ctx))
 	}
--- /dev/null
+++ b/node/outage_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against an owner that answers queries from memory although another one may have been elected: it was paused, or
+// turned away by the store while others were not, and finds the store unreachable for all peers afterwards. Callers saw a
+// job as completed and then as running.
+func TestOwnershipInAnOutage(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for name, c := range map[string]struct {
+		rounds func(o *outage)
+		want   bool
+	}{
+		"no outage":          {func(*outage) {}, false},
+		"owner at its start": {func(o *outage) { o.observe(true, at(0), at(100)) }, true},
+		"long outage": {func(o *outage) {
+			o.observe(true, at(0), at(100))
+			o.observe(false, at(250), at(2250))
+			o.observe(false, at(2400), at(2500))
+		}, true},
+		"paused before the outage": {func(o *outage) { o.observe(false, at(0), at(100)) }, false},
+		"paused during the outage": {func(o *outage) {
+			o.observe(true, at(0), at(100))
+			o.observe(false, at(3000), at(3100))
+		}, false},
+		"a peer had access meanwhile": {func(o *outage) {
+			o.observe(true, at(0), at(100))
+			o.end()
+			o.observe(false, at(400), at(500))
+		}, false},
+		"confirmed again": {func(o *outage) {
+			o.observe(false, at(0), at(100))
+			o.observe(true, at(250), at(300))
+		}, true},
+	} {
+		o := &outage{}
+		c.rounds(o)
+		assert.Equal(t, c.want, o.keepsOwnership(), name)
+	}
+}
