node: a pause during a round of queries to peers ends the knowledge of the ownership

Callers saw a job as completed and then as running. An owner that was paused in an outage of the store, while the store returned and another owner was elected, answered from memory when it continued and the store was down again.

Cause: a round of queries counted with the ownership as of its beginning, and a gap was looked for only at the end of the next round. Until then, or for good if the pause fell into a round, the ownership counted as kept. The process now notes every 100 ms that it runs; a gap of over 1 s, which a query also notices, ends the knowledge of the ownership until it is confirmed again.

Unit test: with the detection left out, TestOwnershipInAnOutage failed in the four cases with a pause in or after a round.

--- a/node/node.go
+++ b/node/node.go
@@ -144,7 +144,7 @@
 		Store: n.store, StoreHealthy: n.store.Healthy, CheckStore: n.store.Check, WriteTimeout: n.store.CallTimeout, Elector: n.elector, Instance: o.Instance, Log: o.Log, Metrics: o.Metrics,
 		Term: n.currentTerm,
 		OwnershipValid: func() bool {
-			return n.elector.ConfirmedWithin(ownership.OwnerTTL) || n.operatorData.outage.keepsOwnership()
+			return n.elector.ConfirmedWithin(ownership.OwnerTTL) || n.operatorData.outage.keepsOwnership(time.Now())
 		},
 		PeerClient: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
 	})
--- a/node/operator.go
+++ b/node/operator.go
@@ -70,6 +70,7 @@
 func (o *operatorData) run(ctx context.Context) {
 	var querying sync.WaitGroup
 	querying.Go(func() { o.n.guard.Loop(ctx, "queries to peers", o.queryPeersWhilePartitioned) })
+	querying.Go(func() { o.n.guard.Loop(ctx, "pauses of this process", o.notePauses) })
 	o.mirror.Run(ctx)
 	querying.Wait()
 }
@@ -223,6 +224,13 @@
 	}
 }
 
+// notePauses notes at short intervals that this process runs, also while a round of queries to peers lasts.
+func (o *operatorData) notePauses(ctx context.Context) {
+	for wait.For(ctx, runningInterval) {
+		o.outage.noteRunning(time.Now())
+	}
+}
+
 // queryPeers asks peers one after the other, up to the first with access to the store or the outagePeers-th
 // without. It ends early when the store answers this instance again: many peers may have lost power, and each of
 // them takes the whole timeout of a query.
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -34,6 +34,41 @@
 			o.end()
 			o.observe(false, at(400), at(500))
 		}, false},
+		"paused during a round": {func(o *outage) {
+			o.noteRunning(at(0))
+			o.observe(true, at(0), at(4000))
+			o.noteRunning(at(4000))
+		}, false},
+		"paused during a round, which the end of the round does not notice first": {func(o *outage) {
+			o.noteRunning(at(0))
+			o.noteRunning(at(4000))
+			o.observe(true, at(0), at(4000))
+		}, false},
+		"paused during a later round": {func(o *outage) {
+			o.noteRunning(at(0))
+			o.observe(true, at(0), at(100))
+			o.noteRunning(at(200))
+			o.noteRunning(at(4000))
+			o.observe(false, at(250), at(4000))
+		}, false},
+		"paused after the newest round": {func(o *outage) {
+			o.noteRunning(at(0))
+			o.observe(true, at(0), at(100))
+			o.noteRunning(at(200))
+		}, false},
+		"running during a long round": {func(o *outage) {
+			o.observe(true, at(0), at(100))
+			for ms := 0; ms <= 5000; ms += 100 {
+				o.noteRunning(at(ms))
+			}
+			o.observe(false, at(250), at(5000))
+		}, true},
+		"confirmed after a pause": {func(o *outage) {
+			o.noteRunning(at(0))
+			o.noteRunning(at(4000))
+			o.observe(true, at(4500), at(4600))
+			o.noteRunning(at(4600))
+		}, true},
 		"confirmed again": {func(o *outage) {
 			o.observe(false, at(0), at(100))
 			o.observe(true, at(250), at(300))
@@ -41,6 +76,6 @@
 	} {
 		o := &outage{}
 		c.rounds(o)
-		assert.Equal(t, c.want, o.keepsOwnership(), name)
+		assert.Equal(t, c.want, o.keepsOwnership(at(5000)), name)
 	}
 }
