--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -34,12 +34,12 @@
 			o.end()
 			o.observe(false, at(400), at(500))
 		}, false},
-		"paused during a round": {func(o *outage) {
+		"paused during a round, noticed after its end": {func(o *outage) {
 			o.noteRunning(at(0))
 			o.observe(true, at(0), at(4000))
 			o.noteRunning(at(4000))
 		}, false},
-		"paused during a round, which the end of the round does not notice first": {func(o *outage) {
+		"paused during a round, noticed before its end": {func(o *outage) {
 			o.noteRunning(at(0))
 			o.noteRunning(at(4000))
 			o.observe(true, at(0), at(4000))
