internal/faults: a new instance gets other ports if one is taken

The README's test command failed once, in a clone of: TestProcessesUnderFaults, "timed out after 40s: entry-6 is ready" after 46.8 s. The test reserves free ports by closing listeners, and starts an instance that exits on the same ports again; soaks and other tests beside it listen on ports of the same range for up to minutes.

Traced by a trial on a copy: with one port of entry-6 held by a listener, the test failed with the same message after 46.4 s (782 times "address already in use" in entry-6's log). No log was kept of the first failure, so that it had this cause is very likely, not proved. An instance that was ready before keeps its ports, as others know them.

--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -75,11 +75,10 @@
 	t.Cleanup(func() { _ = c.platform.Close() })
 	var infos []structs.Instance
 	for i := range n {
-		p := &process{info: c.instanceInfo(i)}
+		p := &process{}
 		c.instances = append(c.instances, p)
+		c.startNew(p, i)
 		infos = append(infos, p.info)
-		c.startAndWait(p)
-		t.Cleanup(func() { p.signal(syscall.SIGKILL) })
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -94,13 +93,16 @@
 }
 
 // instanceInfo returns the i-th instance, with ports that are free now. Another process may take one
-// before the instance listens on it; see startAndWait.
+// before the instance listens on it; see startNew and startAndWait.
 func (c *cluster) instanceInfo(i int) structs.Instance {
 	var addresses [3]string
+	var listeners [3]net.Listener
 	for n := range addresses {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(c.t, err)
-		addresses[n] = l.Addr().String()
+		addresses[n], listeners[n] = l.Addr().String(), l
+	}
+	for _, l := range listeners {
 		require.NoError(c.t, l.Close())
 	}
 	return structs.Instance{
@@ -151,6 +153,22 @@
 	return p.exitErr
 }
 
+// startNew starts the i-th instance for the first time and waits until it is ready. Nothing knows its ports yet, so it
+// gets others if it exits: another process may listen on one of them for long.
+func (c *cluster) startNew(p *process, i int) {
+	p.info = c.instanceInfo(i)
+	c.start(p)
+	c.t.Cleanup(func() { p.signal(syscall.SIGKILL) })
+	c.eventually(p.info.ID+" is ready", func() bool {
+		if p.exited() {
+			p.info = c.instanceInfo(i)
+			c.start(p)
+			return false
+		}
+		return c.ready(p)
+	})
+}
+
 // startAndWait starts the process and waits until it is ready. A process that exits because one of its
 // ports is used by another connection at that moment is started again.
 func (c *cluster) startAndWait(p *process) {
