workload: weight and cap of a workspace; placement reads the configuration of workspaces

Cause: the configuration of a workspace now has a weight and a cap, which no part reads. Change: both are decoded; Decide gets the whole configuration of a workspace in place of its guarantee.

--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -9,6 +9,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/placement"
+	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
 // loop makes decisions, writes them and sends the orders until ctx ends. It does not wait for the writes:
@@ -81,7 +82,7 @@
 	t.applyTimers(now)
 	t.checkListAge(now)
 	t.checkIntakeAge(now)
-	plan := t.policy.Decide(t.cluster, t.guarantee, now)
+	plan := t.policy.Decide(t.cluster, t.workspace, now)
 	stops := t.runsToStop(now)
 	batches := t.nextBatches()
 	t.logPlan(plan)
@@ -93,15 +94,13 @@
 	return batches
 }
 
-func (t *Term) guarantee(workspace string) int {
+// workspace returns the configuration of the workspace, or nil if it has none.
+func (t *Term) workspace(name string) *workload.Workspace {
 	config := t.opts.Config()
 	if config == nil {
-		return 0
-	}
-	if w := config.Workspace(workspace); w != nil {
-		return w.GuaranteedAccelerators
+		return nil
 	}
-	return 0
+	return config.Workspace(name)
 }
 
 // applyTimers makes the transitions that depend only on the time.
--- a/placement/overdue_test.go
+++ b/placement/overdue_test.go
@@ -168,7 +168,7 @@
 // not fit.
 func TestOverdueJobsLeaveReclaimedRoomToItsGang(t *testing.T) {
 	w := newFixture(1, 16)
-	w.guarantee["a"] = 64
+	w.workspaces["a"] = &workload.Workspace{GuaranteedAccelerators: 64}
 	w.submit(batch, "b", step(16*8, 1, time.Minute))
 	require.Len(t, w.advance(0).Starts, 16*8)
 	for range 300 {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -82,13 +82,13 @@
 	reservations     int // non-urgent steps with reserved resources
 }
 
-// Decide plans starts and stops. guarantee returns the number of accelerators guaranteed to a workspace.
-func (p *Policy) Decide(c *jobstate.Cluster, guarantee func(workspace string) int, now time.Time) Plan {
+// Decide plans starts and stops. workspace returns the configuration of a workspace, or nil if it has none.
+func (p *Policy) Decide(c *jobstate.Cluster, workspace func(name string) *workload.Workspace, now time.Time) Plan {
 	r := &round{Policy: p, c: c, now: now,
 		reserved: map[*jobstate.Worker]workload.Resources{}, firm: map[*jobstate.Worker]workload.Resources{}, preemptibleOn: map[*jobstate.Worker][]victim{}}
 	r.stopStragglers()
 	r.stopOnLeaving()
-	units := r.units(guarantee)
+	units := r.units(workspace)
 	if len(units) == 0 {
 		return r.plan
 	}
@@ -111,8 +111,8 @@
 }
 
 // units returns the steps with waiting tasks in scheduling order.
-func (r *round) units(guarantee func(string) int) []unit {
-	within := r.withinGuarantee(guarantee)
+func (r *round) units(workspace func(string) *workload.Workspace) []unit {
+	within := r.withinGuarantee(workspace)
 	var units []unit
 	for _, j := range r.c.Jobs {
 		if j.State.Ended() {
@@ -198,7 +198,7 @@
 
 // withinGuarantee returns, for each workspace with unfinished jobs of priority 0, whether these jobs need
 // no more accelerators than are guaranteed to it.
-func (r *round) withinGuarantee(guarantee func(string) int) map[string]bool {
+func (r *round) withinGuarantee(workspace func(string) *workload.Workspace) map[string]bool {
 	need := map[string]int{}
 	for _, j := range r.c.Jobs {
 		if j.Route.Priority == 0 && !j.State.Ended() {
@@ -206,8 +206,9 @@
 		}
 	}
 	within := map[string]bool{}
-	for workspace, n := range need {
-		within[workspace] = n <= guarantee(workspace)
+	for name, n := range need {
+		w := workspace(name)
+		within[name] = w != nil && n <= w.GuaranteedAccelerators
 	}
 	return within
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -15,11 +15,11 @@
 
 // fixture is a cluster with a policy and a simulated clock.
 type fixture struct {
-	c         *jobstate.Cluster
-	p         *placement.Policy
-	now       time.Time
-	guarantee map[string]int
-	next      int
+	c          *jobstate.Cluster
+	p          *placement.Policy
+	now        time.Time
+	workspaces map[string]*workload.Workspace
+	next       int
 }
 
 const (
@@ -30,7 +30,7 @@
 
 // newFixture returns a cluster with racks of workers that have 8 accelerators and 128 cores each.
 func newFixture(racks, perRack int) *fixture {
-	w := &fixture{c: jobstate.New(), now: time.Unix(1000, 0), guarantee: map[string]int{},
+	w := &fixture{c: jobstate.New(), now: time.Unix(1000, 0), workspaces: map[string]*workload.Workspace{},
 		p: placement.New(placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond})}
 	for r := range racks {
 		for n := range perRack {
@@ -66,7 +66,7 @@
 }
 
 func (w *fixture) decide() placement.Plan {
-	return w.p.Decide(w.c, func(workspace string) int { return w.guarantee[workspace] }, w.now)
+	return w.p.Decide(w.c, func(name string) *workload.Workspace { return w.workspaces[name] }, w.now)
 }
 
 // advance makes a decision, confirms the planned starts and moves the clock forward.
@@ -129,7 +129,7 @@
 // against a guarantee that cannot be reclaimed by a single round of stops.
 func TestGuaranteedGangReclaimsAFullService(t *testing.T) {
 	w := newFixture(2, 4)
-	w.guarantee["a"] = 32
+	w.workspaces["a"] = &workload.Workspace{GuaranteedAccelerators: 32}
 	w.submit(batch, "b", step(64, 1, 10*time.Second))
 	w.advance(3 * time.Second)
 	j := w.submit(urgent, "a", gang(3, 8, 2*time.Second))
@@ -148,7 +148,7 @@
 // confirmed.
 func TestReservedRoomIsNotTaken(t *testing.T) {
 	w := newFixture(1, 3)
-	w.guarantee["a"] = 16
+	w.workspaces["a"] = &workload.Workspace{GuaranteedAccelerators: 16}
 	w.submit(batch, "b", step(24, 1, 10*time.Second))
 	w.advance(time.Second)
 	w.submit(urgent, "a", gang(2, 8, 2*time.Second))
--- a/workload/config.go
+++ b/workload/config.go
@@ -38,9 +38,14 @@
 type Workspace struct {
 	Name                   string
 	Keys                   []string
-	GuaranteedAccelerators int // for its jobs of priority 0
+	GuaranteedAccelerators int       // for its jobs of priority 0
+	Weight                 float64   // share of the service when all of it is in use; 0 if none is configured
+	Cap                    Resources // most that its runs may use at a time on all workers together; a component of 0 sets no limit
 }
 
+// Limited reports whether a weight or a cap is configured for the workspace.
+func (w *Workspace) Limited() bool { return w.Weight > 0 || w.Cap != (Resources{}) }
+
 // Limits bound the requests of callers.
 type Limits struct {
 	HeaderBytes   int
