--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cyclamenyard/cyclamenyard/fairshare"
 	"github.com/cyclamenyard/cyclamenyard/state"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
@@ -96,8 +97,7 @@
 	}
 	ws := e.job.Workspace
 	used := c.d.Used[ws].Sub(c.d.GuaranteedUsed[ws]).Add(c.startedOutsideGuarantee[ws])
-	share := used.DominantShare(c.d.Capacity) / float64(max(c.d.Workspaces[ws].Weight, 1))
-	return int(share / c.opts.ShareStep)
+	return fairshare.Step(used.DominantShare(c.d.Capacity), float64(max(c.d.Workspaces[ws].Weight, 1)), c.opts.ShareStep)
 }
 
 // requeueFirst moves the first entry back if its workspace's share has grown since the queue was
--- a/structs/resources.go
+++ b/structs/resources.go
@@ -2,7 +2,11 @@
 // manifest, jobs and their records, and the actions of a plan.
 package structs
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/cyclamenyard/cyclamenyard/fairshare"
+)
 
 // Resources is an amount of a worker's capacity. Every task takes at least one slot.
 type Resources struct {
@@ -74,17 +78,12 @@
 // DominantShare returns the largest fraction of any component of total that r uses, as in dominant
 // resource fairness.
 func (r Resources) DominantShare(total Resources) float64 {
-	share := 0.0
-	include := func(used, capacity int) {
-		if capacity > 0 {
-			share = max(share, float64(used)/float64(capacity))
-		}
-	}
-	include(r.Slots, total.Slots)
-	include(r.Processors, total.Processors)
-	include(r.MemoryMB, total.MemoryMB)
-	include(r.Accelerators, total.Accelerators)
-	return share
+	return fairshare.Dominant(
+		fairshare.Amount{Used: r.Slots, Total: total.Slots},
+		fairshare.Amount{Used: r.Processors, Total: total.Processors},
+		fairshare.Amount{Used: r.MemoryMB, Total: total.MemoryMB},
+		fairshare.Amount{Used: r.Accelerators, Total: total.Accelerators},
+	)
 }
 
 // Shape is the resource request of a job or a guarantee: a gang of identical tasks.
