placement: caps and weighted shares of workspaces

Cause: nothing limits what a workspace has running, and nothing orders workspaces by their use. Change: a decision with a unit of a workspace with a weight or a cap adds up all runs and untracked tasks of such workspaces. Units start no more than the cap leaves; gangs start whole or not at all. A unit at the cap waits with the reason workspace_cap, holds no reserved capacity, and may preempt less urgent runs of its own workspace. The cap is kept free for urgent units and for one gang, which would starve otherwise. Units are ordered by the weighted dominant share in steps, with recent use, anew after each step that their own starts take. A workspace that starts nothing for 30 s has its turn.

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -103,19 +103,23 @@
 
 // Step is a step of an occurrence.
 type Step struct {
-	Occurrence      *Occurrence
-	Number          int
-	Spec            *workload.Step
-	Tasks           []*Task
-	DoneTasks       int
-	Active          int // tasks with a run
-	Failures        int // of a gang; the tasks of other steps count their own
-	failedRun       int // highest run number counted in Failures: each member of a gang reports the failure
-	Checkpoint      string
-	ReadyAt         time.Time         // when its tasks could first start; zero while it waits for other steps
-	WaitingSince    time.Time         // ReadyAt, or when the last run ended that had started and has to be repeated
-	NotBefore       time.Time         // earliest next start, after a refused start or a failed call for advice
-	ReclaimedAt     time.Time         // when runs were last preempted for it
+	Occurrence   *Occurrence
+	Number       int
+	Spec         *workload.Step
+	Tasks        []*Task
+	DoneTasks    int
+	Active       int // tasks with a run
+	Failures     int // of a gang; the tasks of other steps count their own
+	failedRun    int // highest run number counted in Failures: each member of a gang reports the failure
+	Checkpoint   string
+	ReadyAt      time.Time // when its tasks could first start; zero while it waits for other steps
+	WaitingSince time.Time // ReadyAt, or when the last run ended that had started and has to be repeated
+	NotBefore    time.Time // earliest next start, after a refused start or a failed call for advice
+	ReclaimedAt  time.Time // when runs were last preempted for it
+	// CapReclaimedAt is when runs of its own workspace were last preempted for it because of the cap, and
+	// CapReclaimFailedAt when the last search found none.
+	CapReclaimedAt, CapReclaimFailedAt time.Time
+
 	Reserved        []Reservation     // resources that were chosen for it
 	Tickets         map[string]Ticket // by worker id; only for queues that need advice
 	AdvicePending   bool              // a request for advice is queued or in progress
--- a/jobstate/late.go
+++ b/jobstate/late.go
@@ -46,3 +46,15 @@
 	}
 	return s.Tasks[name.Index]
 }
+
+// WorkspaceOf returns the workspace of the job of the task with the given name, or "" if the job is not known.
+func (c *Cluster) WorkspaceOf(task string) string {
+	name, err := workload.ParseTaskName(task)
+	if err != nil {
+		return ""
+	}
+	if j := c.Jobs[name.Job]; j != nil {
+		return j.Submission.Workspace
+	}
+	return ""
+}
--- a/jobstate/wait.go
+++ b/jobstate/wait.go
@@ -20,6 +20,7 @@
 	WaitReservations                       // too many other steps have reserved room
 	WaitGangMembers                        // members of an earlier run of the gang have not ended
 	WaitRetryDelay                         // after a refused start or a failed call for advice
+	WaitCap                                // its workspace has as much running as its cap allows
 
 	// Reasons for which the runs of a step without waiting tasks do not work.
 
@@ -35,7 +36,7 @@
 
 var waitReasonNames = [waitReasons]string{
 	"undecided", "worker_list_stale", "no_worker_accepts", "no_worker_eligible", "advice", "headroom",
-	"preferred_rack", "no_room", "reclaim", "loss_limit", "reservations", "gang_members", "retry_delay",
+	"preferred_rack", "no_room", "reclaim", "loss_limit", "reservations", "gang_members", "retry_delay", "workspace_cap",
 	"record_write", "start_order", "start_answer", "former_run", "unresponsive_worker", "stop",
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cyclamenyard/cyclamenyard/fairshare"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
@@ -34,6 +35,7 @@
 	Runs      int           // runs that are stopped, gangs counted whole
 	Discarded float64       // cost of the stops, in core-seconds
 	Limit     float64       // up to which cost the step may stop runs
+	ForCap    bool          // the runs are of the same workspace, which is at its cap
 }
 
 // Block explains why a step did not start.
@@ -48,6 +50,9 @@
 
 	urgentUse   float64 // accelerators used by urgent jobs: peak with exponential decay
 	urgentUseAt time.Time
+
+	recent  *fairshare.Recent    // use by workspaces with a weight; nil before the first
+	started map[string]time.Time // when such a workspace with waiting units last started a run, or began to wait
 }
 
 func New(o Options) *Policy { return &Policy{opts: o} }
@@ -62,6 +67,9 @@
 	lateness   int  // 0: can meet its objective, 1: late, but still of some use, 2: too late
 	deadline   time.Time
 	waiting    []*jobstate.Task
+	account    *account // of its workspace; nil without a weight and a cap
+	share      int      // of its workspace, in steps; 0 without a weight
+	capped     bool     // waiting leaves out tasks for which the cap has no room
 }
 
 // round holds the working state of one call of Decide.
@@ -80,6 +88,10 @@
 
 	freeAccelerators int
 	reservations     int // non-urgent steps with reserved resources
+
+	accounts    map[string]*account // by workspace; nil if no unit's workspace has a weight or a cap
+	capacity    workload.Resources  // of all listed workers; only with weights
+	totalWeight float64             // of the accounts
 }
 
 // Decide plans starts and stops. workspace returns the configuration of a workspace, or nil if it has none.
@@ -104,8 +116,12 @@
 		}
 	}
 	r.countAccelerators()
-	for n := range units {
-		r.schedule(&units[n])
+	r.holdForOldest(units)
+	for n := 0; n < len(units); {
+		if r.requeue(units[n:]) || r.scheduleTurn(&units[n]) {
+			continue
+		}
+		n++
 	}
 	return r.plan
 }
@@ -130,6 +146,7 @@
 			}
 		}
 	}
+	r.openAccounts(units, workspace)
 	slices.SortFunc(units, compareUnits)
 	return units
 }
@@ -184,6 +201,9 @@
 		}
 		return 1
 	}
+	if d := cmp.Compare(a.share, b.share); d != 0 {
+		return d
+	}
 	if d := cmp.Compare(a.lateness, b.lateness); d != 0 {
 		return d
 	}
@@ -225,6 +245,10 @@
 
 // schedule starts as much of the unit as fits and reserves or reclaims resources for the rest.
 func (r *round) schedule(u *unit) {
+	if !r.limitToCap(u) {
+		u.step.WaitReason = jobstate.WaitCap
+		return
+	}
 	workers := r.eligible(u)
 	reason := jobstate.WaitUndecided
 	switch {
@@ -238,6 +262,9 @@
 	if len(workers) == 0 {
 		reason = r.whyNoWorker(u)
 	}
+	if reason == jobstate.WaitUndecided && u.capped {
+		reason = jobstate.WaitCap
+	}
 	u.step.WaitReason = reason
 	if u.job.Route.Advice != nil && r.needsAdvice(u, workers) {
 		r.plan.NeedAdvice = append(r.plan.NeedAdvice, u.step)
@@ -261,7 +288,7 @@
 // or fewer than a gang needs, or it is overdue.
 func (r *round) needsAdvice(u *unit, workers []*jobstate.Worker) bool {
 	need := u.step.Waiting()
-	if need == 0 {
+	if need == 0 || len(u.waiting) == 0 {
 		return false
 	}
 	if !u.step.Spec.Gang {
@@ -340,6 +367,7 @@
 	run.OnAvoided = !r.c.Accepts(w, r.now)
 	r.plan.Starts = append(r.plan.Starts, run)
 	r.freeAccelerators -= u.step.Spec.Demand.Accelerators
+	r.charge(u)
 }
 
 // eligible returns the workers that may run the step's tasks, whether or not enough of their resources are
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -86,10 +86,7 @@
 	before := len(r.plan.Stops)
 	for _, t := range targets {
 		for _, victim := range t.victims {
-			r.stop(victim, "preempted for job "+u.job.Submission.ID)
-			for _, member := range gangOf(victim) {
-				member.Task.Preempted = true
-			}
+			r.preempt(victim, u)
 		}
 	}
 	u.step.ReclaimedAt = r.now
@@ -100,6 +97,14 @@
 	return jobstate.WaitReclaim
 }
 
+// preempt stops the run, with its gang, for the unit.
+func (r *round) preempt(run *jobstate.Run, u *unit) {
+	r.stop(run, "preempted for job "+u.job.Submission.ID)
+	for _, member := range gangOf(run) {
+		member.Task.Preempted = true
+	}
+}
+
 // keepReservation reserves again the resources that were chosen for the unit earlier, until they become
 // free.
 func (r *round) keepReservation(u *unit) {
@@ -342,10 +347,7 @@
 func (r *round) preemptible(w *jobstate.Worker) []victim {
 	var list []victim
 	for run := range w.Runs {
-		if run.Phase == jobstate.Stopping || run.Phase == jobstate.Planned || run.Task.Run != run || run.Task.Step.Spec.LongRunning {
-			continue
-		}
-		if r.willEndSoon(run) {
+		if !r.mayPreempt(run) {
 			continue
 		}
 		list = append(list, victim{run, r.lossOf(run)})
@@ -359,6 +361,14 @@
 	return list
 }
 
+// mayPreempt reports whether the run may be stopped for a more urgent one.
+func (r *round) mayPreempt(run *jobstate.Run) bool {
+	if run.Phase == jobstate.Stopping || run.Phase == jobstate.Planned || run.Task.Run != run || run.Task.Step.Spec.LongRunning {
+		return false
+	}
+	return !r.willEndSoon(run)
+}
+
 // lossOf returns the cost, in core-seconds, of stopping the run with its gang: the work that is discarded,
 // multiplied by the run number, so that the same job is not preempted again and again.
 func (r *round) lossOf(run *jobstate.Run) float64 {
