placement: runs of workspaces at a cap are listed only when a unit waits for it

Cause: listing the runs of all workspaces with a cap took a part of each decision with caps. Change: the runs and those that are ending are listed once in a decision, when a unit at its cap may preempt. BenchmarkDecideWithCaps measures 98 workspaces on 630 workers.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -47,3 +47,32 @@
 		w.decide()
 	}
 }
+
+// BenchmarkDecideWithCaps is BenchmarkDecide with 98 workspaces that have a weight and a cap.
+func BenchmarkDecideWithCaps(b *testing.B) {
+	for _, limited := range []bool{false, true} {
+		b.Run(fmt.Sprint(limited), func(b *testing.B) {
+			const workers = 630
+			w := newFixture(workers/8, 8)
+			name := func(n int) string { return fmt.Sprint("w", n%98) }
+			for n := range 98 {
+				if limited {
+					w.configure(name(n), float64(1+n%7), 60)
+				}
+			}
+			for n := range workers / 4 {
+				w.submit(batch, name(n), step(14, 1, time.Hour))
+				w.submit(draft, name(n+1), gang(3, 4, time.Hour))
+			}
+			w.advance(time.Second)
+			for n := range 10 {
+				w.submit(draft, name(n), gang(64, 8, time.Hour))
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				w.decide()
+			}
+		})
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -92,6 +92,7 @@
 	accounts    map[string]*account // by workspace; nil if no unit's workspace has a weight or a cap
 	capacity    workload.Resources  // of all listed workers; only with weights
 	totalWeight float64             // of the accounts
+	runsListed  bool                // listRuns was called
 }
 
 // Decide plans starts and stops. workspace returns the configuration of a workspace, or nil if it has none.
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -20,15 +20,15 @@
 type account struct {
 	config   *workload.Workspace
 	used     workload.Resources
-	ending   workload.Resources // part of used that is being stopped or ends soon
+	ending   workload.Resources // part of used that is being stopped or ends soon; see listRuns
 	lasting  workload.Resources // part of used by long-running tasks, which does not end by itself
 	held     workload.Resources // of what the cap leaves, or will leave, the part that is kept for units scheduled before
 	holds    bool               // a unit that is not urgent holds a part
 	oldest   *jobstate.Step     // gang for which the cap is kept free, also from units scheduled before it; nil for none
 	searched bool               // runs to preempt were searched for a unit that is not urgent
-	runs     []*jobstate.Run
-	recent   float64        // recent mean of the dominant share
-	aged     *jobstate.Step // see findAged; nil for none
+	runs     []*jobstate.Run    // see listRuns
+	recent   float64            // recent mean of the dominant share
+	aged     *jobstate.Step     // see findAged; nil for none
 	hasUnits bool
 }
 
@@ -83,12 +83,9 @@
 			}
 			allocation := run.Task.Step.Spec.Allocation()
 			a.used = a.used.Add(allocation)
-			if r.isEnding(run) {
-				a.ending = a.ending.Add(allocation)
-			} else if run.Task.Step.Spec.LongRunning {
+			if run.Task.Step.Spec.LongRunning && run.Phase != jobstate.Stopping {
 				a.lasting = a.lasting.Add(allocation)
 			}
-			a.runs = append(a.runs, run)
 		}
 		for task, allocation := range w.Untracked {
 			if a := r.accounts[r.c.WorkspaceOf(task)]; a != nil {
@@ -98,6 +95,26 @@
 	}
 }
 
+// listRuns lists the runs of all accounts and adds up those that are ending, once in a decision. Only units at a cap need it.
+func (r *round) listRuns() {
+	if r.runsListed {
+		return
+	}
+	r.runsListed = true
+	for _, w := range r.c.Workers {
+		for run := range w.Runs {
+			a := r.accounts[run.Task.Step.Occurrence.Job.Submission.Workspace]
+			if !a.capped() {
+				continue
+			}
+			a.runs = append(a.runs, run)
+			if r.isEnding(run) {
+				a.ending = a.ending.Add(run.Task.Step.Spec.Allocation())
+			}
+		}
+	}
+}
+
 // isEnding reports whether the run is being stopped, without an overdue answer, or ends soon by itself.
 func (r *round) isEnding(run *jobstate.Run) bool {
 	if run.Phase == jobstate.Stopping {
@@ -177,8 +194,11 @@
 	if n <= admitted {
 		return // no more fit before the units that were scheduled earlier, or beside long-running tasks
 	}
-	if r.possible(u, a.used.Sub(a.ending), n) < n {
-		r.preemptOwn(u, n)
+	if r.mayPreemptOwn(u) {
+		r.listRuns()
+		if r.possible(u, a.used.Sub(a.ending), n) < n {
+			r.preemptOwn(u, n)
+		}
 	}
 	r.holdCapRoom(u, n-admitted)
 }
@@ -242,19 +262,27 @@
 	return false
 }
 
-// preemptOwn stops runs of the unit's own workspace with a lower priority, cheapest first and just enough for n tasks of
-// the unit, within its loss limit. It stops nothing while earlier stops for the unit may still be in progress.
-func (r *round) preemptOwn(u *unit, n int) {
+// mayPreemptOwn reports whether the time has come to search for runs of the unit's own workspace to stop: not while earlier
+// stops for the unit may still be in progress, and for units that are not urgent only once for an account.
+func (r *round) mayPreemptOwn(u *unit) bool {
 	s := u.step
 	if r.now.Sub(s.CapReclaimedAt) < r.stopBound() || r.now.Sub(s.CapReclaimFailedAt) < reclaimInterval {
-		return
+		return false
 	}
-	if u.priority > 0 {
-		if u.account.searched || r.now.Sub(s.ReadyAt) < reservationDelay || r.now.Sub(s.CapReclaimedAt) < batchReclaimInterval {
-			return
-		}
-		u.account.searched = true
+	if u.priority == 0 {
+		return true
+	}
+	if u.account.searched || r.now.Sub(s.ReadyAt) < reservationDelay || r.now.Sub(s.CapReclaimedAt) < batchReclaimInterval {
+		return false
 	}
+	u.account.searched = true
+	return true
+}
+
+// preemptOwn stops runs of the unit's own workspace with a lower priority, cheapest first and just enough for n tasks of
+// the unit, within its loss limit.
+func (r *round) preemptOwn(u *unit, n int) {
+	s := u.step
 	victims, loss := r.ownVictims(u, n)
 	stops := make([]*jobstate.Run, len(victims))
 	for k, v := range victims {
