placement: an aged step has its turn for one task only

Cause: a step with many tasks whose workspace had started nothing for 30 s took all room that was free, since its order did not change with its starts. A test of logs changed the fleet during calls (race). Change: after the first start the other tasks are ordered by share. The test sets the fleet up before.

--- a/jobowner/caps_test.go
+++ b/jobowner/caps_test.go
@@ -179,13 +179,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newCappedSystem()
 		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 10 * time.Second, jobstate.EndDone }
 		lines := s.observe()
 		a := s.start("a")
 		time.Sleep(time.Second)
 		for _, id := range []string{"one", "two", "three"} {
 			s.submitFor("capped", id, "batch", tasks(8, 1))
 		}
-		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 10 * time.Second, jobstate.EndDone }
 		time.Sleep(6 * time.Second)
 		assert.EqualValues(t, 100, a.gauge("owner.workspace_cap_percent.capped"))
 		assert.EqualValues(t, 2, a.gauge("owner.workspace_steps_at_cap.capped"))
--- a/placement/quota_test.go
+++ b/placement/quota_test.go
@@ -344,12 +344,13 @@
 	w.advance(0)
 	w.submit(draft, "b", step(32, 1, time.Second))
 	w.advance(0)
-	waiting := w.submit(draft, "a", step(1, 1, time.Second))
+	waiting := w.submit(draft, "a", step(40, 1, time.Second))
 	for range 400 {
 		w.submit(draft, "b", step(4, 1, time.Second))
 		w.advance(100 * time.Millisecond)
 		w.endAfter()
-		if waiting.State.Ended() {
+		if n := waiting.Occurrences[0].Steps[0].Active; n > 0 {
+			require.Equal(t, 1, n, "one task has its turn, not the step")
 			return
 		}
 	}
--- a/placement/share.go
+++ b/placement/share.go
@@ -168,6 +168,9 @@
 		if a.oldest == u.step {
 			a.oldest = nil
 		}
+		if a.aged == u.step && !u.step.Spec.Gang {
+			a.aged = nil // its other tasks are ordered by share
+		}
 		if a.config.Weight > 0 {
 			r.started[u.job.Submission.Workspace] = r.now
 		}
