runtimes: ratios of actual to declared run times move here from state

Change: state/runtimes.go becomes runtimes/ratios.go, and a model for the jobs of placement joins it: a decayed regression of the logarithm of actual on declared run times by route, shape and workspace, shrunk towards the declared value, with a 0.9 quantile, censored runs, a bounded summary, and relative speeds of workers. Conclusion: the scheduler keeps its results; nothing uses the model yet.

--- /dev/null
+++ b/runtimes/snapshot.go
@@ -0,0 +1,122 @@
+package runtimes
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	// snapshotVersion changes with the meaning of the fields of a snapshot.
+	snapshotVersion = 1
+	// maxSnapshot bounds a snapshot, in bytes. The store accepts far more; the bound keeps the write small.
+	maxSnapshot = 15 << 10
+	// maxWeight bounds the weights in a snapshot: decay keeps them below 1/(1-keep), with censored runs below twice as
+	// much.
+	maxWeight = 1000
+	// snapshotDigits is the number of decimals that a snapshot keeps.
+	snapshotDigits = 1e4
+)
+
+// snapshot is the stored form of a model: the keys that were used last, the newest first.
+type snapshot struct {
+	Version int
+	Keys    []keyState
+}
+
+// keyState is a key with its fit.
+type keyState struct {
+	Key key        `json:"k"`
+	Fit [11]number `json:"f"` // the values of fit.state
+}
+
+// number is encoded with a few decimals.
+type number float64
+
+// MarshalJSON implements json.Marshaler.
+func (n number) MarshalJSON() ([]byte, error) {
+	return json.Marshal(math.Round(float64(n)*snapshotDigits) / snapshotDigits)
+}
+
+// state returns the values that make up the fit.
+func (f *fit) state() [11]*float64 {
+	return [11]*float64{&f.Jobs, &f.W, &f.X, &f.Y, &f.XX, &f.XY, &f.Spread, &f.DeclaredError, &f.LearnedError, &f.DeclaredHigh, &f.LearnedHigh}
+}
+
+// Snapshot returns the model in a compact form below 16 KB. If it has more keys than fit, it leaves out those that
+// were not used for the longest time.
+func (m *Model) Snapshot() ([]byte, error) {
+	keys := make([]key, 0, len(m.keys))
+	for k := range m.keys {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b key) int { return cmp.Compare(m.keys[b].used, m.keys[a].used) })
+	s := snapshot{Version: snapshotVersion}
+	size := 0
+	for _, k := range keys {
+		e := keyState{Key: k}
+		for n, v := range m.keys[k].state() {
+			e.Fit[n] = number(*v)
+		}
+		raw, err := json.Marshal(e)
+		if err != nil {
+			return nil, fmt.Errorf("run times of route %q: %w", k.Route, err)
+		}
+		if size+len(raw)+1 > maxSnapshot {
+			continue
+		}
+		size += len(raw) + 1
+		s.Keys = append(s.Keys, e)
+	}
+	return json.Marshal(s)
+}
+
+// Restore replaces the model by the one in the snapshot. It changes nothing if it returns an error.
+func (m *Model) Restore(raw []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return fmt.Errorf("summary of run times: %w", err)
+	}
+	if s.Version != snapshotVersion {
+		return fmt.Errorf("summary of run times: version %d; known is %d", s.Version, snapshotVersion)
+	}
+	if len(s.Keys) > maxKeys {
+		return fmt.Errorf("summary of run times: %d keys; at most %d", len(s.Keys), maxKeys)
+	}
+	restored := NewModel()
+	for n := len(s.Keys) - 1; n >= 0; n-- {
+		e := &s.Keys[n]
+		f := newFit()
+		for i, v := range f.state() {
+			*v = float64(e.Fit[i])
+		}
+		if err := f.check(); err != nil {
+			return fmt.Errorf("summary of run times: route %q: %w", e.Key.Route, err)
+		}
+		restored.keys[e.Key] = f
+		restored.touch(f)
+	}
+	m.keys, m.use = restored.keys, restored.use
+	return nil
+}
+
+var errImplausible = errors.New("implausible values")
+
+// check reports whether the values can come from a model.
+func (f *fit) check() error {
+	logRange := max(math.Abs(logSeconds(minRunTime)), logSeconds(maxRunTime)) + 1
+	within := func(v, least, most float64) bool { return v >= least && v <= most }
+	square := f.W*logRange*logRange + 1
+	ok := within(f.Jobs, 0, maxWeight) && within(f.W, 0, maxWeight) &&
+		within(math.Abs(f.X), 0, f.W*logRange+1) && within(math.Abs(f.Y), 0, f.W*logRange+1) &&
+		within(f.XX, 0, square) && within(math.Abs(f.XY), 0, square) && within(f.Spread, 0, 2*maxResidual) &&
+		within(f.DeclaredError, 0, maxResidual) && within(f.LearnedError, 0, maxResidual) &&
+		within(f.DeclaredHigh, minHigh, maxHigh) && within(f.LearnedHigh, minHigh, maxHigh)
+	if !ok {
+		return errImplausible
+	}
+	return nil
+}
--- a/state/state.go
+++ b/state/state.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cyclamenyard/cyclamenyard/runtimes"
 	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
@@ -125,7 +126,7 @@
 	Workspaces    map[string]structs.Workspace
 	Services      map[string]structs.Service
 	Reservations  []Reservation
-	RunTimes      *RunTimes
+	RunTimes      *runtimes.Ratios
 	Capacity      structs.Resources // of usable workers
 	// Used is the resources of each workspace's active jobs. GuaranteedUsed is the part charged
 	// to the workspace's guarantees.
@@ -144,7 +145,7 @@
 		Grants:         map[string]*Grant{},
 		Workspaces:     map[string]structs.Workspace{},
 		Services:       map[string]structs.Service{},
-		RunTimes:       NewRunTimes(),
+		RunTimes:       runtimes.NewRatios(),
 		Used:           map[string]structs.Resources{},
 		GuaranteedUsed: map[string]structs.Resources{},
 	}
