placement: learned run times, each use behind a switch; jobstate: time of work of an ended run

Change: Options.RunTimes supplies learned run times and the speed of workers, Options.Uses selects the decisions that rely on them; all are off by default, and then decisions are as before. A run's time of work comes from its worker's clock, and is given only where its beginning and end are known well. Conclusion: each use can be measured alone; whether callers gain is still to be measured.

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -62,6 +62,7 @@
 	intervalClock    int64     // the worker's clock at the start of the current interval, milliseconds
 	intervalStart    time.Time // when the report of that clock was processed
 	intervalBegun    bool
+	lastClock        int64   // the worker's clock in the newest report of the run, milliseconds; 0 without one
 	Load             float64 // tail latency in milliseconds of a serving task; cores in use by another task
 	StopReason       string
 	StopRequestedAt  time.Time // when the stop was requested
@@ -121,6 +122,7 @@
 	AdvicePending   bool              // a request for advice is queued or in progress
 	RateCheckDue    bool              // a rate was measured since the rates of the runs were last compared
 	ReclaimFailedAt time.Time         // when the last search found no resources worth reclaiming
+	Expected        time.Duration     // learned run time of its tasks, for the intervals of rates; 0 for the declared one
 	WaitReason      WaitReason        // why the newest decision did not start its waiting tasks; valid if it has any
 	WaitReports     int               // log lines about the current wait
 }
--- a/jobstate/rate.go
+++ b/jobstate/rate.go
@@ -11,8 +11,8 @@
 	startTolerance = 50 * time.Millisecond
 	// minRateInterval is the least time over which the rate of a run is measured.
 	minRateInterval = 400 * time.Millisecond
-	// rateShare is the least share of a task's estimate over which its rate is measured. Even a task that
-	// takes ten times its estimate does one percent of its work in this time.
+	// rateShare is the least share of a task's expected run time over which its rate is measured. Even a task that
+	// takes ten times as long does one percent of its work in this time.
 	rateShare = 0.1
 	// stalledGain is the progress per interval, in percent, below which a run counts as stalled.
 	stalledGain = 0.5
@@ -22,11 +22,12 @@
 // updates its rate. The report is processed at now.
 func (r *Run) Observe(percent float64, clock int64, now time.Time) {
 	r.Percent = percent
+	r.lastClock = clock
 	if !r.intervalBegun && !r.beginInterval(clock, now) {
 		return
 	}
 	interval := time.Duration(clock-r.intervalClock) * time.Millisecond
-	if interval < max(minRateInterval, time.Duration(rateShare*float64(r.Task.Step.Spec.Estimate))) {
+	if interval < max(minRateInterval, time.Duration(rateShare*float64(r.Task.Step.rateBasis()))) {
 		return
 	}
 	r.Rate = (percent - r.intervalPercent) / interval.Seconds()
@@ -36,6 +37,14 @@
 	r.intervalPercent, r.intervalClock, r.intervalStart = percent, clock, now
 }
 
+// rateBasis returns the run time of which rateShare is the least interval for a rate.
+func (s *Step) rateBasis() time.Duration {
+	if s.Expected > 0 {
+		return s.Expected
+	}
+	return s.Spec.Estimate
+}
+
 // beginInterval starts the first interval of the run and reports whether it may already have ended. The
 // interval begins with the work itself if that began at a known time and from nothing, otherwise at clock.
 func (r *Run) beginInterval(clock int64, now time.Time) bool {
@@ -74,6 +83,7 @@
 // resetRate discards what was measured on the clock of an earlier incarnation of the worker.
 func (r *Run) resetRate() {
 	r.HasRate, r.Stalled, r.StartAnswered, r.intervalBegun = false, false, false, false
+	r.lastClock = 0
 }
 
 // Remaining returns the time to the end of the run at its current rate. ok is false without a usable rate.
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -44,7 +44,7 @@
 // rackWait returns how long the unit waits for its preferred rack.
 func (r *round) rackWait(u *unit) time.Duration {
 	wait := rackWaitShare * float64(u.deadline.Sub(u.step.ReadyAt))
-	saved := (r.opts.FarFactor - 1) * float64(u.step.Spec.Estimate)
+	saved := (r.opts.FarFactor - 1) * float64(r.runTime(u.step, r.opts.Uses.Rack))
 	return time.Duration(min(wait, saved))
 }
 
--- a/placement/leave.go
+++ b/placement/leave.go
@@ -43,7 +43,7 @@
 }
 
 // remaining returns the expected time to the end of the run, from its rate if that was measured, else
-// from the estimate of its task.
+// from the run time of its task.
 func (r *round) remaining(run *jobstate.Run) time.Duration {
 	if left, ok := run.Remaining(r.now); ok {
 		return left
@@ -52,5 +52,8 @@
 	if start.IsZero() {
 		start = run.PlannedAt
 	}
+	if r.opts.Uses.Leave && r.opts.RunTimes != nil {
+		return r.remainingByExpectation(run, r.now.Sub(start))
+	}
 	return max(0, run.Task.Step.Spec.Estimate-r.now.Sub(start))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,6 +16,8 @@
 type Options struct {
 	FarFactor   float64       // run time outside the preferred rack, relative to that inside it
 	StopTimeout time.Duration // the longest that a worker takes to stop a run
+	RunTimes    RunTimes      // learned run times; nil for the declared ones
+	Uses        Uses          // of RunTimes
 }
 
 // Plan is the result of Decide. The runs to start have already been added to the cluster.
@@ -76,7 +78,8 @@
 	firm          map[*jobstate.Worker]workload.Resources // the part of reserved that overdue units do not get either
 	stopping      map[*jobstate.Worker]workload.Resources // cache of stoppingOn
 	plan          Plan
-	preemptibleOn map[*jobstate.Worker][]victim // cache of the results of preemptible
+	preemptibleOn map[*jobstate.Worker][]victim  // cache of the results of preemptible
+	expectations  map[*jobstate.Step]expectation // cache of the results of expected
 
 	freeAccelerators int
 	reservations     int // non-urgent steps with reserved resources
@@ -152,6 +155,7 @@
 			u.waiting = append(u.waiting, t)
 		}
 	}
+	r.setRateBasis(s)
 	u.deadline, u.lateness = r.objective(j, s)
 	return u, true
 }
@@ -162,9 +166,10 @@
 // objective returns the deadline of the step and its lateness if it started now. Steps that follow it
 // in the job are not taken into account.
 func (r *round) objective(j *jobstate.Job, s *jobstate.Step) (time.Time, int) {
-	length := time.Duration(float64(s.Spec.Estimate)*max(1, j.Route.Stretch)) + j.Route.TargetLatency
+	runTime := r.runTime(s, r.opts.Uses.Order)
+	length := time.Duration(float64(runTime)*max(1, j.Route.Stretch)) + j.Route.TargetLatency
 	deadline := s.ReadyAt.Add(length)
-	end := r.now.Add(s.Spec.Estimate)
+	end := r.now.Add(runTime)
 	switch {
 	case !end.After(deadline):
 		return deadline, 0
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -77,7 +77,7 @@
 	if u.priority > 0 {
 		r.reservations++
 	}
-	if loss > lossLimit(u) || !r.mayStop(u, targets) {
+	if loss > r.lossLimit(u) || !r.mayStop(u, targets) {
 		u.step.ReclaimFailedAt = r.now
 		r.reserve(u)
 		r.plan.Blocks = append(r.plan.Blocks, Block{u.step, "room is reserved; stopping the runs in it would discard too much work"})
@@ -95,7 +95,7 @@
 	u.step.ReclaimedAt = r.now
 	r.reserve(u)
 	if stopped := len(r.plan.Stops) - before; stopped > 0 {
-		r.plan.Reclaims = append(r.plan.Reclaims, Reclaim{Step: u.step, Waited: r.now.Sub(u.step.ReadyAt), Runs: stopped, Discarded: loss, Limit: lossLimit(u)})
+		r.plan.Reclaims = append(r.plan.Reclaims, Reclaim{Step: u.step, Waited: r.now.Sub(u.step.ReadyAt), Runs: stopped, Discarded: loss, Limit: r.lossLimit(u)})
 	}
 	return jobstate.WaitReclaim
 }
@@ -169,12 +169,12 @@
 }
 
 // lossLimit returns how much work, in core-seconds, may be discarded to start the unit.
-func lossLimit(u *unit) float64 {
+func (r *round) lossLimit(u *unit) float64 {
 	if u.guaranteed {
 		return math.Inf(1)
 	}
 	spec := u.step.Spec
-	work := float64(len(u.waiting)) * spec.Estimate.Seconds() * spec.Demand.Cores()
+	work := float64(len(u.waiting)) * r.runTime(u.step, r.opts.Uses.Loss).Seconds() * spec.Demand.Cores()
 	if u.priority == 0 {
 		return urgentLossShare * work
 	}
@@ -345,7 +345,7 @@
 		if run.Phase == jobstate.Stopping || run.Phase == jobstate.Planned || run.Task.Run != run || run.Task.Step.Spec.LongRunning {
 			continue
 		}
-		if r.willEndSoon(run) {
+		if r.willEndSoon(run) || r.endsBeforeStop(run) {
 			continue
 		}
 		list = append(list, victim{run, r.lossOf(run)})
--- a/placement/straggler.go
+++ b/placement/straggler.go
@@ -221,7 +221,10 @@
 	if run.Stalled {
 		return allStalled(run.Worker) && r.stallCostsMore(run)
 	}
-	if !known || speed*slowFactor > 1 {
+	if !known {
+		return r.isLongOnSlowWorker(run)
+	}
+	if speed*slowFactor > 1 {
 		return false
 	}
 	usual := run.Rate / speed
@@ -245,7 +248,7 @@
 	if run.Task.Step.Spec.Checkpointing {
 		return true
 	}
-	return run.Percent/100*run.Task.Step.Spec.Estimate.Seconds()+restartOverhead.Seconds() < expectedStall.Seconds()
+	return run.Percent/100*r.runTime(run.Task.Step, r.opts.Uses.Straggler).Seconds()+restartOverhead.Seconds() < expectedStall.Seconds()
 }
 
 // workAfterRestart returns the percent of the work that a restarted run has to do.
