jobowner: run times are learned from ended runs and kept in the store for a new owner

Cause: learned run times of placement had no source. Change: an owner feeds the model from ended runs, by the worker's clock, scaled by the worker's estimated speed and by the distance from the data; a gang counts once and the tasks of a job together once; stopped, lapsed and broken runs count as censored. Event 255 and histograms show the errors. With a use selected (--run-times), a summary is stored under cy/runtimes at most once in 5 s, conditional on the ownership, and a new owner restores it. Without, nothing is stored. Conclusion: learning is in place; its effect on callers is still to be measured.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -28,6 +28,7 @@
 	output
 	Settings string `long:"settings" env:"CYCLAMENYARD_CONFIG" description:"path of the platform's settings file"`
 	LogLevel string `long:"log-level" env:"CYCLAMENYARD_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	RunTimes string `long:"run-times" env:"CYCLAMENYARD_RUN_TIMES" description:"decisions that rely on learned run times, separated by commas: order, loss, leave, straggler, rack; none by default"`
 }
 
 // gcMemoryFraction is the fraction of the configured memory at which the Go runtime starts to
@@ -48,12 +49,16 @@
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(settings.MemoryMB) * (1 << 20)))
 	}
+	uses, err := placement.ParseUses(c.RunTimes)
+	if err != nil {
+		return usageError(fmt.Errorf("--run-times: %w", err))
+	}
 	sink := logsink.New(os.Stdout, func(n int64) []byte {
 		return logsink.Report(int(events.LinesDropped), events.Message(events.LinesDropped), n)
 	})
 	defer sink.Close()
 	log := newSinkLogger(sink, level).With(zap.String("instance", settings.Instance))
-	return c.run(settings, log)
+	return c.run(settings, uses, log)
 }
 
 func newSinkLogger(sink *logsink.Sink, level zapcore.Level) *zap.Logger {
@@ -73,12 +78,12 @@
 	return platform.DecodeSettings(raw)
 }
 
-func (c *platformCommand) run(s *platform.Settings, log *zap.Logger) error {
+func (c *platformCommand) run(s *platform.Settings, uses placement.Uses, log *zap.Logger) error {
 	registry := metrics.NewRegistry()
 	options := node.Options{
 		Instance: s.Instance, CPUShare: s.CPUShare,
 		MaxLease: s.MaxLease, MaxListAge: s.DrainBound * 3 / 4, HeartbeatGap: s.Heartbeat * 5 / 2, GracePeriod: s.Grace, EndedRetention: s.KeepEnded,
-		Placement: placement.Options{FarFactor: s.FarFactor, StopTimeout: s.StopTimeout},
+		Placement: placement.Options{FarFactor: s.FarFactor, StopTimeout: s.StopTimeout, Uses: uses},
 		Link:      link.New(s.LinkMbps), Log: log, Metrics: registry,
 	}
 	options.Adapter = newAdapter(s, log, registry, options.Link)
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -43,6 +43,7 @@
 	config *workload.Config
 	log    *zap.Logger
 
+	uses               placement.Uses // of learned run times
 	rejected           rejectedKeys
 	advisor            workerapi.Advisor                       // nil if no queue needs advice
 	callCost           time.Duration                           // CPU time of a call; 0 for instances whose CPU is not modelled
@@ -113,7 +114,7 @@
 			Store: store, Workers: orders, Advisor: s.advisor, Log: log, Metrics: c.metrics, Token: token, Fence: fence,
 			Config: s.readConfig, Guard: guard, WallClock: time.Now, MaxLease: testplatform.MaxLease,
 			OwnershipConfirmed: func() bool { return elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
-			Placement:          placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond},
+			Placement:          placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond, Uses: s.uses},
 			EndedRetention:     s.retention, StoreTimeout: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3750 * time.Millisecond, StoreStable: func() bool { return s.storeStable.Load() },
 			Suspended: s.suspended, Lag: c.lag, Link: c.link.meterOrNil(),
 			WriteTimeout: func(int) time.Duration { return 500*time.Millisecond + 4*c.lag() },
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -55,7 +55,7 @@
 		changed = true
 		if r := runs[runKey{e.Task, e.Run}]; r != nil {
 			a.ends = append(endsAfter(a.ends, a.storedEnd), unacknowledgedEnd{e.Sequence, r.Task.Step.Occurrence.Job})
-			t.recordEnd(r, e, now)
+			t.recordEnd(r, e, report.Clock, now)
 			continue
 		}
 		t.recordLateEnd(a, e, now)
@@ -126,7 +126,8 @@
 	t.startWait.Update(now.Sub(r.Task.Step.ReadyAt).Microseconds())
 }
 
-func (t *Term) recordEnd(r *jobstate.Run, e workerapi.EndedRun, now time.Time) {
+// recordEnd applies an end in a report that its worker made at the time clock, in milliseconds.
+func (t *Term) recordEnd(r *jobstate.Run, e workerapi.EndedRun, clock int64, now time.Time) {
 	if r.StartedAt.IsZero() {
 		t.confirm(r, now)
 	}
@@ -135,6 +136,7 @@
 	if avoidance := placement.RecordEnd(r, e.Outcome, now); avoidance > 0 {
 		events.Warn(t.opts.Log, events.WorkerAvoided, zap.String("worker", r.Worker.ID), zap.Int("failures", r.Worker.FailStreak), zap.Duration("for", avoidance))
 	}
+	t.learner.observe(r, e.Outcome, clock, now, t.opts.Log)
 	t.addUnstoredEnd(r.Task.Step.Occurrence.Job, e)
 	t.cluster.End(r, e.Outcome, e.Checkpoint, now)
 }
--- /dev/null
+++ b/jobowner/runtimes_test.go
@@ -0,0 +1,178 @@
+package jobowner_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
+	"github.com/cyclamenyard/cyclamenyard/jobowner"
+	"github.com/cyclamenyard/cyclamenyard/jobstate"
+	"github.com/cyclamenyard/cyclamenyard/placement"
+	"github.com/cyclamenyard/cyclamenyard/runtimes"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// expected returns what the stored summary says about steps like the given one, and whether there is a summary.
+func (s *system) expected(t *testing.T, route string, step workload.Step) (runtimes.Expectation, bool) {
+	t.Helper()
+	raw, ok := s.store.Value(jobowner.RunTimesKey)
+	if !ok {
+		return runtimes.Expectation{}, false
+	}
+	m := runtimes.NewModel()
+	require.NoError(t, m.Restore(raw))
+	return m.Expect(runtimes.Query{Route: route, Workspace: "team", Declared: step.Estimate,
+		Shape: runtimes.Shape{Tasks: step.Tasks, Demand: step.Demand, Gang: step.Gang}}), true
+}
+
+// runJobs submits jobs with a step and waits until each has ended.
+func (s *system) runJobs(t *testing.T, prefix string, n int, route string, step workload.Step) {
+	t.Helper()
+	for i := range n {
+		id := fmt.Sprint(prefix, i)
+		s.submit(id, route, step)
+		require.Equal(t, workload.Completed, s.waitForEnd(t, id, 20*time.Second))
+	}
+}
+
+// Jobs declare 1 s and take 3 s. Guards against run times that include the delay of reports, members of a gang and tasks
+// of a step that count as jobs of their own, and a new owner that starts from nothing.
+func TestRunTimesAreLearnedAndSurviveTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.uses = placement.Uses{Order: true}
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 3 * time.Second, jobstate.EndDone }
+		for n := range 4 {
+			s.addWorker(fmt.Sprint("w", n), 0)
+		}
+		s.start("a")
+		time.Sleep(time.Second)
+		s.runJobs(t, "gang", 6, "urgent", gang(4, 1))
+		s.runJobs(t, "tasks", 6, "batch", tasks(4, 1))
+		time.Sleep(6 * time.Second)
+		for route, step := range map[string]workload.Step{"urgent": gang(4, 1), "batch": tasks(4, 1)} {
+			e, ok := s.expected(t, route, step)
+			require.True(t, ok)
+			assert.InDelta(t, 6, e.Samples, 1.2, route)
+			assert.True(t, e.Learned, route)
+			assert.InDelta(t, 3, e.Median.Seconds(), 0.6, route)
+		}
+		s.kill("a")
+		s.start("b")
+		time.Sleep(3 * time.Second)
+		s.runJobs(t, "more", 1, "batch", tasks(4, 1))
+		time.Sleep(6 * time.Second)
+		e, _ := s.expected(t, "urgent", gang(4, 1))
+		assert.InDelta(t, 6, e.Samples, 1.2, "known from the former owner")
+		e, _ = s.expected(t, "batch", tasks(4, 1))
+		assert.Greater(t, e.Samples, 6.0)
+		s.requireNoViolations(t)
+	})
+}
+
+// Guards against more than one write of the summary in 5 s while jobs end all the time, against writes while nothing
+// ends, and against any when learned run times have no use.
+func TestSummaryIsWrittenSeldom(t *testing.T) {
+	for _, uses := range []placement.Uses{{}, {Rack: true}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSystem()
+			defer s.stop()
+			s.uses = uses
+			s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Second, jobstate.EndDone }
+			s.addWorker("w0", 0)
+			s.start("a")
+			time.Sleep(time.Second)
+			for n := range 40 {
+				s.submit(fmt.Sprint("job", n), "batch", tasks(4, 1))
+			}
+			var written []time.Time
+			last := ""
+			for range 600 {
+				if raw, ok := s.store.Value(jobowner.RunTimesKey); ok && string(raw) != last {
+					last = string(raw)
+					written = append(written, time.Now())
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			if !uses.Any() {
+				assert.Empty(t, written)
+				return
+			}
+			require.GreaterOrEqual(t, len(written), 2)
+			for n := 1; n < len(written); n++ {
+				assert.GreaterOrEqual(t, written[n].Sub(written[n-1]), 4900*time.Millisecond)
+			}
+			require.Equal(t, workload.Completed, s.state("job39"))
+			before := s.summary()
+			time.Sleep(30 * time.Second)
+			assert.Equal(t, before, s.summary(), "nothing has ended since")
+		})
+	}
+}
+
+// summary returns the stored summary.
+func (s *system) summary() string {
+	raw, _ := s.store.Value(jobowner.RunTimesKey)
+	return string(raw)
+}
+
+// Guards against an owner that does not start, or never stores what it learns, after a damaged summary.
+func TestUnreadableSummary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.uses = placement.Uses{Order: true, Loss: true, Leave: true, Straggler: true, Rack: true}
+		s.store.Put(jobowner.RunTimesKey, []byte(`{"Version":1,"Keys":[{`))
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		s.start("a")
+		time.Sleep(time.Second)
+		s.runJobs(t, "job", 8, "batch", tasks(1, 1))
+		time.Sleep(6 * time.Second)
+		e, ok := s.expected(t, "batch", tasks(1, 1))
+		require.True(t, ok)
+		assert.Greater(t, e.Samples, 3.0)
+		s.requireNoViolations(t)
+	})
+}
+
+// The store answers no write of the owner for 12 s while jobs end. Guards against summaries that wait for the store and
+// are written one after the other when it is back.
+func TestSummariesDoNotWaitForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.uses = placement.Uses{Order: true}
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return 2 * time.Second, jobstate.EndDone }
+		s.addWorker("w0", 0)
+		c := s.start("a")
+		time.Sleep(time.Second)
+		for n := range 20 {
+			s.submit(fmt.Sprint("job", n), "batch", tasks(4, 1))
+		}
+		time.Sleep(6 * time.Second)
+		c.client.SetFault(func(call string) testplatform.Fault {
+			if call == "commit" {
+				return testplatform.Silent
+			}
+			return testplatform.None
+		})
+		time.Sleep(12 * time.Second)
+		c.client.SetFault(func(string) testplatform.Fault { return testplatform.None })
+		changes, last := 0, s.summary()
+		for range 96 {
+			time.Sleep(50 * time.Millisecond)
+			if now := s.summary(); now != last {
+				changes, last = changes+1, now
+			}
+		}
+		assert.LessOrEqual(t, changes, 1, "in 4.8 s")
+		s.requireNoViolations(t)
+	})
+}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -106,6 +106,7 @@
 type Term struct {
 	opts      Options
 	policy    *placement.Policy
+	learner   *learner
 	startedAt time.Time
 
 	mu              sync.Mutex
@@ -174,6 +175,10 @@
 
 // New returns a term. Run starts it.
 func New(o Options) *Term {
+	l := newLearner(o.Placement.FarFactor, o.Metrics)
+	if o.Placement.RunTimes == nil && o.Placement.Uses.Any() {
+		o.Placement.RunTimes = l
+	}
 	if o.Suspended == nil {
 		o.Suspended = suspend.Total
 	}
@@ -181,7 +186,7 @@
 		o.Lag = func() time.Duration { return 0 }
 	}
 	t := &Term{
-		opts: o, policy: placement.New(o.Placement), cluster: jobstate.New(),
+		opts: o, policy: placement.New(o.Placement), learner: l, cluster: jobstate.New(),
 		agents: map[string]*agent{}, unlistedSince: map[*jobstate.Worker]time.Time{},
 		entries: map[string]*workerapi.Entry{},
 		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, formerCompleted: map[string]bool{},
@@ -227,6 +232,9 @@
 	if !t.load(ctx) {
 		return
 	}
+	if t.opts.Placement.Uses.Any() {
+		t.goGuarded(ctx, t.keepRunTimes)
+	}
 	t.goGuarded(ctx, jobs)
 	if t.awaitLoaded(ctx) {
 		t.goGuarded(ctx, workers)
