--- a/cli/platform.go
+++ b/cli/platform.go
@@ -41,6 +41,10 @@
 	if err != nil {
 		return usageError(fmt.Errorf("--log-level %q: must be debug, info, warn or error", c.LogLevel))
 	}
+	uses, err := placement.ParseUses(c.RunTimes)
+	if err != nil {
+		return usageError(fmt.Errorf("--run-times: %w", err))
+	}
 	settings, err := c.load()
 	if err != nil {
 		return usageError(err)
@@ -49,10 +53,6 @@
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(settings.MemoryMB) * (1 << 20)))
 	}
-	uses, err := placement.ParseUses(c.RunTimes)
-	if err != nil {
-		return usageError(fmt.Errorf("--run-times: %w", err))
-	}
 	sink := logsink.New(os.Stdout, func(n int64) []byte {
 		return logsink.Report(int(events.LinesDropped), events.Message(events.LinesDropped), n)
 	})
--- a/jobowner/runtimes.go
+++ b/jobowner/runtimes.go
@@ -25,6 +25,9 @@
 	// runTimesInterval is the least time between two writes of the summary. A new owner lacks what was learned in this
 	// time.
 	runTimesInterval = 5 * time.Second
+	// runTimesRate is the most that the summary takes of the owner's link, in bytes a second: half of the control
+	// overhead that a node may cause. A summary of 15 KB is written each 15 s.
+	runTimesRate = 1 << 10
 	// runTimeLogs is how many ended runs a second are logged with what was expected of them.
 	runTimeLogs = 2
 	// maxErrorPercent bounds the values of the histograms of errors.
@@ -158,19 +161,25 @@
 // runTimesInterval and only if the model has changed. A write that fails is not repeated: the next one holds more.
 func (t *Term) keepRunTimes(ctx context.Context) {
 	restored := false
+	pause := runTimesInterval
 	for {
 		if !restored {
 			restored = t.restoreRunTimes(ctx)
 		}
-		if !wait.For(ctx, runTimesInterval) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 		if restored {
-			t.storeRunTimes(ctx)
+			pause = pauseAfterSummary(t.storeRunTimes(ctx))
 		}
 	}
 }
 
+// pauseAfterSummary returns the time between a write of the given number of bytes and the next one.
+func pauseAfterSummary(bytes int) time.Duration {
+	return max(runTimesInterval, time.Duration(bytes)*time.Second/runTimesRate)
+}
+
 // restoreRunTimes reads the summary, and returns false if the store did not answer. Without a readable summary the
 // model starts from nothing.
 func (t *Term) restoreRunTimes(ctx context.Context) bool {
@@ -193,25 +202,27 @@
 	return true
 }
 
-func (t *Term) storeRunTimes(ctx context.Context) {
+// storeRunTimes stores the summary if it has changed, and returns how many bytes it has sent.
+func (t *Term) storeRunTimes(ctx context.Context) int {
 	raw, changes, err := t.runTimesSummary()
 	if err != nil {
 		t.opts.Log.Error("cannot encode the summary of run times", zap.Error(err))
-		return
+		return 0
 	}
 	if raw == nil {
-		return
+		return 0
 	}
 	call, cancel := context.WithTimeout(ctx, t.opts.StoreTimeout)
 	defer cancel()
 	_, err = t.opts.Store.Commit(call, metastore.Txn{If: []metastore.Condition{t.opts.Fence}, Puts: []metastore.Put{{Key: RunTimesKey, Value: raw}}})
 	if err != nil {
 		t.opts.Log.Debug("summary of run times not stored", zap.Error(err))
-		return
+		return len(raw)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.learner.stored = changes
+	return len(raw)
 }
 
 // runTimesSummary returns the summary, or nil if the stored one is up to date.
