runtimes: longer steps of the quantile while a key has few jobs

Cause: the 0.9 quantile started at an assumed value and moved slowly. Change: steps up to 15 jobs are longer.

--- a/runtimes/fit.go
+++ b/runtimes/fit.go
@@ -25,6 +25,9 @@
 	// about a fifth of the spread.
 	quantileStep = 0.15
 	highQuantile = 0.9
+	// earlyJobs is the number of jobs up to which the steps are longer: from the assumed quantile to one of a third takes
+	// more than 100 jobs otherwise.
+	earlyJobs = 15
 	// minHigh and maxHigh bound the logarithm of the ratio of the 0.9 quantile to the median.
 	minHigh, maxHigh = 0.05, 2.5
 	// shareAllowance is the weight, in jobs, by which the samples of a workspace may outweigh those of each other one in
@@ -147,7 +150,7 @@
 }
 
 func (f *fit) moveHigh(off, residual, weight float64) {
-	step := quantileStep * f.Spread * weight
+	step := quantileStep * f.Spread * weight * max(1, earlyJobs/(f.Jobs+1))
 	f.DeclaredHigh = moveQuantile(f.DeclaredHigh, off, step)
 	f.LearnedHigh = moveQuantile(f.LearnedHigh, residual, step)
 }
