--- a/events/events.go
+++ b/events/events.go
@@ -93,6 +93,7 @@
 	UpkeepOrdered          ID = 251
 	WaveCompleted          ID = 252
 	WorkspaceAtCap         ID = 253
+	RunTimeObserved        ID = 255
 	OwnerSeen              ID = 420
 	OwnershipNotWon        ID = 421
 	OwnershipUnconfirmed   ID = 422
@@ -198,6 +199,7 @@
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
 	WorkspaceAtCap:         {"WorkspaceAtCap", "workspace began or ceased to wait for its cap"},
+	RunTimeObserved:        {"RunTimeObserved", "run time beside its expectation"},
 	OwnerSeen:              {"OwnerSeen", "owner changed"},
 	OwnershipNotWon:        {"OwnershipTried", "ownership not won"},
 	OwnershipUnconfirmed:   {"OwnershipUnconfirmed", "ownership not confirmed by the store"},
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -288,7 +288,7 @@
 	for k, v := range victims {
 		stops[k] = v.run
 	}
-	if len(stops) == 0 || loss > lossLimit(u) || !r.mayStop(u, []target{{victims: stops}}) {
+	if len(stops) == 0 || loss > r.lossLimit(u) || !r.mayStop(u, []target{{victims: stops}}) {
 		s.CapReclaimFailedAt = r.now
 		return
 	}
@@ -299,7 +299,7 @@
 	}
 	s.CapReclaimedAt = r.now
 	r.plan.Reclaims = append(r.plan.Reclaims, Reclaim{Step: s, Waited: r.now.Sub(s.ReadyAt), Runs: len(r.plan.Stops) - before,
-		Discarded: loss, Limit: lossLimit(u), ForCap: true})
+		Discarded: loss, Limit: r.lossLimit(u), ForCap: true})
 }
 
 // ownVictim is a run of the unit's workspace, with its gang if it is part of one.
