jobfront: refuse jobs that are larger than their workspace's cap

Cause: a gang or a single task that needs more than the cap of its workspace can never run. It was accepted and waited without end. Change: workload checks a submission against the cap; the error names workspace, resource, need and cap. jobfront refuses with never_runnable before anything is stored, as 429 on the users' platform, without a Retry-After. Before the refusal, the job's key is read from the store: a job that was accepted before the cap was lowered is answered as accepted, and nothing is refused if the store does not answer. TestGangAboveCapIsRefused fails without the check (200 in place of the refusal).

--- /dev/null
+++ b/jobfront/admission_test.go
@@ -0,0 +1,73 @@
+package jobfront_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/cyclamenyard/cyclamenyard/jobfront"
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+// gangCodec decodes any body as a gang of two tasks with eight accelerators each. Its routes accept only the key of
+// the workspace "team".
+type gangCodec struct{ fakeCodec }
+
+func (gangCodec) DecodeJob([]byte) (workload.Submission, error) {
+	step := workload.Step{Tasks: 2, Gang: true, Demand: workload.Resources{Accelerators: 8}, Estimate: time.Second}
+	return workload.Submission{Steps: []workload.Step{step}}, nil
+}
+
+// recordingJobs stores submissions in memory.
+type recordingJobs struct {
+	jobfront.Jobs
+	accepted map[string]bool
+	unknown  bool // whether a job was accepted cannot be determined
+}
+
+func (j *recordingJobs) Submit(_ context.Context, job *workload.Submission) error {
+	j.accepted[job.ID] = true
+	return nil
+}
+
+func (j *recordingJobs) CertainlyNew(_ context.Context, id string) bool {
+	return !j.unknown && !j.accepted[id]
+}
+
+func newFront(jobs jobfront.Jobs, w *workload.Workspace) *jobfront.Server {
+	config := workload.NewConfig(workload.Config{Version: 1, Routes: []workload.Route{{Name: "r", Host: "host", PathPrefix: "/r/"}}, Workspaces: []workload.Workspace{*w}})
+	return jobfront.New(jobfront.Options{Codec: gangCodec{}, Jobs: jobs, Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+		Config: func() (*workload.Config, time.Time) { return config, time.Now() }, StoreOutage: func() time.Duration { return 0 }})
+}
+
+func submit(front http.Handler, id string) *httptest.ResponseRecorder {
+	answer := httptest.NewRecorder()
+	front.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "http://host/r/"+id, strings.NewReader("{}")))
+	return answer
+}
+
+// A gang is larger than the cap of its workspace. Guards against accepting it, which makes it wait forever, against a
+// Retry-After that has its caller repeat it in vain, and against a refusal that says "not run" of a job that was
+// accepted under an earlier cap, or may have been.
+func TestGangAboveCapIsRefused(t *testing.T) {
+	w := workload.Workspace{Name: "team", Keys: []string{"key"}, Cap: workload.Resources{Accelerators: 16}}
+	jobs := &recordingJobs{accepted: map[string]bool{}}
+	assert.Equal(t, http.StatusOK, submit(newFront(jobs, &w), "early").Code)
+	w.Cap.Accelerators = 15
+	front := newFront(jobs, &w)
+	answer := submit(front, "late")
+	assert.Equal(t, http.StatusUnprocessableEntity, answer.Code)
+	assert.Empty(t, answer.Header().Get("Retry-After"))
+	assert.JSONEq(t, `{"kind":"never_runnable","run_state":"not_run","message":"steps[0]: the gang needs 16 accelerators at a time; the cap of workspace \"team\" is 15"}`, answer.Body.String())
+	assert.False(t, jobs.accepted["late"])
+	assert.Equal(t, http.StatusOK, submit(front, "early").Code, "accepted before the cap was lowered")
+	jobs.unknown = true
+	assert.Equal(t, http.StatusOK, submit(front, "late").Code, "may have been accepted before")
+}
--- a/jobfront/filters.go
+++ b/jobfront/filters.go
@@ -169,6 +169,9 @@
 	}
 	job.ID, job.Queue, job.Workspace = c.id, *c.route, c.workspace
 	job.AcceptedAt = time.Now().UnixMilli()
+	if err := s.admit(ctx, c, &job); err != nil {
+		return nil, err
+	}
 	if err := s.opts.Jobs.Submit(ctx, &job); err != nil {
 		return nil, err
 	}
@@ -236,8 +239,8 @@
 	h := w.Header()
 	h["Content-Type"] = contentTypeJSON
 	status := s.opts.Codec.Status(kind)
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		h["Retry-After"] = []string{strconv.Itoa(int(math.Ceil(s.retryAfter().Seconds())))}
+	if after := s.retryAfterOf(kind, status); after > 0 {
+		h["Retry-After"] = []string{strconv.Itoa(int(math.Ceil(after.Seconds())))}
 	}
 	w.WriteHeader(status)
 	body := ErrorBody{Kind: kind, Message: err.Error(), RunState: errkind.AnswerOf(kind).RunState}
--- a/jobfront/jobfront.go
+++ b/jobfront/jobfront.go
@@ -35,6 +35,8 @@
 // Jobs is the job service.
 type Jobs interface {
 	Submit(ctx context.Context, job *workload.Submission) error
+	// CertainlyNew reports whether no submission of the id has been accepted. It is false if that is unknown.
+	CertainlyNew(ctx context.Context, id string) bool
 	Cancel(ctx context.Context, id string) error
 	State(ctx context.Context, id string) (workload.State, error)
 	Pending(ctx context.Context, route string) (int, error)
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -377,3 +377,23 @@
 		assert.Equal(t, errkind.JobUnknown, errkind.Of(newInstance(s, nil, nil).Cancel(ctx, id)))
 	})
 }
+
+// An accepted job is submitted again while its workspace must not send more. Guards against a refusal with "not run"
+// of a job that another instance has stored, of which the owner has not heard yet, or while the store does not answer.
+func TestCertainlyNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := testplatform.NewStore()
+		i, other := newInstance(s, nil, nil), newInstance(s, nil, nil)
+		ctx, cancel := deadline()
+		defer cancel()
+		assert.True(t, i.CertainlyNew(ctx, id))
+		for _, f := range []testplatform.Fault{testplatform.Refused, testplatform.Silent} {
+			i.fault(f)
+			assert.False(t, i.CertainlyNew(ctx, id))
+		}
+		i.fault(testplatform.None)
+		assert.NoError(t, other.Submit(ctx, job()))
+		assert.False(t, i.CertainlyNew(ctx, id))
+		assert.False(t, newInstance(testplatform.NewStore(), term{workload.Running}, nil).CertainlyNew(ctx, id), "known to the owner")
+	})
+}
