admission: which workspaces have sent more than can be done in time

Cause: nothing is refused. A workspace that sends several times what its cap or its share lets run fills its queue with jobs that end too late to be of use. Change: a package without I/O computes, for each workspace with a weight or a cap and each priority, a lower bound of the wait of a new job: how long the tasks that run and wait can use the whole rate at which the workspace drains. The rate is its cap, its share of the service, what it uses plus what is free while its backlog is new, and what it has used once the backlog has lasted 2 s.

--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,308 @@
+// Package admission determines which workspaces have sent more work than can be done in time. It performs no I/O and
+// takes the time as an argument. The owner updates a Monitor with the state of the service; each instance decides by
+// the resulting overloads whether it refuses a submission.
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cyclamenyard/cyclamenyard/workload"
+)
+
+const (
+	// enterFactor is how far the expected wait must exceed the limit of the jobs at hand before the workspace counts as
+	// overloaded. It ceases to be at the limit itself. A wait near the limit would otherwise begin and end an overload
+	// with each task.
+	enterFactor = 1.25
+	// settleTime is how long a backlog must have lasted before the use that was measured shows how fast it drains. It
+	// covers the start of work in room that has become free.
+	settleTime = 2 * time.Second
+	// useHalfLife is the time after which past use counts half in the measured drain rate.
+	useHalfLife = 2 * time.Second
+	// maxWait limits an expected wait.
+	maxWait = 24 * time.Hour
+	// owedWindow is the time over which the accepted jobs are compared with the weight.
+	owedWindow = time.Second
+	// maxOwed bounds the memory for the times of accepted jobs of a workspace. A workspace that is owed more is never
+	// refused.
+	maxOwed = 1024
+)
+
+// Work is a number of equal tasks that run or wait.
+type Work struct {
+	Priority int
+	Demand   workload.Resources // of all tasks together
+	Time     time.Duration      // expected from now, or from its start, to the end of each of them
+}
+
+// Load is what a workspace runs and waits for. Work without an expected end is left out of Work.
+type Load struct {
+	Name    string
+	Weight  float64
+	Cap     workload.Resources
+	Limited bool               // a weight or a cap is configured; others only count in the shares
+	Use     workload.Resources // by its runs
+	Waits   bool               // tasks that could run have no run
+	Work    []Work
+	// Limits has, by priority, the shortest time within which the end of an open job is of use.
+	Limits map[int]time.Duration
+}
+
+// Service is the state of the service.
+type Service struct {
+	Total workload.Resources // of all workers
+	Free  workload.Resources
+	Loads []Load
+}
+
+// Overload says that a workspace has more work of a priority, and of more urgent ones, than can be done in time.
+type Overload struct {
+	Workspace string
+	Priority  int
+	Wait      time.Duration // expected until a new job of this priority, or of a less urgent one, can begin
+	// RefuseFor is how long it is certain that as many jobs were accepted as the workspace is owed; 0 if fewer were.
+	RefuseFor time.Duration
+}
+
+// Change reports that a workspace begins or ceases to be overloaded at a priority.
+type Change struct {
+	Overload
+	Begins  bool
+	Backlog workload.Resources // demand of the tasks that run or wait
+	Rate    workload.Resources // that the workspace is expected to use while its backlog drains
+	Cap     workload.Resources
+	Weight  float64
+}
+
+// Monitor follows the workspaces. It is not safe for concurrent use.
+type Monitor struct {
+	workspaces map[string]*workspace
+	updatedAt  time.Time
+}
+
+type workspace struct {
+	weight     float64
+	use        vector    // decayed average
+	since      time.Time // when its backlog began; zero without one
+	waits      []Overload
+	overloaded map[int]bool
+	accepted   []time.Time // of the newest jobs, in the order of their arrival, as many as it is owed in owedWindow
+	estimates  estimates
+}
+
+func NewMonitor() *Monitor { return &Monitor{workspaces: map[string]*workspace{}} }
+
+func (m *Monitor) workspace(name string) *workspace {
+	w := m.workspaces[name]
+	if w == nil {
+		w = &workspace{overloaded: map[int]bool{}}
+		m.workspaces[name] = w
+	}
+	return w
+}
+
+// owed returns how many jobs within which time are never refused. A workspace that is owed less than one job in
+// owedWindow is owed one in a longer time.
+func owed(weight float64) (jobs int, window time.Duration) {
+	if weight <= 0 {
+		return 0, 0
+	}
+	jobs = int(min(math.Ceil(weight), maxOwed+1))
+	return jobs, time.Duration(min(float64(jobs)/weight*float64(owedWindow), float64(maxWait)))
+}
+
+// Accepted records that a job of a workspace with the given weight was accepted.
+func (m *Monitor) Accepted(name string, weight float64, at time.Time) {
+	jobs, _ := owed(weight)
+	w := m.workspace(name)
+	w.weight = weight
+	if jobs == 0 || jobs > maxOwed {
+		w.accepted = nil
+		return
+	}
+	w.accepted = append(w.accepted, at)
+	if excess := len(w.accepted) - jobs; excess > 0 {
+		w.accepted = slices.Delete(w.accepted, 0, excess)
+	}
+}
+
+// refuseFor returns how long from now at least as many jobs as owed have been accepted within the window.
+func (w *workspace) refuseFor(now time.Time) time.Duration {
+	jobs, window := owed(w.weight)
+	switch {
+	case jobs == 0:
+		return maxWait
+	case jobs > maxOwed || len(w.accepted) < jobs:
+		return 0
+	}
+	oldest := slices.MinFunc(w.accepted, time.Time.Compare)
+	return max(0, window-now.Sub(oldest))
+}
+
+// Update applies the state of the service at now and returns which overloads have begun or ended.
+func (m *Monitor) Update(s Service, now time.Time) []Change {
+	elapsed := now.Sub(m.updatedAt)
+	m.updatedAt = now
+	weights, present := 0.0, map[string]bool{}
+	for n := range s.Loads {
+		if l := &s.Loads[n]; len(l.Work) > 0 || l.Use != (workload.Resources{}) {
+			weights += share(l.Weight)
+		}
+	}
+	var changes []Change
+	for n := range s.Loads {
+		l := &s.Loads[n]
+		if l.Limited {
+			present[l.Name] = true
+			w := m.workspace(l.Name)
+			w.weight = l.Weight
+			w.measure(l, elapsed, now)
+			changes = append(changes, w.assess(&s, l, weights, now)...)
+		}
+	}
+	for name, w := range m.workspaces {
+		if !present[name] {
+			changes = append(changes, w.end(name)...)
+			delete(m.workspaces, name)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Priority, b.Priority))
+	})
+	return changes
+}
+
+// share returns the weight that counts in the shares of the service. Without a configured weight it is 1.
+func share(weight float64) float64 {
+	if weight > 0 {
+		return weight
+	}
+	return 1
+}
+
+// measure updates the measured drain rate.
+func (w *workspace) measure(l *Load, elapsed time.Duration, now time.Time) {
+	w.use.approach(vectorOf(l.Use), elapsed, useHalfLife)
+	switch {
+	case !l.Waits:
+		w.since = time.Time{}
+	case w.since.IsZero():
+		w.since = now
+		w.use = vectorOf(l.Use)
+	}
+}
+
+// rate returns what the workspace is expected to use at most while its backlog drains. While its backlog is new, that
+// is its share of the service, or what it uses with all that is free. Later what it has used counts instead of the
+// latter: free capacity that it could not use by then does not suit its tasks.
+func (w *workspace) rate(s *Service, l *Load, weights float64, now time.Time) vector {
+	total, free, use, limit := vectorOf(s.Total), vectorOf(s.Free), vectorOf(l.Use), vectorOf(l.Cap)
+	settled := !w.since.IsZero() && now.Sub(w.since) >= settleTime
+	var rate vector
+	for r := range rate {
+		rate[r] = total[r] * share(l.Weight) / max(weights, share(l.Weight))
+		if settled {
+			rate[r] = max(rate[r], w.use[r])
+		} else {
+			rate[r] = max(rate[r], use[r]+max(0, free[r]))
+		}
+		if limit[r] > 0 {
+			rate[r] = min(rate[r], limit[r])
+		}
+	}
+	return rate
+}
+
+// assess computes the expected waits of the workspace and returns the changes of its overloads.
+func (w *workspace) assess(s *Service, l *Load, weights float64, now time.Time) []Change {
+	slices.SortFunc(l.Work, func(a, b Work) int { return cmp.Compare(a.Time, b.Time) })
+	rate := w.rate(s, l, weights, now)
+	w.waits = w.waits[:0]
+	var changes []Change
+	for _, p := range l.priorities(w.overloaded) {
+		wait := expectedWait(l.Work, p, rate)
+		w.waits = append(w.waits, Overload{Workspace: l.Name, Priority: p, Wait: wait})
+		limit, known := l.Limits[p]
+		begins := known && float64(wait) > enterFactor*float64(limit)
+		continues := w.overloaded[p] && wait > 0 && (!known || wait > limit)
+		if over := begins || continues; over != w.overloaded[p] {
+			w.setOverloaded(p, over)
+			changes = append(changes, Change{Overload: Overload{Workspace: l.Name, Priority: p, Wait: wait}, Begins: over,
+				Backlog: l.backlog(p), Rate: rate.resources(), Cap: l.Cap, Weight: l.Weight})
+		}
+	}
+	return changes
+}
+
+func (w *workspace) setOverloaded(priority int, over bool) {
+	if over {
+		w.overloaded[priority] = true
+	} else {
+		delete(w.overloaded, priority)
+	}
+}
+
+// end returns the ends of the overloads of a workspace that has no weight and no cap any more.
+func (w *workspace) end(name string) []Change {
+	var changes []Change
+	for p := range w.overloaded {
+		changes = append(changes, Change{Overload: Overload{Workspace: name, Priority: p}})
+	}
+	return changes
+}
+
+// priorities returns the priorities of open jobs, and of overloads that have not ended, in ascending order.
+func (l *Load) priorities(overloaded map[int]bool) []int {
+	var list []int
+	for p := range l.Limits {
+		list = append(list, p)
+	}
+	for p := range overloaded {
+		list = append(list, p)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// backlog returns the demand of the tasks up to the priority.
+func (l *Load) backlog(priority int) (sum workload.Resources) {
+	for _, k := range l.Work {
+		if k.Priority <= priority {
+			sum = sum.Add(k.Demand)
+		}
+	}
+	return sum
+}
+
+// Overloads returns the overloads as of now, by workspace and priority.
+func (m *Monitor) Overloads(now time.Time) []Overload {
+	var list []Overload
+	for _, w := range m.workspaces {
+		for _, o := range w.waits {
+			if !w.overloaded[o.Priority] {
+				continue
+			}
+			o.Wait = max(0, o.Wait-now.Sub(m.updatedAt))
+			o.RefuseFor = w.refuseFor(now)
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b Overload) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Priority, b.Priority))
+	})
+	return list
+}
+
+// Waits calls f with the longest expected wait of each workspace.
+func (m *Monitor) Waits(f func(workspace string, wait time.Duration)) {
+	for name, w := range m.workspaces {
+		longest := time.Duration(0)
+		for _, o := range w.waits {
+			longest = max(longest, o.Wait)
+		}
+		f(name, longest)
+	}
+}
