jobowner: the owner finds out which workspaces are overloaded

Cause: only the owner knows what each workspace runs and waits for. Change: at most every 250 ms, after a decision, the owner hands the running and waiting work of all workspaces to admission.Monitor; nothing is done if no workspace has a weight or a cap. It counts accepted jobs when it learns of them: jobs read at the start of a term do not count, and those that the store's watch delivers late count from their acceptance. Event 254 says when a workspace begins or ceases to be overloaded, owner.workspace_wait_ms.NAME has the expected wait. Term.Admission answers only with an assessment of the last second.

--- a/events/events.go
+++ b/events/events.go
@@ -92,6 +92,7 @@
 	WaveAccepted           ID = 250
 	UpkeepOrdered          ID = 251
 	WaveCompleted          ID = 252
+	WorkspaceOverloaded    ID = 254
 	OwnerSeen              ID = 420
 	OwnershipNotWon        ID = 421
 	OwnershipUnconfirmed   ID = 422
@@ -196,6 +197,7 @@
 	WaveAccepted:           {"WaveTaken", "upkeep wave accepted or withdrawn"},
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
+	WorkspaceOverloaded:    {"WorkspaceOverloaded", "workspace began or ceased to be overloaded"},
 	OwnerSeen:              {"OwnerSeen", "owner changed"},
 	OwnershipNotWon:        {"OwnershipTried", "ownership not won"},
 	OwnershipUnconfirmed:   {"OwnershipUnconfirmed", "ownership not confirmed by the store"},
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -111,6 +111,7 @@
 		t.cancelJob(id, now)
 	}
 	t.openDue(j, now)
+	t.countAccepted(j, source, now)
 	delete(t.records, id)
 	delete(t.formerEnds, id)
 	delete(t.pendingCancels, id)
--- a/jobowner/load.go
+++ b/jobowner/load.go
@@ -109,4 +109,9 @@
 func (t *Term) resetGauges() {
 	t.waitGauges.update(&waitSearch{})
 	t.intakeAge.Update(0)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.admission.waits {
+		g.Update(0)
+	}
 }
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -87,6 +87,7 @@
 	batches := t.nextBatches()
 	t.logPlan(plan)
 	t.checkWaits(now)
+	t.updateAdmission(now)
 	t.queueAdvice(plan.NeedAdvice)
 	for _, run := range stops {
 		t.orderStop(ctx, run)
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -136,6 +136,7 @@
 		events.Warn(t.opts.Log, events.WorkerAvoided, zap.String("worker", r.Worker.ID), zap.Int("failures", r.Worker.FailStreak), zap.Duration("for", avoidance))
 	}
 	t.addUnstoredEnd(r.Task.Step.Occurrence.Job, e)
+	t.observeRunTime(r, e.Outcome, now)
 	t.cluster.End(r, e.Outcome, e.Checkpoint, now)
 }
 
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -131,6 +131,7 @@
 	writes          int           // transactions in progress
 	pendingAck      *ackPoint     // ends that may be discarded after certain writes; nil for none
 	ended           bool
+	admission       admissionState
 
 	adviceQueue  chan *jobstate.Step // steps that wait for advice
 	orders       *orderGate
@@ -190,6 +191,7 @@
 		loaded:      make(chan struct{}),
 		endsStored:  make(chan struct{}),
 		wake:        make(chan struct{}, 1),
+		admission:   newAdmissionState(),
 		waitGauges:  newWaitGauges(o.Metrics),
 		intakeAge:   metrics.GetOrRegisterGauge("owner.intake_age_ms", o.Metrics),
 		lagGauge:    metrics.GetOrRegisterGauge("owner.lag_ms", o.Metrics),
