jobservice: instances ask the owner which workspaces are overloaded

Cause: submissions arrive at any instance, and only the owner knows the backlogs. Change: the relay protocol has the call Admission.

--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -54,6 +54,7 @@
 	State(ctx context.Context, id string) (workload.State, bool)
 	Pending(route string) (n int, ok bool)
 	HasJob(id string) bool
+	Admission() (jobowner.Admission, bool)
 	// OnAnnounced applies a submission or cancellation that the store's watch may not have
 	// delivered yet.
 	OnAnnounced(change metastore.Change)
@@ -88,13 +89,15 @@
 
 	announcementsFailed  metrics.Counter
 	announcementsUnowned metrics.Counter // to or by an instance with no owner to tell
+	overloadCache        *overloadCache
 }
 
 func New(o Options) *Service {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, o.Metrics) }
 	return &Service{opts: o, relayed: counter("jobs.relayed"), local: counter("jobs.state_local"),
 		owner: counter("jobs.state_owner"), store: counter("jobs.state_store"),
-		announcementsFailed: counter("jobs.announcements_failed"), announcementsUnowned: counter("jobs.announcements_unowned")}
+		announcementsFailed: counter("jobs.announcements_failed"), announcementsUnowned: counter("jobs.announcements_unowned"),
+		overloadCache: newOverloadCache(o.Metrics)}
 }
 
 // outcome is the outcome of a write, as far as it can be determined.
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -222,6 +222,7 @@
 func (t term) Pending(string) (int, bool)                                 { return 3, true }
 func (t term) OnAnnounced(metastore.Change)                               {}
 func (t term) HasJob(job string) bool                                     { return job == id }
+func (t term) Admission() (jobowner.Admission, bool)                      { return jobowner.Admission{}, false }
 
 // Guards against reporting an accepted job as unknown (410), and against reporting a state that neither the
 // owner nor the store has.
--- a/node/serve.go
+++ b/node/serve.go
@@ -158,6 +158,11 @@
 	return p.n.jobs.HandleAnnounce(ctx, r)
 }
 
+// Admission implements relay.DRPCRelayServer.
+func (p peerServer) Admission(ctx context.Context, r *relay.AdmissionRequest) (*relay.AdmissionReply, error) {
+	return p.n.jobs.HandleAdmission(ctx, r)
+}
+
 // Depose implements relay.DRPCRelayServer.
 func (p peerServer) Depose(ctx context.Context, r *relay.DeposeRequest) (*relay.OutcomeReply, error) {
 	if !p.n.store.Healthy() {
