jobowner: gauges of expected waits do not show 0 between two values

Cause: each assessment reset all gauges before it set them, so that a reader saw 0 in between. TestOwnerChangesDuringOverload failed on it. The case of a former owner in jobservice's tests passed without the check that it guards, because its answer also lacked the token. Change: only gauges of workspaces without limits are reset; the answer of the former owner has a token.

--- a/jobowner/admission.go
+++ b/jobowner/admission.go
@@ -74,10 +74,9 @@
 
 func (t *Term) updateWaitGauges() {
 	s := &t.admission
-	for _, g := range s.waits {
-		g.Update(0) // of a workspace that has no limit any more
-	}
+	limited := map[string]bool{}
 	s.monitor.Waits(func(workspace string, wait time.Duration) {
+		limited[workspace] = true
 		g := s.waits[workspace]
 		if g == nil {
 			if len(s.waits) == maxWorkspaceGauges {
@@ -88,6 +87,11 @@
 		}
 		g.Update(wait.Milliseconds())
 	})
+	for workspace, g := range s.waits {
+		if !limited[workspace] {
+			g.Update(0)
+		}
+	}
 }
 
 // loads collects the loads of the workspaces.
--- a/jobservice/admission_test.go
+++ b/jobservice/admission_test.go
@@ -124,7 +124,7 @@
 		"owner that hangs":                   {7, &admissionPeer{reply: reply(7), delay: time.Hour}, 1},
 		"owner that answers late":            {7, &admissionPeer{reply: reply(7), delay: 101 * time.Millisecond}, 1},
 		"process without the call":           {7, &admissionPeer{err: fmt.Errorf("unknown rpc")}, 1},
-		"instance that is no longer owner":   {7, &admissionPeer{reply: &relay.AdmissionReply{Overloads: reply(7).Overloads}}, 1},
+		"instance that is no longer owner":   {7, &admissionPeer{reply: &relay.AdmissionReply{Token: 7, Overloads: reply(7).Overloads}}, 1},
 		"former owner before it is told":     {7, &admissionPeer{reply: reply(6)}, 1},
 		"later owner before this is told":    {7, &admissionPeer{reply: reply(8)}, 1},
 		"owner without a current assessment": {7, &admissionPeer{reply: &relay.AdmissionReply{Token: 7}}, 1},
