jobfront: refuse what an overloaded workspace cannot get done in time

Cause: what a workspace with a weight or a cap sends beyond what it can be given was accepted. Change: a submission of such a workspace that the service's overloads say to refuse is answered with queue_full (429) and the Retry-After of its own backlog, before anything is stored, and only if the store shows no earlier submission of the id. Refusals are counted by reason and by workspace.

--- a/jobfront/filters.go
+++ b/jobfront/filters.go
@@ -38,14 +38,15 @@
 
 // refusal is an error without a stack trace, which keeps refusals cheap under overload.
 type refusal struct {
-	kind    errkind.Kind
-	message string
+	kind       errkind.Kind
+	message    string
+	retryAfter time.Duration // of this refusal; 0 for the general one
 }
 
 func (r *refusal) Error() string { return r.message }
 
 func refuse(kind errkind.Kind, format string, args ...any) error {
-	return &refusal{kind, fmt.Sprintf(format, args...)}
+	return &refusal{kind: kind, message: fmt.Sprintf(format, args...)}
 }
 
 func kindOf(err error) errkind.Kind {
@@ -239,7 +240,7 @@
 	h := w.Header()
 	h["Content-Type"] = contentTypeJSON
 	status := s.opts.Codec.Status(kind)
-	if after := s.retryAfterOf(kind, status); after > 0 {
+	if after := s.retryAfterOf(err, status); after > 0 {
 		h["Retry-After"] = []string{strconv.Itoa(int(math.Ceil(after.Seconds())))}
 	}
 	w.WriteHeader(status)
--- a/jobfront/jobfront.go
+++ b/jobfront/jobfront.go
@@ -35,6 +35,9 @@
 // Jobs is the job service.
 type Jobs interface {
 	Submit(ctx context.Context, job *workload.Submission) error
+	// Overloaded reports whether the job could not be done in time because its workspace, which has a weight or a cap, has
+	// sent too much, and when to retry.
+	Overloaded(ctx context.Context, job *workload.Submission) (retryAfter time.Duration, overloaded bool)
 	// CertainlyNew reports whether no submission of the id has been accepted. It is false if that is unknown.
 	CertainlyNew(ctx context.Context, id string) bool
 	Cancel(ctx context.Context, id string) error
@@ -63,6 +66,7 @@
 	draining atomic.Bool
 	latency  map[string]metrics.Histogram
 	refused  metrics.Counter
+	limited  limitedRefusals
 	answered metrics.Counter
 }
 
@@ -70,7 +74,7 @@
 const latencySamples = 512
 
 func New(o Options) *Server {
-	s := &Server{opts: o, handlers: map[string]http.Handler{}, latency: map[string]metrics.Histogram{},
+	s := &Server{opts: o, limited: limitedRefusals{registry: o.Metrics}, handlers: map[string]http.Handler{}, latency: map[string]metrics.Histogram{},
 		refused: metrics.GetOrRegisterCounter("front.refused", o.Metrics), answered: metrics.GetOrRegisterCounter("front.answered", o.Metrics)}
 	for method, final := range map[string]endpoint.Endpoint{
 		http.MethodPost: s.submit, http.MethodGet: s.query, http.MethodDelete: s.cancel,
