--- a/events/events.go
+++ b/events/events.go
@@ -94,6 +94,7 @@
 	WaveCompleted          ID = 252
 	WorkspaceAtCap         ID = 253
 	RunTimeObserved        ID = 255
+	WorkspaceOverloaded    ID = 254
 	OwnerSeen              ID = 420
 	OwnershipNotWon        ID = 421
 	OwnershipUnconfirmed   ID = 422
@@ -200,6 +201,7 @@
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
 	WorkspaceAtCap:         {"WorkspaceAtCap", "workspace began or ceased to wait for its cap"},
 	RunTimeObserved:        {"RunTimeObserved", "run time beside its expectation"},
+	WorkspaceOverloaded:    {"WorkspaceOverloaded", "workspace began or ceased to be overloaded"},
 	OwnerSeen:              {"OwnerSeen", "owner changed"},
 	OwnershipNotWon:        {"OwnershipTried", "ownership not won"},
 	OwnershipUnconfirmed:   {"OwnershipUnconfirmed", "ownership not confirmed by the store"},
--- a/jobowner/load.go
+++ b/jobowner/load.go
@@ -112,4 +112,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.caps.reset()
+	for _, g := range t.admission.waits {
+		g.Update(0)
+	}
 }
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -138,6 +138,7 @@
 	}
 	t.learner.observe(r, e.Outcome, clock, now, t.opts.Log)
 	t.addUnstoredEnd(r.Task.Step.Occurrence.Job, e)
+	t.observeRunTime(r, e.Outcome, now)
 	t.cluster.End(r, e.Outcome, e.Checkpoint, now)
 }
 
--- a/placement/expectation_test.go
+++ b/placement/expectation_test.go
@@ -142,7 +142,7 @@
 		s := step(1, 1, 10*time.Second)
 		s.DataRack = "r0"
 		j := w.submit(batch, "a", s)
-		wait := w.p.Explain(w.c, j.Occurrences[0].Steps[0], w.now).Rack.Wait
+		wait := w.p.Explain(w.c, j.Occurrences[0].Steps[0], w.workspace, w.now).Rack.Wait
 		assert.InDelta(t, want.Seconds(), wait.Seconds(), 0.7, "uses %q", uses)
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -178,9 +178,6 @@
 	return u, true
 }
 
-// lateFactor is the multiple of its objective up to which a late step is still of some use.
-const lateFactor = 3
-
 // objective returns the deadline of the step and its lateness if it started now. Steps that follow it
 // in the job are not taken into account.
 func (r *round) objective(j *jobstate.Job, s *jobstate.Step) (time.Time, int) {
@@ -191,7 +188,7 @@
 	switch {
 	case !end.After(deadline):
 		return deadline, 0
-	case !end.After(s.ReadyAt.Add(lateFactor * length)):
+	case !end.After(s.ReadyAt.Add(workload.LateFactor * length)):
 		return deadline, 1
 	}
 	return deadline, 2
