internal/ingress: bounds of what the clients of each listener can hold

Cause: bodies that are held open exceeded the memory and the descriptors of a process (internal/crowd). Change: each listener has a gate with a limit of connections; callers' bodies count against a budget, calls in progress against another, messages of instances against a third, all derived from MemoryMb and MaxFds. What is least likely to be served is closed or refused (503, nothing stored). Buffers grow with what has arrived; the deadline of the call bounds its body; writes have 5 s; the buffers of the system are 32 KB. The body reader yields after each read, because the decoding of small chunks took whole time slices of the one processor. Workers' connections leave 1,200 descriptors instead of 800. Answers and log lines quote at most 200 bytes of a host or path: up to 4,096 lines can be queued.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -79,6 +79,7 @@
 		Instance: s.Instance, CPUShare: s.CPUShare,
 		MaxLease: s.MaxLease, MaxListAge: s.DrainBound * 3 / 4, HeartbeatGap: s.Heartbeat * 5 / 2, GracePeriod: s.Grace, EndedRetention: s.KeepEnded,
 		Placement: placement.Options{FarFactor: s.FarFactor, StopTimeout: s.StopTimeout},
+		Ingress:   s.Ingress,
 		Link:      link.New(s.LinkMbps), Log: log, Metrics: registry,
 	}
 	options.Adapter = newAdapter(s, log, registry, options.Link)
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -52,6 +52,8 @@
 	UnknownRoute      Kind = "unknown_route"
 	SubmitUncertain   Kind = "submit_uncertain"
 	StateUnavailable  Kind = "state_unavailable"
+	Overloaded        Kind = "overloaded"
+	BodyIncomplete    Kind = "body_incomplete"
 	Internal          Kind = "internal"
 )
 
@@ -93,6 +95,8 @@
 	UnknownRoute:      {http.StatusNotFound, NotRun, false, "the configuration in force has no such route"},
 	SubmitUncertain:   {http.StatusGatewayTimeout, MayHaveRun, true, "the store did not confirm the submission; the same id may be sent again"},
 	StateUnavailable:  {http.StatusServiceUnavailable, MayHaveRun, true, "neither the owner nor the store could be asked in time"},
+	Overloaded:        {http.StatusServiceUnavailable, NotRun, true, "the instance holds as many requests as its memory allows"},
+	BodyIncomplete:    {http.StatusServiceUnavailable, NotRun, true, "the body did not arrive within the deadline of the call"},
 	Internal:          {http.StatusInternalServerError, MayHaveRun, false, "a fault in the system itself"},
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -102,6 +102,8 @@
 	ConfigUnreadable       ID = 513
 	PanicContained         ID = 515
 	ConnectionsBounded     ID = 516
+	CallerRefused          ID = 517
+	ConnectionClosed       ID = 518
 	ReadinessChanged       ID = 514
 )
 
@@ -205,6 +207,8 @@
 	ConfigInForce:          {"ConfigInForce", "configuration in force"},
 	ConfigUnreadable:       {"ConfigUnreadable", "configuration or upkeep wave cannot be decoded"},
 	ConnectionsBounded:     {"ConnectionsBounded", "limit of connections to workers reached"},
+	CallerRefused:          {"CallerRefused", "requests refused because resources are short or their bodies did not arrive"},
+	ConnectionClosed:       {"ConnectionClosed", "connections closed to free resources"},
 	PanicContained:         {"PanicContained", "panic recovered"},
 	ReadinessChanged:       {"ReadinessChanged", "readiness changed"},
 }
--- /dev/null
+++ b/internal/ingress/conn.go
@@ -0,0 +1,153 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+const (
+	// drainTime and drainBytes bound what is read from a client after a refusal, so that the refusal reaches a client that
+	// is still sending.
+	drainTime  = 300 * time.Millisecond
+	drainBytes = 1 << 20
+)
+
+// Conn is a connection of a Gate.
+type Conn struct {
+	net.Conn
+	gate *Gate
+
+	// gate.mu guards the fields below.
+	holder
+	closing bool // chosen to be closed or refused
+	aborted bool // closed by the gate
+	removed bool
+	raw     int64 // bytes read since the start of the request
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	if d := c.gate.limits.IdleTimeout; d > 0 {
+		if err := c.Conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.update(func() {
+			c.progressed = time.Now()
+			c.raw += int64(n)
+			if c.phase == phaseNew || c.phase == phaseIdle {
+				c.phase = phaseHeader
+			}
+		})
+		if c.gate.limits.CountReads {
+			if short := c.gate.grow(c, int64(n)); short != nil {
+				return 0, short
+			}
+		}
+	}
+	return n, err
+}
+
+// Write implements net.Conn. The time of each write is bounded.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.gate.limits.CountReads {
+		c.gate.release(c, -1)
+	}
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.gate.limits.WriteTimeout)); err != nil {
+		return 0, err
+	}
+	c.update(func() {
+		c.writing, c.progressed = true, time.Now()
+		if c.gate.limits.CountReads {
+			c.phase = phaseIdle
+		}
+	})
+	n, err := c.Conn.Write(p)
+	c.update(func() { c.writing, c.progressed = false, time.Now() })
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gate.report.closed(reasonWrite)
+	}
+	return n, err
+}
+
+// CloseWrite closes the sending side, which net/http does after a refusal.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. After a refusal it reads for a short time what the client still sends: closing a connection
+// with unread bytes could discard the refusal.
+func (c *Conn) Close() error {
+	var refused bool
+	c.update(func() { refused = c.phase == phaseRefused && !c.removed && !c.gate.closed })
+	if refused {
+		_ = c.CloseWrite()                                             // the connection is closed below in any case
+		_ = c.Conn.SetReadDeadline(time.Now().Add(drainTime))          // as above
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, drainBytes)) // as above
+	}
+	err := c.Conn.Close()
+	c.gate.remove(c)
+	return err
+}
+
+func (c *Conn) update(f func()) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	f()
+}
+
+// enter starts a phase. It does not leave phaseRefused.
+func (c *Conn) enter(p phase) {
+	c.update(func() {
+		if c.phase != phaseRefused {
+			c.phase = p
+		}
+	})
+}
+
+// abort closes a connection at once and discards what the system holds for it.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close() // its user closes it again
+}
+
+// limitBuffers sets the buffers of the system, which otherwise grow to some megabytes. Connections inherit those of the
+// listener, so that the limit holds before they are accepted.
+func limitBuffers(socket any) {
+	s, ok := socket.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { // without effect, the buffers are those of the system
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBuffer)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBuffer)
+	})
+}
+
+type connKey struct{}
+
+// ConnContext is a function for http.Server.ConnContext, which Handler and ReadBody need.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func connOf(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
--- /dev/null
+++ b/internal/ingress/evict.go
@@ -0,0 +1,88 @@
+package ingress
+
+import "time"
+
+const (
+	// stalledAfter is the time without a byte after which a request counts as stalled.
+	stalledAfter = 250 * time.Millisecond
+	// unusedAfter is the time after which a connection without a request can be closed for others, if the listener has a
+	// minimum. A client that has just connected sends its request within it.
+	unusedAfter = time.Second
+	// progressStep is the precision with which times without progress are compared. Within a step, the holder of more
+	// bytes is closed first.
+	progressStep = 250 * time.Millisecond
+	// rateGrace is the time before a body's rate is judged, and rateFactor is how much slower than its deadline requires a
+	// body may arrive.
+	rateGrace  = 500 * time.Millisecond
+	rateFactor = 8
+)
+
+// phase is what a connection does.
+type phase int32
+
+const (
+	phaseNew     phase = iota // accepted; no byte received
+	phaseHeader               // between the first byte of a request and the end of its header
+	phaseBody                 // a body is being received
+	phaseServing              // received completely, not answered
+	phaseIdle                 // answered; no byte of the next request
+	phaseRefused              // answered by a refusal, and about to be closed
+)
+
+// holder is the state of a connection as far as evictions depend on it.
+type holder struct {
+	phase      phase
+	writing    bool      // a write is blocked by the client
+	progressed time.Time // last byte received or sent
+	bytes      int64     // of the budget
+	// The body that is being received.
+	began, deadline time.Time
+	received        int64
+	announced       int64 // -1 if not known
+}
+
+// slow reports whether the body arrives at less than an eighth of the rate that its deadline requires. A caller inside its
+// deadline can be below it for a time, so the rate matters only when resources are short.
+func (h *holder) slow(now time.Time) bool {
+	elapsed, allowed := now.Sub(h.began), h.deadline.Sub(h.began)
+	if h.phase != phaseBody || elapsed < rateGrace || allowed <= 0 || h.announced <= 0 {
+		return false
+	}
+	return float64(h.received)*rateFactor < float64(h.announced)*float64(elapsed)/float64(allowed)
+}
+
+// rank returns the class of the holder; the highest is closed first. Negative: the holder is not closed for others.
+func (h *holder) rank(now time.Time, after time.Duration) int {
+	still := now.Sub(h.progressed)
+	if h.phase == phaseNew || h.phase == phaseIdle {
+		after = min(after, unusedAfter)
+	}
+	switch {
+	case still < after:
+		return -1
+	case h.phase == phaseRefused:
+		return 4
+	case h.writing && still >= stalledAfter:
+		return 3
+	case h.phase == phaseServing || h.writing:
+		return -1
+	case h.slow(now), h.phase != phaseIdle && still >= stalledAfter:
+		return 3
+	case h.phase == phaseIdle:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// worse reports whether a is less likely to be served than b, which has the same rank.
+func worse(a, b *holder, now time.Time) bool {
+	stillA, stillB := now.Sub(a.progressed)/progressStep, now.Sub(b.progressed)/progressStep
+	if stillA != stillB {
+		return stillA > stillB
+	}
+	if a.bytes != b.bytes {
+		return a.bytes > b.bytes
+	}
+	return a.progressed.Before(b.progressed)
+}
--- a/jobfront/filters.go
+++ b/jobfront/filters.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -113,13 +112,23 @@
 		c := request.(*call)
 		route, id, ok := c.config.Match(c.http.Host, c.http.URL.Path)
 		if !ok {
-			return nil, refuse(errkind.UnknownRoute, "no route for host %q and path %q", c.http.Host, c.http.URL.Path)
+			return nil, refuse(errkind.UnknownRoute, "no route for host %q and path %q", clip(c.http.Host), clip(c.http.URL.Path))
 		}
 		c.route, c.id = route, id
 		return next(ctx, request)
 	}
 }
 
+// maxQuoted bounds what an answer and its log line quote of a request. Thousands of log lines can be queued.
+const maxQuoted = 200
+
+func clip(text string) string {
+	if len(text) > maxQuoted {
+		return text[:maxQuoted] + "..."
+	}
+	return text
+}
+
 // authenticate maps the caller's key to a workspace. Only public routes accept unknown keys.
 func (s *Server) authenticate(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, request any) (any, error) {
@@ -156,11 +165,13 @@
 	if err := s.opts.Codec.CheckID(c.id); err != nil {
 		return nil, refuse(errkind.UnknownRoute, "%v", err)
 	}
-	body, err := readBody(c)
+	body, end, err := s.readBody(ctx, c)
 	if err != nil {
 		return nil, err
 	}
-	job, err := s.opts.Codec.DecodeJob(body)
+	defer end()
+	job, err := s.opts.Codec.DecodeJob(body.Bytes)
+	body.Release()
 	if err != nil {
 		return nil, refuse(errkind.BadRequest, "%v", err)
 	}
@@ -175,24 +186,6 @@
 	return &answer{}, nil
 }
 
-func readBody(c *call) ([]byte, error) {
-	limit := c.config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = math.MaxInt32
-	}
-	if c.http.ContentLength > limit {
-		return nil, refuse(errkind.BodyTooLarge, "body has %d bytes: must be at most %d", c.http.ContentLength, limit)
-	}
-	body, err := io.ReadAll(io.LimitReader(c.http.Body, limit+1))
-	if err != nil {
-		return nil, refuse(errkind.BadRequest, "body not read: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, refuse(errkind.BodyTooLarge, "body is above %d bytes", limit)
-	}
-	return body, nil
-}
-
 func (s *Server) query(ctx context.Context, request any) (any, error) {
 	c := request.(*call)
 	if c.id == "" {
@@ -239,6 +232,9 @@
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h["Retry-After"] = []string{strconv.Itoa(int(math.Ceil(s.retryAfter().Seconds())))}
 	}
+	if kind == errkind.Overloaded || kind == errkind.BodyIncomplete {
+		h["Connection"] = []string{"close"}
+	}
 	w.WriteHeader(status)
 	body := ErrorBody{Kind: kind, Message: err.Error(), RunState: errkind.AnswerOf(kind).RunState}
 	if err := json.NewEncoder(w).Encode(body); err != nil {
--- a/jobfront/jobfront.go
+++ b/jobfront/jobfront.go
@@ -15,6 +15,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
+	"github.com/cyclamenyard/cyclamenyard/internal/ingress"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
@@ -49,14 +50,17 @@
 	Config func() (*workload.Config, time.Time)
 	// StoreOutage returns for how long the store has not answered this instance; 0 if it does.
 	StoreOutage func() time.Duration
-	Guard       *contain.Guard // recovers from panics in calls; may be nil
-	Log         *zap.Logger
-	Metrics     metrics.Registry
+	// Ingress bounds what callers can hold; nil for no bounds.
+	Ingress *ingress.Gate
+	Guard   *contain.Guard // recovers from panics in calls; may be nil
+	Log     *zap.Logger
+	Metrics metrics.Registry
 }
 
 // Server is the HTTP handler of one instance.
 type Server struct {
 	opts     Options
+	ingress  *ingress.Gate
 	handlers map[string]http.Handler // by method
 	draining atomic.Bool
 	latency  map[string]metrics.Histogram
@@ -68,7 +72,10 @@
 const latencySamples = 512
 
 func New(o Options) *Server {
-	s := &Server{opts: o, handlers: map[string]http.Handler{}, latency: map[string]metrics.Histogram{},
+	if o.Ingress == nil {
+		o.Ingress = ingress.New(ingress.Options{Name: "unbounded", Log: o.Log, Metrics: metrics.NewRegistry()})
+	}
+	s := &Server{opts: o, ingress: o.Ingress, handlers: map[string]http.Handler{}, latency: map[string]metrics.Histogram{},
 		refused: metrics.GetOrRegisterCounter("front.refused", o.Metrics), answered: metrics.GetOrRegisterCounter("front.answered", o.Metrics)}
 	for method, final := range map[string]endpoint.Endpoint{
 		http.MethodPost: s.submit, http.MethodGet: s.query, http.MethodDelete: s.cancel,
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cyclamenyard/cyclamenyard/internal/contain"
+	"github.com/cyclamenyard/cyclamenyard/internal/ingress"
 	"github.com/cyclamenyard/cyclamenyard/internal/lag"
 	"github.com/cyclamenyard/cyclamenyard/internal/link"
 	"github.com/cyclamenyard/cyclamenyard/jobfront"
@@ -68,6 +69,7 @@
 	GracePeriod    time.Duration // from the signal to stop until the process is killed
 	EndedRetention time.Duration // retention of ended jobs
 	Placement      placement.Options
+	Ingress        ingress.Settings // bounds of what clients of the listeners can hold
 
 	Log     *zap.Logger
 	Metrics metrics.Registry
@@ -113,6 +115,7 @@
 	instanceMirror *metastore.Mirror
 	jobs           *jobservice.Service
 	front          *jobfront.Server
+	gates          gates
 	clients        *peer.Clients
 	term           atomic.Pointer[jobowner.Term]
 	previousTerm   atomic.Pointer[jobowner.Term] // the last term of this instance that has ended
@@ -123,7 +126,7 @@
 
 // New returns a node. Run starts it.
 func New(o Options) *Node {
-	n := &Node{opts: o, log: o.Log, guard: contain.New(o.Log, o.Metrics), clients: peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})}
+	n := &Node{opts: o, log: o.Log, gates: newGates(o), guard: contain.New(o.Log, o.Metrics), clients: peer.NewClients(peer.ClientOptions{Metrics: o.Metrics})}
 	n.store = metastore.NewMonitor(o.Adapter.Store)
 	n.store.AllowFor(n.callDelay)
 	n.operatorData = newOperatorData(n)
@@ -148,7 +151,7 @@
 		},
 		PeerClient: func(address string) relay.DRPCRelayClient { return relay.NewDRPCRelayClient(n.clients.Conn(address)) },
 	})
-	n.front = jobfront.New(jobfront.Options{Codec: o.Adapter.Codec, Jobs: n.jobs, Config: n.operatorData.confirmedConfig, StoreOutage: n.store.FailingFor, Guard: n.guard, Log: o.Log, Metrics: o.Metrics})
+	n.front = jobfront.New(jobfront.Options{Codec: o.Adapter.Codec, Jobs: n.jobs, Config: n.operatorData.confirmedConfig, StoreOutage: n.store.FailingFor, Ingress: n.gates.callers, Guard: n.guard, Log: o.Log, Metrics: o.Metrics})
 	return n
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -37,15 +37,17 @@
 // serve runs the HTTP servers until ctx ends, and then drains the callers' server, or until one fails.
 // It closes them all.
 func (n *Node) serve(ctx context.Context) error {
-	callers := &http.Server{Handler: n.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	ready := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	callers := newServer(n.gates.callers, n.front)
+	ready := newServer(n.gates.ready, n.readyHandler())
+	admin := newServer(n.gates.admin, n.adminHandler())
 	failed := make(chan error, 3)
 	var serving sync.WaitGroup
 	for _, s := range []struct {
 		server   *http.Server
 		listener net.Listener
-	}{{callers, n.opts.Callers}, {ready, n.opts.Ready}, {admin, n.opts.Admin}} {
+	}{
+		{callers, n.gates.callers.Listener(n.opts.Callers)}, {ready, n.gates.ready.Listener(n.opts.Ready)}, {admin, n.gates.admin.Listener(n.opts.Admin)},
+	} {
 		serving.Go(func() {
 			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
@@ -130,7 +132,7 @@
 		n.log.Error("creating the server for peer calls failed", zap.Error(err))
 		return
 	}
-	if err := server.Serve(ctx, n.opts.Peers); err != nil {
+	if err := server.Serve(ctx, n.gates.peers.Listener(n.opts.Peers)); err != nil {
 		n.log.Error("server for peer calls failed", zap.Error(err))
 	}
 }
