--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -195,16 +195,27 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		c.beginRequest(r)
+		// A connection whose requests were all sent in advance would otherwise be served for a whole time slice. While the
+		// request waits here, its connection can be closed for others.
+		c.enter(phaseReady)
+		runtime.Gosched()
+		if !c.beginRequest(r) {
+			return
+		}
 		defer c.endRequest()
 		next.ServeHTTP(w, r)
 	})
 }
 
-func (c *Conn) beginRequest(r *http.Request) {
+// beginRequest reports whether the connection is still open.
+func (c *Conn) beginRequest(r *http.Request) (open bool) {
 	c.update(func() {
+		open = !c.aborted
+		c.burst++
+		c.requests++
 		c.raw, c.received, c.announced = 0, 0, r.ContentLength
 		c.began = time.Now()
+		c.progressed = c.began
 		c.deadline = c.began.Add(c.gate.limits.BodyTime)
 		if c.phase == phaseRefused {
 			return
@@ -214,6 +225,7 @@
 			c.phase = phaseBody
 		}
 	})
+	return open
 }
 
 // endRequest releases what the request held, and bounds the time for a body that was not read.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -15,6 +15,8 @@
 	// is still sending.
 	drainTime  = 300 * time.Millisecond
 	drainBytes = 1 << 20
+	// waitedFor is the time of a read that has waited for the client.
+	waitedFor = 200 * time.Microsecond
 )
 
 // Conn is a connection of a Gate.
@@ -37,10 +39,14 @@
 			return 0, err
 		}
 	}
+	began := time.Now()
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.update(func() {
 			c.progressed = time.Now()
+			if c.progressed.Sub(began) > waitedFor {
+				c.burst = 0
+			}
 			c.raw += int64(n)
 			if c.phase == phaseNew || c.phase == phaseIdle {
 				c.phase = phaseHeader
--- a/internal/ingress/evict.go
+++ b/internal/ingress/evict.go
@@ -5,11 +5,20 @@
 const (
 	// stalledAfter is the time without a byte after which a request counts as stalled.
 	stalledAfter = 250 * time.Millisecond
-	// unusedAfter is the time after which a connection without a request can be closed for others, if the listener has a
-	// minimum. A client that has just connected sends its request within it.
+	// unusedAfter is the time after which a connection counts as stalled that has not sent the header of its first request.
+	// A busy client, or a busy instance, needs longer for it than for the rest.
 	unusedAfter = time.Second
-	// progressStep is the precision with which times without progress are compared. Within a step, the holder of more
-	// bytes is closed first.
+	// manyRequests is the number of requests without a wait for the client in between from which a connection is closed
+	// before others: clients that wait for their answers do not send as many.
+	manyRequests = 16
+	// minDwell is how long a new connection is kept at least, so that a client that connects among many others is served.
+	// It bounds how many connections are accepted when the limit is reached.
+	minDwell = 100 * time.Millisecond
+	// unreadAfter is the time of a blocked write after which a client with many requests on its connection does not read
+	// its answers. Other answers fit into the buffer of the system, or are long ones and need the time of the link.
+	unreadAfter = 20 * time.Millisecond
+	// progressStep is the precision with which times without progress are compared. Within a step, the one with
+	// more requests at once and then the holder of more bytes is closed first.
 	progressStep = 250 * time.Millisecond
 	// rateGrace is the time before a body's rate is judged, and rateFactor is how much slower than its deadline requires a
 	// body may arrive.
@@ -23,6 +32,7 @@
 const (
 	phaseNew     phase = iota // accepted; no byte received
 	phaseHeader               // between the first byte of a request and the end of its header
+	phaseReady                // the header was received; the call waits for the processor
 	phaseBody                 // a body is being received
 	phaseServing              // received completely, not answered
 	phaseIdle                 // answered; no byte of the next request
@@ -33,8 +43,11 @@
 type holder struct {
 	phase      phase
 	writing    bool      // a write is blocked by the client
-	progressed time.Time // last byte received or sent
+	progressed time.Time // last byte received or sent, or begin of the call
 	bytes      int64     // of the budget
+	accepted   time.Time
+	requests   int // on the connection
+	burst      int // requests since the client was last waited for
 	// The body that is being received.
 	began, deadline time.Time
 	received        int64
@@ -62,11 +75,19 @@
 		return -1
 	case h.phase == phaseRefused:
 		return 4
-	case h.writing && still >= stalledAfter:
+	case h.writing && (still >= stalledAfter || still >= unreadAfter && h.requests >= manyRequests):
 		return 3
 	case h.phase == phaseServing || h.writing:
 		return -1
-	case h.slow(now), h.phase != phaseIdle && still >= stalledAfter:
+	case h.burst >= manyRequests, h.slow(now):
+		return 3
+	case h.phase != phaseIdle && now.Sub(h.accepted) < minDwell:
+		return -1
+	case h.phase == phaseReady && h.requests == 0:
+		return -1
+	case (h.phase == phaseNew || h.phase == phaseHeader && h.requests == 0) && still < unusedAfter:
+		return 0
+	case h.phase != phaseIdle && h.phase != phaseReady && still >= stalledAfter:
 		return 3
 	case h.phase == phaseIdle:
 		return 2
@@ -81,6 +102,9 @@
 	if stillA != stillB {
 		return stillA > stillB
 	}
+	if a.burst != b.burst {
+		return a.burst > b.burst
+	}
 	if a.bytes != b.bytes {
 		return a.bytes > b.bytes
 	}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -17,6 +17,9 @@
 // reserveShare is the part of a bound that is kept free: connections for new clients, bytes for short requests.
 const reserveShare = 8
 
+// evictRetry is the time after which a listener at its limit looks again for a connection to close.
+const evictRetry = 10 * time.Millisecond
+
 // Reasons of refusals and of closed connections, in metrics and events.
 const (
 	reasonConnections = "connections"
@@ -112,11 +115,16 @@
 func (g *Gate) admit(inner net.Conn) (net.Conn, error) {
 	limitBuffers(inner)
 	c := &Conn{Conn: inner, gate: g, holder: holder{progressed: time.Now()}}
+	c.accepted = c.progressed
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	reserve := max(1, g.limits.Connections/reserveShare)
 	for {
-		if g.alive >= g.limits.Connections-g.limits.Connections/reserveShare {
-			g.evict(reasonConnections, nil, func(*Conn) bool { return true })
+		// The whole reserve is freed at once: each wait for a closed connection takes a round of all that use the processor.
+		if g.alive >= g.limits.Connections-reserve {
+			for range reserve {
+				g.evict(reasonConnections, nil, func(*Conn) bool { return true })
+			}
 		}
 		if len(g.conns) < g.limits.Connections {
 			break
@@ -125,7 +133,10 @@
 			_ = inner.Close() // the listener is closed too
 			return nil, net.ErrClosed
 		}
+		// A connection can become evictable by time alone.
+		retry := time.AfterFunc(evictRetry, g.freed.Broadcast)
 		g.freed.Wait()
+		retry.Stop()
 	}
 	g.conns[c] = struct{}{}
 	g.alive++
