runtimes: speeds of workers from all runs of a step, in the order in which they end

Cause: a run was compared with the mean of the runs of its step that had ended before. Runs outside the rack of their data are left out.

--- a/jobowner/runtimes.go
+++ b/jobowner/runtimes.go
@@ -103,16 +103,24 @@
 			zap.Float64("speed", l.speeds.Of(r.Worker.ID)), zap.Duration("declared", q.Declared), zap.Duration("expected", e.Median), zap.Duration("high", e.High),
 			zap.Duration("actual", nominal), zap.Float64("samples", e.Samples), zap.Bool("learned", e.Learned))
 	}
-	if !s.Spec.Gang {
-		far := 1.0
-		if s.Spec.DataRack != "" && r.Worker.Rack != s.Spec.DataRack {
-			far = l.farFactor
-		}
-		l.speeds.Observe(r.Worker.ID, s.Name(), e.Median, time.Duration(float64(work)/far))
-	}
+	l.observeSpeed(r, e, work)
 	l.model.Observe(runtimes.Sample{Query: q, Actual: nominal, Weight: weightOf(s)})
 }
 
+// observeSpeed learns the speed of the run's worker. Gangs are left out, because the progress of each member is that of the
+// slowest one, and runs outside the rack of their data, because FarFactor is only an estimate of what they lose.
+func (l *learner) observeSpeed(r *jobstate.Run, e runtimes.Expectation, work time.Duration) {
+	s := r.Task.Step
+	if s.Spec.Gang || s.Spec.DataRack != "" && r.Worker.Rack != s.Spec.DataRack {
+		return
+	}
+	expected := time.Duration(0)
+	if e.Learned {
+		expected = e.Median
+	}
+	l.speeds.Observe(r.Worker.ID, s.Name(), len(s.Tasks) == 1, expected, work)
+}
+
 func errorPercent(estimate, actual time.Duration) int64 {
 	return int64(min(math.Abs(float64(estimate-actual))/float64(actual)*100, maxErrorPercent))
 }
