runtimes: the limit of a workspace's share holds for steps with many tasks

Cause: shares below 0.01 were deleted each time the weights fell, so that samples of weight 1/230 never added up to one. Change: they are kept, and merged into the share of the others only when another workspace needs the place. Conclusion: TestShareOfManySmallSamplesIsLimited failed before.

--- a/runtimes/fit.go
+++ b/runtimes/fit.go
@@ -41,6 +41,8 @@
 	keepOnChange = 0.8
 	// maxSharers bounds the workspaces that a shared key tells apart; the others count as one.
 	maxSharers = 16
+	// leastShare is the weight, in jobs, below which a workspace gives up its place among these.
+	leastShare = 0.01
 )
 
 // line is a linear function of the logarithm of the declared run time.
@@ -179,10 +181,23 @@
 		*v *= d
 	}
 	for name := range f.shares {
-		if f.shares[name] *= d; f.shares[name] < 0.01 {
+		f.shares[name] *= d
+	}
+}
+
+// recycleShares makes room for another workspace. Shares below leastShare are merged into that of the others, and not
+// dropped: the weight of a task of a step with many tasks is as small.
+func (f *fit) recycleShares() {
+	merged := 0.0
+	for name, w := range f.shares {
+		if name != "" && w < leastShare {
 			delete(f.shares, name)
+			merged += w
 		}
 	}
+	if merged > 0 {
+		f.shares[""] += merged
+	}
 }
 
 // limitShare returns the factor by which a sample of the workspace counts in a shared key: not at all while its samples
@@ -190,7 +205,10 @@
 // far, however many jobs it sends.
 func (f *fit) limitShare(workspace string, weight float64, censored bool) float64 {
 	if _, known := f.shares[workspace]; !known && len(f.shares) >= maxSharers {
-		workspace = ""
+		f.recycleShares()
+		if len(f.shares) >= maxSharers {
+			workspace = ""
+		}
 	}
 	most := 0.0
 	for name, w := range f.shares {
--- a/runtimes/model_test.go
+++ b/runtimes/model_test.go
@@ -175,3 +175,21 @@
 		}
 	})
 }
+
+// A workspace sends jobs of 230 tasks, eight times as long as declared, beside three others. Guards against a limit that
+// the small weight of each task bypasses.
+func TestShareOfManySmallSamplesIsLimited(t *testing.T) {
+	for _, censored := range []bool{false, true} {
+		m := runtimes.NewModel()
+		for range 60 {
+			for _, name := range []string{"b", "c", "d"} {
+				observe(m, query(kinds[2], name, 6), 6*time.Second, 1)
+			}
+			for range 10 * 230 {
+				m.Observe(runtimes.Sample{Query: query(kinds[2], "false", 6), Actual: 48 * time.Second, Weight: 1.0 / 230, Censored: censored})
+			}
+		}
+		assert.InDelta(t, 6, m.Expect(query(kinds[2], "b", 6)).Median.Seconds(), 0.6, "censored %v", censored)
+		assert.Less(t, m.Expect(query(kinds[2], "new", 6)).Median, 12*time.Second, "censored %v", censored)
+	}
+}
