runtimes: censored runs have a limit; an implausible key of the summary is skipped

Cause: censored runs added weight to a key without limit and without being charged to their workspace. After 1,000 of them the key was implausible, and Restore rejected the whole summary because of it. Change: censored runs of a key weigh at most as much as the ended ones, and 8 jobs; they are charged to the share of their workspace. Restore leaves out implausible keys and counts them, and the owner logs the number.

--- a/jobowner/runtimes.go
+++ b/jobowner/runtimes.go
@@ -206,6 +206,8 @@
 	defer t.mu.Unlock()
 	if err := t.learner.model.Restore(item.Value); err != nil {
 		t.opts.Log.Warn("summary of run times not readable; starting without", zap.Int("bytes", len(item.Value)), zap.Error(err))
+	} else if n := t.learner.model.Skipped(); n > 0 {
+		t.opts.Log.Warn("implausible keys in the summary of run times left out", zap.Int("keys", n))
 	}
 	return true
 }
--- a/runtimes/fit.go
+++ b/runtimes/fit.go
@@ -34,6 +34,8 @@
 	// a shared key. What is beyond is left out; it ages the earlier samples with leastAgeing of its weight.
 	shareAllowance = 4
 	leastAgeing    = 0.1
+	// maxCensored bounds the weight of the censored runs of a key, in jobs; they also weigh no more than the ended ones.
+	maxCensored = 8
 	// driftRate is the share of a job in the recent mean of residuals, in spreads. From maxDrift on, which is 3.5 times
 	// the deviation of that mean, the work has changed, and earlier jobs lose weight with keepOnChange.
 	driftRate    = 0.15
@@ -136,6 +138,10 @@
 func (f *fit) raise(x, y, weight float64, above line) {
 	l := f.line(above)
 	residual := y - l.at(x)
+	weight = min(weight, min(maxCensored, f.Jobs)-(f.W-f.Jobs))
+	if weight <= 0 || residual <= 0 && y-x <= f.DeclaredHigh {
+		return
+	}
 	step := quantileStep * f.Spread * weight * highQuantile
 	if residual > f.LearnedHigh {
 		f.LearnedHigh = min(f.LearnedHigh+step, maxHigh)
@@ -143,12 +149,9 @@
 	if y-x > f.DeclaredHigh {
 		f.DeclaredHigh = min(f.DeclaredHigh+step, maxHigh)
 	}
-	if residual <= 0 || f.W <= 0 {
-		return
-	}
 	// At the mean of x a sample moves the offset and leaves the slope, so that no expectation falls.
 	mean := f.X / f.W
-	f.add(mean, l.at(mean)+min(residual, clipFactor*f.Spread), weight)
+	f.add(mean, l.at(mean)+min(max(residual, 0), clipFactor*f.Spread), weight)
 }
 
 func (f *fit) moveHigh(off, residual, weight float64) {
@@ -203,7 +206,7 @@
 // limitShare returns the factor by which a sample of the workspace counts in a shared key: not at all while its samples
 // outweigh those of each other workspace by shareAllowance. So one workspace bends the expectations of others only so
 // far, however many jobs it sends.
-func (f *fit) limitShare(workspace string, weight float64, censored bool) float64 {
+func (f *fit) limitShare(workspace string, weight float64) float64 {
 	if _, known := f.shares[workspace]; !known && len(f.shares) >= maxSharers {
 		f.recycleShares()
 		if len(f.shares) >= maxSharers {
@@ -217,11 +220,9 @@
 		}
 	}
 	factor := min(1, max(0, (most+shareAllowance-f.shares[workspace])/weight))
-	if !censored {
-		if f.shares == nil {
-			f.shares = map[string]float64{}
-		}
-		f.shares[workspace] += weight * factor
+	if f.shares == nil {
+		f.shares = map[string]float64{}
 	}
+	f.shares[workspace] += weight * factor
 	return factor
 }
