placement: decisions are the declared ones while nothing is learned

Cause: with leave, loss or straggler on, the rest of a run was estimated from the assumed quantile of twice the declared run time: a run counted as taking half of that even before the median had passed. Change: these uses apply only to steps whose run time is learned. Before the median the rest is the rest of the median.

--- a/placement/expectation.go
+++ b/placement/expectation.go
@@ -58,18 +58,21 @@
 }
 
 // expectation is the run time of a task at nominal speed in its preferred rack.
-type expectation struct{ median, high time.Duration }
+type expectation struct {
+	median, high time.Duration
+	learned      bool // the median is not the declared run time
+}
 
 // expected returns what to expect of the step's tasks: the declared run time if nothing else is known.
 func (r *round) expected(s *jobstate.Step) expectation {
 	if r.opts.RunTimes == nil || s.Spec.LongRunning {
-		return expectation{s.Spec.Estimate, s.Spec.Estimate}
+		return expectation{median: s.Spec.Estimate, high: s.Spec.Estimate}
 	}
 	if e, known := r.expectations[s]; known {
 		return e
 	}
 	learned := r.opts.RunTimes.Expect(RunTimeQuery(s))
-	e := expectation{learned.Median, learned.High}
+	e := expectation{learned.Median, learned.High, learned.Learned}
 	if r.expectations == nil {
 		r.expectations = map[*jobstate.Step]expectation{}
 	}
@@ -92,8 +95,14 @@
 	}
 }
 
-// remainingByExpectation returns the expected time to the end of a run whose rate is not known. A run beyond the
-// median is expected to end half-way to the high quantile, one beyond that to take half as long again.
+// learned reports whether a run time other than the declared one is known for the step's tasks and use is set. Decisions
+// stay as they are with declared run times otherwise.
+func (r *round) learned(s *jobstate.Step, use bool) bool {
+	return use && r.opts.RunTimes != nil && r.expected(s).learned
+}
+
+// remainingByExpectation returns the expected time to the end of a run whose rate is not known, from learned run times. A
+// run beyond the median is expected to end half-way to the high quantile, one beyond that to take half as long again.
 func (r *round) remainingByExpectation(run *jobstate.Run, elapsed time.Duration) time.Duration {
 	e := r.expected(run.Task.Step)
 	slowness := 1 / r.opts.RunTimes.Speed(run.Worker.ID)
@@ -104,16 +113,20 @@
 	if run.Resumed && run.Percent > 0 {
 		return time.Duration(max(0, 100-run.Percent) / 100 * float64(median))
 	}
-	if elapsed >= high {
+	switch {
+	case elapsed < median:
+		return median - elapsed
+	case elapsed < high:
+		return (high - elapsed) / 2
+	default:
 		return elapsed / 2
 	}
-	return max(median-elapsed, (high-elapsed)/2)
 }
 
 // endsBeforeStop reports whether the run is expected to end before a stop of it would have to be complete, so that
 // stopping it may gain no time and discards nearly all of its work.
 func (r *round) endsBeforeStop(run *jobstate.Run) bool {
-	if !r.opts.Uses.Loss || r.opts.RunTimes == nil || run.Phase != jobstate.Running || run.Task.Step.Spec.Checkpointing {
+	if !r.learned(run.Task.Step, r.opts.Uses.Loss) || run.Phase != jobstate.Running || run.Task.Step.Spec.Checkpointing {
 		return false
 	}
 	left, ok := run.Remaining(r.now)
@@ -126,7 +139,7 @@
 // isLongOnSlowWorker reports whether the run, of which no other run of its step tells the usual speed, would end sooner
 // on another worker: it is far beyond the high quantile, and its worker is slow for other steps too.
 func (r *round) isLongOnSlowWorker(run *jobstate.Run) bool {
-	if !r.opts.Uses.Straggler || r.opts.RunTimes == nil || run.Task.Step.Spec.Gang || run.Rate <= 0 || !inDataRack(run) {
+	if !r.learned(run.Task.Step, r.opts.Uses.Straggler) || run.Task.Step.Spec.Gang || run.Rate <= 0 || !inDataRack(run) {
 		return false
 	}
 	e := r.expected(run.Task.Step)
--- a/placement/expectation_test.go
+++ b/placement/expectation_test.go
@@ -110,6 +110,17 @@
 	}
 }
 
+// A run of 4 s, with a high quantile of twice that, has worked for 0.5 s when its worker announces that it leaves in 3.6 s.
+// Guards against a rest of half of the high quantile, 3.75 s, before the median has passed.
+func TestRestOfARunBeforeItsMedian(t *testing.T) {
+	w := newFixture(1, 1)
+	w.use(learned{median: map[string]time.Duration{"a": 4 * time.Second}, high: map[string]time.Duration{"a": 8 * time.Second}}, "leave")
+	w.submit(batch, "a", step(1, 1, time.Hour))
+	w.advance(500 * time.Millisecond)
+	w.announceLeave(w.c.SortedWorkers()[0], 3600*time.Millisecond)
+	assert.Empty(t, w.decide().Stops)
+}
+
 // A single task runs far beyond the high quantile. Guards against a task that works on to its end on a worker that is
 // slow for other steps too, and against the stop of a task that is long itself, on a worker of usual speed.
 func TestLongSingleTaskOnSlowWorker(t *testing.T) {
@@ -160,22 +171,66 @@
 	}
 }
 
-// Guards against learned run times that change decisions while they equal the declared ones, or a run of zero.
-func TestLearnedRunTimesThatEqualDeclaredOnes(t *testing.T) {
-	for _, estimate := range []time.Duration{0, 2 * time.Second, 365 * 24 * time.Hour} {
-		plain, with := newFixture(2, 2), newFixture(2, 2)
-		with.use(learned{}, "order,straggler,rack")
-		for _, w := range []*fixture{plain, with} {
-			w.submit(batch, "a", step(20, 1, estimate))
-			w.submit(draft, "b", gang(3, 4, estimate))
-			w.submit(urgent, "c", gang(2, 8, estimate))
+// exactRunTimes is a model that has seen runs of the given steps, which took the declared time up to the resolution of
+// the clock, and speeds of workers that it knows.
+type exactRunTimes struct {
+	*runtimes.Model
+	*runtimes.Speeds
+}
+
+func (e exactRunTimes) Speed(worker string) float64 { return e.Of(worker) }
+
+func newExactRunTimes(samples int, jobs ...*jobstate.Job) exactRunTimes {
+	e := exactRunTimes{runtimes.NewModel(), runtimes.NewSpeeds()}
+	for _, j := range jobs {
+		q := placement.RunTimeQuery(j.Occurrences[0].Steps[0])
+		for range samples {
+			e.Model.Observe(runtimes.Sample{Query: q, Actual: q.Declared, Weight: 1})
 		}
-		for range 5 {
-			a, b := plain.advance(time.Second), with.advance(time.Second)
-			assert.Equal(t, names(a.Starts), names(b.Starts))
-			assert.Equal(t, names(a.Stops), names(b.Stops))
+	}
+	return e
+}
+
+const allUses = "order,loss,leave,straggler,rack"
+
+// Guards against any use that changes a decision while nothing is learned, while what is learned equals the declared run
+// times, or for a declared run time of zero or a year: starts, stops for urgent steps, and runs on workers that leave.
+func TestLearnedRunTimesThatEqualDeclaredOnes(t *testing.T) {
+	stops := 0
+	for _, samples := range []int{0, 2, 30} {
+		for _, estimate := range []time.Duration{0, 2 * time.Second, 6 * time.Second, 365 * 24 * time.Hour} {
+			for _, notice := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second, time.Hour} {
+				plain, with := newFixture(2, 2), newFixture(2, 2)
+				plain.use(nil, "") // with the same time-out of stops
+				for _, w := range []*fixture{plain, with} {
+					near := step(4, 1, estimate)
+					near.DataRack = "r0"
+					jobs := []*jobstate.Job{w.submit(batch, "a", step(20, 1, estimate)), w.submit(draft, "b", gang(3, 4, estimate)),
+						w.submit(batch, "d", step(1, 1, estimate)), w.submit(batch, "e", near)}
+					if w == with {
+						w.use(newExactRunTimes(samples, jobs...), allUses)
+					}
+				}
+				for n := range 8 {
+					if n == 2 {
+						for _, w := range []*fixture{plain, with} {
+							w.announceLeave(w.c.SortedWorkers()[0], notice)
+						}
+					}
+					if n == 5 {
+						for _, w := range []*fixture{plain, with} {
+							w.submit(urgent, "c", gang(2, 8, estimate))
+						}
+					}
+					a, b := plain.advance(time.Second), with.advance(time.Second)
+					stops += len(a.Stops)
+					assert.Equal(t, names(a.Starts), names(b.Starts), "%d samples, %v, notice %v", samples, estimate, notice)
+					assert.Equal(t, names(a.Stops), names(b.Stops), "%d samples, %v, notice %v", samples, estimate, notice)
+				}
+			}
 		}
 	}
+	assert.GreaterOrEqual(t, stops, 12, "the scenarios have to stop runs")
 }
 
 func names(runs []*jobstate.Run) []string {
--- a/placement/leave.go
+++ b/placement/leave.go
@@ -52,7 +52,7 @@
 	if start.IsZero() {
 		start = run.PlannedAt
 	}
-	if r.opts.Uses.Leave && r.opts.RunTimes != nil {
+	if r.learned(run.Task.Step, r.opts.Uses.Leave) {
 		return r.remainingByExpectation(run, r.now.Sub(start))
 	}
 	return max(0, run.Task.Step.Spec.Estimate-r.now.Sub(start))
