runtimes: a declared run time that is off by less than a tenth is kept

Cause: for a declared run time of 5 s and runs of 5.001 s the expectation was 5.001 s and counted as learned: decisions changed by the resolution of the clock. Change: the declared run time is replaced only if it is off by a tenth or more in the mean. Conclusion: TestDeclaredRunTimeThatIsNearlyRightIsKept failed before.

--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -23,6 +23,9 @@
 	// learnedGain is the ratio of the error of the learned expectation to that of the declared one below which the
 	// learned one is used. Where both are about equal, decisions stay as they are.
 	learnedGain = 0.9
+	// minDeclaredError is the error of the declared run times below which they are kept: a decision does not gain from a
+	// tenth, and clocks have a resolution of a millisecond.
+	minDeclaredError = 0.1
 	// declaredHigh is the logarithm of the ratio of the 0.9 quantile to the declared run time before any run ended.
 	declaredHigh = 0.69
 )
@@ -176,7 +179,7 @@
 }
 
 func (f *fit) expect(declared time.Duration, y float64) Expectation {
-	if declared > 0 && f.LearnedError >= learnedGain*f.DeclaredError {
+	if declared > 0 && (f.DeclaredError < minDeclaredError || f.LearnedError >= learnedGain*f.DeclaredError) {
 		return Expectation{Median: declared, High: high(declared, f.DeclaredHigh), Samples: f.Jobs}
 	}
 	if declared > 0 {
--- a/runtimes/model_test.go
+++ b/runtimes/model_test.go
@@ -229,3 +229,19 @@
 		assert.Equal(t, string(good), string(after))
 	}
 }
+
+// Declared run times are right but for the resolution of the clock and a little noise. Guards against decisions that
+// change by a millisecond: the declared run time is kept exactly.
+func TestDeclaredRunTimeThatIsNearlyRightIsKept(t *testing.T) {
+	m := runtimes.NewModel()
+	q := query(kinds[0], "a", 5)
+	for range 50 {
+		observe(m, q, 5001*time.Millisecond, 1)
+	}
+	assert.Equal(t, 5*time.Second, m.Expect(q).Median)
+	assert.False(t, m.Expect(q).Learned)
+	observe(m, query(kinds[1], "a", 5), 5400*time.Millisecond, 50)
+	assert.False(t, m.Expect(query(kinds[1], "a", 5)).Learned)
+	observe(m, query(kinds[2], "a", 5), 6*time.Second, 50)
+	assert.True(t, m.Expect(query(kinds[2], "a", 5)).Learned)
+}
