jobowner: runs that are lost with their lease count as censored

Cause: runs that ended because their worker left, restarted, was silent beyond its lease or did not report them any more bypassed the learner. Change: each of these ends passes the learner first; the members of a gang on the worker count once. Conclusion: TestRunsLostWithTheirLeaseCountAsCensored failed before.

--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -16,7 +16,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	w := t.cluster.EnsureWorker(e.Worker.ID, e.Incarnation, now)
+	w := t.ensureWorker(e.Worker.ID, e.Incarnation, now)
 	if w.Incarnation != e.Incarnation {
 		return // entry of an earlier incarnation
 	}
@@ -143,6 +143,7 @@
 		}
 		if len(w.Runs) > 0 && now.After(w.LeaseEnds) && t.hasOrderedRuns(w) {
 			events.Warn(t.opts.Log, events.WorkerLeaseExpired, zap.String("worker", w.ID), zap.Int("runs", len(w.Runs)))
+			t.learner.observeLost(w, now)
 			t.cluster.ExpireRuns(w, now)
 			w.Answered = false
 			if a := t.agents[w.ID]; a != nil {
@@ -215,6 +216,7 @@
 	}
 	delete(t.unlistedSince, w)
 	delete(t.entries, w.ID)
+	t.learner.observeLost(w, now)
 	t.cluster.RemoveWorker(w, now)
 	t.wakeLoop()
 }
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -79,7 +79,7 @@
 	if incarnation < w.Incarnation {
 		return // a late report of an earlier incarnation
 	}
-	next := t.cluster.EnsureWorker(w.ID, incarnation, now)
+	next := t.ensureWorker(w.ID, incarnation, now)
 	next.Address, next.Service, next.DataCentre, next.Rack = w.Address, w.Service, w.DataCentre, w.Rack
 	next.Labels, next.Capacity = w.Labels, w.Capacity
 	events.Info(t.opts.Log, events.WorkerIncarnationEnded, zap.String("worker", w.ID), zap.Int64("life", w.Incarnation), zap.Int("runs", len(w.Runs)),
@@ -191,6 +191,7 @@
 func (t *Term) endAbsent(r *jobstate.Run, outcome jobstate.End, now time.Time) {
 	events.Info(t.opts.Log, events.RunAbsent, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number),
 		zap.String("worker", r.Worker.ID), zap.String("taken_for", string(outcome)))
+	t.learner.observe(r, outcome, 0, now, t.opts.Log)
 	t.cluster.End(r, outcome, "", now)
 }
 
--- a/jobowner/runtimes.go
+++ b/jobowner/runtimes.go
@@ -88,6 +88,28 @@
 	}
 }
 
+// observeLost learns from the runs of a worker that are about to end with its lease: they have worked at least until its
+// newest report. It is called before their end is applied to the state.
+func (l *learner) observeLost(w *jobstate.Worker, now time.Time) {
+	gangs := map[*jobstate.Step]bool{}
+	for r := range w.Runs {
+		s := r.Task.Step
+		if r.Phase == jobstate.Planned || gangs[s] {
+			continue
+		}
+		gangs[s] = s.Spec.Gang // counts once
+		l.observe(r, jobstate.EndLeaseExpired, 0, now, zap.NewNop())
+	}
+}
+
+// ensureWorker returns the newest incarnation of the worker, and learns from the runs that end with an older one.
+func (t *Term) ensureWorker(id string, incarnation int64, now time.Time) *jobstate.Worker {
+	if w := t.cluster.Workers[id]; w != nil && incarnation > w.Incarnation {
+		t.learner.observeLost(w, now)
+	}
+	return t.cluster.EnsureWorker(id, incarnation, now)
+}
+
 func (l *learner) observeDone(r *jobstate.Run, q runtimes.Query, work, nominal time.Duration, now time.Time, log *zap.Logger) {
 	s := r.Task.Step
 	e := l.model.Expect(q)
--- a/jobowner/runtimes_test.go
+++ b/jobowner/runtimes_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -192,3 +193,26 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// A worker is cut off, and its runs end with its lease. Guards against runs that are lost without a trace in what is
+// learned: a single task counts as one that did not end, and so does a gang, once.
+func TestRunsLostWithTheirLeaseCountAsCensored(t *testing.T) {
+	for name, step := range map[string]workload.Step{"task": tasks(1, 1), "gang": gang(4, 1)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem()
+				defer s.stop()
+				s.uses = placement.Uses{Order: true}
+				s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+				s.addWorker("w0", 0)
+				c := s.start("a")
+				time.Sleep(time.Second)
+				s.submit("job", "urgent", step)
+				time.Sleep(4 * time.Second)
+				s.isolateWorker("w0")
+				time.Sleep(30 * time.Second)
+				assert.EqualValues(t, 1, metrics.GetOrRegisterCounter("owner.run_time_censored", c.metrics).Count())
+			})
+		})
+	}
+}
