runtimes: bound of keys per workspace; the summary is encoded without the owner's lock

Cause: one workspace with many shapes evicted what was known of all others, from the model and the summary. Each number of accelerators had a key of its own. Conclusion: TestOneWorkspaceDoesNotEvictOthers and TestShapesWithSimilarAcceleratorsShareAKey failed without the bound and without the powers of two.

--- a/jobowner/runtimes.go
+++ b/jobowner/runtimes.go
@@ -257,14 +257,23 @@
 	return len(raw)
 }
 
-// runTimesSummary returns the summary, or nil if the stored one is up to date.
+// runTimesSummary returns the summary, or nil if the stored one is up to date. Only the copy of the model is made under
+// the lock: encoding takes milliseconds.
 func (t *Term) runTimesSummary() (raw []byte, changes uint64, err error) {
+	summary, changes, changed := t.copyRunTimes()
+	if !changed {
+		return nil, changes, nil
+	}
+	raw, err = summary.Encode()
+	return raw, changes, err
+}
+
+func (t *Term) copyRunTimes() (summary runtimes.Summary, changes uint64, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changes = t.learner.model.Changes()
 	if changes == t.learner.stored {
-		return nil, changes, nil
+		return runtimes.Summary{}, changes, false
 	}
-	raw, err = t.learner.model.Snapshot()
-	return raw, changes, err
+	return t.learner.model.Summary(), changes, true
 }
--- a/runtimes/fit.go
+++ b/runtimes/fit.go
@@ -68,6 +68,7 @@
 	drift             float64            // recent mean of the residuals, in spreads
 	shares            map[string]float64 // weight by workspace, in a shared key
 	used              uint64
+	owner             string // workspace that the key counts for; empty for a route
 	lastAbove, cached line
 	valid             bool
 }
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -12,6 +12,9 @@
 	// maxKeys bounds the number of keys of a model. At 630 workers a handful of routes with some shapes each are in
 	// use; the rest is for workspaces.
 	maxKeys = 512
+	// maxWorkspaceKeys bounds the keys of a model that one workspace causes, so that many shapes of its steps do not evict
+	// what is known of other workspaces.
+	maxWorkspaceKeys = 32
 	// minRunTime and maxRunTime bound what the model takes in and gives out.
 	minRunTime = time.Millisecond
 	maxRunTime = 365 * 24 * time.Hour
@@ -81,12 +84,12 @@
 	}
 }
 
-// class returns the shape with the number of tasks, the cores and the memory as powers of two: shapes that differ by
+// class returns the shape with the number of tasks, cores, memory and accelerators as powers of two: shapes that differ by
 // less do not keep apart what is learned, and cannot be sent in any number.
 func (s Shape) class() Shape {
 	power := func(n int) int { return bits.Len(uint(max(n, 0))) }
 	return Shape{Tasks: power(s.Tasks), Gang: s.Gang, Demand: workload.Resources{
-		MilliCPU: power(s.Demand.MilliCPU), MemoryMB: power(s.Demand.MemoryMB), Accelerators: s.Demand.Accelerators}}
+		MilliCPU: power(s.Demand.MilliCPU), MemoryMB: power(s.Demand.MemoryMB), Accelerators: power(s.Demand.Accelerators)}}
 }
 
 // x returns the predictor: the logarithm of the declared run time in seconds, or 0 without one.
@@ -137,7 +140,11 @@
 	above := s.prior()
 	levels := s.levels()
 	for n := range levels {
-		f := m.fit(levels[n], s.Censored)
+		owner := s.Workspace
+		if n == 0 {
+			owner = ""
+		}
+		f := m.fit(levels[n], owner, s.Censored)
 		if f == nil {
 			return // a run that has not ended creates no key
 		}
@@ -198,21 +205,38 @@
 	return time.Duration(min(float64(median)*math.Exp(quantile), float64(2*maxRunTime)))
 }
 
-// fit returns the fit of the key. It adds one, and evicts the least recently used if there are too many, unless
-// existing is set.
-func (m *Model) fit(k key, existing bool) *fit {
+// fit returns the fit of the key. Unless existing is set, it adds one that counts for the workspace owner, and evicts the
+// least recently used one of this workspace or of all if there are too many.
+func (m *Model) fit(k key, owner string, existing bool) *fit {
 	f := m.keys[k]
 	if f != nil || existing {
 		m.touch(f)
 		return f
 	}
+	if owner != "" {
+		m.evictOf(owner)
+	}
 	evictOldest(m.keys, maxKeys, func(f *fit) uint64 { return f.used })
 	f = newFit()
+	f.owner = owner
 	m.keys[k] = f
 	m.touch(f)
 	return f
 }
 
+// evictOf removes the least recently used key of the workspace if it has maxWorkspaceKeys.
+func (m *Model) evictOf(owner string) {
+	own := map[key]*fit{}
+	for k, f := range m.keys {
+		if f.owner == owner {
+			own[k] = f
+		}
+	}
+	if len(own) >= maxWorkspaceKeys {
+		delete(m.keys, oldest(own, func(f *fit) uint64 { return f.used }))
+	}
+}
+
 func (m *Model) touch(f *fit) {
 	if f == nil {
 		return
--- a/runtimes/model_test.go
+++ b/runtimes/model_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cyclamenyard/cyclamenyard/runtimes"
+	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
 func observe(m *runtimes.Model, q runtimes.Query, actual time.Duration, times int) {
@@ -245,3 +246,63 @@
 	observe(m, query(kinds[2], "a", 5), 6*time.Second, 50)
 	assert.True(t, m.Expect(query(kinds[2], "a", 5)).Learned)
 }
+
+// One workspace sends 2,000 shapes of steps after three others have sent theirs. Guards against knowledge of the others
+// that it evicts, in memory, in the summary and, because keys count for their workspace, after a restart.
+func TestOneWorkspaceDoesNotEvictOthers(t *testing.T) {
+	m := runtimes.NewModel()
+	others := []string{"b", "c", "d"}
+	for _, name := range others {
+		observe(m, query(kinds[2], name, 6), 12*time.Second, 20)
+	}
+	flood := func() {
+		for n := range 2000 {
+			q := query(kinds[2], "many", 6)
+			q.Shape.Tasks, q.Shape.Demand = 1<<(n%20), workload.Resources{MilliCPU: 1 << (n / 20 % 20), MemoryMB: 1 << (n / 400), Accelerators: n % 9}
+			observe(m, q, 6*time.Second, 1)
+		}
+	}
+	check := func() {
+		for _, name := range others {
+			e := m.Expect(query(kinds[2], name, 6))
+			assert.InDelta(t, 12, e.Median.Seconds(), 1.5, name)
+			assert.True(t, e.Learned)
+		}
+		assert.Less(t, m.Keys(), 50)
+	}
+	flood()
+	check()
+	raw, err := m.Snapshot()
+	require.NoError(t, err)
+	m = runtimes.NewModel()
+	require.NoError(t, m.Restore(raw))
+	check()
+	flood()
+	check()
+}
+
+// Guards against a model of its own for each number of accelerators.
+func TestShapesWithSimilarAcceleratorsShareAKey(t *testing.T) {
+	m := runtimes.NewModel()
+	q := query(kinds[0], "a", 5)
+	observe(m, q, 20*time.Second, 20)
+	q.Shape.Demand.Accelerators = kinds[0].accelerators + 1
+	assert.InDelta(t, 20, m.Expect(q).Samples, 6)
+	assert.Equal(t, 3, m.Keys())
+	observe(m, q, 20*time.Second, 1)
+	assert.Equal(t, 3, m.Keys())
+}
+
+// The model changes between the copy and its encoding. Guards against an encoder that reads the model, which it must not do
+// without the owner's lock.
+func TestSummaryIsIndependentOfTheModel(t *testing.T) {
+	m := runtimes.NewModel()
+	newLoad(1, 0.9).run(m, 50, 4)
+	want, err := m.Snapshot()
+	require.NoError(t, err)
+	summary := m.Summary()
+	newLoad(2, 0.9).run(m, 50, 4)
+	got, err := summary.Encode()
+	require.NoError(t, err)
+	assert.Equal(t, string(want), string(got))
+}
--- a/runtimes/speeds.go
+++ b/runtimes/speeds.go
@@ -257,12 +257,17 @@
 	if len(entries) < limit {
 		return
 	}
-	var oldest K
+	delete(entries, oldest(entries, used))
+}
+
+// oldest returns the key of the entry that was used least recently.
+func oldest[K comparable, V any](entries map[K]V, used func(V) uint64) K {
+	var first K
 	least := uint64(math.MaxUint64)
 	for k, v := range entries {
 		if used(v) < least {
-			oldest, least = k, used(v)
+			first, least = k, used(v)
 		}
 	}
-	delete(entries, oldest)
+	return first
 }
