jobowner: numbered events for summaries of run times; event 255 only while a use is on

Cause: event 255 was written also where no decision relies on learned run times, and the other lines had no number. Change: event 255 needs a use. Event 256 says what is wrong with a summary, at most once a minute while the store fails; a missing summary is not logged. Conclusion: TestSummaryIsWrittenSeldom and TestUnreadableSummary failed before.

--- a/events/events.go
+++ b/events/events.go
@@ -93,6 +93,7 @@
 	UpkeepOrdered          ID = 251
 	WaveCompleted          ID = 252
 	RunTimeObserved        ID = 255
+	RunTimesNotKept        ID = 256
 	OwnerSeen              ID = 420
 	OwnershipNotWon        ID = 421
 	OwnershipUnconfirmed   ID = 422
@@ -198,6 +199,7 @@
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
 	WaveCompleted:          {"WaveCompleted", "upkeep wave completed"},
 	RunTimeObserved:        {"RunTimeObserved", "run time beside its expectation"},
+	RunTimesNotKept:        {"RunTimesNotKept", "summary of run times not read or stored"},
 	OwnerSeen:              {"OwnerSeen", "owner changed"},
 	OwnershipNotWon:        {"OwnershipTried", "ownership not won"},
 	OwnershipUnconfirmed:   {"OwnershipUnconfirmed", "ownership not confirmed by the store"},
--- a/jobowner/runtimes.go
+++ b/jobowner/runtimes.go
@@ -30,17 +30,21 @@
 	runTimesRate = 1 << 10
 	// runTimeLogs is how many ended runs a second are logged with what was expected of them.
 	runTimeLogs = 2
+	// failureLogInterval is the least time between two log lines about a summary that cannot be read or stored.
+	failureLogInterval = time.Minute
 	// maxErrorPercent bounds the values of the histograms of errors.
 	maxErrorPercent = 10_000
 )
 
 // learner learns run times and the speed of workers from ended runs. Its methods need the lock of the term.
 type learner struct {
-	model     *runtimes.Model
-	speeds    *runtimes.Speeds
-	farFactor float64
-	logs      *rate.Limiter
-	stored    uint64 // Changes of the model in the newest summary that was stored
+	model       *runtimes.Model
+	speeds      *runtimes.Speeds
+	farFactor   float64
+	inUse       bool // a decision relies on learned run times
+	logs        *rate.Limiter
+	failureLogs *rate.Limiter
+	stored      uint64 // Changes of the model in the newest summary that was stored
 
 	declaredError metrics.Histogram // percent of the actual run time
 	learnedError  metrics.Histogram
@@ -48,8 +52,9 @@
 	censored      metrics.Counter
 }
 
-func newLearner(farFactor float64, registry metrics.Registry) *learner {
-	return &learner{model: runtimes.NewModel(), speeds: runtimes.NewSpeeds(), farFactor: max(1, farFactor), logs: rate.NewLimiter(runTimeLogs, runTimeLogs),
+func newLearner(farFactor float64, inUse bool, registry metrics.Registry) *learner {
+	return &learner{model: runtimes.NewModel(), speeds: runtimes.NewSpeeds(), farFactor: max(1, farFactor), inUse: inUse,
+		logs: rate.NewLimiter(runTimeLogs, runTimeLogs), failureLogs: rate.NewLimiter(rate.Every(failureLogInterval), 1),
 		declaredError: histogram("owner.run_time_declared_error_percent", registry),
 		learnedError:  histogram("owner.run_time_learned_error_percent", registry),
 		samples:       metrics.GetOrRegisterCounter("owner.run_time_samples", registry),
@@ -120,7 +125,7 @@
 	if e.Median > 0 {
 		l.learnedError.Update(errorPercent(e.Median, nominal))
 	}
-	if l.logs.AllowN(now, 1) {
+	if l.inUse && l.logs.AllowN(now, 1) {
 		events.Info(log, events.RunTimeObserved, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number), zap.String("worker", r.Worker.ID),
 			zap.Float64("speed", l.speeds.Of(r.Worker.ID)), zap.Duration("declared", q.Declared), zap.Duration("expected", e.Median), zap.Duration("high", e.High),
 			zap.Duration("actual", nominal), zap.Float64("samples", e.Samples), zap.Bool("learned", e.Learned))
@@ -217,19 +222,18 @@
 	defer cancel()
 	item, err := t.opts.Store.Get(call, RunTimesKey)
 	if errors.Is(err, metastore.ErrNotFound) {
-		t.opts.Log.Info("no summary of run times; starting without")
 		return true
 	}
 	if err != nil {
-		t.opts.Log.Debug("summary of run times not read", zap.Error(err))
+		t.logSummaryFailure("not read", err)
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.learner.model.Restore(item.Value); err != nil {
-		t.opts.Log.Warn("summary of run times not readable; starting without", zap.Int("bytes", len(item.Value)), zap.Error(err))
+		events.Warn(t.opts.Log, events.RunTimesNotKept, zap.String("what", "not readable"), zap.Int("bytes", len(item.Value)), zap.Error(err))
 	} else if n := t.learner.model.Skipped(); n > 0 {
-		t.opts.Log.Warn("implausible keys in the summary of run times left out", zap.Int("keys", n))
+		events.Warn(t.opts.Log, events.RunTimesNotKept, zap.String("what", "implausible keys left out"), zap.Int("keys", n))
 	}
 	return true
 }
@@ -238,7 +242,7 @@
 func (t *Term) storeRunTimes(ctx context.Context) int {
 	raw, changes, err := t.runTimesSummary()
 	if err != nil {
-		t.opts.Log.Error("cannot encode the summary of run times", zap.Error(err))
+		t.logSummaryFailure("not encoded", err)
 		return 0
 	}
 	if raw == nil {
@@ -248,7 +252,7 @@
 	defer cancel()
 	_, err = t.opts.Store.Commit(call, metastore.Txn{If: []metastore.Condition{t.opts.Fence}, Puts: []metastore.Put{{Key: RunTimesKey, Value: raw}}})
 	if err != nil {
-		t.opts.Log.Debug("summary of run times not stored", zap.Error(err))
+		t.logSummaryFailure("not stored", err)
 		return len(raw)
 	}
 	t.mu.Lock()
@@ -257,6 +261,13 @@
 	return len(raw)
 }
 
+// logSummaryFailure logs a failure that may recur each runTimesInterval while the store does not answer.
+func (t *Term) logSummaryFailure(what string, err error) {
+	if t.learner.failureLogs.AllowN(time.Now(), 1) {
+		events.Warn(t.opts.Log, events.RunTimesNotKept, zap.String("what", what), zap.Error(err))
+	}
+}
+
 // runTimesSummary returns the summary, or nil if the stored one is up to date. Only the copy of the model is made under
 // the lock: encoding takes milliseconds.
 func (t *Term) runTimesSummary() (raw []byte, changes uint64, err error) {
--- a/jobowner/runtimes_test.go
+++ b/jobowner/runtimes_test.go
@@ -83,7 +83,7 @@
 }
 
 // Guards against more than one write of the summary in 5 s while jobs end all the time, against writes while nothing
-// ends, against any when learned run times have no use, and against a log line for each run that ends.
+// ends, against any write or log line when learned run times have no use, and against a log line for each run that ends.
 func TestSummaryIsWrittenSeldom(t *testing.T) {
 	for _, uses := range []placement.Uses{{}, {Rack: true}} {
 		synctest.Test(t, func(t *testing.T) {
@@ -111,6 +111,7 @@
 			}
 			if !uses.Any() {
 				assert.Empty(t, written)
+				assert.Zero(t, lines.FilterField(events.Field(events.RunTimeObserved)).Len())
 				return
 			}
 			require.GreaterOrEqual(t, len(written), 2)
@@ -145,7 +146,9 @@
 		s := newSystem()
 		defer s.stop()
 		s.uses = placement.Uses{Order: true, Loss: true, Leave: true, Straggler: true, Rack: true}
-		s.store.Put(jobowner.RunTimesKey, []byte(`{"Version":1,"Keys":[{`))
+		core, lines := observer.New(zap.InfoLevel)
+		s.log = zap.New(core)
+		s.store.Put(jobowner.RunTimesKey, []byte(`{"Version":2,"Keys":[{`))
 		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Second, jobstate.EndDone }
 		s.addWorker("w0", 0)
 		s.start("a")
@@ -155,6 +158,7 @@
 		e, ok := s.expected(t, "batch", tasks(1, 1))
 		require.True(t, ok)
 		assert.Greater(t, e.Samples, 3.0)
+		assert.Equal(t, 1, lines.FilterField(events.Field(events.RunTimesNotKept)).Len())
 		s.requireNoViolations(t)
 	})
 }
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -175,7 +175,7 @@
 
 // New returns a term. Run starts it.
 func New(o Options) *Term {
-	l := newLearner(o.Placement.FarFactor, o.Metrics)
+	l := newLearner(o.Placement.FarFactor, o.Placement.Uses.Any(), o.Metrics)
 	if o.Placement.RunTimes == nil && o.Placement.Uses.Any() {
 		o.Placement.RunTimes = l
 	}
