--- a/runtimes/bench_test.go
+++ b/runtimes/bench_test.go
@@ -27,3 +27,13 @@
 		}
 	})
 }
+
+// Measures the end of a run of a step with 230 tasks, all of which are compared again.
+func BenchmarkSpeedsObserve(b *testing.B) {
+	s, workers := runtimes.NewSpeeds(), fleet(230, 1)
+	n := 0
+	for b.Loop() {
+		s.Observe(workers[n%len(workers)].id, fmt.Sprint(n/len(workers)), false, 0, time.Duration(n%97+300)*time.Millisecond)
+		n++
+	}
+}
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -92,8 +92,8 @@
 		MilliCPU: power(s.Demand.MilliCPU), MemoryMB: power(s.Demand.MemoryMB), Accelerators: power(s.Demand.Accelerators)}}
 }
 
-// x returns the predictor: the logarithm of the declared run time in seconds, or 0 without one.
-func (q *Query) x() float64 {
+// predictor returns the independent variable of the regression: the logarithm of the declared run time in seconds, or 0 without one.
+func (q *Query) predictor() float64 {
 	if q.Declared <= 0 {
 		return 0
 	}
@@ -136,7 +136,7 @@
 		return
 	}
 	m.changes++
-	x, y, weight := s.x(), logSeconds(s.Actual), min(s.Weight, 1)
+	x, y, weight := s.predictor(), logSeconds(s.Actual), min(s.Weight, 1)
 	above := s.prior()
 	levels := s.levels()
 	for n := range levels {
@@ -167,7 +167,7 @@
 
 // Expect returns what to expect of a task: from the most specific key with enough ended jobs, or the declared run time.
 func (m *Model) Expect(q Query) Expectation {
-	x := q.x()
+	x := q.predictor()
 	declared := Expectation{Median: max(0, q.Declared), High: high(max(0, q.Declared), declaredHigh)}
 	above := q.prior()
 	result := declared
--- a/runtimes/model_test.go
+++ b/runtimes/model_test.go
@@ -64,9 +64,9 @@
 		for _, name := range []string{"b", "c", "d"} {
 			observe(m, query(kinds[2], name, 6), 6*time.Second, 1)
 		}
-		observe(m, query(kinds[2], "liar", 6), 48*time.Second, 10)
+		observe(m, query(kinds[2], "false", 6), 48*time.Second, 10)
 	}
-	assert.InDelta(t, 48, m.Expect(query(kinds[2], "liar", 6)).Median.Seconds(), 10)
+	assert.InDelta(t, 48, m.Expect(query(kinds[2], "false", 6)).Median.Seconds(), 10)
 	assert.InDelta(t, 6, m.Expect(query(kinds[2], "b", 6)).Median.Seconds(), 0.6)
 	assert.Less(t, m.Expect(query(kinds[2], "new", 6)).Median, 12*time.Second)
 }
