--- a/events/events.go
+++ b/events/events.go
@@ -95,6 +95,7 @@
 	WorkspaceAtCap         ID = 253
 	RunTimeObserved        ID = 255
 	WorkspaceOverloaded    ID = 254
+	RunTimesNotKept        ID = 256
 	OwnerSeen              ID = 420
 	OwnershipNotWon        ID = 421
 	OwnershipUnconfirmed   ID = 422
@@ -204,6 +205,7 @@
 	WorkspaceAtCap:         {"WorkspaceAtCap", "workspace began or ceased to wait for its cap"},
 	RunTimeObserved:        {"RunTimeObserved", "run time beside its expectation"},
 	WorkspaceOverloaded:    {"WorkspaceOverloaded", "workspace began or ceased to be overloaded"},
+	RunTimesNotKept:        {"RunTimesNotKept", "summary of run times not read or stored"},
 	OwnerSeen:              {"OwnerSeen", "owner changed"},
 	OwnershipNotWon:        {"OwnershipTried", "ownership not won"},
 	OwnershipUnconfirmed:   {"OwnershipUnconfirmed", "ownership not confirmed by the store"},
--- a/jobowner/runtimes.go
+++ b/jobowner/runtimes.go
@@ -30,17 +30,21 @@
 	runTimesRate = 1 << 10
 	// runTimeLogs is how many ended runs a second are logged with what was expected of them.
 	runTimeLogs = 2
+	// failureLogInterval is the least time between two log lines about a summary that cannot be read or stored.
+	failureLogInterval = time.Minute
 	// maxErrorPercent bounds the values of the histograms of errors.
 	maxErrorPercent = 10_000
 )
 
 // learner learns run times and the speed of workers from ended runs. Its methods need the lock of the term.
 type learner struct {
-	model     *runtimes.Model
-	speeds    *runtimes.Speeds
-	farFactor float64
-	logs      *rate.Limiter
-	stored    uint64 // Changes of the model in the newest summary that was stored
+	model       *runtimes.Model
+	speeds      *runtimes.Speeds
+	farFactor   float64
+	inUse       bool // a decision relies on learned run times
+	logs        *rate.Limiter
+	failureLogs *rate.Limiter
+	stored      uint64 // Changes of the model in the newest summary that was stored
 
 	declaredError metrics.Histogram // percent of the actual run time
 	learnedError  metrics.Histogram
@@ -48,8 +52,9 @@
 	censored      metrics.Counter
 }
 
-func newLearner(farFactor float64, registry metrics.Registry) *learner {
-	return &learner{model: runtimes.NewModel(), speeds: runtimes.NewSpeeds(), farFactor: max(1, farFactor), logs: rate.NewLimiter(runTimeLogs, runTimeLogs),
+func newLearner(farFactor float64, inUse bool, registry metrics.Registry) *learner {
+	return &learner{model: runtimes.NewModel(), speeds: runtimes.NewSpeeds(), farFactor: max(1, farFactor), inUse: inUse,
+		logs: rate.NewLimiter(runTimeLogs, runTimeLogs), failureLogs: rate.NewLimiter(rate.Every(failureLogInterval), 1),
 		declaredError: histogram("owner.run_time_declared_error_percent", registry),
 		learnedError:  histogram("owner.run_time_learned_error_percent", registry),
 		samples:       metrics.GetOrRegisterCounter("owner.run_time_samples", registry),
@@ -88,6 +93,28 @@
 	}
 }
 
+// observeLost learns from the runs of a worker that are about to end with its lease: they have worked at least until its
+// newest report. It is called before their end is applied to the state.
+func (l *learner) observeLost(w *jobstate.Worker, now time.Time) {
+	gangs := map[*jobstate.Step]bool{}
+	for r := range w.Runs {
+		s := r.Task.Step
+		if r.Phase == jobstate.Planned || gangs[s] {
+			continue
+		}
+		gangs[s] = s.Spec.Gang // counts once
+		l.observe(r, jobstate.EndLeaseExpired, 0, now, zap.NewNop())
+	}
+}
+
+// ensureWorker returns the newest incarnation of the worker, and learns from the runs that end with an older one.
+func (t *Term) ensureWorker(id string, incarnation int64, now time.Time) *jobstate.Worker {
+	if w := t.cluster.Workers[id]; w != nil && incarnation > w.Incarnation {
+		t.learner.observeLost(w, now)
+	}
+	return t.cluster.EnsureWorker(id, incarnation, now)
+}
+
 func (l *learner) observeDone(r *jobstate.Run, q runtimes.Query, work, nominal time.Duration, now time.Time, log *zap.Logger) {
 	s := r.Task.Step
 	e := l.model.Expect(q)
@@ -98,21 +125,29 @@
 	if e.Median > 0 {
 		l.learnedError.Update(errorPercent(e.Median, nominal))
 	}
-	if l.logs.AllowN(now, 1) {
+	if l.inUse && l.logs.AllowN(now, 1) {
 		events.Info(log, events.RunTimeObserved, zap.Stringer("task", r.Task.Name()), zap.Int("run", r.Number), zap.String("worker", r.Worker.ID),
 			zap.Float64("speed", l.speeds.Of(r.Worker.ID)), zap.Duration("declared", q.Declared), zap.Duration("expected", e.Median), zap.Duration("high", e.High),
 			zap.Duration("actual", nominal), zap.Float64("samples", e.Samples), zap.Bool("learned", e.Learned))
 	}
-	if !s.Spec.Gang {
-		far := 1.0
-		if s.Spec.DataRack != "" && r.Worker.Rack != s.Spec.DataRack {
-			far = l.farFactor
-		}
-		l.speeds.Observe(r.Worker.ID, s.Name(), e.Median, time.Duration(float64(work)/far))
-	}
+	l.observeSpeed(r, e, work)
 	l.model.Observe(runtimes.Sample{Query: q, Actual: nominal, Weight: weightOf(s)})
 }
 
+// observeSpeed learns the speed of the run's worker. Gangs are left out, because the progress of each member is that of the
+// slowest one, and runs outside the rack of their data, because FarFactor is only an estimate of what they lose.
+func (l *learner) observeSpeed(r *jobstate.Run, e runtimes.Expectation, work time.Duration) {
+	s := r.Task.Step
+	if s.Spec.Gang || s.Spec.DataRack != "" && r.Worker.Rack != s.Spec.DataRack {
+		return
+	}
+	expected := time.Duration(0)
+	if e.Learned {
+		expected = e.Median
+	}
+	l.speeds.Observe(r.Worker.ID, s.Name(), len(s.Tasks) == 1, expected, work)
+}
+
 func errorPercent(estimate, actual time.Duration) int64 {
 	return int64(min(math.Abs(float64(estimate-actual))/float64(actual)*100, maxErrorPercent))
 }
@@ -187,17 +222,18 @@
 	defer cancel()
 	item, err := t.opts.Store.Get(call, RunTimesKey)
 	if errors.Is(err, metastore.ErrNotFound) {
-		t.opts.Log.Info("no summary of run times; starting without")
 		return true
 	}
 	if err != nil {
-		t.opts.Log.Debug("summary of run times not read", zap.Error(err))
+		t.logSummaryFailure("not read", err)
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.learner.model.Restore(item.Value); err != nil {
-		t.opts.Log.Warn("summary of run times not readable; starting without", zap.Int("bytes", len(item.Value)), zap.Error(err))
+		events.Warn(t.opts.Log, events.RunTimesNotKept, zap.String("what", "not readable"), zap.Int("bytes", len(item.Value)), zap.Error(err))
+	} else if n := t.learner.model.Skipped(); n > 0 {
+		events.Warn(t.opts.Log, events.RunTimesNotKept, zap.String("what", "implausible keys left out"), zap.Int("keys", n))
 	}
 	return true
 }
@@ -206,7 +242,7 @@
 func (t *Term) storeRunTimes(ctx context.Context) int {
 	raw, changes, err := t.runTimesSummary()
 	if err != nil {
-		t.opts.Log.Error("cannot encode the summary of run times", zap.Error(err))
+		t.logSummaryFailure("not encoded", err)
 		return 0
 	}
 	if raw == nil {
@@ -216,7 +252,7 @@
 	defer cancel()
 	_, err = t.opts.Store.Commit(call, metastore.Txn{If: []metastore.Condition{t.opts.Fence}, Puts: []metastore.Put{{Key: RunTimesKey, Value: raw}}})
 	if err != nil {
-		t.opts.Log.Debug("summary of run times not stored", zap.Error(err))
+		t.logSummaryFailure("not stored", err)
 		return len(raw)
 	}
 	t.mu.Lock()
@@ -225,14 +261,30 @@
 	return len(raw)
 }
 
-// runTimesSummary returns the summary, or nil if the stored one is up to date.
+// logSummaryFailure logs a failure that may recur each runTimesInterval while the store does not answer.
+func (t *Term) logSummaryFailure(what string, err error) {
+	if t.learner.failureLogs.AllowN(time.Now(), 1) {
+		events.Warn(t.opts.Log, events.RunTimesNotKept, zap.String("what", what), zap.Error(err))
+	}
+}
+
+// runTimesSummary returns the summary, or nil if the stored one is up to date. Only the copy of the model is made under
+// the lock: encoding takes milliseconds.
 func (t *Term) runTimesSummary() (raw []byte, changes uint64, err error) {
+	summary, changes, changed := t.copyRunTimes()
+	if !changed {
+		return nil, changes, nil
+	}
+	raw, err = summary.Encode()
+	return raw, changes, err
+}
+
+func (t *Term) copyRunTimes() (summary runtimes.Summary, changes uint64, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changes = t.learner.model.Changes()
 	if changes == t.learner.stored {
-		return nil, changes, nil
+		return runtimes.Summary{}, changes, false
 	}
-	raw, err = t.learner.model.Snapshot()
-	return raw, changes, err
+	return t.learner.model.Summary(), changes, true
 }
--- a/runtimes/fit.go
+++ b/runtimes/fit.go
@@ -34,6 +34,8 @@
 	// a shared key. What is beyond is left out; it ages the earlier samples with leastAgeing of its weight.
 	shareAllowance = 4
 	leastAgeing    = 0.1
+	// maxCensored bounds the weight of the censored runs of a key, in jobs; they also weigh no more than the ended ones.
+	maxCensored = 8
 	// driftRate is the share of a job in the recent mean of residuals, in spreads. From maxDrift on, which is 3.5 times
 	// the deviation of that mean, the work has changed, and earlier jobs lose weight with keepOnChange.
 	driftRate    = 0.15
@@ -41,6 +43,8 @@
 	keepOnChange = 0.8
 	// maxSharers bounds the workspaces that a shared key tells apart; the others count as one.
 	maxSharers = 16
+	// leastShare is the weight, in jobs, below which a workspace gives up its place among these.
+	leastShare = 0.01
 )
 
 // line is a linear function of the logarithm of the declared run time.
@@ -64,6 +68,7 @@
 	drift             float64            // recent mean of the residuals, in spreads
 	shares            map[string]float64 // weight by workspace, in a shared key
 	used              uint64
+	owner             string // workspace that the key counts for; empty for a route
 	lastAbove, cached line
 	valid             bool
 }
@@ -134,6 +139,10 @@
 func (f *fit) raise(x, y, weight float64, above line) {
 	l := f.line(above)
 	residual := y - l.at(x)
+	weight = min(weight, min(maxCensored, f.Jobs)-(f.W-f.Jobs))
+	if weight <= 0 || residual <= 0 && y-x <= f.DeclaredHigh {
+		return
+	}
 	step := quantileStep * f.Spread * weight * highQuantile
 	if residual > f.LearnedHigh {
 		f.LearnedHigh = min(f.LearnedHigh+step, maxHigh)
@@ -141,12 +150,9 @@
 	if y-x > f.DeclaredHigh {
 		f.DeclaredHigh = min(f.DeclaredHigh+step, maxHigh)
 	}
-	if residual <= 0 || f.W <= 0 {
-		return
-	}
 	// At the mean of x a sample moves the offset and leaves the slope, so that no expectation falls.
 	mean := f.X / f.W
-	f.add(mean, l.at(mean)+min(residual, clipFactor*f.Spread), weight)
+	f.add(mean, l.at(mean)+min(max(residual, 0), clipFactor*f.Spread), weight)
 }
 
 func (f *fit) moveHigh(off, residual, weight float64) {
@@ -179,18 +185,34 @@
 		*v *= d
 	}
 	for name := range f.shares {
-		if f.shares[name] *= d; f.shares[name] < 0.01 {
+		f.shares[name] *= d
+	}
+}
+
+// recycleShares makes room for another workspace. Shares below leastShare are merged into that of the others, and not
+// dropped: the weight of a task of a step with many tasks is as small.
+func (f *fit) recycleShares() {
+	merged := 0.0
+	for name, w := range f.shares {
+		if name != "" && w < leastShare {
 			delete(f.shares, name)
+			merged += w
 		}
 	}
+	if merged > 0 {
+		f.shares[""] += merged
+	}
 }
 
 // limitShare returns the factor by which a sample of the workspace counts in a shared key: not at all while its samples
 // outweigh those of each other workspace by shareAllowance. So one workspace bends the expectations of others only so
 // far, however many jobs it sends.
-func (f *fit) limitShare(workspace string, weight float64, censored bool) float64 {
+func (f *fit) limitShare(workspace string, weight float64) float64 {
 	if _, known := f.shares[workspace]; !known && len(f.shares) >= maxSharers {
-		workspace = ""
+		f.recycleShares()
+		if len(f.shares) >= maxSharers {
+			workspace = ""
+		}
 	}
 	most := 0.0
 	for name, w := range f.shares {
@@ -199,11 +221,9 @@
 		}
 	}
 	factor := min(1, max(0, (most+shareAllowance-f.shares[workspace])/weight))
-	if !censored {
-		if f.shares == nil {
-			f.shares = map[string]float64{}
-		}
-		f.shares[workspace] += weight * factor
+	if f.shares == nil {
+		f.shares = map[string]float64{}
 	}
+	f.shares[workspace] += weight * factor
 	return factor
 }
