placement: room is kept for gangs where stops are slow

Single tasks take each part of the room that a gang waits for, urgent runs break workers that only they can break, and runs outside their rack hold workers three times as long. Where a stop takes up to 0.9 s, room by preemption comes late. Change: with a StopTimeout of 0.5 s or more, tasks are packed on workers of which runs that cannot be preempted for them use the most; single tasks do not take the room of more urgent gangs that wait; a unit waits for its rack for as long as its objective allows while others lack room.

--- a/placement/fit.go
+++ b/placement/fit.go
@@ -41,11 +41,18 @@
 	return false
 }
 
-// rackWait returns how long the unit waits for its preferred rack.
+// rackWait returns how long the unit waits for its preferred rack. Outside it the unit would hold its resources
+// FarFactor times as long. Where room is kept and other units wait for it, the unit waits for as long as it can still
+// meet its objective in the rack.
 func (r *round) rackWait(u *unit) time.Duration {
-	wait := rackWaitShare * float64(u.deadline.Sub(u.step.ReadyAt))
-	saved := (r.opts.FarFactor - 1) * float64(r.runTime(u.step, r.opts.Uses.Rack))
-	return time.Duration(min(wait, saved))
+	objective := u.deadline.Sub(u.step.ReadyAt)
+	expected := r.runTime(u.step, r.opts.Uses.Rack)
+	saved := time.Duration((r.opts.FarFactor - 1) * float64(expected))
+	wait := min(time.Duration(rackWaitShare*float64(objective)), saved)
+	if !r.keepsRoom() || !r.contended {
+		return wait
+	}
+	return max(wait, min(saved, objective-expected))
 }
 
 // fitGang assigns all waiting tasks of the gang to workers. It returns nil and the reason if they have to
@@ -97,6 +104,7 @@
 	}
 	var best []slot
 	leastFree := 0
+	claimed := r.claimedBy(u.priority)
 	for _, k := range racks {
 		slots, ok := r.pack(u, k.workers)
 		if !ok {
@@ -104,6 +112,10 @@
 		}
 		free := 0
 		for _, w := range k.workers {
+			if claimed != nil {
+				free += r.unclaimed(w, claimed)
+				continue
+			}
 			free += r.free(w).Accelerators
 		}
 		if best == nil || free < leastFree {
@@ -163,26 +175,30 @@
 	if !r.allFit(u, workers) {
 		return nil, false
 	}
-	return packInto(u.step, workers, len(u.waiting), r.free)
+	return r.packInto(u, workers, len(u.waiting), r.free)
 }
 
-// packInto assigns the number of tasks of the step to the workers, whose free resources room returns.
-func packInto(s *jobstate.Step, workers []*jobstate.Worker, need int, room func(*jobstate.Worker) workload.Resources) ([]slot, bool) {
+// packInto assigns the number of tasks of the unit to the workers, whose free resources room returns. Workers of which
+// runs that the unit may not preempt already use the most come first.
+func (r *round) packInto(u *unit, workers []*jobstate.Worker, need int, room func(*jobstate.Worker) workload.Resources) ([]slot, bool) {
 	type candidate struct {
 		slot
-		left workload.Resources
+		left      workload.Resources
+		unclaimed int // percent
 	}
+	claimed := r.claimedBy(u.priority)
 	candidates := make([]candidate, 0, len(workers))
 	for _, w := range workers {
 		free := room(w)
-		n := countIn(s, free, present(s, w))
+		n := countIn(u.step, free, present(u.step, w))
 		if n == 0 {
 			continue
 		}
-		candidates = append(candidates, candidate{slot{w, n}, free})
+		candidates = append(candidates, candidate{slot{w, n}, free, r.unclaimed(w, claimed)})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
+			cmp.Compare(a.unclaimed, b.unclaimed),
 			cmp.Compare(a.left.Accelerators, b.left.Accelerators),
 			cmp.Compare(a.left.MilliCPU, b.left.MilliCPU),
 			cmp.Compare(a.worker.ID, b.worker.ID),
@@ -208,13 +224,18 @@
 	preferred := preferredRack(u.step)
 	anyRack := preferred == "" || r.acceptsOtherRack(u)
 	var best *jobstate.Worker
-	var bestKey [4]int
+	var bestKey [5]int
+	claimed := r.claimedBy(u.priority)
 	wait := jobstate.WaitNoRoom
 	for _, w := range workers {
 		free := r.free(w)
 		if !allocation.Fits(free) || countIn(u.step, free, present(u.step, w)) == 0 {
 			continue
 		}
+		if r.breaksRoom(u, w, free) {
+			wait = jobstate.WaitReservations
+			continue
+		}
 		outside := 0
 		if preferred != "" && w.Rack != preferred {
 			if !anyRack {
@@ -227,7 +248,7 @@
 		if t.FailedOn == w.ID {
 			failed = 1
 		}
-		key := [4]int{failed, outside, free.Accelerators, free.MilliCPU}
+		key := [5]int{failed, outside, r.unclaimed(w, claimed), free.Accelerators, free.MilliCPU}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = w, key
 		}
--- a/placement/overdue.go
+++ b/placement/overdue.go
@@ -187,7 +187,7 @@
 		}
 	}
 	for _, group := range append(groups, workers) {
-		if slots, ok := packInto(u.step, group, tasks, room); ok {
+		if slots, ok := r.packInto(u, group, tasks, room); ok {
 			return slots, true
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,6 +53,8 @@
 	urgentUse   float64 // accelerators used by urgent jobs: peak with exponential decay
 	urgentUseAt time.Time
 
+	contended bool // units lacked room in the last decision
+
 	recent  *fairshare.Recent    // use by workspaces with a weight; nil before the first
 	started map[string]time.Time // when such a workspace with waiting units last started a run, or began to wait
 }
@@ -89,6 +91,9 @@
 	preemptibleOn map[*jobstate.Worker][]victim  // cache of the results of preemptible
 	expectations  map[*jobstate.Step]expectation // cache of the results of expected
 
+	claimed   map[int]map[*jobstate.Worker]workload.Resources // cache of claimedBy
+	protected []protectedShape                                // of gangs that wait for room
+
 	freeAccelerators int
 	reservations     int // non-urgent steps with reserved resources
 
@@ -106,6 +111,7 @@
 	r.stopOnLeaving()
 	units := r.units(workspace)
 	if len(units) == 0 {
+		p.contended = false
 		return r.plan
 	}
 	r.workers, r.available = map[string][]*jobstate.Worker{}, map[string][]*jobstate.Worker{}
@@ -127,6 +133,7 @@
 		}
 		n++
 	}
+	p.contended = slices.ContainsFunc(units, func(u unit) bool { return u.step.Waiting() > 0 && u.step.WaitReason.Scarcity() })
 	return r.plan
 }
 
@@ -317,6 +324,7 @@
 	if r.startOverdue(u) {
 		return jobstate.WaitUndecided
 	}
+	r.protect(u)
 	if !leavesHeadroom {
 		return wait
 	}
@@ -367,6 +375,7 @@
 
 func (r *round) start(u *unit, t *jobstate.Task, w *jobstate.Worker, number int) {
 	run := r.c.Place(t, w, number, r.now)
+	r.addClaim(u, w)
 	run.OnAvoided = !r.c.Accepts(w, r.now)
 	r.plan.Starts = append(r.plan.Starts, run)
 	r.freeAccelerators -= u.step.Spec.Demand.Accelerators
