--- a/runtimes/speeds.go
+++ b/runtimes/speeds.go
@@ -34,12 +34,13 @@
 	maxLevelOff = 0.3
 	// minLevelWeight is the weight of runs from which a worker counts in the mean speed.
 	minLevelWeight = 2
-	// maxWorkers, maxPeerSteps and maxStepRuns bound what is kept: twice the workers of a service, the steps that end at
-	// the same time, and the runs of a step that are compared: at
-	// most 5 MB. A step with more runs is compared in parts.
+	// maxWorkers, maxPeerSteps, maxPeerRuns and maxStepRuns bound what is kept: twice the workers of a service, the steps
+	// that are compared and their runs (3 MB), 15 times what runs at the same time, and those of one step. A step with more runs
+	// is compared in parts, which loses some of the difference between workers.
 	maxWorkers   = 1300
-	maxPeerSteps = 256
-	maxStepRuns  = 256
+	maxPeerSteps = 512
+	maxPeerRuns  = 1 << 15
+	maxStepRuns  = 1024
 )
 
 // Speeds estimates the speed of workers relative to each other from their runs. All runs of a step are compared with
@@ -48,6 +49,7 @@
 type Speeds struct {
 	workers  map[string]*workerSpeed
 	steps    map[string]*stepRuns
+	kept     int // runs of all steps
 	use      uint64
 	loneMean mean
 	level    float64 // mean of the logarithms of the speeds of workers, which counts as nominal speed
@@ -106,6 +108,12 @@
 	return &Speeds{workers: map[string]*workerSpeed{}, steps: map[string]*stepRuns{}}
 }
 
+// Workers returns the number of workers of which anything is known.
+func (s *Speeds) Workers() int { return len(s.workers) }
+
+// Runs returns the number of runs that are kept for comparisons.
+func (s *Speeds) Runs() int { return s.kept }
+
 // Of returns the speed of the worker, from MinSpeed to MaxSpeed; 1 if nothing is known.
 func (s *Speeds) Of(worker string) float64 {
 	w := s.workers[worker]
@@ -129,10 +137,15 @@
 	}
 	w.runs++
 	w.peers.decay(speedKeep)
+	for s.kept >= maxPeerRuns {
+		s.evictStep()
+	}
 	runs := s.step(step)
 	if len(runs.runs) >= maxStepRuns {
+		s.kept -= len(runs.runs)
 		runs.runs = nil
 	}
+	s.kept++
 	runs.runs = append(runs.runs, &peerRun{worker: w, took: logSeconds(actual), index: w.runs})
 	runs.compare(s.level)
 	s.updateLevel()
@@ -233,7 +246,9 @@
 func (s *Speeds) step(name string) *stepRuns {
 	p := s.steps[name]
 	if p == nil {
-		evictOldest(s.steps, maxPeerSteps, func(p *stepRuns) uint64 { return p.used })
+		if len(s.steps) >= maxPeerSteps {
+			s.evictStep()
+		}
 		p = &stepRuns{}
 		s.steps[name] = p
 	}
@@ -241,6 +256,13 @@
 	return p
 }
 
+// evictStep removes the least recently used step.
+func (s *Speeds) evictStep() {
+	name := oldest(s.steps, func(p *stepRuns) uint64 { return p.used })
+	s.kept -= len(s.steps[name].runs)
+	delete(s.steps, name)
+}
+
 func (s *Speeds) worker(id string) *workerSpeed {
 	w := s.workers[id]
 	if w == nil {
--- a/runtimes/speeds_test.go
+++ b/runtimes/speeds_test.go
@@ -133,3 +133,25 @@
 	}
 	assert.InDelta(t, 1.0, runtimes.NewSpeeds().Of("unknown"), 0)
 }
+
+// Guards against memory that grows with the number of workers, of steps and of their runs, and against differences that are
+// lost because a step has many tasks.
+func TestSpeedsOfManyWorkersAndRuns(t *testing.T) {
+	s := runtimes.NewSpeeds()
+	for n := range 5000 {
+		s.Observe(fmt.Sprint("w", n%3000), fmt.Sprint("small", n), false, 0, time.Second)
+	}
+	assert.LessOrEqual(t, s.Workers(), 1300)
+	assert.LessOrEqual(t, s.Runs(), 512)
+	for n := range 40_000 {
+		s.Observe("w1", fmt.Sprint("large", n/100), false, 0, time.Second)
+	}
+	assert.LessOrEqual(t, s.Runs(), 1<<15)
+	workers := fleet(200, 0.8, 1, 1.25)
+	runSteps(s, newLoad(1, 0), workers, 0, 10)
+	slow, _ := meanSpeed(s, workers, 0.8)
+	fast, _ := meanSpeed(s, workers, 1.25)
+	t.Logf("%.3f, %.3f", slow, fast)
+	assert.InDelta(t, 0.8, slow, 0.07)
+	assert.InDelta(t, 1.25, fast, 0.07)
+}
