admission: count only work that placement orders before a new job

Cause: the backlog was modelled first-in-first-out, while placement orders by lateness class and deadline. Work that is already too late comes after every new job, but counted as ahead of it. Change: the objective of a step is computed in jobstate for placement and admission alike. Waiting work of the new job's priority counts only if it is not too late and due before the first step of a new job of the shortest objective.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -38,6 +38,9 @@
 	Demand   workload.Resources // of all tasks together
 	Time     time.Duration      // expected from now, or from its start, to the end of each of them
 	Running  bool
+	// Of waiting tasks: when placement wants them to end, from now, and whether that has become useless.
+	Deadline time.Duration
+	TooLate  bool
 }
 
 // Load is what a workspace runs and waits for. Work without an expected end is left out of Work.
@@ -93,6 +96,7 @@
 	overloaded map[int]bool
 	accepted   []time.Time // of the newest jobs, in the order of their arrival, as many as it is owed in owedWindow
 	estimates  estimates
+	ahead      []Work // memory for the result of Load.ahead
 }
 
 func NewMonitor() *Monitor { return &Monitor{workspaces: map[string]*workspace{}} }
@@ -227,7 +231,8 @@
 	var changes []Change
 	for _, p := range l.priorities(w.overloaded) {
 		rate := w.rate(s, l, p, weights, now)
-		wait := expectedWait(l.Work, p, rate)
+		w.ahead = l.ahead(w.ahead[:0], p)
+		wait := expectedWait(w.ahead, p, rate)
 		w.waits = append(w.waits, Overload{Workspace: l.Name, Priority: p, Wait: wait})
 		limit, known := l.Limits[p]
 		begins := known && float64(wait) > enterFactor*float64(limit)
@@ -235,7 +240,7 @@
 		if over := begins || continues; over != w.overloaded[p] {
 			w.setOverloaded(p, over)
 			changes = append(changes, Change{Overload: Overload{Workspace: l.Name, Priority: p, Wait: wait}, Begins: over,
-				Backlog: l.backlog(p), Rate: rate.resources(), Cap: l.Cap, Weight: l.Weight})
+				Backlog: demand(w.ahead), Rate: rate.resources(), Cap: l.Cap, Weight: l.Weight})
 		}
 	}
 	return changes
@@ -271,13 +276,25 @@
 	return slices.Compact(list)
 }
 
-// backlog returns the demand of the tasks up to the priority.
-func (l *Load) backlog(priority int) (sum workload.Resources) {
+// ahead appends the work that placement orders before the first step of a new job of the priority: all that runs or is
+// more urgent, and of that priority what is not too late and has an earlier deadline. The new job is one with the
+// shortest objective of the open jobs; a longer one only has more ahead of it.
+func (l *Load) ahead(list []Work, priority int) []Work {
+	limit, known := l.Limits[priority]
 	for _, k := range l.Work {
-		if k.Priority <= priority {
-			sum = sum.Add(k.Demand)
+		behind := !k.Running && k.Priority == priority && (k.TooLate || known && k.Deadline > limit/workload.LateFactor)
+		if k.Priority <= priority && !behind {
+			list = append(list, k)
 		}
 	}
+	return list
+}
+
+// demand returns the demand of all the work.
+func demand(work []Work) (sum workload.Resources) {
+	for _, k := range work {
+		sum = sum.Add(k.Demand)
+	}
 	return sum
 }
 
--- a/jobowner/admission.go
+++ b/jobowner/admission.go
@@ -190,12 +190,25 @@
 		for _, s := range o.Steps {
 			if n := s.Waiting(); n > 0 && s.Spec.FitsCap(load.Cap) {
 				load.Waits = load.Waits || !s.ReadyAt.IsZero()
-				l.addWork(load, s, admission.Work{Time: l.monitor.Expected(load.Name, s.Spec.Estimate)}, n)
+				l.addWork(load, s, l.waiting(load, s), n)
 			}
 		}
 	}
 }
 
+// waiting returns the work of a task of the step that waits. A step that waits for others is ready now at the earliest.
+func (l *loads) waiting(load *admission.Load, s *jobstate.Step) admission.Work {
+	readyAt, runTime := s.ReadyAt, s.OrderTime
+	if readyAt.IsZero() {
+		readyAt = l.now
+	}
+	if runTime == 0 {
+		runTime = s.Spec.Estimate
+	}
+	deadline, lateness := s.Occurrence.Job.Objective(readyAt, runTime, l.now)
+	return admission.Work{Time: l.monitor.Expected(load.Name, s.Spec.Estimate), Deadline: deadline.Sub(l.now), TooLate: lateness == jobstate.TooLate}
+}
+
 // addRun adds a run. Without a measured rate, its end is expected by its estimate.
 func (l *loads) addRun(r *jobstate.Run) {
 	s := r.Task.Step
@@ -205,14 +218,18 @@
 	if !load.Limited || j.State.Ended() || r.Task.Done {
 		return
 	}
+	if r.Phase == jobstate.Stopping { // the task runs again
+		l.addWork(load, s, l.waiting(load, s), 1)
+		return
+	}
 	left, measured := r.Remaining(l.now)
-	if !measured || r.Phase == jobstate.Stopping { // a stopped task runs again
+	if !measured {
 		left = l.monitor.Expected(load.Name, s.Spec.Estimate)
-		if r.Phase != jobstate.Stopping && !r.StartedAt.IsZero() {
+		if !r.StartedAt.IsZero() {
 			left = max(0, left-l.now.Sub(r.StartedAt))
 		}
 	}
-	l.addWork(load, s, admission.Work{Time: left, Running: r.Phase != jobstate.Stopping}, 1)
+	l.addWork(load, s, admission.Work{Time: left, Running: true}, 1)
 }
 
 // addWork adds tasks of the step. Those that run until they are cancelled have no expected end, and are left out.
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -127,6 +127,7 @@
 	RateCheckDue    bool              // a rate was measured since the rates of the runs were last compared
 	ReclaimFailedAt time.Time         // when the last search found no resources worth reclaiming
 	Expected        time.Duration     // learned run time of its tasks, for the intervals of rates; 0 for the declared one
+	OrderTime       time.Duration     // run time of its tasks by which the newest decision ordered it
 	WaitReason      WaitReason        // why the newest decision did not start its waiting tasks; valid if it has any
 	WaitReports     int               // log lines about the current wait
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -181,17 +181,8 @@
 // objective returns the deadline of the step and its lateness if it started now. Steps that follow it
 // in the job are not taken into account.
 func (r *round) objective(j *jobstate.Job, s *jobstate.Step) (time.Time, int) {
-	runTime := r.runTime(s, r.opts.Uses.Order)
-	length := time.Duration(float64(runTime)*max(1, j.Route.Stretch)) + j.Route.TargetLatency
-	deadline := s.ReadyAt.Add(length)
-	end := r.now.Add(runTime)
-	switch {
-	case !end.After(deadline):
-		return deadline, 0
-	case !end.After(s.ReadyAt.Add(workload.LateFactor * length)):
-		return deadline, 1
-	}
-	return deadline, 2
+	s.OrderTime = r.runTime(s, r.opts.Uses.Order)
+	return j.Objective(s.ReadyAt, s.OrderTime, r.now)
 }
 
 func compareUnits(a, b unit) int {
--- a/workload/objective.go
+++ b/workload/objective.go
@@ -38,6 +38,11 @@
 	return seconds(LateFactor * (path.Seconds()*max(1, route.Stretch) + route.TargetLatency.Seconds())), true
 }
 
+// Objective returns the time within which a step of the run time is to end after it has become ready.
+func (r *Route) Objective(runTime time.Duration) time.Duration {
+	return time.Duration(float64(runTime)*max(1, r.Stretch)) + r.TargetLatency
+}
+
 // seconds returns the time, limited to the longest Duration.
 func seconds(s float64) time.Duration {
 	if s >= float64(math.MaxInt64)/float64(time.Second) {
