--- a/jobowner/admission_bench_test.go
+++ b/jobowner/admission_bench_test.go
@@ -24,6 +24,9 @@
 			limits := workload.NewConfig(config)
 			t.opts.Config = func() *workload.Config { return limits }
 			now := time.Now()
+			for _, w := range t.cluster.Workers {
+				w.Capacity = workload.Resources{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}
+			}
 			t.listAsOf = suspend.NewStamp(now, 0)
 			n, workers := 0, t.cluster.SortedWorkers()
 			var running []*jobstate.Task
