admission: a cap below the use does not inflate the wait

Cause: running work above a lowered cap was taken to share the new cap, although it ends by itself. Change: what running tasks do above the rate is not part of the work that drains at the rate. Figures: 100 tasks with 10 s left under a cap of 10: 10 s instead of 100 s (test).

--- a/admission/wait.go
+++ b/admission/wait.go
@@ -18,6 +18,30 @@
 	return workload.Resources{MilliCPU: int(v[0]), MemoryMB: int(v[1]), Accelerators: int(v[2])}
 }
 
+func (v vector) plus(other vector) vector {
+	for r := range v {
+		v[r] += other[r]
+	}
+	return v
+}
+
+func (v vector) least(other vector) vector {
+	for r := range v {
+		v[r] = min(v[r], other[r])
+	}
+	return v
+}
+
+// exceeds reports whether the amount of a resource exceeds the other one by more than the factor.
+func (v vector) exceeds(other vector, factor float64) bool {
+	for r := range v {
+		if v[r] > factor*other[r] {
+			return true
+		}
+	}
+	return false
+}
+
 // follow updates a decaying peak with the newest value.
 func (v *vector) follow(newest vector, elapsed time.Duration) {
 	past := math.Exp2(-max(0, elapsed.Seconds()) / useHalfLife.Seconds())
@@ -42,7 +66,8 @@
 
 // fullFor returns for how many seconds the tasks up to the priority use the whole rate of resource r. Tasks that end by
 // then have done all their work. Of the longer ones, those that run have used their demand all the time, and those that
-// wait need only room to begin; so a long task delays others only by what it uses, however long it runs.
+// wait need only room to begin; so a long task delays others only by what it uses, however long it runs. Running tasks
+// may use more than the rate, after the cap was lowered: they end by themselves all the same.
 func fullFor(work []Work, priority, r int, rate float64) float64 {
 	running, open := 0.0, 0.0 // demand of the tasks that are not counted in done; running ones are part of both
 	for n := range work {
@@ -54,12 +79,17 @@
 			}
 		}
 	}
-	done := 0.0 // work of the shorter ones, in units of the resource times seconds
+	done := 0.0  // work of the shorter ones, in units of the resource times seconds
+	above := 0.0 // the part of it that running tasks do above the rate
+	last := 0.0
 	for n := range work {
 		if work[n].Priority > priority {
 			continue
 		}
-		if t := work[n].Time.Seconds(); open <= rate && done+running*t <= rate*t {
+		t := work[n].Time.Seconds()
+		above += max(0, running-rate) * (t - last)
+		last = t
+		if open <= rate && done+running*t <= rate*t+above {
 			break
 		}
 		demand := vectorOf(work[n].Demand)[r]
@@ -72,5 +102,5 @@
 	if done == 0 || running >= rate {
 		return 0
 	}
-	return done / (rate - running)
+	return max(0, done-above) / (rate - running)
 }
--- a/admission/wait_test.go
+++ b/admission/wait_test.go
@@ -159,3 +159,23 @@
 		}
 	})
 }
+
+// A cap is lowered to 10 while 100 accelerators run for 10 s. Guards against a wait for which the running tasks would
+// have to share the new cap, so that jobs are refused that would be in time.
+func TestRunningWorkAboveTheCap(t *testing.T) {
+	running := func(n int, left time.Duration) Work { return Work{Demand: accelerators(n), Time: left, Running: true} }
+	waiting := func(n int) Work { return Work{Demand: accelerators(n), Time: time.Second} }
+	for name, c := range map[string]struct {
+		work []Work // in ascending order of their times
+		want time.Duration
+	}{
+		"nothing waits":             {[]Work{running(100, 10*time.Second)}, 10 * time.Second},
+		"20 wait":                   {[]Work{waiting(20), running(100, 10*time.Second)}, 12 * time.Second},
+		"a part ends earlier":       {[]Work{waiting(20), running(95, 4*time.Second), running(5, 10*time.Second)}, 8 * time.Second},
+		"running up to the cap":     {[]Work{waiting(20), running(10, 10*time.Second)}, 12 * time.Second},
+		"above the cap for a year":  {[]Work{waiting(20), running(100, year)}, maxWait},
+		"half of the cap runs long": {[]Work{waiting(20), running(5, year)}, 4 * time.Second},
+	} {
+		assert.InDelta(t, c.want.Seconds(), expectedWait(c.work, 0, vectorOf(accelerators(10))).Seconds(), 1e-6, name)
+	}
+}
