admission: a backlog that grows is judged anew

Cause: the settle time of 2 s belonged to the workspace: a task that had waited long made a fresh burst be judged at once by the use before it. Change: the settle time begins anew when the waiting demand has grown by half or the use by a tenth.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -20,6 +20,10 @@
 	// settleTime is how long a backlog must have lasted before the use that was measured shows how fast it drains. It
 	// covers the start of work in room that is free or is reclaimed from less urgent work.
 	settleTime = 2 * time.Second
+	// grownFactor is how far the demand of the waiting tasks must have grown, and risenFactor how far the use, for the
+	// time of a backlog to begin anew. Less is usual while tasks end and others start.
+	grownFactor = 1.5
+	risenFactor = 1.1
 	// useHalfLife is the time after which past use counts half in the measured drain rate. It is long compared with an
 	// outage of the store, in which runs end and none start.
 	useHalfLife = 10 * time.Second
@@ -91,7 +95,9 @@
 type workspace struct {
 	weight     float64
 	use        vector    // decaying peak
-	since      time.Time // when its backlog began; zero without one
+	since      time.Time // when its backlog began, or has last grown; zero without one
+	waiting    vector    // least demand of the waiting tasks since then
+	risen      vector    // use then
 	waits      []Overload
 	overloaded map[int]bool
 	accepted   []time.Time // of the newest jobs, in the order of their arrival, as many as it is owed in owedWindow
@@ -189,14 +195,23 @@
 	return 1
 }
 
-// measure updates the measured drain rate.
+// measure updates the measured drain rate. While a backlog grows clearly, or the use still rises, past use does not show
+// what the workspace can get.
 func (w *workspace) measure(l *Load, elapsed time.Duration, now time.Time) {
-	w.use.follow(vectorOf(l.Use), elapsed)
+	use, waiting := vectorOf(l.Use), vector{}
+	w.use.follow(use, elapsed)
+	for _, k := range l.Work {
+		if !k.Running {
+			waiting = waiting.plus(vectorOf(k.Demand))
+		}
+	}
 	switch {
 	case !l.Waits:
 		w.since = time.Time{}
-	case w.since.IsZero():
-		w.since = now
+	case w.since.IsZero() || waiting.exceeds(w.waiting, grownFactor) || use.exceeds(w.risen, risenFactor):
+		w.since, w.waiting, w.risen = now, waiting, use
+	default:
+		w.waiting = w.waiting.least(waiting)
 	}
 }
 
