jobservice: submissions in progress or uncertain are not refused

Cause: a refusal says 'not run', but another call with the same id at the instance, or an earlier write with an uncertain outcome, could still store the job after the read that precedes the refusal.

--- a/jobfront/admission_test.go
+++ b/jobfront/admission_test.go
@@ -37,6 +37,8 @@
 	return j.wait, j.wait > 0
 }
 
+func (j *recordingJobs) Begin(string) func() { return func() {} }
+
 func (j *recordingJobs) Submit(_ context.Context, job *workload.Submission) error {
 	j.accepted[job.ID] = true
 	return nil
--- a/jobfront/filters.go
+++ b/jobfront/filters.go
@@ -181,6 +181,7 @@
 	}
 	job.ID, job.Queue, job.Workspace = c.id, *c.route, c.workspace
 	job.AcceptedAt = time.Now().UnixMilli()
+	defer s.opts.Jobs.Begin(job.ID)()
 	if err := s.admit(ctx, c, &job); err != nil {
 		return nil, err
 	}
--- a/jobfront/jobfront.go
+++ b/jobfront/jobfront.go
@@ -39,7 +39,10 @@
 	// Overloaded reports whether the job could not be done in time because its workspace, which has a weight or a cap, has
 	// sent too much, and when to retry.
 	Overloaded(ctx context.Context, job *workload.Submission) (retryAfter time.Duration, overloaded bool)
-	// CertainlyNew reports whether no submission of the id has been accepted. It is false if that is unknown.
+	// Begin records that a submission of the id is in progress until end is called.
+	Begin(id string) (end func())
+	// CertainlyNew reports whether no submission of the id has been accepted, nor is in progress besides that of the caller,
+	// who has called Begin. It is false if that is unknown.
 	CertainlyNew(ctx context.Context, id string) bool
 	Cancel(ctx context.Context, id string) error
 	State(ctx context.Context, id string) (workload.State, error)
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -90,6 +90,7 @@
 	announcementsFailed  metrics.Counter
 	announcementsUnowned metrics.Counter // to or by an instance with no owner to tell
 	overloadCache        *overloadCache
+	submissions          *submissions
 }
 
 func New(o Options) *Service {
@@ -97,7 +98,7 @@
 	return &Service{opts: o, relayed: counter("jobs.relayed"), local: counter("jobs.state_local"),
 		owner: counter("jobs.state_owner"), store: counter("jobs.state_store"),
 		announcementsFailed: counter("jobs.announcements_failed"), announcementsUnowned: counter("jobs.announcements_unowned"),
-		overloadCache: newOverloadCache(o.Metrics)}
+		overloadCache: newOverloadCache(o.Metrics), submissions: newSubmissions()}
 }
 
 // outcome is the outcome of a write, as far as it can be determined.
@@ -118,7 +119,14 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "encode job %s", job.ID)
 	}
-	out := s.writeOrRelay(ctx, job.ID,
+	out := uncertain
+	defer s.submissions.begin(job.ID)()
+	defer func() { // also after a panic
+		if out == uncertain {
+			s.submissions.markUncertain(job.ID)
+		}
+	}()
+	out = s.writeOrRelay(ctx, job.ID,
 		func(ctx context.Context) outcome { return s.createKey(ctx, jobowner.JobKey(job.ID), raw) },
 		func(ctx context.Context, c relay.DRPCRelayClient) (*relay.OutcomeReply, error) {
 			return c.Submit(ctx, &relay.SubmitRequest{Job: job.ID, Submission: raw})
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -57,6 +57,7 @@
 type instance struct {
 	*jobservice.Service
 	client  *testplatform.Client
+	monitor *metastore.Monitor // of client
 	elector *ownership.Elector
 	metrics metrics.Registry
 	deposed bool // another instance may have become the owner
@@ -70,6 +71,7 @@
 func newInstance(s *testplatform.Store, term jobservice.Term, peer *instance) *instance {
 	i := &instance{client: s.NewClient(), metrics: metrics.NewRegistry()}
 	monitor := metastore.NewMonitor(i.client)
+	i.monitor = monitor
 	elector := ownership.New(ownership.Options{Store: monitor, Self: ownership.Instance{Name: "self"}, Log: zap.NewNop()})
 	if peer != nil {
 		elector.Apply(metastore.Change{Item: metastore.Item{Key: ownership.InstancesPrefix + "peer", Value: []byte(`{"name":"peer","address":"peer"}`)}})
--- a/jobservice/peer.go
+++ b/jobservice/peer.go
@@ -27,7 +27,12 @@
 
 // HandleSubmit handles a submission that a peer relays.
 func (s *Service) HandleSubmit(ctx context.Context, r *relay.SubmitRequest) (*relay.OutcomeReply, error) {
-	return &relay.OutcomeReply{Outcome: s.createKey(ctx, jobowner.JobKey(r.Job), r.Submission)}, nil
+	defer s.submissions.begin(r.Job)()
+	out := s.createKey(ctx, jobowner.JobKey(r.Job), r.Submission)
+	if out == uncertain {
+		s.submissions.markUncertain(r.Job)
+	}
+	return &relay.OutcomeReply{Outcome: out}, nil
 }
 
 // HandleCancel handles a cancellation that a peer relays.
