jobowner: assessments are answered without the term's lock and take 2% of the time

Cause: Admission() waited for the lock that decisions hold. On an owner where an assessment takes more than 10 ms the maximum interval of 500 ms let assessments hold that lock for more than 2% of the time. Announced jobs, unlike watched ones, counted from their arrival; and a late job displaced the time of a later one. The interval is 50 times the duration without a maximum; an assessment is answered up to twice its interval, 5 s at most. All jobs count from their acceptance. Ages include suspensions; the last log line of an assessment has the number of suppressed ones. TestAnnouncedJobsCountFromTheirAcceptance fails without the correction.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -29,11 +28,6 @@
 	useHalfLife = 10 * time.Second
 	// maxWait limits an expected wait.
 	maxWait = 24 * time.Hour
-	// owedWindow is the time over which the accepted jobs are compared with the weight.
-	owedWindow = time.Second
-	// maxOwed bounds the memory for the times of accepted jobs of a workspace. A workspace that is owed more is never
-	// refused.
-	maxOwed = 1024
 )
 
 // Work is a number of equal tasks that run or wait.
@@ -86,8 +80,9 @@
 	Weight  float64
 }
 
-// Monitor follows the workspaces. It is not safe for concurrent use.
+// Monitor follows the workspaces. It is not safe for concurrent use, except Accepted and the Snapshots.
 type Monitor struct {
+	accepted   *accepted
 	workspaces map[string]*workspace
 	updatedAt  time.Time
 }
@@ -100,12 +95,13 @@
 	risen      vector    // use then
 	waits      []Overload
 	overloaded map[int]bool
-	accepted   []time.Time // of the newest jobs, in the order of their arrival, as many as it is owed in owedWindow
 	estimates  estimates
 	ahead      []Work // memory for the result of Load.ahead
 }
 
-func NewMonitor() *Monitor { return &Monitor{workspaces: map[string]*workspace{}} }
+func NewMonitor() *Monitor {
+	return &Monitor{accepted: newAccepted(), workspaces: map[string]*workspace{}}
+}
 
 func (m *Monitor) workspace(name string) *workspace {
 	w := m.workspaces[name]
@@ -116,44 +112,6 @@
 	return w
 }
 
-// owed returns how many jobs within which time are never refused. A workspace that is owed less than one job in
-// owedWindow is owed one in a longer time.
-func owed(weight float64) (jobs int, window time.Duration) {
-	if weight <= 0 {
-		return 0, 0
-	}
-	jobs = int(min(math.Ceil(weight), maxOwed+1))
-	return jobs, time.Duration(min(float64(jobs)/weight*float64(owedWindow), float64(maxWait)))
-}
-
-// Accepted records that a job of a workspace with the given weight was accepted.
-func (m *Monitor) Accepted(name string, weight float64, at time.Time) {
-	jobs, _ := owed(weight)
-	w := m.workspace(name)
-	w.weight = weight
-	if jobs == 0 || jobs > maxOwed {
-		w.accepted = nil
-		return
-	}
-	w.accepted = append(w.accepted, at)
-	if excess := len(w.accepted) - jobs; excess > 0 {
-		w.accepted = slices.Delete(w.accepted, 0, excess)
-	}
-}
-
-// refuseFor returns how long from now at least as many jobs as owed have been accepted within the window.
-func (w *workspace) refuseFor(now time.Time) time.Duration {
-	jobs, window := owed(w.weight)
-	switch {
-	case jobs == 0:
-		return maxWait
-	case jobs > maxOwed || len(w.accepted) < jobs:
-		return 0
-	}
-	oldest := slices.MinFunc(w.accepted, time.Time.Compare)
-	return max(0, window-now.Sub(oldest))
-}
-
 // Update applies the state of the service at now and returns which overloads have begun or ended.
 func (m *Monitor) Update(s Service, now time.Time) []Change {
 	elapsed := now.Sub(m.updatedAt)
@@ -179,6 +137,7 @@
 		if !present[name] {
 			changes = append(changes, w.end(name)...)
 			delete(m.workspaces, name)
+			m.accepted.forget(name)
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int {
@@ -313,25 +272,48 @@
 	return sum
 }
 
-// Overloads returns the overloads as of now, by workspace and priority.
-func (m *Monitor) Overloads(now time.Time) []Overload {
-	var list []Overload
+// Snapshot is the result of an Update. It is safe for concurrent use.
+type Snapshot struct {
+	updatedAt  time.Time
+	overloaded []weighted
+	accepted   *accepted
+}
+
+type weighted struct {
+	Overload
+	weight float64
+}
+
+// Snapshot returns the result of the last Update.
+func (m *Monitor) Snapshot() *Snapshot {
+	s := &Snapshot{updatedAt: m.updatedAt, accepted: m.accepted}
 	for _, w := range m.workspaces {
 		for _, o := range w.waits {
-			if !w.overloaded[o.Priority] {
-				continue
+			if w.overloaded[o.Priority] {
+				s.overloaded = append(s.overloaded, weighted{o, w.weight})
 			}
-			o.Wait = max(0, o.Wait-now.Sub(m.updatedAt))
-			o.RefuseFor = w.refuseFor(now)
-			list = append(list, o)
 		}
 	}
-	slices.SortFunc(list, func(a, b Overload) int {
+	slices.SortFunc(s.overloaded, func(a, b weighted) int {
 		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Priority, b.Priority))
 	})
+	return s
+}
+
+// Overloads returns the overloads as of now, by workspace and priority.
+func (s *Snapshot) Overloads(now time.Time) []Overload {
+	var list []Overload
+	for _, w := range s.overloaded {
+		w.Wait = max(0, w.Wait-now.Sub(s.updatedAt))
+		w.RefuseFor = s.accepted.refuseFor(w.Workspace, w.weight, now)
+		list = append(list, w.Overload)
+	}
 	return list
 }
 
+// Overloads returns the overloads of the last Update as of now, by workspace and priority.
+func (m *Monitor) Overloads(now time.Time) []Overload { return m.Snapshot().Overloads(now) }
+
 // Waits calls f with the longest expected wait of each workspace.
 func (m *Monitor) Waits(f func(workspace string, wait time.Duration)) {
 	for name, w := range m.workspaces {
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -164,6 +164,7 @@
 	assert.False(t, changes[0].Begins)
 	assert.Empty(t, m.Overloads(now))
 	assert.Empty(t, m.workspaces)
+	assert.Empty(t, m.accepted.times)
 }
 
 // A cap has components without a limit. Guards against a rate, and a wait, that take 0 as the limit.
--- a/admission/wait_test.go
+++ b/admission/wait_test.go
@@ -64,8 +64,13 @@
 	for range 5000 {
 		m.Accepted("w", 1e300, now)
 	}
-	assert.Empty(t, m.workspaces["w"].accepted)
-	assert.Zero(t, m.workspaces["w"].refuseFor(now))
+	assert.Empty(t, m.accepted.times)
+	assert.Zero(t, m.accepted.refuseFor("w", 1e300, now))
+	for _, second := range []int{9, 3, 8, 1, 5} { // not in the order of acceptance
+		m.Accepted("w", 2, now.Add(time.Duration(second)*time.Second))
+	}
+	assert.Equal(t, time.Second, m.accepted.refuseFor("w", 2, now.Add(8*time.Second)))
+	assert.Zero(t, m.accepted.refuseFor("w", 2, now.Add(9*time.Second)))
 }
 
 // A caller declares run times that are wrong. Guards against refusals that follow from estimates ten times too long,
--- a/jobowner/admission.go
+++ b/jobowner/admission.go
@@ -1,6 +1,7 @@
 package jobowner
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -15,12 +16,14 @@
 const (
 	// admissionInterval is the minimum time between two assessments of the workspaces.
 	admissionInterval = 250 * time.Millisecond
-	// admissionFactor times the duration of an assessment is also its interval, up to maxAdmissionInterval. An assessment
-	// of 1,000 waiting jobs and 2,200 runs takes about 2 ms of a core, of which the smallest owners have 0.2.
-	admissionFactor      = 50
-	maxAdmissionInterval = 500 * time.Millisecond
-	// maxAdmissionAge is the age from which an assessment is not answered any more: decisions have stalled.
-	maxAdmissionAge = time.Second
+	// admissionFactor times the duration of an assessment is also its interval, so that assessments hold the lock for at
+	// most 2% of the time. An assessment of 1,000 waiting jobs and 2,200 runs takes about 2 ms of a core, of which the
+	// smallest owners have 0.2.
+	admissionFactor = 50
+	// minAdmissionAge and maxAdmissionAge limit the age up to which an assessment is answered, which is twice its interval.
+	// An older one is not: decisions have stalled, or assessments take so long that their result no longer holds.
+	minAdmissionAge = time.Second
+	maxAdmissionAge = 5 * time.Second
 	// maxOverloadLogs limits the log lines of one assessment.
 	maxOverloadLogs = 8
 	// maxWorkspaceGauges limits the number of gauges of workspaces.
@@ -33,28 +36,39 @@
 	Overloads []admission.Overload
 }
 
-// admissionState belongs to Term and is guarded by its lock.
+// admissionState belongs to Term and is guarded by its lock, except published.
 type admissionState struct {
 	monitor   *admission.Monitor
-	updatedAt time.Time
-	took      time.Duration            // by the last assessment
-	waits     map[string]metrics.Gauge // expected wait of a new job in milliseconds, by workspace
-	loads     *loads                   // of the last assessment; its memory is used again
+	updatedAt suspend.Stamp
+	interval  time.Duration               // until the next assessment
+	published *atomic.Pointer[assessment] // nil if this term has not assessed the workspaces, or has ended
+	waits     map[string]metrics.Gauge    // expected wait of a new job in milliseconds, by workspace
+	loads     *loads                      // of the last assessment; its memory is used again
+}
+
+// assessment is the result of an assessment. It does not change.
+type assessment struct {
+	*admission.Snapshot
+	asOf   time.Time
+	at     suspend.Stamp
+	maxAge time.Duration
 }
 
 func newAdmissionState() admissionState {
-	return admissionState{monitor: admission.NewMonitor(), waits: map[string]metrics.Gauge{}}
+	return admissionState{monitor: admission.NewMonitor(), published: &atomic.Pointer[assessment]{}, waits: map[string]metrics.Gauge{}}
 }
 
-// Admission returns the overloaded workspaces. ok is false if this term has not assessed them, or not recently.
+// Admission returns the overloaded workspaces, without the lock that decisions hold. ok is false if this term has not assessed them, or not recently.
 func (t *Term) Admission() (a Admission, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	if t.ended || t.admission.updatedAt.IsZero() || now.Sub(t.admission.updatedAt) > maxAdmissionAge {
+	s := t.admission.published.Load()
+	if s == nil {
+		return Admission{}, false
+	}
+	age := s.at.Age(time.Now(), t.opts.Suspended())
+	if age > s.maxAge {
 		return Admission{}, false
 	}
-	return Admission{Token: t.opts.Token, Overloads: t.admission.monitor.Overloads(now)}, true
+	return Admission{Token: t.opts.Token, Overloads: s.Overloads(s.asOf.Add(age))}, true
 }
 
 // updateAdmission assesses the workspaces with a weight or a cap. Before the workers are listed, the drain rates are
@@ -62,20 +76,40 @@
 func (t *Term) updateAdmission(now time.Time) {
 	s := &t.admission
 	config := t.opts.Config()
-	if now.Sub(s.updatedAt) < min(max(admissionInterval, admissionFactor*s.took), maxAdmissionInterval) || config == nil || t.listAsOf == (suspend.Stamp{}) {
+	suspended := t.opts.Suspended()
+	if s.updatedAt.Age(now, suspended) < s.interval || config == nil || t.listAsOf == (suspend.Stamp{}) || t.ended {
 		return
 	}
-	s.updatedAt = now
-	defer func(began time.Time) { s.took = time.Since(began) }(time.Now())
+	s.updatedAt = suspend.NewStamp(now, suspended)
+	began := time.Now()
 	changes := s.monitor.Update(t.serviceLoad(config, now), now)
-	for n, c := range changes {
-		if n == maxOverloadLogs {
-			break
+	snapshot := s.monitor.Snapshot()
+	t.logOverloads(changes)
+	t.updateWaitGauges()
+	s.interval = assessmentInterval(time.Since(began))
+	s.published.Store(&assessment{Snapshot: snapshot, asOf: now, at: s.updatedAt, maxAge: assessmentAge(s.interval)})
+}
+
+// assessmentInterval returns the time from the begin of an assessment that took as long to that of the next one.
+func assessmentInterval(took time.Duration) time.Duration {
+	return max(admissionInterval, admissionFactor*took)
+}
+
+// assessmentAge returns the age up to which an assessment is answered.
+func assessmentAge(interval time.Duration) time.Duration {
+	return min(max(minAdmissionAge, 2*interval), maxAdmissionAge)
+}
+
+func (t *Term) logOverloads(changes []admission.Change) {
+	for n, c := range changes[:min(len(changes), maxOverloadLogs)] {
+		suppressed := 0
+		if n == maxOverloadLogs-1 {
+			suppressed = len(changes) - maxOverloadLogs
 		}
 		events.Info(t.opts.Log, events.WorkspaceOverloaded, zap.String("workspace", c.Workspace), zap.Int("priority", c.Priority), zap.Bool("overloaded", c.Begins),
-			zap.Duration("wait", c.Wait), zap.Any("backlog", c.Backlog), zap.Any("rate", c.Rate), zap.Any("cap", c.Cap), zap.Float64("weight", c.Weight))
+			zap.Duration("wait", c.Wait), zap.Any("backlog", c.Backlog), zap.Any("rate", c.Rate), zap.Any("cap", c.Cap), zap.Float64("weight", c.Weight),
+			zap.Int("suppressed", suppressed))
 	}
-	t.updateWaitGauges()
 }
 
 func (t *Term) updateWaitGauges() {
@@ -101,17 +135,15 @@
 }
 
 // countAccepted counts an accepted job towards what its workspace is owed. When the jobs read at the start of a term
-// were accepted is not known. A watch may deliver jobs late and all at once. The caller holds the lock.
+// were accepted is not known. Others count from their acceptance: a watch may deliver jobs late and all at once, and a
+// repetition announces a job that was accepted earlier. The caller holds the lock.
 func (t *Term) countAccepted(j *jobstate.Job, source intakeSource, now time.Time) {
 	w := t.workspace(j.Submission.Workspace)
 	if w == nil || !w.Limited() || source == sourceLoad {
 		return
 	}
-	if source == sourceWatch {
-		late := time.Duration(t.opts.WallClock().UnixMilli()-j.Submission.AcceptedAt) * time.Millisecond
-		now = now.Add(-max(0, late))
-	}
-	t.admission.monitor.Accepted(w.Name, w.Weight, now)
+	late := time.Duration(t.opts.WallClock().UnixMilli()-j.Submission.AcceptedAt) * time.Millisecond
+	t.admission.monitor.Accepted(w.Name, w.Weight, now.Add(-max(0, late)))
 }
 
 // observeRunTime compares the run time of a task that has run whole with its estimate. The caller holds the lock.
--- a/jobowner/admission_bench_test.go
+++ b/jobowner/admission_bench_test.go
@@ -40,7 +40,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				t.admission.updatedAt = time.Time{}
+				t.admission.updatedAt = suspend.Stamp{}
 				t.updateAdmission(now)
 			}
 		})
--- a/jobowner/admission_loads_test.go
+++ b/jobowner/admission_loads_test.go
@@ -5,7 +5,11 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/cyclamenyard/cyclamenyard/admission"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
@@ -63,3 +67,57 @@
 		assert.Equal(t, c.want > 0, load.Waits, name)
 	}
 }
+
+// A decision takes long. Guards against answers to 40 instances that wait for it, and against an assessment that is
+// answered by a suspended owner, or by a term that has ended.
+func TestAdmissionIsAnsweredDuringADecision(t *testing.T) {
+	term := waitingTerm()
+	suspended := time.Duration(0)
+	term.opts.Suspended, term.cancel = func() time.Duration { return suspended }, func() {}
+	config := workload.NewConfig(workload.Config{Workspaces: []workload.Workspace{{Name: "w", Weight: 1}}})
+	term.opts.Config = func() *workload.Config { return config }
+	term.listAsOf = suspend.NewStamp(time.Now(), 0)
+	_, ok := term.Admission()
+	assert.False(t, ok)
+	term.updateAdmission(time.Now())
+	term.mu.Lock()
+	_, ok = term.Admission()
+	term.mu.Unlock()
+	assert.True(t, ok)
+	suspended = maxAdmissionAge
+	_, ok = term.Admission()
+	assert.False(t, ok)
+	suspended = 0
+	term.terminate("test")
+	term.updateAdmission(time.Now().Add(time.Minute))
+	_, ok = term.Admission()
+	assert.False(t, ok)
+}
+
+// Guards against assessments by a slow owner that hold the lock for more than 2% of the time, and against an answer that
+// is silent between two of them although they are usual, or that is used for longer than 5 s.
+func TestAssessmentsOfASlowOwner(t *testing.T) {
+	for took, want := range map[time.Duration]struct{ interval, age time.Duration }{
+		time.Millisecond:       {250 * time.Millisecond, time.Second},
+		10 * time.Millisecond:  {500 * time.Millisecond, time.Second},
+		40 * time.Millisecond:  {2 * time.Second, 4 * time.Second},
+		time.Second:            {50 * time.Second, 5 * time.Second},
+		200 * time.Microsecond: {250 * time.Millisecond, time.Second},
+	} {
+		interval := assessmentInterval(took)
+		assert.Equal(t, want.interval, interval)
+		assert.Equal(t, want.age, assessmentAge(interval))
+	}
+}
+
+// A hundred workspaces become overloaded at once. Guards against a log line for each, and against lines that are left
+// out without a trace.
+func TestSuppressedOverloadLogs(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	term := waitingTerm()
+	term.opts.Log = zap.New(core)
+	term.logOverloads(make([]admission.Change, 100))
+	assert.Equal(t, maxOverloadLogs, logs.Len())
+	assert.EqualValues(t, 92, logs.All()[maxOverloadLogs-1].ContextMap()["suppressed"])
+	assert.EqualValues(t, 0, logs.All()[0].ContextMap()["suppressed"])
+}
--- a/jobowner/admission_test.go
+++ b/jobowner/admission_test.go
@@ -144,6 +144,30 @@
 	})
 }
 
+// Callers repeat ten jobs of the last minute, which the owner did not know, and each is announced. Guards against taking
+// them for more than the workspace is owed in a second.
+func TestAnnouncedJobsCountFromTheirAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLimitedSystem(workload.Workspace{Name: "hot", Weight: 2, Cap: workload.Resources{Accelerators: 8}})
+		defer s.stop()
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		job := &workload.Submission{Queue: *s.config.Load().Route("urgent"), Workspace: "hot", Steps: []workload.Step{tasks(100, 1)}}
+		for n := range 10 {
+			job.ID, job.AcceptedAt = fmt.Sprint("repeated", n), time.Now().Add(-time.Minute).UnixMilli()
+			raw, err := json.Marshal(job)
+			assert.NoError(t, err)
+			s.currentTerm(a).OnAnnounced(metastore.Change{Item: metastore.Item{Key: jobowner.JobKey(job.ID), Value: raw, Revision: 1}})
+		}
+		time.Sleep(600 * time.Millisecond) // covers an assessment and an idle loop
+		list, _ := overloaded(s.currentTerm(a), "hot")
+		if assert.Len(t, list, 1) {
+			assert.Zero(t, list[0].RefuseFor)
+		}
+	})
+}
+
 // Callers of a workspace declare ten times the real run times. Guards against refusals of jobs that would be in time.
 func TestBacklogIsMeasuredByRealRunTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -310,6 +310,7 @@
 	t.mu.Lock()
 	first := !t.ended
 	t.ended = true
+	t.admission.published.Store(nil)
 	t.mu.Unlock()
 	if first {
 		events.Warn(t.opts.Log, events.TermEnded, zap.Uint64("token", t.opts.Token), zap.String("reason", reason))
