jobservice: a hanging owner delays one submission; many instances ask less often

Cause: after a call without an answer the owner was asked again every 0.5 s, and each time submissions waited up to 100 ms for it. While jobs are owed, 40 instances could ask every 50 ms each. Ages left out suspensions, and the owner's own answer was dated after it was taken. Change: after a call without an answer submissions are accepted at once and the owner is asked in the background. While jobs are owed the age is at least 5 ms for each other instance, 200 calls a second in all. Ages use internal/suspend.

--- a/jobservice/admission.go
+++ b/jobservice/admission.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/cyclamenyard/cyclamenyard/admission"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/relay"
 	"github.com/cyclamenyard/cyclamenyard/workload"
@@ -20,18 +21,21 @@
 const (
 	// maxAdmissionAge is the age from which the owner is asked again which workspaces are overloaded.
 	maxAdmissionAge = 500 * time.Millisecond
-	// owedAdmissionAge is the same while an overloaded workspace has not got the jobs that it is owed. Otherwise each
-	// instance would accept without limit until it asks again.
-	owedAdmissionAge = 50 * time.Millisecond
+	// minOwedAge is the same while an overloaded workspace has not got the jobs that it is owed, but at least owedAgePerPeer
+	// for each other instance, so that the owner gets at most 200 such calls a second. Without it each instance would accept
+	// without limit until it asks again.
+	minOwedAge     = 50 * time.Millisecond
+	owedAgePerPeer = 5 * time.Millisecond
 	// admissionTimeout limits how long a submission waits for the owner's answer.
 	admissionTimeout = 100 * time.Millisecond
 )
 
 // overloads is the last answer of an owner. It is empty if the owner did not answer.
 type overloads struct {
-	token uint64 // of the owner that was asked
-	asOf  time.Time
-	of    map[string]admission.Overloads // by workspace
+	token      uint64 // of the owner that was asked
+	asOf       suspend.Stamp
+	unanswered bool
+	of         map[string]admission.Overloads // by workspace
 }
 
 // overloadCache holds the last answer.
@@ -54,7 +58,7 @@
 	if !ok {
 		return 0, false
 	}
-	return o.of[job.Workspace].Refusal(job, time.Since(o.asOf), rand.Float64())
+	return o.of[job.Workspace].Refusal(job, s.age(o), rand.Float64())
 }
 
 func (s *Service) overloadsFor(ctx context.Context, job *workload.Submission) (overloads, bool) {
@@ -66,7 +70,7 @@
 		return overloads{}, false
 	}
 	o := s.overloadCache.get()
-	if o.token == owner.Token && !o.outdated(job) {
+	if o.token == owner.Token && !s.outdated(o, job) {
 		return o, true
 	}
 	answer := s.overloadCache.calls.DoChan(strconv.FormatUint(owner.Token, 10), func() (any, error) {
@@ -74,12 +78,16 @@
 		s.overloadCache.set(o)
 		return o, nil
 	})
+	if o.token == owner.Token && o.unanswered {
+		return overloads{}, false // the owner may still hang; the answer serves later submissions
+	}
 	timer := time.NewTimer(admissionTimeout)
 	defer timer.Stop()
 	select {
 	case r := <-answer:
 		o = r.Val.(overloads)
 	case <-timer.C:
+		s.overloadCache.setUnanswered(o, owner.Token, s.stamp())
 		return overloads{}, false
 	case <-ctx.Done():
 		return overloads{}, false
@@ -94,11 +102,12 @@
 	if term == nil {
 		return overloads{}, false
 	}
+	asOf := s.stamp()
 	a, ok := term.Admission()
-	return newOverloads(a, time.Now()), ok
+	return newOverloads(a, asOf), ok
 }
 
-func newOverloads(a jobowner.Admission, asOf time.Time) overloads {
+func newOverloads(a jobowner.Admission, asOf suspend.Stamp) overloads {
 	o := overloads{token: a.Token, asOf: asOf, of: map[string]admission.Overloads{}}
 	for _, w := range a.Overloads {
 		o.of[w.Workspace] = append(o.of[w.Workspace], w)
@@ -106,23 +115,35 @@
 	return o
 }
 
+func (s *Service) stamp() suspend.Stamp { return suspend.NewStamp(time.Now(), s.opts.Suspended()) }
+
+func (s *Service) age(o overloads) time.Duration {
+	return o.asOf.Age(time.Now(), s.opts.Suspended())
+}
+
 // outdated reports whether the owner must be asked again before the job is decided.
-func (o overloads) outdated(job *workload.Submission) bool {
-	age := time.Since(o.asOf)
-	return age >= maxAdmissionAge || age >= owedAdmissionAge && o.of[job.Workspace].Owes(job.Queue.Priority, age)
+func (s *Service) outdated(o overloads, job *workload.Submission) bool {
+	age := s.age(o)
+	if age >= maxAdmissionAge {
+		return true
+	}
+	if age < minOwedAge || !o.of[job.Workspace].Owes(job.Queue.Priority, age) {
+		return false
+	}
+	return age >= owedAgePerPeer*time.Duration(len(s.opts.Elector.Peers()))
 }
 
 // askOverloads asks the owner with the token. An answer of another term is not used. If there is none, the owner is
-// not asked again before maxAdmissionAge, so that it does not delay each submission.
+// asked again after maxAdmissionAge, and no submission waits for it until it has answered.
 func (s *Service) askOverloads(address string, token uint64) overloads {
-	asked := time.Now()
+	asked := s.stamp()
 	ctx, cancel := context.WithTimeout(context.Background(), admissionTimeout)
 	defer cancel()
 	reply, err := s.opts.PeerClient(address).Admission(ctx, &relay.AdmissionRequest{})
 	if err != nil || !reply.Owner || reply.Token != token {
 		s.overloadCache.unanswered.Inc(1)
 		s.opts.Log.Debug("the owner did not say which workspaces are overloaded", zap.Uint64("token", token), zap.Error(err))
-		return overloads{token: token, asOf: time.Now()}
+		return overloads{token: token, asOf: s.stamp(), unanswered: true}
 	}
 	a := jobowner.Admission{Token: token}
 	for _, o := range reply.Overloads {
@@ -158,3 +179,12 @@
 	defer c.mu.Unlock()
 	c.last = o
 }
+
+// setUnanswered records that the owner has not answered in time, unless the entry has changed since it was last.
+func (c *overloadCache) setUnanswered(last overloads, token uint64, now suspend.Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last.token == last.token && c.last.asOf == last.asOf {
+		c.last = overloads{token: token, asOf: now, unanswered: true}
+	}
+}
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -15,6 +15,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
@@ -74,9 +75,11 @@
 	Term         func() Term // nil when this instance is not the owner
 	// OwnershipValid reports whether no other instance can have become the owner without this one's knowledge.
 	OwnershipValid func() bool
-	PeerClient     func(address string) relay.DRPCRelayClient
-	Log            *zap.Logger
-	Metrics        metrics.Registry
+	// Suspended returns the machine's total time in suspension; nil reads it from the system.
+	Suspended  func() time.Duration
+	PeerClient func(address string) relay.DRPCRelayClient
+	Log        *zap.Logger
+	Metrics    metrics.Registry
 }
 
 // Service serves the job calls of one instance.
@@ -94,6 +97,9 @@
 }
 
 func New(o Options) *Service {
+	if o.Suspended == nil {
+		o.Suspended = suspend.Total
+	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, o.Metrics) }
 	return &Service{opts: o, relayed: counter("jobs.relayed"), local: counter("jobs.state_local"),
 		owner: counter("jobs.state_owner"), store: counter("jobs.state_store"),
