--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -142,6 +142,7 @@
 		assert.GreaterOrEqual(t, recent, 3, "accepted in the second before a refusal")
 		assert.GreaterOrEqual(t, r.retryAfter, r.drain)
 		assert.GreaterOrEqual(t, r.retryAfter, time.Second)
+		assert.LessOrEqual(t, r.retryAfter, max(0, r.drain)+taskTime+3*time.Second, "the wait may be a task and 0.75 s too long; 1 s is added, and it is rounded up")
 	}
 	refused := len(hot.refused)
 	hot.perTick = 0
--- a/jobowner/admission_test.go
+++ b/jobowner/admission_test.go
@@ -32,6 +32,7 @@
 	s := newSystem()
 	for n := range workspaces {
 		workspaces[n].Keys = []string{workspaces[n].Name}
+		s.fleet.SetCap(workspaces[n].Name, workspaces[n].Cap)
 	}
 	config := workload.Config{Version: 1, Routes: slices.Clone(s.config.Load().Routes), Workspaces: workspaces}
 	for n := range config.Routes {
@@ -222,7 +223,8 @@
 // A workspace sends 7 times its usual 2 jobs a second for 8 s beside nine calm ones, through the owner and through
 // another instance. Its cap is 15 of 24 accelerators; a job takes 4 for 1 s. Guards against refused jobs of the calm
 // ones, against refusals before the hot one has got its weight in jobs a second, against refused jobs in the store, and
-// against a Retry-After that is shorter than its backlog takes to drain.
+// against a Retry-After that is shorter than its backlog takes to drain, or more than twice as long, and against use above
+// the caps.
 func TestHotWorkspaceBesideCalmOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		workspaces := []workload.Workspace{{Name: "hot", Weight: 3, Cap: workload.Resources{Accelerators: 15}}}
@@ -275,6 +277,8 @@
 			assert.NoError(t, err)
 			drain := s.openTasks(a, "hot")/15 - 7.5 // until a new job can begin 3 x (1.5 x 1 s + 1 s) after its acceptance
 			assert.GreaterOrEqual(t, float64(after), max(1, drain))
+			assert.LessOrEqual(t, float64(after), 2*(max(0, drain)+3)+1, "the random part doubles it; the wait may be a task and 0.75 s too long, and is rounded up")
+			assert.LessOrEqual(t, s.fleet.Used("hot").Accelerators, 15)
 			recent := slices.DeleteFunc(slices.Clone(accepted), func(at time.Time) bool { return time.Since(at) > time.Second })
 			assert.GreaterOrEqual(t, len(recent), 3, "accepted in the second before a refusal")
 		}
