--- a/jobowner/admission.go
+++ b/jobowner/admission.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// waitGauge is the prefix of the gauges of workspaces.
+const waitGauge = "owner.workspace_wait_ms."
+
 func (t *Term) updateWaitGauges() {
 	s := &t.admission
 	limited := map[string]bool{}
@@ -122,7 +125,7 @@
 			if len(s.waits) == maxWorkspaceGauges {
 				return
 			}
-			g = metrics.GetOrRegisterGauge("owner.workspace_wait_ms."+workspace, t.opts.Metrics)
+			g = metrics.GetOrRegisterGauge(waitGauge+workspace, t.opts.Metrics)
 			s.waits[workspace] = g
 		}
 		g.Update(wait.Milliseconds())
@@ -130,6 +133,8 @@
 	for workspace, g := range s.waits {
 		if !limited[workspace] {
 			g.Update(0)
+			t.opts.Metrics.Unregister(waitGauge + workspace)
+			delete(s.waits, workspace)
 		}
 	}
 }
