--- a/admission/admission.go
+++ b/admission/admission.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -20,16 +19,15 @@
 	// settleTime is how long a backlog must have lasted before the use that was measured shows how fast it drains. It
 	// covers the start of work in room that is free or is reclaimed from less urgent work.
 	settleTime = 2 * time.Second
+	// grownFactor is how far the demand of the waiting tasks must have grown, and risenFactor how far the use, for the
+	// time of a backlog to begin anew. Less is usual while tasks end and others start.
+	grownFactor = 1.5
+	risenFactor = 1.1
 	// useHalfLife is the time after which past use counts half in the measured drain rate. It is long compared with an
 	// outage of the store, in which runs end and none start.
 	useHalfLife = 10 * time.Second
 	// maxWait limits an expected wait.
 	maxWait = 24 * time.Hour
-	// owedWindow is the time over which the accepted jobs are compared with the weight.
-	owedWindow = time.Second
-	// maxOwed bounds the memory for the times of accepted jobs of a workspace. A workspace that is owed more is never
-	// refused.
-	maxOwed = 1024
 )
 
 // Work is a number of equal tasks that run or wait.
@@ -38,6 +36,9 @@
 	Demand   workload.Resources // of all tasks together
 	Time     time.Duration      // expected from now, or from its start, to the end of each of them
 	Running  bool
+	// Of waiting tasks: when placement wants them to end, from now, and whether that has become useless.
+	Deadline time.Duration
+	TooLate  bool
 }
 
 // Load is what a workspace runs and waits for. Work without an expected end is left out of Work.
@@ -79,8 +80,9 @@
 	Weight  float64
 }
 
-// Monitor follows the workspaces. It is not safe for concurrent use.
+// Monitor follows the workspaces. It is not safe for concurrent use, except Accepted and the Snapshots.
 type Monitor struct {
+	accepted   *accepted
 	workspaces map[string]*workspace
 	updatedAt  time.Time
 }
@@ -88,14 +90,18 @@
 type workspace struct {
 	weight     float64
 	use        vector    // decaying peak
-	since      time.Time // when its backlog began; zero without one
+	since      time.Time // when its backlog began, or has last grown; zero without one
+	waiting    vector    // least demand of the waiting tasks since then
+	risen      vector    // use then
 	waits      []Overload
 	overloaded map[int]bool
-	accepted   []time.Time // of the newest jobs, in the order of their arrival, as many as it is owed in owedWindow
 	estimates  estimates
+	ahead      []Work // memory for the result of Load.ahead
 }
 
-func NewMonitor() *Monitor { return &Monitor{workspaces: map[string]*workspace{}} }
+func NewMonitor() *Monitor {
+	return &Monitor{accepted: newAccepted(), workspaces: map[string]*workspace{}}
+}
 
 func (m *Monitor) workspace(name string) *workspace {
 	w := m.workspaces[name]
@@ -106,44 +112,6 @@
 	return w
 }
 
-// owed returns how many jobs within which time are never refused. A workspace that is owed less than one job in
-// owedWindow is owed one in a longer time.
-func owed(weight float64) (jobs int, window time.Duration) {
-	if weight <= 0 {
-		return 0, 0
-	}
-	jobs = int(min(math.Ceil(weight), maxOwed+1))
-	return jobs, time.Duration(min(float64(jobs)/weight*float64(owedWindow), float64(maxWait)))
-}
-
-// Accepted records that a job of a workspace with the given weight was accepted.
-func (m *Monitor) Accepted(name string, weight float64, at time.Time) {
-	jobs, _ := owed(weight)
-	w := m.workspace(name)
-	w.weight = weight
-	if jobs == 0 || jobs > maxOwed {
-		w.accepted = nil
-		return
-	}
-	w.accepted = append(w.accepted, at)
-	if excess := len(w.accepted) - jobs; excess > 0 {
-		w.accepted = slices.Delete(w.accepted, 0, excess)
-	}
-}
-
-// refuseFor returns how long from now at least as many jobs as owed have been accepted within the window.
-func (w *workspace) refuseFor(now time.Time) time.Duration {
-	jobs, window := owed(w.weight)
-	switch {
-	case jobs == 0:
-		return maxWait
-	case jobs > maxOwed || len(w.accepted) < jobs:
-		return 0
-	}
-	oldest := slices.MinFunc(w.accepted, time.Time.Compare)
-	return max(0, window-now.Sub(oldest))
-}
-
 // Update applies the state of the service at now and returns which overloads have begun or ended.
 func (m *Monitor) Update(s Service, now time.Time) []Change {
 	elapsed := now.Sub(m.updatedAt)
@@ -169,6 +137,7 @@
 		if !present[name] {
 			changes = append(changes, w.end(name)...)
 			delete(m.workspaces, name)
+			m.accepted.forget(name)
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int {
@@ -185,14 +154,23 @@
 	return 1
 }
 
-// measure updates the measured drain rate.
+// measure updates the measured drain rate. While a backlog grows clearly, or the use still rises, past use does not show
+// what the workspace can get.
 func (w *workspace) measure(l *Load, elapsed time.Duration, now time.Time) {
-	w.use.follow(vectorOf(l.Use), elapsed)
+	use, waiting := vectorOf(l.Use), vector{}
+	w.use.follow(use, elapsed)
+	for _, k := range l.Work {
+		if !k.Running {
+			waiting = waiting.plus(vectorOf(k.Demand))
+		}
+	}
 	switch {
 	case !l.Waits:
 		w.since = time.Time{}
-	case w.since.IsZero():
-		w.since = now
+	case w.since.IsZero() || waiting.exceeds(w.waiting, grownFactor) || use.exceeds(w.risen, risenFactor):
+		w.since, w.waiting, w.risen = now, waiting, use
+	default:
+		w.waiting = w.waiting.least(waiting)
 	}
 }
 
@@ -227,7 +205,8 @@
 	var changes []Change
 	for _, p := range l.priorities(w.overloaded) {
 		rate := w.rate(s, l, p, weights, now)
-		wait := expectedWait(l.Work, p, rate)
+		w.ahead = l.ahead(w.ahead[:0], p)
+		wait := expectedWait(w.ahead, p, rate)
 		w.waits = append(w.waits, Overload{Workspace: l.Name, Priority: p, Wait: wait})
 		limit, known := l.Limits[p]
 		begins := known && float64(wait) > enterFactor*float64(limit)
@@ -235,7 +214,7 @@
 		if over := begins || continues; over != w.overloaded[p] {
 			w.setOverloaded(p, over)
 			changes = append(changes, Change{Overload: Overload{Workspace: l.Name, Priority: p, Wait: wait}, Begins: over,
-				Backlog: l.backlog(p), Rate: rate.resources(), Cap: l.Cap, Weight: l.Weight})
+				Backlog: demand(w.ahead), Rate: rate.resources(), Cap: l.Cap, Weight: l.Weight})
 		}
 	}
 	return changes
@@ -271,35 +250,70 @@
 	return slices.Compact(list)
 }
 
-// backlog returns the demand of the tasks up to the priority.
-func (l *Load) backlog(priority int) (sum workload.Resources) {
+// ahead appends the work that placement orders before the first step of a new job of the priority: all that runs or is
+// more urgent, and of that priority what is not too late and has an earlier deadline. The new job is one with the
+// shortest objective of the open jobs; a longer one only has more ahead of it.
+func (l *Load) ahead(list []Work, priority int) []Work {
+	limit, known := l.Limits[priority]
 	for _, k := range l.Work {
-		if k.Priority <= priority {
-			sum = sum.Add(k.Demand)
+		behind := !k.Running && k.Priority == priority && (k.TooLate || known && k.Deadline > limit/workload.LateFactor)
+		if k.Priority <= priority && !behind {
+			list = append(list, k)
 		}
 	}
+	return list
+}
+
+// demand returns the demand of all the work.
+func demand(work []Work) (sum workload.Resources) {
+	for _, k := range work {
+		sum = sum.Add(k.Demand)
+	}
 	return sum
 }
 
-// Overloads returns the overloads as of now, by workspace and priority.
-func (m *Monitor) Overloads(now time.Time) []Overload {
-	var list []Overload
+// Snapshot is the result of an Update. It is safe for concurrent use.
+type Snapshot struct {
+	updatedAt  time.Time
+	overloaded []weighted
+	accepted   *accepted
+}
+
+type weighted struct {
+	Overload
+	weight float64
+}
+
+// Snapshot returns the result of the last Update.
+func (m *Monitor) Snapshot() *Snapshot {
+	s := &Snapshot{updatedAt: m.updatedAt, accepted: m.accepted}
 	for _, w := range m.workspaces {
 		for _, o := range w.waits {
-			if !w.overloaded[o.Priority] {
-				continue
+			if w.overloaded[o.Priority] {
+				s.overloaded = append(s.overloaded, weighted{o, w.weight})
 			}
-			o.Wait = max(0, o.Wait-now.Sub(m.updatedAt))
-			o.RefuseFor = w.refuseFor(now)
-			list = append(list, o)
 		}
 	}
-	slices.SortFunc(list, func(a, b Overload) int {
+	slices.SortFunc(s.overloaded, func(a, b weighted) int {
 		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Priority, b.Priority))
 	})
+	return s
+}
+
+// Overloads returns the overloads as of now, by workspace and priority.
+func (s *Snapshot) Overloads(now time.Time) []Overload {
+	var list []Overload
+	for _, w := range s.overloaded {
+		w.Wait = max(0, w.Wait-now.Sub(s.updatedAt))
+		w.RefuseFor = s.accepted.refuseFor(w.Workspace, w.weight, now)
+		list = append(list, w.Overload)
+	}
 	return list
 }
 
+// Overloads returns the overloads of the last Update as of now, by workspace and priority.
+func (m *Monitor) Overloads(now time.Time) []Overload { return m.Snapshot().Overloads(now) }
+
 // Waits calls f with the longest expected wait of each workspace.
 func (m *Monitor) Waits(f func(workspace string, wait time.Duration)) {
 	for name, w := range m.workspaces {
--- a/jobowner/admission.go
+++ b/jobowner/admission.go
@@ -1,6 +1,7 @@
 package jobowner
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -10,18 +11,19 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
-	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
 const (
 	// admissionInterval is the minimum time between two assessments of the workspaces.
 	admissionInterval = 250 * time.Millisecond
-	// admissionFactor times the duration of an assessment is also its interval, up to maxAdmissionInterval. An assessment
-	// of 1,000 waiting jobs and 2,200 runs takes about 2 ms of a core, of which the smallest owners have 0.2.
-	admissionFactor      = 50
-	maxAdmissionInterval = 500 * time.Millisecond
-	// maxAdmissionAge is the age from which an assessment is not answered any more: decisions have stalled.
-	maxAdmissionAge = time.Second
+	// admissionFactor times the duration of an assessment is also its interval, so that assessments hold the lock for at
+	// most 2% of the time. An assessment of 1,000 waiting jobs and 2,200 runs takes about 2 ms of a core, of which the
+	// smallest owners have 0.2.
+	admissionFactor = 50
+	// minAdmissionAge and maxAdmissionAge limit the age up to which an assessment is answered, which is twice its interval.
+	// An older one is not: decisions have stalled, or assessments take so long that their result no longer holds.
+	minAdmissionAge = time.Second
+	maxAdmissionAge = 5 * time.Second
 	// maxOverloadLogs limits the log lines of one assessment.
 	maxOverloadLogs = 8
 	// maxWorkspaceGauges limits the number of gauges of workspaces.
@@ -34,28 +36,39 @@
 	Overloads []admission.Overload
 }
 
-// admissionState belongs to Term and is guarded by its lock.
+// admissionState belongs to Term and is guarded by its lock, except published.
 type admissionState struct {
 	monitor   *admission.Monitor
-	updatedAt time.Time
-	took      time.Duration            // by the last assessment
-	waits     map[string]metrics.Gauge // expected wait of a new job in milliseconds, by workspace
-	loads     *loads                   // of the last assessment; its memory is used again
+	updatedAt suspend.Stamp
+	interval  time.Duration               // until the next assessment
+	published *atomic.Pointer[assessment] // nil if this term has not assessed the workspaces, or has ended
+	waits     map[string]metrics.Gauge    // expected wait of a new job in milliseconds, by workspace
+	loads     *loads                      // of the last assessment; its memory is used again
+}
+
+// assessment is the result of an assessment. It does not change.
+type assessment struct {
+	*admission.Snapshot
+	asOf   time.Time
+	at     suspend.Stamp
+	maxAge time.Duration
 }
 
 func newAdmissionState() admissionState {
-	return admissionState{monitor: admission.NewMonitor(), waits: map[string]metrics.Gauge{}}
+	return admissionState{monitor: admission.NewMonitor(), published: &atomic.Pointer[assessment]{}, waits: map[string]metrics.Gauge{}}
 }
 
-// Admission returns the overloaded workspaces. ok is false if this term has not assessed them, or not recently.
+// Admission returns the overloaded workspaces, without the lock that decisions hold. ok is false if this term has not assessed them, or not recently.
 func (t *Term) Admission() (a Admission, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	if t.ended || t.admission.updatedAt.IsZero() || now.Sub(t.admission.updatedAt) > maxAdmissionAge {
+	s := t.admission.published.Load()
+	if s == nil {
+		return Admission{}, false
+	}
+	age := s.at.Age(time.Now(), t.opts.Suspended())
+	if age > s.maxAge {
 		return Admission{}, false
 	}
-	return Admission{Token: t.opts.Token, Overloads: t.admission.monitor.Overloads(now)}, true
+	return Admission{Token: t.opts.Token, Overloads: s.Overloads(s.asOf.Add(age))}, true
 }
 
 // updateAdmission assesses the workspaces with a weight or a cap. Before the workers are listed, the drain rates are
@@ -63,22 +76,45 @@
 func (t *Term) updateAdmission(now time.Time) {
 	s := &t.admission
 	config := t.opts.Config()
-	if now.Sub(s.updatedAt) < min(max(admissionInterval, admissionFactor*s.took), maxAdmissionInterval) || config == nil || t.listAsOf == (suspend.Stamp{}) {
+	suspended := t.opts.Suspended()
+	if s.updatedAt.Age(now, suspended) < s.interval || config == nil || t.listAsOf == (suspend.Stamp{}) || t.ended {
 		return
 	}
-	s.updatedAt = now
-	defer func(began time.Time) { s.took = time.Since(began) }(time.Now())
+	s.updatedAt = suspend.NewStamp(now, suspended)
+	began := time.Now()
 	changes := s.monitor.Update(t.serviceLoad(config, now), now)
-	for n, c := range changes {
-		if n == maxOverloadLogs {
-			break
+	snapshot := s.monitor.Snapshot()
+	t.logOverloads(changes)
+	t.updateWaitGauges()
+	s.interval = assessmentInterval(time.Since(began))
+	s.published.Store(&assessment{Snapshot: snapshot, asOf: now, at: s.updatedAt, maxAge: assessmentAge(s.interval)})
+}
+
+// assessmentInterval returns the time from the begin of an assessment that took as long to that of the next one.
+func assessmentInterval(took time.Duration) time.Duration {
+	return max(admissionInterval, admissionFactor*took)
+}
+
+// assessmentAge returns the age up to which an assessment is answered.
+func assessmentAge(interval time.Duration) time.Duration {
+	return min(max(minAdmissionAge, 2*interval), maxAdmissionAge)
+}
+
+func (t *Term) logOverloads(changes []admission.Change) {
+	for n, c := range changes[:min(len(changes), maxOverloadLogs)] {
+		suppressed := 0
+		if n == maxOverloadLogs-1 {
+			suppressed = len(changes) - maxOverloadLogs
 		}
 		events.Info(t.opts.Log, events.WorkspaceOverloaded, zap.String("workspace", c.Workspace), zap.Int("priority", c.Priority), zap.Bool("overloaded", c.Begins),
-			zap.Duration("wait", c.Wait), zap.Any("backlog", c.Backlog), zap.Any("rate", c.Rate), zap.Any("cap", c.Cap), zap.Float64("weight", c.Weight))
+			zap.Duration("wait", c.Wait), zap.Any("backlog", c.Backlog), zap.Any("rate", c.Rate), zap.Any("cap", c.Cap), zap.Float64("weight", c.Weight),
+			zap.Int("suppressed", suppressed))
 	}
-	t.updateWaitGauges()
 }
 
+// waitGauge is the prefix of the gauges of workspaces.
+const waitGauge = "owner.workspace_wait_ms."
+
 func (t *Term) updateWaitGauges() {
 	s := &t.admission
 	limited := map[string]bool{}
@@ -89,7 +125,7 @@
 			if len(s.waits) == maxWorkspaceGauges {
 				return
 			}
-			g = metrics.GetOrRegisterGauge("owner.workspace_wait_ms."+workspace, t.opts.Metrics)
+			g = metrics.GetOrRegisterGauge(waitGauge+workspace, t.opts.Metrics)
 			s.waits[workspace] = g
 		}
 		g.Update(wait.Milliseconds())
@@ -97,147 +133,22 @@
 	for workspace, g := range s.waits {
 		if !limited[workspace] {
 			g.Update(0)
+			t.opts.Metrics.Unregister(waitGauge + workspace)
+			delete(s.waits, workspace)
 		}
 	}
 }
 
-// loads collects the loads of the workspaces.
-type loads struct {
-	now     time.Time
-	config  *workload.Config
-	monitor *admission.Monitor
-	list    []admission.Load
-	index   map[string]int
-}
-
-// reset returns loads without work. Those of an earlier assessment by the same configuration are used again.
-func (l *loads) reset(config *workload.Config) *loads {
-	if l == nil || l.config != config {
-		return &loads{config: config, index: map[string]int{}}
-	}
-	for n := range l.list {
-		load := &l.list[n]
-		load.Work, load.Use, load.Waits = load.Work[:0], workload.Resources{}, false
-		clear(load.Limits)
-	}
-	return l
-}
-
-// serviceLoad returns what the workspaces run and wait for. It is empty if none has a weight or a cap.
-func (t *Term) serviceLoad(config *workload.Config, now time.Time) admission.Service {
-	l := t.admission.loads.reset(config)
-	t.admission.loads = l
-	l.now, l.monitor = now, t.admission.monitor
-	for n := range config.Workspaces {
-		if w := &config.Workspaces[n]; w.Limited() {
-			l.of(w.Name)
-		}
-	}
-	var s admission.Service
-	if len(l.list) == 0 {
-		return s
-	}
-	for _, j := range t.cluster.Jobs {
-		if !j.State.Ended() {
-			l.addJob(j)
-		}
-	}
-	for _, w := range t.cluster.Workers {
-		for r := range w.Runs {
-			l.addRun(r)
-		}
-		if w.Listed && !w.Draining {
-			s.Total = s.Total.Add(w.Capacity)
-		}
-	}
-	s.Loads = l.list
-	return s
-}
-
-// of returns the load of the workspace. It is valid until the next call.
-func (l *loads) of(name string) *admission.Load {
-	n, ok := l.index[name]
-	if !ok {
-		n = len(l.list)
-		l.index[name] = n
-		load := admission.Load{Name: name, Limits: map[int]time.Duration{}}
-		if w := l.config.Workspace(name); w != nil {
-			load.Weight, load.Cap, load.Guarantee, load.Limited = w.Weight, w.Cap, w.GuaranteedAccelerators, w.Limited()
-		}
-		l.list = append(l.list, load)
-	}
-	return &l.list[n]
-}
-
-// addJob adds the waiting tasks of the job. A step that cannot run under the cap delays no other.
-func (l *loads) addJob(j *jobstate.Job) {
-	load := l.of(j.Submission.Workspace)
-	if !load.Limited {
-		if len(load.Work) == 0 {
-			load.Work = append(load.Work, admission.Work{}) // only that there is some counts
-		}
-		return
-	}
-	if limit, ok := j.Submission.UsefulFor(&j.Route); ok {
-		if shortest, known := load.Limits[j.Route.Priority]; !known || limit < shortest {
-			load.Limits[j.Route.Priority] = limit
-		}
-	}
-	for _, o := range j.Occurrences {
-		if o.Done() {
-			continue
-		}
-		for _, s := range o.Steps {
-			if n := s.Waiting(); n > 0 && s.Spec.FitsCap(load.Cap) {
-				load.Waits = load.Waits || !s.ReadyAt.IsZero()
-				l.addWork(load, s, admission.Work{Time: l.monitor.Expected(load.Name, s.Spec.Estimate)}, n)
-			}
-		}
-	}
-}
-
-// addRun adds a run. Without a measured rate, its end is expected by its estimate.
-func (l *loads) addRun(r *jobstate.Run) {
-	s := r.Task.Step
-	j := s.Occurrence.Job
-	load := l.of(j.Submission.Workspace)
-	load.Use = load.Use.Add(s.Spec.Allocation())
-	if !load.Limited || j.State.Ended() || r.Task.Done {
-		return
-	}
-	left, measured := r.Remaining(l.now)
-	if !measured || r.Phase == jobstate.Stopping { // a stopped task runs again
-		left = l.monitor.Expected(load.Name, s.Spec.Estimate)
-		if r.Phase != jobstate.Stopping && !r.StartedAt.IsZero() {
-			left = max(0, left-l.now.Sub(r.StartedAt))
-		}
-	}
-	l.addWork(load, s, admission.Work{Time: left, Running: r.Phase != jobstate.Stopping}, 1)
-}
-
-// addWork adds tasks of the step. Those that run until they are cancelled have no expected end, and are left out.
-func (l *loads) addWork(load *admission.Load, s *jobstate.Step, work admission.Work, tasks int) {
-	if s.Spec.LongRunning {
-		return
-	}
-	a := s.Spec.Allocation()
-	work.Priority = s.Occurrence.Job.Route.Priority
-	work.Demand = workload.Resources{MilliCPU: tasks * a.MilliCPU, MemoryMB: tasks * a.MemoryMB, Accelerators: tasks * a.Accelerators}
-	load.Work = append(load.Work, work)
-}
-
 // countAccepted counts an accepted job towards what its workspace is owed. When the jobs read at the start of a term
-// were accepted is not known. A watch may deliver jobs late and all at once. The caller holds the lock.
+// were accepted is not known. Others count from their acceptance: a watch may deliver jobs late and all at once, and a
+// repetition announces a job that was accepted earlier. The caller holds the lock.
 func (t *Term) countAccepted(j *jobstate.Job, source intakeSource, now time.Time) {
 	w := t.workspace(j.Submission.Workspace)
 	if w == nil || !w.Limited() || source == sourceLoad {
 		return
 	}
-	if source == sourceWatch {
-		late := time.Duration(t.opts.WallClock().UnixMilli()-j.Submission.AcceptedAt) * time.Millisecond
-		now = now.Add(-max(0, late))
-	}
-	t.admission.monitor.Accepted(w.Name, w.Weight, now)
+	late := time.Duration(t.opts.WallClock().UnixMilli()-j.Submission.AcceptedAt) * time.Millisecond
+	t.admission.monitor.Accepted(w.Name, w.Weight, now.Add(-max(0, late)))
 }
 
 // observeRunTime compares the run time of a task that has run whole with its estimate. The caller holds the lock.
--- a/jobowner/admission_bench_test.go
+++ b/jobowner/admission_bench_test.go
@@ -24,6 +24,9 @@
 			limits := workload.NewConfig(config)
 			t.opts.Config = func() *workload.Config { return limits }
 			now := time.Now()
+			for _, w := range t.cluster.Workers {
+				w.Capacity = workload.Resources{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}
+			}
 			t.listAsOf = suspend.NewStamp(now, 0)
 			n, workers := 0, t.cluster.SortedWorkers()
 			var running []*jobstate.Task
@@ -37,7 +40,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				t.admission.updatedAt = time.Time{}
+				t.admission.updatedAt = suspend.Stamp{}
 				t.updateAdmission(now)
 			}
 		})
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -15,6 +15,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/errkind"
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/jobowner"
 	"github.com/cyclamenyard/cyclamenyard/metastore"
@@ -74,9 +75,11 @@
 	Term         func() Term // nil when this instance is not the owner
 	// OwnershipValid reports whether no other instance can have become the owner without this one's knowledge.
 	OwnershipValid func() bool
-	PeerClient     func(address string) relay.DRPCRelayClient
-	Log            *zap.Logger
-	Metrics        metrics.Registry
+	// Suspended returns the machine's total time in suspension; nil reads it from the system.
+	Suspended  func() time.Duration
+	PeerClient func(address string) relay.DRPCRelayClient
+	Log        *zap.Logger
+	Metrics    metrics.Registry
 }
 
 // Service serves the job calls of one instance.
@@ -90,14 +93,18 @@
 	announcementsFailed  metrics.Counter
 	announcementsUnowned metrics.Counter // to or by an instance with no owner to tell
 	overloadCache        *overloadCache
+	submissions          *submissions
 }
 
 func New(o Options) *Service {
+	if o.Suspended == nil {
+		o.Suspended = suspend.Total
+	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, o.Metrics) }
 	return &Service{opts: o, relayed: counter("jobs.relayed"), local: counter("jobs.state_local"),
 		owner: counter("jobs.state_owner"), store: counter("jobs.state_store"),
 		announcementsFailed: counter("jobs.announcements_failed"), announcementsUnowned: counter("jobs.announcements_unowned"),
-		overloadCache: newOverloadCache(o.Metrics)}
+		overloadCache: newOverloadCache(o.Metrics), submissions: newSubmissions()}
 }
 
 // outcome is the outcome of a write, as far as it can be determined.
@@ -118,7 +125,14 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "encode job %s", job.ID)
 	}
-	out := s.writeOrRelay(ctx, job.ID,
+	out := uncertain
+	defer s.submissions.begin(job.ID)()
+	defer func() { // also after a panic
+		if out == uncertain {
+			s.submissions.markUncertain(job.ID)
+		}
+	}()
+	out = s.writeOrRelay(ctx, job.ID,
 		func(ctx context.Context) outcome { return s.createKey(ctx, jobowner.JobKey(job.ID), raw) },
 		func(ctx context.Context, c relay.DRPCRelayClient) (*relay.OutcomeReply, error) {
 			return c.Submit(ctx, &relay.SubmitRequest{Job: job.ID, Submission: raw})
