internal/ingress: count only requests that were sent in advance

A keep-alive client that waited for each answer counted as one that floods: the count was reset only after a read that took more than 200 us, and on a fast network the next request arrives sooner. Such a client was closed before idle connections, also with a request received.

A request now counts if its bytes had arrived before the answer to the previous one began: in the buffer of the server, as the byte that net/http reads during a call, or unread in the socket (SIOCINQ before the first write of an answer). The received request of a client without requests in advance is not closed for others, and the test of the count comes after that.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -211,8 +211,14 @@
 func (c *Conn) beginRequest(r *http.Request) (open bool) {
 	c.update(func() {
 		open = !c.aborted
-		c.burst++
 		c.requests++
+		// Without a read since the previous request, both were in the buffer of the server.
+		if c.ahead || c.requests > 1 && !c.fetched {
+			c.burst++
+		} else {
+			c.burst = 0
+		}
+		c.fetched, c.early, c.answering, c.ahead = false, false, false, false
 		c.raw, c.received, c.announced = 0, 0, r.ContentLength
 		c.began = time.Now()
 		c.progressed = c.began
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,6 +8,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -15,8 +17,6 @@
 	// is still sending.
 	drainTime  = 300 * time.Millisecond
 	drainBytes = 1 << 20
-	// waitedFor is the time of a read that has waited for the client.
-	waitedFor = 200 * time.Microsecond
 )
 
 // Conn is a connection of a Gate.
@@ -30,6 +30,12 @@
 	aborted bool // closed by the gate
 	removed bool
 	raw     int64 // bytes read since the start of the request
+	// The requests in advance are counted by what has arrived before the answer.
+	fetched   bool // a byte was read since the start of the request
+	early     bool // a byte was read after the request and before the answer
+	answering bool // the answer has begun
+	ahead     bool // more than the request had arrived when the answer began
+	system    syscall.RawConn
 }
 
 // Read implements net.Conn.
@@ -39,15 +45,14 @@
 			return 0, err
 		}
 	}
-	began := time.Now()
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.update(func() {
 			c.progressed = time.Now()
-			if c.progressed.Sub(began) > waitedFor {
-				c.burst = 0
-			}
 			c.raw += int64(n)
+			c.fetched = true
+			// net/http reads one byte while a call is in progress. Before the answer it belongs to a request in advance.
+			c.early = c.early || c.phase == phaseServing && !c.answering
 			if c.phase == phaseNew || c.phase == phaseIdle {
 				c.phase = phaseHeader
 			}
@@ -65,6 +70,8 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.gate.limits.CountReads {
 		c.gate.release(c, -1)
+	} else {
+		c.lookAhead()
 	}
 	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.gate.limits.WriteTimeout)); err != nil {
 		return 0, err
@@ -83,6 +90,32 @@
 	return n, err
 }
 
+// lookAhead determines before the first byte of an answer whether the client has sent more than the request. Afterwards a
+// client that waits for its answers cannot be told from one that does not.
+func (c *Conn) lookAhead() {
+	var due bool
+	c.update(func() {
+		due = c.phase == phaseServing && !c.answering
+		c.answering = c.answering || due
+	})
+	if !due {
+		return
+	}
+	unread := c.unread()
+	c.update(func() { c.ahead = c.early || unread > 0 })
+}
+
+// unread returns the number of bytes that were received and not read; 0 if it is not known.
+func (c *Conn) unread() (n int) {
+	if c.system == nil {
+		return 0
+	}
+	_ = c.system.Control(func(fd uintptr) { // fails only on a closed connection
+		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) // 0 on failure
+	})
+	return n
+}
+
 // CloseWrite closes the sending side, which net/http does after a refusal.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -129,15 +162,23 @@
 	_ = c.Close() // its user closes it again
 }
 
-// limitBuffers sets the buffers of the system, which otherwise grow to some megabytes. Connections inherit those of the
-// listener, so that the limit holds before they are accepted.
-func limitBuffers(socket any) {
+// rawConn returns nil for a connection that is not one of the system.
+func rawConn(socket any) syscall.RawConn {
 	s, ok := socket.(syscall.Conn)
 	if !ok {
-		return
+		return nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// limitBuffers sets the buffers of the system, which otherwise grow to some megabytes. Connections inherit those of the
+// listener, so that the limit holds before they are accepted.
+func limitBuffers(raw syscall.RawConn) {
+	if raw == nil {
 		return
 	}
 	_ = raw.Control(func(fd uintptr) { // without effect, the buffers are those of the system
--- a/internal/ingress/evict.go
+++ b/internal/ingress/evict.go
@@ -8,8 +8,8 @@
 	// unusedAfter is the time after which a connection counts as stalled that has not sent the header of its first request.
 	// A busy client, or a busy instance, needs longer for it than for the rest.
 	unusedAfter = time.Second
-	// manyRequests is the number of requests without a wait for the client in between from which a connection is closed
-	// before others: clients that wait for their answers do not send as many.
+	// manyRequests is the number of successive requests that arrived before the answer to the previous one from which a
+	// connection is closed before others: clients that wait for their answers send none.
 	manyRequests = 16
 	// minDwell is how long a new connection is kept at least, so that a client that connects among many others is served.
 	// It bounds how many connections are accepted when the limit is reached.
@@ -47,7 +47,7 @@
 	bytes      int64     // of the budget
 	accepted   time.Time
 	requests   int // on the connection
-	burst      int // requests since the client was last waited for
+	burst      int // successive requests that arrived before the answer to the previous one
 	// The body that is being received.
 	began, deadline time.Time
 	received        int64
@@ -79,12 +79,12 @@
 		return 3
 	case h.phase == phaseServing || h.writing:
 		return -1
+	case h.phase == phaseReady && h.burst == 0: // the request of a client that waits for its answers
+		return -1
 	case h.burst >= manyRequests, h.slow(now):
 		return 3
 	case h.phase != phaseIdle && now.Sub(h.accepted) < minDwell:
 		return -1
-	case h.phase == phaseReady && h.requests == 0:
-		return -1
 	case (h.phase == phaseNew || h.phase == phaseHeader && h.requests == 0) && still < unusedAfter:
 		return 0
 	case h.phase != phaseIdle && h.phase != phaseReady && still >= stalledAfter:
--- a/internal/ingress/evict_test.go
+++ b/internal/ingress/evict_test.go
@@ -30,9 +30,10 @@
 			{phase: phaseHeader, accepted: at(minDwell), progressed: at(stalledAfter / 2)},
 			{phase: phaseNew, accepted: at(minDwell), progressed: at(minDwell)},
 		}},
-		"many requests at once": {order: []holder{
-			{phase: phaseHeader, accepted: at(open), progressed: now, burst: manyRequests}, {phase: phaseHeader, accepted: at(open), progressed: now, burst: 1},
-		}},
+		"many requests at once": {
+			order: []holder{{phase: phaseHeader, accepted: at(open), progressed: now, burst: manyRequests}, {phase: phaseHeader, accepted: at(open), progressed: now, burst: 1}},
+			keep:  []holder{{phase: phaseReady, accepted: at(open), progressed: at(time.Second), requests: 2000}},
+		},
 		"answers that are not read": {
 			order: []holder{{phase: phaseServing, writing: true, accepted: at(open), progressed: at(stalledAfter)}, {phase: phaseServing, writing: true, accepted: at(open), progressed: at(unreadAfter), requests: manyRequests}},
 			keep:  []holder{{phase: phaseServing, writing: true, accepted: at(open), progressed: at(unreadAfter)}},
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -85,7 +85,7 @@
 
 // Listener returns a listener that accepts at most Limits.Connections connections at a time.
 func (g *Gate) Listener(l net.Listener) net.Listener {
-	limitBuffers(l)
+	limitBuffers(rawConn(l))
 	return &listener{Listener: l, gate: g}
 }
 
@@ -113,8 +113,8 @@
 }
 
 func (g *Gate) admit(inner net.Conn) (net.Conn, error) {
-	limitBuffers(inner)
-	c := &Conn{Conn: inner, gate: g, holder: holder{progressed: time.Now()}}
+	c := &Conn{Conn: inner, gate: g, system: rawConn(inner), holder: holder{progressed: time.Now()}}
+	limitBuffers(c.system)
 	c.accepted = c.progressed
 	g.mu.Lock()
 	defer g.mu.Unlock()
