internal/ingress: one pass for evictions, without the lock while closing

Victims were closed and logged while the lock of the gate was held.

One pass now chooses all victims and ends if there is none. The listener waits for the end of a connection or the retry time only. Victims are marked under the lock, and closed and reported after it was released.

--- a/internal/ingress/evict.go
+++ b/internal/ingress/evict.go
@@ -1,6 +1,9 @@
 package ingress
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// stalledAfter is the time without a byte after which a request counts as stalled.
@@ -96,17 +99,12 @@
 	}
 }
 
-// worse reports whether a is less likely to be served than b, which has the same rank.
-func worse(a, b *holder, now time.Time) bool {
-	stillA, stillB := now.Sub(a.progressed)/progressStep, now.Sub(b.progressed)/progressStep
-	if stillA != stillB {
-		return stillA > stillB
-	}
-	if a.burst != b.burst {
-		return a.burst > b.burst
-	}
-	if a.bytes != b.bytes {
-		return a.bytes > b.bytes
-	}
-	return a.progressed.Before(b.progressed)
+// compare orders holders of the same rank, the one that is least likely to be served first.
+func compare(a, b *holder, now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(now.Sub(b.progressed)/progressStep, now.Sub(a.progressed)/progressStep),
+		cmp.Compare(b.burst, a.burst),
+		cmp.Compare(b.bytes, a.bytes),
+		a.progressed.Compare(b.progressed),
+	)
 }
--- a/internal/ingress/evict_test.go
+++ b/internal/ingress/evict_test.go
@@ -52,7 +52,7 @@
 				a, b := &c.order[n], &c.order[n+1]
 				rankA, rankB := a.rank(now, c.after), b.rank(now, c.after)
 				assert.GreaterOrEqual(t, rankB, 0, "holder %d", n+1)
-				assert.True(t, rankA > rankB || rankA == rankB && worse(a, b, now) && !worse(b, a, now), "holders %d (rank %d) and %d (rank %d)", n, rankA, n+1, rankB)
+				assert.True(t, rankA > rankB || rankA == rankB && compare(a, b, now) < 0 && compare(b, a, now) > 0, "holders %d (rank %d) and %d (rank %d)", n, rankA, n+1, rankB)
 			}
 			for n := range c.keep {
 				assert.Negative(t, c.keep[n].rank(now, c.after), "kept holder %d", n)
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,14 +42,18 @@
 	report *report
 	// Memory of calls in progress: a part of its own for short requests, which do not wait for large ones.
 	shortCalls, largeCalls *semaphore.Weighted
+	gone                   chan struct{} // receives after a connection was removed or the listener was closed
 
 	mu     sync.Mutex
-	freed  *sync.Cond // a connection was closed, bytes were released or a connection was marked as closing
+	freed  *sync.Cond // bytes were released, or a connection was closed or marked as closing
 	conns  map[*Conn]struct{}
 	alive  int // of conns, those that are not marked as closing
 	bytes  int64
 	dying  int64 // of bytes, those of connections that are marked as closing
 	closed bool  // the listener
+	passes int   // over all connections, by choose
+	// candidates is the memory of choose.
+	candidates []candidate
 }
 
 // Options configures a Gate.
@@ -61,7 +66,7 @@
 
 // New returns a gate without connections.
 func New(o Options) *Gate {
-	g := &Gate{limits: o.Limits, log: o.Log, report: newReport(o.Name, o.Log, o.Metrics), conns: map[*Conn]struct{}{},
+	g := &Gate{limits: o.Limits, log: o.Log, report: newReport(o.Name, o.Log, o.Metrics), conns: map[*Conn]struct{}{}, gone: make(chan struct{}, 1),
 		shortCalls: semaphore.NewWeighted(max(1, o.Limits.CallBytes/4)), largeCalls: semaphore.NewWeighted(max(1, o.Limits.CallBytes*3/4))}
 	g.freed = sync.NewCond(&g.mu)
 	g.report.gauge("bytes_held", g.BytesHeld)
@@ -107,8 +112,8 @@
 func (l *listener) Close() error {
 	l.gate.mu.Lock()
 	l.gate.closed = true
-	l.gate.freed.Broadcast()
 	l.gate.mu.Unlock()
+	l.gate.wakeAdmit()
 	return l.Listener.Close()
 }
 
@@ -116,39 +121,55 @@
 	c := &Conn{Conn: inner, gate: g, system: rawConn(inner), holder: holder{progressed: time.Now()}}
 	limitBuffers(c.system)
 	c.accepted = c.progressed
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	reserve := max(1, g.limits.Connections/reserveShare)
 	for {
-		// The whole reserve is freed at once: each wait for a closed connection takes a round of all that use the processor.
-		if g.alive >= g.limits.Connections-reserve {
-			for range reserve {
-				g.evict(reasonConnections, nil, func(*Conn) bool { return true })
-			}
-		}
-		if len(g.conns) < g.limits.Connections {
-			break
-		}
-		if g.closed {
+		added, closed, victims := g.add(c)
+		g.abort(victims, reasonConnections)
+		switch {
+		case added:
+			return c, nil
+		case closed:
 			_ = inner.Close() // the listener is closed too
 			return nil, net.ErrClosed
 		}
-		// A connection can become evictable by time alone.
-		retry := time.AfterFunc(evictRetry, g.freed.Broadcast)
-		g.freed.Wait()
+		retry := time.NewTimer(evictRetry) // a connection can become evictable by time alone
+		select {
+		case <-g.gone:
+		case <-retry.C:
+		}
 		retry.Stop()
 	}
+}
+
+// add adds the connection if there is room. It returns the connections that have to be closed for the reserve. These are as
+// many as the whole reserve, because their ends are processed only after all others that wait for the processor.
+func (g *Gate) add(c *Conn) (added, closed bool, victims []*Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reserve := max(1, g.limits.Connections/reserveShare)
+	if g.alive >= g.limits.Connections-reserve {
+		_, victims = g.choose(reasonConnections, nil, reserve, func(*Conn) bool { return true })
+	}
+	if len(g.conns) >= g.limits.Connections {
+		return false, g.closed, victims
+	}
 	g.conns[c] = struct{}{}
 	g.alive++
-	return c, nil
+	return true, g.closed, victims
+}
+
+// candidate is a connection that may be closed, with its rank.
+type candidate struct {
+	conn *Conn
+	rank int
 }
 
-// evict closes the connection that is least likely to be served, of those that suit. It reports whether there was one.
-// A connection of a body is told to refuse its request unless the reason is the number of connections. g.mu must be held.
-func (g *Gate) evict(reason string, self *Conn, suits func(*Conn) bool) bool {
+// choose marks up to n of the connections that suit, least likely to be served first, as closing. It returns how many there
+// were, and those that have to be aborted. For reasonBytes, a connection that sends a body is told to refuse its request
+// instead. g.mu must be held.
+func (g *Gate) choose(reason string, self *Conn, n int, suits func(*Conn) bool) (chosen int, victims []*Conn) {
+	g.passes++
 	now := time.Now()
-	var victim *Conn
-	best := -1
+	candidates := g.candidates[:0]
 	for c := range g.conns {
 		if c.aborted || (c.closing && reason == reasonBytes) || !suits(c) {
 			continue
@@ -157,68 +178,99 @@
 		if c == self {
 			after = 0
 		}
-		rank := c.rank(now, after)
-		if rank < 0 || rank < best || (rank == best && !worse(&c.holder, &victim.holder, now)) {
-			continue
+		if rank := c.rank(now, after); rank >= 0 {
+			candidates = append(candidates, candidate{c, rank})
 		}
-		victim, best = c, rank
 	}
-	if victim == nil {
-		return false
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.rank != b.rank {
+			return b.rank - a.rank
+		}
+		return compare(&a.conn.holder, &b.conn.holder, now)
+	})
+	chosen = min(n, len(candidates))
+	for _, v := range candidates[:chosen] {
+		if g.mark(v.conn, reason) {
+			victims = append(victims, v.conn)
+		}
 	}
-	if !victim.closing {
-		victim.closing = true
+	clear(candidates) // closed connections must not be kept
+	g.candidates = candidates
+	return chosen, victims
+}
+
+// mark marks the connection as closing and reports whether it has to be aborted.
+func (g *Gate) mark(c *Conn, reason string) bool {
+	if !c.closing {
+		c.closing = true
 		g.alive--
-		g.dying += victim.bytes
+		g.dying += c.bytes
 		g.freed.Broadcast()
 	}
-	if reason == reasonBytes && victim.phase == phaseBody {
-		_ = victim.Conn.SetReadDeadline(past) // fails only on a closed connection
-		return true
+	if reason == reasonBytes && c.phase == phaseBody {
+		_ = c.Conn.SetReadDeadline(past) // fails only on a closed connection
+		return false
 	}
-	victim.aborted = true
-	g.report.closed(reason)
-	abort(victim.Conn)
+	c.aborted = true
 	return true
 }
 
+// abort closes the connections. g.mu must not be held, because closing and logging take time.
+func (g *Gate) abort(victims []*Conn, reason string) {
+	for _, v := range victims {
+		g.report.closed(reason)
+		abort(v.Conn)
+	}
+}
+
 // past is a deadline that ends a blocked call.
 var past = time.Unix(1, 0)
 
 // grow adds n bytes to what the connection holds. If too much is held, it closes other connections and waits for their
 // bytes, or returns ErrShort.
 func (g *Gate) grow(c *Conn, n int64) error {
+	for {
+		done, victims, err := g.tryGrow(c, n)
+		g.abort(victims, reasonBytes)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// tryGrow adds the bytes if they are free. Otherwise it returns connections to close, or waits.
+func (g *Gate) tryGrow(c *Conn, n int64) (done bool, victims []*Conn, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	limit := g.limits.Bytes
 	if limit <= 0 {
-		return nil
+		return true, nil, nil
 	}
 	short := c.bytes+n <= shortBytes
 	if !short {
 		limit -= limit / reserveShare
 	}
 	suits := func(o *Conn) bool { return o == c || o.bytes > shortBytes || (short && o.bytes > 0) }
-	for g.bytes+n > limit {
-		if c.closing {
-			return ErrShort
-		}
-		if g.bytes-g.dying+n > limit && !g.evict(reasonBytes, c, suits) {
-			return ErrShort
-		}
-		if c.closing {
-			return ErrShort
-		}
-		if g.bytes+n > limit {
+	for {
+		switch {
+		case c.closing || c.removed:
+			return false, nil, ErrShort
+		case g.bytes+n <= limit:
+			c.bytes += n
+			g.bytes += n
+			return true, nil, nil
+		case g.bytes-g.dying+n > limit:
+			chosen, victims := g.choose(reasonBytes, c, 1, suits)
+			if chosen == 0 {
+				return false, nil, ErrShort
+			}
+			if len(victims) > 0 {
+				return false, victims, nil
+			}
+		default:
 			g.freed.Wait()
 		}
 	}
-	if c.closing || c.removed {
-		return ErrShort
-	}
-	c.bytes += n
-	g.bytes += n
-	return nil
 }
 
 // release returns n bytes of the connection, or all if n is negative.
@@ -257,4 +309,12 @@
 		g.alive--
 	}
 	g.freed.Broadcast()
+	g.wakeAdmit()
+}
+
+func (g *Gate) wakeAdmit() {
+	select {
+	case g.gone <- struct{}{}:
+	default: // it has not used the last wake-up yet
+	}
 }
