internal/ingress: messages between instances wait for memory

A read now waits up to 5 s, longer than the usual deadline of a caller, and connections are closed only then. A message above 16 KB counts as 320 KB at once, and above that as the largest message. Otherwise, all messages that wait with a part received could hold the budget, and none would become complete. One message is always possible.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -30,6 +30,7 @@
 	aborted bool // closed by the gate
 	removed bool
 	raw     int64 // bytes read since the start of the request
+	message int64 // bytes read since the last write, if these are counted
 	// The requests in advance are counted by what has arrived before the answer.
 	fetched   bool // a byte was read since the start of the request
 	early     bool // a byte was read after the request and before the answer
@@ -58,7 +59,7 @@
 			}
 		})
 		if c.gate.limits.CountReads {
-			if short := c.gate.grow(c, int64(n)); short != nil {
+			if short := c.gate.countRead(c, int64(n)); short != nil {
 				return 0, short
 			}
 		}
@@ -69,6 +70,7 @@
 // Write implements net.Conn. The time of each write is bounded.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.gate.limits.CountReads {
+		c.update(func() { c.message = 0 })
 		c.gate.release(c, -1)
 	} else {
 		c.lookAhead()
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -226,11 +226,15 @@
 // past is a deadline that ends a blocked call.
 var past = time.Unix(1, 0)
 
-// grow adds n bytes to what the connection holds. If too much is held, it closes other connections and waits for their
-// bytes, or returns ErrShort.
+// grow adds n bytes to what the connection holds. If too much is held, it waits for ByteWait, then closes other connections
+// and waits for their bytes, or returns ErrShort.
 func (g *Gate) grow(c *Conn, n int64) error {
+	began := time.Now()
+	if g.limits.ByteWait > 0 {
+		defer time.AfterFunc(g.limits.ByteWait, g.freed.Broadcast).Stop()
+	}
 	for {
-		done, victims, err := g.tryGrow(c, n)
+		done, victims, err := g.tryGrow(c, n, began)
 		g.abort(victims, reasonBytes)
 		if done || err != nil {
 			return err
@@ -239,7 +243,7 @@
 }
 
 // tryGrow adds the bytes if they are free. Otherwise it returns connections to close, or waits.
-func (g *Gate) tryGrow(c *Conn, n int64) (done bool, victims []*Conn, err error) {
+func (g *Gate) tryGrow(c *Conn, n int64, began time.Time) (done bool, victims []*Conn, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	limit := g.limits.Bytes
@@ -255,10 +259,12 @@
 		switch {
 		case c.closing || c.removed:
 			return false, nil, ErrShort
-		case g.bytes+n <= limit:
+		case g.bytes+n <= limit || g.limits.CountReads && g.bytes == c.bytes: // one message is always possible
 			c.bytes += n
 			g.bytes += n
 			return true, nil, nil
+		case time.Since(began) < g.limits.ByteWait:
+			g.freed.Wait()
 		case g.bytes-g.dying+n > limit:
 			chosen, victims := g.choose(reasonBytes, c, 1, suits)
 			if chosen == 0 {
@@ -273,6 +279,31 @@
 	}
 }
 
+// messageSteps are the sizes for which a message of an instance counts while it is being received. A message that grows
+// beyond one step takes the next as a whole: messages that wait with a part received could otherwise hold all bytes, and none
+// would become complete. The second step holds a relayed job of 262,144 bytes, the last one the largest message.
+var messageSteps = [...]int64{shortBytes, 320 << 10, 2<<20 + 64<<10}
+
+// countRead adds n bytes of a message to what the connection holds.
+func (g *Gate) countRead(c *Conn, n int64) error {
+	var more int64
+	c.update(func() {
+		c.message += n
+		counted := c.message
+		for _, step := range messageSteps[1:] {
+			if c.message > messageSteps[0] && c.message <= step {
+				counted = step
+				break
+			}
+		}
+		more = counted - c.bytes
+	})
+	if more <= 0 {
+		return nil
+	}
+	return g.grow(c, more)
+}
+
 // release returns n bytes of the connection, or all if n is negative.
 func (g *Gate) release(c *Conn, n int64) {
 	g.mu.Lock()
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -24,6 +24,8 @@
 	WriteTimeout time.Duration
 	// EvictAfter is the time without progress before which a connection with a request is not closed for others.
 	EvictAfter time.Duration
+	// ByteWait is how long a read waits for other requests to end while Bytes are used, before connections are closed.
+	ByteWait time.Duration
 	// CountReads makes the bytes that are read count against Bytes until the next write. It is for protocols whose
 	// messages are read by a library.
 	CountReads bool
@@ -54,6 +56,9 @@
 	peerIdleTimeout = 90 * time.Second
 	// peerEvictAfter is longer than a call between instances takes.
 	peerEvictAfter = 15 * time.Second
+	// peerByteWait is longer than the usual deadline of a caller, 3 s, so that a message is cut off only when its caller no
+	// longer waits.
+	peerByteWait = 5 * time.Second
 )
 
 // Settings are the limits of the process and the values that replace defaults; 0 for the default.
@@ -105,7 +110,7 @@
 // Peers returns the limits of the listener for other instances.
 func (s Settings) Peers() Limits {
 	return Limits{Connections: max(minConnections, s.fds()/peersFDShare), Bytes: int64(peersShare * s.memory()), CountReads: true,
-		IdleTimeout: peerIdleTimeout, WriteTimeout: writeTimeout, EvictAfter: peerEvictAfter}
+		ByteWait: peerByteWait, IdleTimeout: peerIdleTimeout, WriteTimeout: writeTimeout, EvictAfter: peerEvictAfter}
 }
 
 // Probes returns the limits of the listeners for readiness and metrics.
