internal/ingress, peer, platform: descriptors of peers and workers follow one sum

Peers had 256 connections at 4,100 descriptors instead of 2,048, fewer than the calls of all instances, and idle ones could be reset after 1 s, also those of control calls. The workers' limit was MaxFds - 1,200 whatever the listeners took: at 8,192 descriptors, callers 1,024, peers 512, probes 32 and files 200 are 1,768.

An instance now makes at most 16 calls at a time to a peer (64 before), and peers have 680 connections at 4,100 descriptors, 17 for each of 40 instances. Idle connections of peers are kept for 30 s, the idle time of the client. The workers' limit is what files, callers, peers, probes, and connections to the store and to other instances leave: 2,526 at 4,100 descriptors, where 630 workers with 4 connections need 2,520. Settings that leave less than a quarter of the descriptors to workers, or that take more than three quarters of the memory, are invalid.

TestLimitsFitTheProcess asserts the sum of all users of descriptors. Its former assertion, a quarter for all listeners, does not hold at 4,100 (1,224) and is replaced by the sum, which includes the rest that it kept free. The case for idle connections in TestEvictionOrder expected eviction after 1 s, which was the fault; it now expects 30 s. Not bounded: connections to the store, for which 150 descriptors are kept together with calls to peers.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -125,7 +125,7 @@
 
 func newAdapter(s *platform.Settings, log *zap.Logger, registry metrics.Registry, l *link.Meter) node.Adapter {
 	adapter := node.Adapter{
-		Store: platform.NewStore(s.Store, registry, l), Workers: platform.NewWorkers(s.MaxFDs, log, registry, l), Advisor: platform.NewAdvice(s.Advice, registry, l), Codec: platform.JobCodec{},
+		Store: platform.NewStore(s.Store, registry, l), Workers: platform.NewWorkers(s.Ingress.WorkerConnections(), log, registry, l), Advisor: platform.NewAdvice(s.Advice, registry, l), Codec: platform.JobCodec{},
 		OperatorPrefix: platform.OperatorPrefix, WorkersPrefix: platform.WorkersPrefix, ReadyPath: platform.ReadyPath,
 		IsConfig: platform.IsConfig, DecodeConfig: platform.DecodeConfig, EvacuatedDataCentre: platform.EvacuatedDataCentre,
 		DecodeWorker: platform.DecodeWorker, WorkerID: platform.WorkerID,
--- a/internal/ingress/evict.go
+++ b/internal/ingress/evict.go
@@ -68,10 +68,14 @@
 }
 
 // rank returns the class of the holder; the highest is closed first. Negative: the holder is not closed for others.
-func (h *holder) rank(now time.Time, after time.Duration) int {
+// Those with a request are kept for the time after, idle ones for keepIdle.
+func (h *holder) rank(now time.Time, after, keepIdle time.Duration) int {
 	still := now.Sub(h.progressed)
-	if h.phase == phaseNew || h.phase == phaseIdle {
+	switch h.phase {
+	case phaseNew:
 		after = min(after, unusedAfter)
+	case phaseIdle:
+		after = keepIdle
 	}
 	switch {
 	case still < after:
--- a/internal/ingress/evict_test.go
+++ b/internal/ingress/evict_test.go
@@ -19,7 +19,7 @@
 	const open = 2 * time.Second
 	for name, c := range map[string]struct {
 		order, keep []holder
-		after       time.Duration
+		after, idle time.Duration
 	}{
 		"longest without progress first": {order: []holder{body(900*time.Millisecond, 200_000, 1), body(600*time.Millisecond, 200_000, 1), body(0, 200_000, 1)}},
 		"then most bytes":                {order: []holder{body(0, 200_000, 257<<10), body(0, 200_000, 64<<10), body(0, 200_000, 4<<10)}},
@@ -42,20 +42,20 @@
 			{phase: phaseServing, accepted: at(open), progressed: at(time.Minute)}, {phase: phaseReady, accepted: at(open), progressed: at(time.Second)}, {phase: phaseNew, accepted: now, progressed: now}, {phase: phaseBody, accepted: now, progressed: now},
 		}},
 		"calls between instances": {
-			after: peerEvictAfter,
-			order: []holder{{phase: phaseHeader, accepted: at(time.Hour), progressed: at(peerEvictAfter)}, {phase: phaseIdle, accepted: at(time.Hour), progressed: at(unusedAfter)}},
-			keep:  []holder{{phase: phaseHeader, accepted: at(time.Hour), progressed: at(3 * time.Second)}, {phase: phaseIdle, accepted: at(time.Hour), progressed: now}},
+			after: peerEvictAfter, idle: peerKeepIdle,
+			order: []holder{{phase: phaseHeader, accepted: at(time.Hour), progressed: at(peerEvictAfter)}, {phase: phaseIdle, accepted: at(time.Hour), progressed: at(peerKeepIdle)}},
+			keep:  []holder{{phase: phaseHeader, accepted: at(time.Hour), progressed: at(3 * time.Second)}, {phase: phaseIdle, accepted: at(time.Hour), progressed: at(peerKeepIdle - time.Second)}},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for n := range len(c.order) - 1 {
 				a, b := &c.order[n], &c.order[n+1]
-				rankA, rankB := a.rank(now, c.after), b.rank(now, c.after)
+				rankA, rankB := a.rank(now, c.after, c.idle), b.rank(now, c.after, c.idle)
 				assert.GreaterOrEqual(t, rankB, 0, "holder %d", n+1)
 				assert.True(t, rankA > rankB || rankA == rankB && compare(a, b, now) < 0 && compare(b, a, now) > 0, "holders %d (rank %d) and %d (rank %d)", n, rankA, n+1, rankB)
 			}
 			for n := range c.keep {
-				assert.Negative(t, c.keep[n].rank(now, c.after), "kept holder %d", n)
+				assert.Negative(t, c.keep[n].rank(now, c.after, c.idle), "kept holder %d", n)
 			}
 		})
 	}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -178,7 +178,7 @@
 		if c == self {
 			after = 0
 		}
-		if rank := c.rank(now, after); rank >= 0 {
+		if rank := c.rank(now, after, g.limits.KeepIdle); rank >= 0 {
 			candidates = append(candidates, candidate{c, rank})
 		}
 	}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -3,7 +3,10 @@
 // closed or refused. docs/design/ingress.md describes the bounds.
 package ingress
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Limits are the bounds of one listener.
 type Limits struct {
@@ -24,6 +27,8 @@
 	WriteTimeout time.Duration
 	// EvictAfter is the time without progress before which a connection with a request is not closed for others.
 	EvictAfter time.Duration
+	// KeepIdle is the time for which an idle connection is not closed for others.
+	KeepIdle time.Duration
 	// ByteWait is how long a read waits for other requests to end while Bytes are used, before connections are closed.
 	ByteWait time.Duration
 	// CountReads makes the bytes that are read count against Bytes until the next write. It is for protocols whose
@@ -45,7 +50,21 @@
 	// Shares of the memory: connections, bodies, calls, relayed messages.
 	connectionsShare, bodiesShare, callsShare, peersShare = 0.25, 0.125, 0.125, 0.0625
 	// callersFDShare and peersFDShare are the parts of the descriptors for callers and for peers' connections.
-	callersFDShare, peersFDShare = 8, 16
+	callersFDShare, peersFDShare = 8, 6
+	// MaxInstances is the largest number of instances, and PeerCalls limits the calls in progress from one instance to
+	// another, each of which has a connection. Both hold at 4,100 descriptors, of which workers need 2,520.
+	MaxInstances, PeerCalls = 40, 16
+	// peerConnections has room for a further connection of each instance, which is being opened or closed.
+	peerConnections = MaxInstances * (PeerCalls + 1)
+	// fileFDs and clientFDs are the descriptors for files and for connections to the store and to other instances, and the
+	// shares limit them if there are few descriptors.
+	fileFDs, fileFDShare     = 200, 20
+	clientFDs, clientFDShare = 150, 27
+	// minWorkerConnections applies if the limit of descriptors is very low.
+	minWorkerConnections = 32
+	// workersFDShare and maxMemoryShare bound what settings may take: a quarter of the descriptors is left for workers, and
+	// a quarter of the memory for the rest of the process.
+	workersFDShare, maxMemoryShare = 4, 0.75
 	// minConnections applies if the limits of the settings are very low.
 	minConnections = 32
 	// probeConnections is the limit of the listeners for readiness and metrics.
@@ -56,6 +75,9 @@
 	peerIdleTimeout = 90 * time.Second
 	// peerEvictAfter is longer than a call between instances takes.
 	peerEvictAfter = 15 * time.Second
+	// peerKeepIdle is the time for which the client of the peers keeps an unused connection. Until then it may send a call
+	// on it.
+	peerKeepIdle = 30 * time.Second
 	// peerByteWait is longer than the usual deadline of a caller, 3 s, so that a message is cut off only when its caller no
 	// longer waits.
 	peerByteWait = 5 * time.Second
@@ -109,11 +131,38 @@
 
 // Peers returns the limits of the listener for other instances.
 func (s Settings) Peers() Limits {
-	return Limits{Connections: max(minConnections, s.fds()/peersFDShare), Bytes: int64(peersShare * s.memory()), CountReads: true,
-		ByteWait: peerByteWait, IdleTimeout: peerIdleTimeout, WriteTimeout: writeTimeout, EvictAfter: peerEvictAfter}
+	return Limits{Connections: max(minConnections, min(peerConnections, s.fds()/peersFDShare)), Bytes: int64(peersShare * s.memory()), CountReads: true,
+		ByteWait: peerByteWait, IdleTimeout: peerIdleTimeout, WriteTimeout: writeTimeout, EvictAfter: peerEvictAfter, KeepIdle: peerKeepIdle}
 }
 
 // Probes returns the limits of the listeners for readiness and metrics.
 func (s Settings) Probes() Limits {
 	return Limits{Connections: probeConnections, BodyTime: defaultBodyTime, WriteTimeout: writeTimeout}
 }
+
+// WorkerConnections returns how many connections to workers may be open, so that all limits together stay within MaxFDs.
+func (s Settings) WorkerConnections() int { return max(minWorkerConnections, s.workerFDs()) }
+
+// workerFDs returns the descriptors that remain for workers.
+func (s Settings) workerFDs() int {
+	rest := min(fileFDs, s.fds()/fileFDShare) + min(clientFDs, s.fds()/clientFDShare) + 2*probeConnections
+	return s.fds() - rest - s.Callers().Connections - s.Peers().Connections
+}
+
+// Check returns an error if values that replace defaults exceed the process.
+func (s Settings) Check() error {
+	if s.Connections > 0 && s.workerFDs() < s.fds()/workersFDShare {
+		return fmt.Errorf("MaxConnections: %d of %d descriptors leave %d for workers; must leave at least %d",
+			s.Connections, s.fds(), s.workerFDs(), s.fds()/workersFDShare)
+	}
+	if s.Connections == 0 && s.BodiesMB == 0 && s.CallsMB == 0 {
+		return nil
+	}
+	c := s.Callers()
+	total := int64(c.Connections)*connectionBytes + c.Bytes + c.CallBytes + s.Peers().Bytes
+	if limit := int64(maxMemoryShare * s.memory()); total > limit {
+		return fmt.Errorf("MaxConnections at 88 KB, BodiesMb, CallsMb and messages of instances take %d MB; must take at most %d of MemoryMb",
+			total/mb, limit/mb)
+	}
+	return nil
+}
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -34,13 +34,35 @@
 	assert.Equal(t, int64(idle), g.Connections())
 }
 
-// Guards against limits that together exceed the process: memory, and the descriptors that remain for the store, workers,
-// files and probes, also on machines with very low limits.
+// Guards against limits that together exceed the process: memory, and the descriptors of all listeners, workers, files and
+// other clients, also on machines with low limits.
 func TestLimitsFitTheProcess(t *testing.T) {
 	for _, s := range []Settings{{MemoryMB: 96, MaxFDs: 512}, {MemoryMB: 184, MaxFDs: 4100}, {MemoryMB: 284, MaxFDs: 8192}, {MemoryMB: 536, MaxFDs: 8192}, {}} {
 		c, p := s.Callers(), s.Peers()
 		memory := int64(c.Connections)*connectionBytes + c.Bytes + c.CallBytes + p.Bytes
 		assert.LessOrEqual(t, memory, int64(0.6*s.memory()), "%+v", s)
-		assert.LessOrEqual(t, c.Connections+p.Connections+2*probeConnections, s.fds()/4, "%+v", s)
+		// The previous assertion, a quarter for all listeners, left too few to peers. The sum includes what it kept free.
+		files, clients := min(fileFDs, s.fds()/fileFDShare), min(clientFDs, s.fds()/clientFDShare)
+		assert.LessOrEqual(t, c.Connections+p.Connections+2*probeConnections+files+clients+s.WorkerConnections(), s.fds(), "%+v", s)
+		assert.GreaterOrEqual(t, s.WorkerConnections(), s.fds()/2, "%+v", s)
+		assert.NoError(t, s.Check(), "%+v", s)
+		if s.fds() >= 4100 {
+			assert.Equal(t, fileFDs, files)
+			assert.GreaterOrEqual(t, s.WorkerConnections(), 630*4, "an owner with 4 connections to each of 630 workers: %+v", s)
+			assert.GreaterOrEqual(t, p.Connections, MaxInstances*PeerCalls, "calls of all instances: %+v", s)
+		}
 	}
 }
+
+// Guards against settings that take the descriptors of the workers or the memory of the process.
+func TestSettingsBeyondTheProcessAreInvalid(t *testing.T) {
+	for field, s := range map[string]Settings{
+		"MaxConnections": {MemoryMB: 536, MaxFDs: 4100, Connections: 2100},
+		"MemoryMb":       {MemoryMB: 184, MaxFDs: 4100, Connections: 1500},
+		"BodiesMb":       {MemoryMB: 184, MaxFDs: 4100, BodiesMB: 100},
+		"CallsMb":        {MemoryMB: 184, MaxFDs: 4100, CallsMB: 100},
+	} {
+		assert.ErrorContains(t, s.Check(), field)
+	}
+	assert.NoError(t, Settings{MemoryMB: 184, MaxFDs: 4100, Connections: 600, BodiesMB: 30, CallsMB: 30}.Check())
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -15,6 +15,8 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/cyclamenyard/cyclamenyard/internal/ingress"
 )
 
 const (
@@ -31,8 +33,8 @@
 	// idlePerPeer is the maximum number of unused connections kept for each peer.
 	idlePerPeer = 4
 	// callsPerPeer limits the concurrent calls to a peer. Control calls are exempt, so that waiting
-	// job calls cannot delay them.
-	callsPerPeer = 64
+	// job calls cannot delay them. The listener of an instance has room for these calls of all others.
+	callsPerPeer = ingress.PeerCalls
 )
 
 // controlCalls are the calls that belong to control traffic, which has separate connections and
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// maxConnections limits the connections that the server accepts. 24 instances with up to
+	// maxConnections limits the connections that the server accepts. 40 instances with up to
 	// callsPerPeer calls each stay below it.
 	maxConnections = 2048
 	// serverIdleTimeout is the time after which a connection without calls is closed. It is longer
