internal/ingress: progress of writes, socket buffers of peers

A write of any size had 5 s, which cuts large answers on slow links; the time without progress is bounded now, in pieces of 16 KB. The crowd test states that VmHWM does not include buffers of sockets; its crowd and bounds are unchanged.

Test: TestLongWriteWithProgressIsNotCut.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -182,7 +182,8 @@
 	}
 }
 
-// check compares the process with its limits.
+// check compares the process with its limits. The peak is VmHWM, which does not include the buffers of sockets in the system;
+// ingress.Settings counts them with each connection.
 func (i *instance) check(t *testing.T) {
 	select {
 	case <-i.exited:
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -18,6 +18,8 @@
 	// is still sending.
 	drainTime  = 300 * time.Millisecond
 	drainBytes = 1 << 20
+	// writePiece is the size of the pieces in which the progress of a write is observed.
+	writePiece = 16 << 10
 )
 
 // Conn is a connection of a Gate.
@@ -71,7 +73,7 @@
 	return n, err
 }
 
-// Write implements net.Conn. The time of each write is bounded.
+// Write implements net.Conn. The time without progress is bounded, whatever the size.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.gate.limits.CountReads {
 		c.update(func() { c.message = 0 })
@@ -79,21 +81,31 @@
 	} else {
 		c.lookAhead()
 	}
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.gate.limits.WriteTimeout)); err != nil {
-		return 0, err
-	}
 	c.update(func() {
 		c.writing, c.progressed = true, time.Now()
 		if c.gate.limits.CountReads {
 			c.phase = phaseIdle
 		}
 	})
-	n, err := c.Conn.Write(p)
-	c.update(func() { c.writing, c.progressed = false, time.Now() })
+	written := 0
+	var err error
+	for written < len(p) && err == nil {
+		var n int
+		if err = c.Conn.SetWriteDeadline(time.Now().Add(c.gate.limits.WriteTimeout)); err != nil {
+			break
+		}
+		n, err = c.Conn.Write(p[written:min(len(p), written+writePiece)])
+		written += n
+		c.update(func() { c.progressed = time.Now() })
+		if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = nil
+		}
+	}
+	c.update(func() { c.writing = false })
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gate.report.closed(reasonWrite)
 	}
-	return n, err
+	return written, err
 }
 
 // lookAhead determines before the first byte of an answer whether the client has sent more than the request. Afterwards a
@@ -189,15 +201,15 @@
 	return raw
 }
 
-// limitBuffers sets the buffers of the system, which otherwise grow to some megabytes. Connections inherit those of the
+// limitBuffers sets the buffers of the system unless the size is 0. They otherwise grow to some megabytes. Connections inherit those of the
 // listener, so that the limit holds before they are accepted.
-func limitBuffers(raw syscall.RawConn) {
-	if raw == nil {
+func limitBuffers(raw syscall.RawConn, size int) {
+	if raw == nil || size == 0 {
 		return
 	}
 	_ = raw.Control(func(fd uintptr) { // without effect, the buffers are those of the system
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBuffer)
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBuffer)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, size)
 	})
 }
 
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -90,7 +90,7 @@
 
 // Listener returns a listener that accepts at most Limits.Connections connections at a time.
 func (g *Gate) Listener(l net.Listener) net.Listener {
-	limitBuffers(rawConn(l))
+	limitBuffers(rawConn(l), g.limits.SocketBuffer)
 	return &listener{Listener: l, gate: g}
 }
 
@@ -119,7 +119,7 @@
 
 func (g *Gate) admit(inner net.Conn) (net.Conn, error) {
 	c := &Conn{Conn: inner, gate: g, system: rawConn(inner), holder: holder{progressed: time.Now()}}
-	limitBuffers(c.system)
+	limitBuffers(c.system, g.limits.SocketBuffer)
 	c.accepted = c.progressed
 	for {
 		added, closed, victims := g.add(c)
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -153,6 +153,30 @@
 	}
 }
 
+// Guards against a fixed time for a write of any size, which cuts large answers on slow links: the reader takes 30 KB every
+// 30 ms, so that the write takes longer than its time-out but makes progress.
+func TestLongWriteWithProgressIsNotCut(t *testing.T) {
+	const size = 600 << 10
+	l := testLimits()
+	l.WriteTimeout = 200 * time.Millisecond
+	g := New(Options{Name: "test", Limits: l, Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
+	a, b := net.Pipe()
+	c, err := g.admit(a)
+	require.NoError(t, err)
+	done := make(chan error)
+	go func() {
+		_, err := c.Write(make([]byte, size))
+		done <- err
+	}()
+	for range 20 {
+		time.Sleep(30 * time.Millisecond)
+		_, err := io.ReadFull(b, make([]byte, size/20))
+		require.NoError(t, err)
+	}
+	assert.NoError(t, <-done)
+	assert.NoError(t, c.Close())
+}
+
 // Guards against a document that is small as sent and large when decoded.
 func TestCallMemory(t *testing.T) {
 	for name, c := range map[string]struct {
