internal/ingress: connections that have just been accepted are not closed for the reserve

For the reserve of connections, as many as it has were closed for one new connection, also those that had been accepted 100 ms before and whose first request was on its way. In a play of TestSlowReadersOnThreeInstances at load 23, the ordinary call of one instance was reset while it connected. Connections without a request are now closed only if there is no room otherwise, one at a time.

Test: TestNewConnectionsAreNotClosedForTheReserve.

--- a/internal/ingress/closing_test.go
+++ b/internal/ingress/closing_test.go
@@ -92,3 +92,32 @@
 	assert.NoError(t, last.Close())
 	waiting.Wait()
 }
+
+// Guards against closing clients that have just connected, and whose first request is on its way, for a reserve that others
+// have to provide.
+func TestNewConnectionsAreNotClosedForTheReserve(t *testing.T) {
+	l := testLimits()
+	g := New(Options{Name: "test", Limits: l, Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
+	recent := time.Now().Add(-2 * minDwell)
+	for n := range l.Connections {
+		a, b := net.Pipe()
+		t.Cleanup(func() { _ = a.Close(); _ = b.Close() })
+		c, err := g.admit(a)
+		assert.NoError(t, err)
+		c.(*Conn).update(func() {
+			conn := c.(*Conn)
+			conn.accepted, conn.progressed = recent, recent
+			if n == 0 {
+				conn.phase = phaseIdle
+			}
+		})
+	}
+	aborted := 0
+	for c := range g.conns {
+		if c.aborted {
+			aborted++
+			assert.Equal(t, phaseIdle, c.phase, "only the idle one is closed")
+		}
+	}
+	assert.Equal(t, 1, aborted)
+}
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -188,6 +188,9 @@
 		}
 		return compare(&a.conn.holder, &b.conn.holder, now)
 	})
+	if reason == reasonConnections {
+		n = min(n, g.expendable(candidates))
+	}
 	chosen = min(n, len(candidates))
 	for _, v := range candidates[:chosen] {
 		if g.mark(v.conn, reason) {
@@ -199,6 +202,17 @@
 	return chosen, victims
 }
 
+// expendable returns how many of the sorted candidates may be closed for the reserve: those that have sent a request. Clients
+// that have just connected are closed only if there is no room otherwise, one at a time, because a busy client needs long to
+// send its first request.
+func (g *Gate) expendable(sorted []candidate) int {
+	n, _ := slices.BinarySearchFunc(sorted, 0, func(c candidate, rank int) int { return rank - c.rank })
+	if n == 0 && len(g.conns) >= g.limits.Connections {
+		return 1
+	}
+	return n
+}
+
 // mark marks the connection as closing and reports whether it has to be aborted.
 func (g *Gate) mark(c *Conn, reason string) bool {
 	if !c.closing {
