internal/ingress: a first request that has arrived is not closed for others

With all connections new, as with 600 clients that reconnect, a listener at its limit closed the one that had waited for the longest time, also if its request had arrived and this instance had not had the time to read it.

Tests: TestReceivedFirstRequestIsNotClosedForOthers fails without the condition; TestNewConnectionsAreNotClosedForTheReserve fails when all candidates may be closed (both on a scratch copy).

--- a/internal/ingress/closing_test.go
+++ b/internal/ingress/closing_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
 
@@ -98,7 +99,7 @@
 func TestNewConnectionsAreNotClosedForTheReserve(t *testing.T) {
 	l := testLimits()
 	g := New(Options{Name: "test", Limits: l, Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
-	recent := time.Now().Add(-2 * minDwell)
+	recent := time.Now().Add(-firstDwell)
 	for n := range l.Connections {
 		a, b := net.Pipe()
 		t.Cleanup(func() { _ = a.Close(); _ = b.Close() })
@@ -121,3 +122,48 @@
 	}
 	assert.Equal(t, 1, aborted)
 }
+
+// Guards against closing a client whose first request has arrived, because this instance has had no time to read it, while
+// silent ones are kept.
+func TestReceivedFirstRequestIsNotClosedForOthers(t *testing.T) {
+	l := testLimits()
+	g := New(Options{Name: "test", Limits: l, Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := g.Listener(inner)
+	defer listener.Close()
+	accept := func() *Conn {
+		c, err := listener.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c.(*Conn)
+	}
+	sender := dial(t, inner.Addr().String())
+	_, err = sender.Write([]byte(get))
+	require.NoError(t, err)
+	first := accept()
+	for range l.Connections - 1 {
+		dial(t, inner.Addr().String())
+		accept()
+	}
+	require.Eventually(t, func() bool { return first.unread() > 0 }, 5*time.Second, time.Millisecond)
+	time.Sleep(firstDwell) // first is now the one that waits for the longest time
+	dial(t, inner.Addr().String())
+	go func() {
+		for range time.Tick(time.Millisecond) { // the server closes what the gate has aborted
+			g.mu.Lock()
+			for c := range g.conns {
+				if c.aborted {
+					go c.Close()
+				}
+			}
+			done := g.closed
+			g.mu.Unlock()
+			if done {
+				return
+			}
+		}
+	}()
+	accept()
+	first.update(func() { assert.False(t, first.aborted) })
+}
--- a/internal/ingress/evict.go
+++ b/internal/ingress/evict.go
@@ -17,6 +17,9 @@
 	// minDwell is how long a new connection is kept at least, so that a client that connects among many others is served.
 	// It bounds how many connections are accepted when the limit is reached.
 	minDwell = 100 * time.Millisecond
+	// firstDwell is the same for a connection without a complete request: a client on a busy machine was closed for others
+	// after minDwell, before it had sent anything.
+	firstDwell = 250 * time.Millisecond
 	// unreadAfter is the time of a blocked write after which a client with many requests on its connection does not read
 	// its answers. Other answers fit into the buffer of the system, or are long ones and need the time of the link.
 	unreadAfter = 20 * time.Millisecond
@@ -93,6 +96,9 @@
 	case h.phase != phaseIdle && now.Sub(h.accepted) < minDwell:
 		return -1
 	case (h.phase == phaseNew || h.phase == phaseHeader && h.requests == 0) && still < unusedAfter:
+		if now.Sub(h.accepted) < firstDwell {
+			return -1
+		}
 		return 0
 	case h.phase != phaseIdle && h.phase != phaseReady && still >= stalledAfter:
 		return 3
--- a/internal/ingress/evict_test.go
+++ b/internal/ingress/evict_test.go
@@ -27,8 +27,8 @@
 		"refused, stalled, idle, active, first request, new": {order: []holder{
 			{phase: phaseRefused, accepted: at(open), progressed: now}, {phase: phaseHeader, accepted: at(open), progressed: at(unusedAfter)}, {phase: phaseHeader, accepted: at(open), progressed: at(stalledAfter), requests: 1},
 			{phase: phaseIdle, accepted: at(open), progressed: at(time.Minute)}, {phase: phaseHeader, accepted: at(open), progressed: now, requests: 1},
-			{phase: phaseHeader, accepted: at(minDwell), progressed: at(stalledAfter / 2)},
-			{phase: phaseNew, accepted: at(minDwell), progressed: at(minDwell)},
+			{phase: phaseHeader, accepted: at(firstDwell), progressed: at(stalledAfter / 2)},
+			{phase: phaseNew, accepted: at(firstDwell), progressed: at(minDwell)},
 		}},
 		"many requests at once": {
 			order: []holder{{phase: phaseHeader, accepted: at(open), progressed: now, burst: manyRequests}, {phase: phaseHeader, accepted: at(open), progressed: now, burst: 1}},
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -204,13 +204,18 @@
 
 // expendable returns how many of the sorted candidates may be closed for the reserve: those that have sent a request. Clients
 // that have just connected are closed only if there is no room otherwise, one at a time, because a busy client needs long to
-// send its first request.
+// send its first request. Those whose bytes have arrived wait for the processor of this instance, and are kept.
 func (g *Gate) expendable(sorted []candidate) int {
 	n, _ := slices.BinarySearchFunc(sorted, 0, func(c candidate, rank int) int { return rank - c.rank })
-	if n == 0 && len(g.conns) >= g.limits.Connections {
-		return 1
+	if n > 0 || len(g.conns) < g.limits.Connections {
+		return n
 	}
-	return n
+	silent := slices.IndexFunc(sorted, func(c candidate) bool { return c.conn.unread() == 0 })
+	if silent < 0 {
+		return 0
+	}
+	sorted[0], sorted[silent] = sorted[silent], sorted[0]
+	return 1
 }
 
 // mark marks the connection as closing and reports whether it has to be aborted.
