--- a/internal/ingress/evict.go
+++ b/internal/ingress/evict.go
@@ -1,6 +1,9 @@
 package ingress
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// stalledAfter is the time without a byte after which a request counts as stalled.
@@ -8,12 +11,15 @@
 	// unusedAfter is the time after which a connection counts as stalled that has not sent the header of its first request.
 	// A busy client, or a busy instance, needs longer for it than for the rest.
 	unusedAfter = time.Second
-	// manyRequests is the number of requests without a wait for the client in between from which a connection is closed
-	// before others: clients that wait for their answers do not send as many.
+	// manyRequests is the number of successive requests that arrived before the answer to the previous one from which a
+	// connection is closed before others: clients that wait for their answers send none.
 	manyRequests = 16
 	// minDwell is how long a new connection is kept at least, so that a client that connects among many others is served.
 	// It bounds how many connections are accepted when the limit is reached.
 	minDwell = 100 * time.Millisecond
+	// firstDwell is the same for a connection without a complete request: a client on a busy machine was closed for others
+	// after minDwell, before it had sent anything.
+	firstDwell = 250 * time.Millisecond
 	// unreadAfter is the time of a blocked write after which a client with many requests on its connection does not read
 	// its answers. Other answers fit into the buffer of the system, or are long ones and need the time of the link.
 	unreadAfter = 20 * time.Millisecond
@@ -47,7 +53,7 @@
 	bytes      int64     // of the budget
 	accepted   time.Time
 	requests   int // on the connection
-	burst      int // requests since the client was last waited for
+	burst      int // successive requests that arrived before the answer to the previous one
 	// The body that is being received.
 	began, deadline time.Time
 	received        int64
@@ -65,10 +71,14 @@
 }
 
 // rank returns the class of the holder; the highest is closed first. Negative: the holder is not closed for others.
-func (h *holder) rank(now time.Time, after time.Duration) int {
+// Those with a request are kept for the time after, idle ones for keepIdle.
+func (h *holder) rank(now time.Time, after, keepIdle time.Duration) int {
 	still := now.Sub(h.progressed)
-	if h.phase == phaseNew || h.phase == phaseIdle {
+	switch h.phase {
+	case phaseNew:
 		after = min(after, unusedAfter)
+	case phaseIdle:
+		after = keepIdle
 	}
 	switch {
 	case still < after:
@@ -79,13 +89,16 @@
 		return 3
 	case h.phase == phaseServing || h.writing:
 		return -1
+	case h.phase == phaseReady && h.burst == 0: // the request of a client that waits for its answers
+		return -1
 	case h.burst >= manyRequests, h.slow(now):
 		return 3
 	case h.phase != phaseIdle && now.Sub(h.accepted) < minDwell:
 		return -1
-	case h.phase == phaseReady && h.requests == 0:
-		return -1
 	case (h.phase == phaseNew || h.phase == phaseHeader && h.requests == 0) && still < unusedAfter:
+		if now.Sub(h.accepted) < firstDwell {
+			return -1
+		}
 		return 0
 	case h.phase != phaseIdle && h.phase != phaseReady && still >= stalledAfter:
 		return 3
@@ -96,17 +109,12 @@
 	}
 }
 
-// worse reports whether a is less likely to be served than b, which has the same rank.
-func worse(a, b *holder, now time.Time) bool {
-	stillA, stillB := now.Sub(a.progressed)/progressStep, now.Sub(b.progressed)/progressStep
-	if stillA != stillB {
-		return stillA > stillB
-	}
-	if a.burst != b.burst {
-		return a.burst > b.burst
-	}
-	if a.bytes != b.bytes {
-		return a.bytes > b.bytes
-	}
-	return a.progressed.Before(b.progressed)
+// compare orders holders of the same rank, the one that is least likely to be served first.
+func compare(a, b *holder, now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(now.Sub(b.progressed)/progressStep, now.Sub(a.progressed)/progressStep),
+		cmp.Compare(b.burst, a.burst),
+		cmp.Compare(b.bytes, a.bytes),
+		a.progressed.Compare(b.progressed),
+	)
 }
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -25,19 +25,24 @@
 		ctx, cancel := context.WithTimeout(r.Context(), timeout)
 		defer cancel()
 		body, err := g.ReadBody(ctx, r, 262_144)
-		var end func()
+		var call *Call
 		if err == nil {
-			end, err = g.Begin(ctx, r, body)
+			call, err = g.Begin(ctx, r, body)
 		}
 		if err != nil {
 			w.Header().Set("Connection", "close")
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		defer end()
+		defer call.End()
+		call.Decoded()
 		if inspect != nil {
 			inspect(body.Bytes)
 		}
+		if ctx.Err() != nil {
+			http.Error(w, "the deadline has passed", http.StatusServiceUnavailable)
+			return
+		}
 		fmt.Fprint(w, len(body.Bytes))
 		body.Release()
 	}))}
@@ -148,6 +153,30 @@
 	}
 }
 
+// Guards against a fixed time for a write of any size, which cuts large answers on slow links: the reader takes 30 KB every
+// 30 ms, so that the write takes longer than its time-out but makes progress.
+func TestLongWriteWithProgressIsNotCut(t *testing.T) {
+	const size = 600 << 10
+	l := testLimits()
+	l.WriteTimeout = 200 * time.Millisecond
+	g := New(Options{Name: "test", Limits: l, Log: zap.NewNop(), Metrics: metrics.NewRegistry()})
+	a, b := net.Pipe()
+	c, err := g.admit(a)
+	require.NoError(t, err)
+	done := make(chan error)
+	go func() {
+		_, err := c.Write(make([]byte, size))
+		done <- err
+	}()
+	for range 20 {
+		time.Sleep(30 * time.Millisecond)
+		_, err := io.ReadFull(b, make([]byte, size/20))
+		require.NoError(t, err)
+	}
+	assert.NoError(t, <-done)
+	assert.NoError(t, c.Close())
+}
+
 // Guards against a document that is small as sent and large when decoded.
 func TestCallMemory(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -161,10 +190,11 @@
 		"too many arrays": {strings.Repeat(`[`, maxObjects+1), 0, ErrTooManyValues},
 	} {
 		t.Run(name, func(t *testing.T) {
-			need, err := callMemory([]byte(c.body))
+			need, write, err := callMemory([]byte(c.body))
 			assert.ErrorIs(t, err, c.err)
 			if err == nil {
 				assert.Equal(t, callOverhead+copies*int64(len(c.body))+c.need, need)
+				assert.Less(t, write, need)
 			}
 		})
 	}
--- a/jobfront/filters.go
+++ b/jobfront/filters.go
@@ -166,13 +166,14 @@
 	if err := s.opts.Codec.CheckID(c.id); err != nil {
 		return nil, refuse(errkind.UnknownRoute, "%v", err)
 	}
-	body, end, err := s.readBody(ctx, c)
+	body, memory, err := s.readBody(ctx, c)
 	if err != nil {
 		return nil, err
 	}
-	defer end()
+	defer memory.End()
 	job, err := s.opts.Codec.DecodeJob(body.Bytes)
 	body.Release()
+	memory.Decoded()
 	if err != nil {
 		return nil, refuse(errkind.BadRequest, "%v", err)
 	}
@@ -237,7 +238,7 @@
 	if after := s.retryAfterOf(err, status); after > 0 {
 		h["Retry-After"] = []string{strconv.Itoa(int(math.Ceil(after.Seconds())))}
 	}
-	if kind == errkind.Overloaded || kind == errkind.BodyIncomplete {
+	if kind == errkind.Overloaded || kind == errkind.BodyIncomplete || kind == errkind.BodyTooLarge {
 		h["Connection"] = []string{"close"}
 	}
 	w.WriteHeader(status)
