placement: caps are kept for admitted units, and nothing is stopped or aged for units that cannot run

Cause: makeCapRoom stopped own runs for a unit that no worker can run, again and again (352 stops in 10 s), and without a look at the room on the workers. What the cap admitted, but found no room, was taken by own batch tasks, so that a guaranteed gang needed further rounds of stops. The search for the oldest gang counted its own choice as held, so that the first in the order was kept the cap. A gang on a route with advice was asked none for while it waited for its cap. The aging clock was one per workspace, and a unit that can never start took the place at the front. Recent use was observed only in decisions with waiting units. Ended jobs counted for what is due to a weight. Change: couldRun comes before any preemption, takes workers without advice as eligible, and room on the workers is checked; holdAdmitted; couldStart for the oldest gang and for aging; advice for a gang for which the cap is kept; queues by workspace and priority; recordUse before and after each decision and with Use. Resources.Exceeds and Components replace comparisons by component.

--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -148,6 +148,12 @@
 	return ok && ticket.Allowed && ticket.Incarnation == w.Incarnation && now.Add(ticketMargin).Before(ticket.Expires)
 }
 
+// Denies reports whether the queue's policy has refused to let the worker run the step.
+func (s *Step) Denies(w *Worker) bool {
+	ticket, ok := s.Tickets[w.ID]
+	return ok && !ticket.Allowed && ticket.Incarnation == w.Incarnation
+}
+
 // ticketMargin is how long before its expiry a ticket is no longer used. It covers the time that a start
 // order takes to arrive.
 const ticketMargin = 300 * time.Millisecond
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,8 +53,9 @@
 	urgentUse   float64 // accelerators used by urgent jobs: peak with exponential decay
 	urgentUseAt time.Time
 
-	recent  *fairshare.Recent    // use by workspaces with a weight; nil before the first
-	started map[string]time.Time // when such a workspace with waiting units last started a run, or began to wait
+	recent   *fairshare.Recent   // use by workspaces with a weight; nil before the first
+	observed map[string]bool     // workspaces whose last recorded use may not be 0
+	waiting  map[queue]time.Time // when a queue with waiting units last started a run, or began to wait
 }
 
 func New(o Options) *Policy { return &Policy{opts: o} }
@@ -72,6 +73,7 @@
 	account    *account // of its workspace; nil without a weight and a cap
 	share      int      // of its workspace, in steps; 0 without a weight
 	capped     bool     // waiting leaves out tasks for which the cap has no room
+	holds      bool     // a part of the cap is kept for it
 }
 
 // round holds the working state of one call of Decide.
@@ -104,6 +106,7 @@
 		reserved: map[*jobstate.Worker]workload.Resources{}, firm: map[*jobstate.Worker]workload.Resources{}, preemptibleOn: map[*jobstate.Worker][]victim{}}
 	r.stopStragglers()
 	r.stopOnLeaving()
+	defer r.recordUseAfter(workspace)
 	units := r.units(workspace)
 	if len(units) == 0 {
 		return r.plan
@@ -250,6 +253,9 @@
 func (r *round) schedule(u *unit) {
 	if !r.limitToCap(u) {
 		u.step.WaitReason = jobstate.WaitCap
+		if r.lacksAdvice(u) {
+			r.plan.NeedAdvice = append(r.plan.NeedAdvice, u.step)
+		}
 		return
 	}
 	workers := r.eligible(u)
@@ -269,6 +275,7 @@
 		reason = jobstate.WaitCap
 	}
 	u.step.WaitReason = reason
+	r.holdAdmitted(u)
 	if u.job.Route.Advice != nil && r.needsAdvice(u, workers) {
 		r.plan.NeedAdvice = append(r.plan.NeedAdvice, u.step)
 	}
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -20,16 +20,16 @@
 type account struct {
 	config   *workload.Workspace
 	used     workload.Resources
-	ending   workload.Resources // part of used that is being stopped or ends soon; see listRuns
-	lasting  workload.Resources // part of used by long-running tasks, which does not end by itself
-	held     workload.Resources // of what the cap leaves, or will leave, the part that is kept for units scheduled before
-	holds    bool               // a unit that is not urgent holds a part
-	oldest   *jobstate.Step     // gang for which the cap is kept free, also from units scheduled before it; nil for none
-	searched bool               // runs to preempt were searched for a unit that is not urgent
-	runs     []*jobstate.Run    // see listRuns
-	recent   float64            // recent mean of the dominant share
-	aged     *jobstate.Step     // see findAged; nil for none
-	hasUnits bool
+	ending   workload.Resources     // part of used that is being stopped or ends soon; see listRuns
+	lasting  workload.Resources     // part of used by long-running tasks, which does not end by itself
+	held     workload.Resources     // of what the cap leaves, or will leave, the part that is kept for units scheduled before
+	holds    bool                   // a unit that is not urgent holds a part
+	oldest   *jobstate.Step         // gang for which the cap is kept free, also from units scheduled before it; nil for none
+	searched bool                   // runs to preempt were searched for a unit that is not urgent
+	runs     []*jobstate.Run        // see listRuns
+	recent   float64                // recent mean of the dominant share
+	aged     map[int]*jobstate.Step // by priority; see findAged
+	active   bool                   // it has a job that has not ended, or runs
 }
 
 // capped reports whether the workspace has a cap. It is false for a nil account.
@@ -42,14 +42,14 @@
 		w := workspace(u.job.Submission.Workspace)
 		return w != nil && w.Limited()
 	}) {
-		clear(r.started)
+		clear(r.waiting)
 		return
 	}
 	r.openAccountsOfJobs(workspace)
 	r.fillAccounts()
 	for n := range units {
 		if a := r.accounts[units[n].job.Submission.Workspace]; a != nil {
-			units[n].account, a.hasUnits = a, true
+			units[n].account = a
 		}
 	}
 	r.computeShares(units)
@@ -61,14 +61,20 @@
 	unlimited := map[string]bool{}
 	for _, j := range r.c.Jobs {
 		name := j.Submission.Workspace
-		if r.accounts[name] != nil || unlimited[name] {
-			continue
-		}
-		if w := workspace(name); w != nil && w.Limited() {
-			r.accounts[name] = &account{config: w}
-		} else {
-			unlimited[name] = true
+		a := r.accounts[name]
+		if a == nil {
+			w := (*workload.Workspace)(nil)
+			if !unlimited[name] {
+				w = workspace(name)
+			}
+			if w == nil || !w.Limited() {
+				unlimited[name] = true
+				continue
+			}
+			a = &account{config: w}
+			r.accounts[name] = a
 		}
+		a.active = a.active || !j.State.Ended()
 	}
 }
 
@@ -93,6 +99,9 @@
 			}
 		}
 	}
+	for _, a := range r.accounts {
+		a.active = a.active || a.used != workload.Resources{}
+	}
 }
 
 // listRuns lists the runs of all accounts and adds up those that are ending, once in a decision. Only units at a cap need it.
@@ -126,17 +135,14 @@
 // capRoom returns how many tasks of the step the cap leaves room for beside the use and what is held for other units, n
 // at most. A use above the cap leaves none.
 func capRoom(s *jobstate.Step, limit, used, held workload.Resources, n int) int {
-	need := s.Spec.Allocation()
-	for _, k := range [...]struct{ limit, used, held, need int }{
-		{limit.MilliCPU, used.MilliCPU, held.MilliCPU, need.MilliCPU}, {limit.MemoryMB, used.MemoryMB, held.MemoryMB, need.MemoryMB},
-		{limit.Accelerators, used.Accelerators, held.Accelerators, need.Accelerators},
-	} {
+	needs, uses, holds := s.Spec.Allocation().Components(), used.Components(), held.Components()
+	for k, most := range limit.Components() {
 		switch {
-		case k.limit == 0:
-		case k.used > k.limit:
+		case most == 0:
+		case uses[k] > most:
 			return 0
-		case k.need > 0:
-			n = min(n, (k.limit-k.used-k.held)/k.need)
+		case needs[k] > 0:
+			n = min(n, (most-uses[k]-holds[k])/needs[k])
 		}
 	}
 	return max(0, n)
@@ -194,6 +200,9 @@
 	if n <= admitted {
 		return // no more fit before the units that were scheduled earlier, or beside long-running tasks
 	}
+	if !r.couldRun(u) {
+		return
+	}
 	if r.mayPreemptOwn(u) {
 		r.listRuns()
 		if r.possible(u, a.used.Sub(a.ending), n) < n {
@@ -213,55 +222,125 @@
 	return fits
 }
 
-// holdCapRoom keeps what the cap leaves from units of the same workspace that are scheduled later: for an urgent unit,
-// and for the first other gang that has waited for reservationDelay, as long as it could run on the workers there are.
-// Otherwise small tasks of the workspace would take each part of the cap that becomes free, and the gang would starve.
+// holdCapRoom keeps what the cap leaves for n tasks of the unit from units of the same workspace that are scheduled later:
+// for an urgent unit, and for the first other gang that has waited for reservationDelay. Otherwise small tasks of the
+// workspace would take each part of the cap that becomes free, and the gang would starve. The caller has checked couldRun.
 func (r *round) holdCapRoom(u *unit, n int) {
 	a := u.account
-	if u.priority > 0 && (!u.step.Spec.Gang || a.holds || r.now.Sub(u.step.ReadyAt) < reservationDelay) || !r.couldRun(u) {
+	if !r.mayHoldCap(u) {
 		return
 	}
 	a.holds = a.holds || u.priority > 0
+	u.holds = true
 	if a.oldest == u.step {
-		return // holdForOldest has done it
+		return // heldBefore includes it
 	}
 	a.held = a.held.Add(allocationFor(u.step, n))
 }
 
-// holdForOldest keeps the cap of each workspace free for its gang that has waited for its cap longest, and for
-// capAging at least, also from units of the same priority that come before it. A gang that is late comes after all that
-// is in time, and would starve behind a steady flow of it.
+func (r *round) mayHoldCap(u *unit) bool {
+	return u.priority == 0 || u.step.Spec.Gang && !u.account.holds && r.now.Sub(u.step.ReadyAt) >= reservationDelay
+}
+
+// holdAdmitted keeps the part of the cap of those tasks that the cap admitted and that found no room on the workers.
+// Otherwise later units of the workspace take it while runs are being stopped for the unit.
+func (r *round) holdAdmitted(u *unit) {
+	if !u.account.capped() || !r.mayHoldCap(u) {
+		return
+	}
+	n := 0
+	for _, t := range u.waiting {
+		if t.Run == nil {
+			n++
+		}
+	}
+	if n > 0 && r.couldRun(u) {
+		r.holdCapRoom(u, n)
+	}
+}
+
+// holdForOldest keeps the cap of each workspace free for its gang that has waited longest, and for capAging at least,
+// also from units of the same priority that come before it. A gang that is late comes after all that is in time, and
+// would starve behind a steady flow of it.
 func (r *round) holdForOldest(units []unit) {
 	if r.accounts == nil {
 		return
 	}
 	for n := range units {
 		u := &units[n]
-		if !u.account.capped() || !u.step.Spec.Gang || u.step.WaitReason != jobstate.WaitCap || r.now.Sub(u.step.ReadyAt) < capAging {
+		if !u.account.capped() || !u.step.Spec.Gang || !waitsForRoom(u.step) || r.now.Sub(u.step.ReadyAt) < capAging {
 			continue
 		}
 		a := u.account
-		if (a.oldest == nil || u.before(a.oldest)) && r.possible(u, a.lasting, len(u.waiting)) > 0 && r.couldRun(u) {
+		if (a.oldest == nil || u.before(a.oldest)) && r.couldStart(u) {
 			a.oldest = u.step
 		}
 	}
 }
 
-// couldRun reports whether the waiting tasks of the gang, or one task of another step, fit on the eligible workers when
-// these are idle.
-func (r *round) couldRun(u *unit) bool {
-	need := 1
+// waitsForRoom reports whether the last decision found no room for the step, in the cap or on the workers, or none that
+// advice allows yet.
+func waitsForRoom(s *jobstate.Step) bool {
+	switch s.WaitReason {
+	case jobstate.WaitCap, jobstate.WaitNoRoom, jobstate.WaitReclaim, jobstate.WaitReservations, jobstate.WaitLossLimit,
+		jobstate.WaitHeadroom, jobstate.WaitPreferredRack, jobstate.WaitAdvice:
+		return true
+	}
+	return false
+}
+
+// couldStart reports whether the waiting tasks of the gang, or one task of another step, fit into the cap beside the
+// long-running tasks of the workspace, and on idle workers.
+func (r *round) couldStart(u *unit) bool {
+	a, need := u.account, u.atOnce()
+	return capRoom(u.step, a.config.Cap, a.lasting, workload.Resources{}, need) >= need && r.couldRun(u)
+}
+
+// atOnce returns how many tasks must start together: the waiting ones of a gang, or one.
+func (u *unit) atOnce() int {
 	if u.step.Spec.Gang {
-		need = len(u.waiting)
+		return u.step.Waiting()
 	}
-	for _, w := range r.eligible(u) {
-		if need -= countIn(u.step, w.Capacity, 0); need <= 0 {
+	return 1
+}
+
+// couldRun reports whether the waiting tasks of the gang, or one task of another step, fit on the workers that may run
+// them when these are idle. Workers about which no advice has been given count.
+func (r *round) couldRun(u *unit) bool {
+	return r.fitOn(u, u.atOnce(), func(w *jobstate.Worker) workload.Resources { return w.Capacity })
+}
+
+// fitOn reports whether n tasks of the unit fit into the given room on the workers that may run them.
+func (r *round) fitOn(u *unit, n int, room func(*jobstate.Worker) workload.Resources) bool {
+	for _, w := range r.c.Workers {
+		if w.Service != u.job.Route.Service || !r.c.Accepts(w, r.now) {
+			continue
+		}
+		excluded := stepExclusion(u.step, w, r.now)
+		unadvised := excluded == jobstate.ExcludeTicket && !u.step.Denies(w)
+		if excluded != jobstate.NotExcluded && !unadvised {
+			continue
+		}
+		if n -= countIn(u.step, room(w), 0); n <= 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// lacksAdvice reports whether a unit for which the cap is kept needs advice on further workers, so that it can start as soon
+// as the cap admits it.
+func (r *round) lacksAdvice(u *unit) bool {
+	if u.job.Route.Advice == nil || !u.holds && u.account.oldest != u.step {
+		return false
+	}
+	need := u.atOnce()
+	for _, w := range r.eligible(u) {
+		need -= countIn(u.step, w.Capacity, 0)
+	}
+	return need > 0
+}
+
 // mayPreemptOwn reports whether the time has come to search for runs of the unit's own workspace to stop: not while earlier
 // stops for the unit may still be in progress, and for units that are not urgent only once for an account.
 func (r *round) mayPreemptOwn(u *unit) bool {
@@ -284,6 +363,9 @@
 func (r *round) preemptOwn(u *unit, n int) {
 	s := u.step
 	victims, loss := r.ownVictims(u, n)
+	if !r.fitOn(u, min(n, u.atOnce()), func(w *jobstate.Worker) workload.Resources { return r.roomBeside(w, u) }) {
+		victims = nil
+	}
 	stops := make([]*jobstate.Run, len(victims))
 	for k, v := range victims {
 		stops[k] = v.run
@@ -302,6 +384,17 @@
 		Discarded: loss, Limit: r.lossLimit(u), ForCap: true})
 }
 
+// roomBeside returns the room on the worker without the runs that may be stopped for the unit or are about to end.
+func (r *round) roomBeside(w *jobstate.Worker, u *unit) workload.Resources {
+	room := w.Free()
+	for run := range w.Runs {
+		if r.isEnding(run) || run.Task.Step.Occurrence.Job.Route.Priority > u.priority && !run.Task.Step.Spec.LongRunning {
+			room = room.Add(run.Task.Step.Spec.Allocation())
+		}
+	}
+	return room
+}
+
 // ownVictim is a run of the unit's workspace, with its gang if it is part of one.
 type ownVictim struct {
 	victim
@@ -383,12 +476,11 @@
 
 // Above reports whether the use exceeds the cap.
 func (u CapUse) Above() bool {
-	limit := u.Workspace.Cap
-	over := func(used, limit int) bool { return limit > 0 && used > limit }
-	return over(u.Used.MilliCPU, limit.MilliCPU) || over(u.Used.MemoryMB, limit.MemoryMB) || over(u.Used.Accelerators, limit.Accelerators)
+	return u.Used.Exceeds(u.Workspace.Cap)
 }
 
-// Use returns the use of each workspace with a weight or a cap that has a job, by name. It returns nil if there is none.
+// Use returns the use of each workspace with a weight or a cap that has a job, by name, and records it as its recent use
+// from now on. It returns nil if there is none.
 func (p *Policy) Use(c *jobstate.Cluster, workspace func(string) *workload.Workspace, now time.Time) map[string]CapUse {
 	r := &round{Policy: p, c: c, now: now}
 	r.openAccountsOfJobs(workspace)
@@ -397,6 +489,7 @@
 	}
 	r.fillAccounts()
 	r.countCapacity()
+	r.recordUse()
 	use := map[string]CapUse{}
 	for name, a := range r.accounts {
 		weight := a.config.Weight
--- a/placement/quota_test.go
+++ b/placement/quota_test.go
@@ -350,7 +350,7 @@
 		w.advance(100 * time.Millisecond)
 		w.endAfter()
 		if n := waiting.Occurrences[0].Steps[0].Active; n > 0 {
-			require.Equal(t, 1, n, "one task has its turn, not the step")
+			require.Equal(t, 1, n, "one task starts before its share allows, not the step")
 			return
 		}
 	}
--- a/placement/share.go
+++ b/placement/share.go
@@ -16,7 +16,7 @@
 	// each start and end.
 	shareStep = 0.25
 	// recentHalfLife is the time after which past use counts half. It is longer than most runs, so that a workspace
-	// whose short runs have just ended does not count as idle, and short enough that a workspace gets its turn again
+	// whose short runs have just ended does not count as idle, and short enough that a workspace starts runs again
 	// within the objective of a long job.
 	recentHalfLife = 15 * time.Second
 	// shareAging is how long a workspace starts nothing before its longest waiting unit of a priority comes before the
@@ -40,59 +40,110 @@
 	}
 }
 
+// queue is the units of one priority of a workspace.
+type queue struct {
+	workspace string
+	priority  int
+}
+
 // computeShares sets the shares of the accounts with a weight and the share steps of their units.
 func (r *round) computeShares(units []unit) {
 	for _, a := range r.accounts {
-		r.totalWeight += a.config.Weight
+		if a.active {
+			r.totalWeight += a.config.Weight
+		}
 	}
 	if r.totalWeight == 0 {
 		return
 	}
 	r.countCapacity()
 	if r.recent == nil {
-		r.recent, r.started = fairshare.NewRecent(recentHalfLife), map[string]time.Time{}
-	}
-	for name, a := range r.accounts {
-		if a.config.Weight == 0 {
-			continue
-		}
-		a.recent = r.recent.Observe(name, dominant(a.used, r.capacity), r.now)
-		if !a.hasUnits || r.started[name].IsZero() {
-			r.started[name] = r.now
-		}
+		r.recent, r.waiting, r.observed = fairshare.NewRecent(recentHalfLife), map[queue]time.Time{}, map[string]bool{}
 	}
-	r.forgetShares()
+	r.recordUse()
+	r.followQueues(units)
 	r.findAged(units)
 	for n := range units {
 		units[n].share = r.shareOf(&units[n])
 	}
 }
 
-// forgetShares removes what is kept about workspaces without jobs, once their recent use has decayed.
-func (r *round) forgetShares() {
-	for name := range r.started {
-		if r.accounts[name] == nil {
-			delete(r.started, name)
+// recordUse records the use of the workspaces with a weight from now on. Those without jobs use nothing.
+func (r *round) recordUse() {
+	if r.recent == nil {
+		return
+	}
+	for name := range r.observed {
+		if a := r.accounts[name]; a == nil || a.config.Weight == 0 {
+			delete(r.observed, name)
 			r.recent.Observe(name, 0, r.now)
 		}
 	}
+	for name, a := range r.accounts {
+		if a.config.Weight > 0 {
+			a.recent = r.recent.Observe(name, dominant(a.used, r.capacity), r.now)
+			r.observed[name] = true
+		}
+	}
 	if r.recent.Len() > len(r.accounts)+maxRecentNames {
 		r.recent.Retain(func(name string) bool { return r.accounts[name] != nil })
 	}
 }
 
+// recordUseAfter records the use that the decision leaves. It is also called for decisions without units at a weight: the
+// runs of workspaces without waiting units count too. It does nothing before the first unit with a weight.
+func (r *round) recordUseAfter(workspace func(string) *workload.Workspace) {
+	if r.recent == nil {
+		return
+	}
+	if r.accounts == nil {
+		r.openAccountsOfJobs(workspace)
+		r.fillAccounts()
+	}
+	if r.capacity == (workload.Resources{}) {
+		r.countCapacity()
+	}
+	r.recordUse()
+}
+
 // maxRecentNames bounds the workspaces without jobs whose recent use is kept.
 const maxRecentNames = 1000
 
-// findAged finds the longest waiting unit of each workspace that has started nothing for shareAging.
+// followQueues notes since when the waiting units of each queue have started nothing.
+func (r *round) followQueues(units []unit) {
+	present := map[queue]bool{}
+	for n := range units {
+		if u := &units[n]; u.account != nil && u.account.config.Weight > 0 {
+			q := u.queue()
+			present[q] = true
+			if r.waiting[q].IsZero() {
+				r.waiting[q] = r.now
+			}
+		}
+	}
+	for q := range r.waiting {
+		if !present[q] {
+			delete(r.waiting, q)
+		}
+	}
+}
+
+func (u *unit) queue() queue { return queue{u.job.Submission.Workspace, u.priority} }
+
+// findAged finds the longest waiting unit of each queue that has started nothing for shareAging, among those that could
+// start.
 func (r *round) findAged(units []unit) {
 	for n := range units {
 		u := &units[n]
-		if u.account == nil || u.account.config.Weight == 0 || r.now.Sub(r.started[u.job.Submission.Workspace]) < shareAging {
+		if u.account == nil || u.account.config.Weight == 0 || r.now.Sub(r.waiting[u.queue()]) < shareAging {
 			continue
 		}
-		if a := u.account; a.aged == nil || u.before(a.aged) {
-			a.aged = u.step
+		a := u.account
+		if known := a.aged[u.priority]; (known == nil || u.before(known)) && r.couldStart(u) {
+			if a.aged == nil {
+				a.aged = map[int]*jobstate.Step{}
+			}
+			a.aged[u.priority] = u.step
 		}
 	}
 }
@@ -112,7 +163,7 @@
 	switch {
 	case a == nil || a.config.Weight == 0 || u.guaranteed:
 		return 0
-	case a.aged == u.step:
+	case a.aged[u.priority] == u.step:
 		return -1
 	}
 	return fairshare.Step(dominant(a.used, r.capacity)+a.recent, a.config.Weight/r.totalWeight, shareStep)
@@ -168,11 +219,11 @@
 		if a.oldest == u.step {
 			a.oldest = nil
 		}
-		if a.aged == u.step && !u.step.Spec.Gang {
-			a.aged = nil // its other tasks are ordered by share
+		if a.aged[u.priority] == u.step && !u.step.Spec.Gang {
+			delete(a.aged, u.priority) // its other tasks are ordered by share
 		}
 		if a.config.Weight > 0 {
-			r.started[u.job.Submission.Workspace] = r.now
+			r.waiting[u.queue()] = r.now
 		}
 	}
 }
--- a/workload/job.go
+++ b/workload/job.go
@@ -32,6 +32,20 @@
 	return a.MilliCPU <= free.MilliCPU && a.MemoryMB <= free.MemoryMB && a.Accelerators <= free.Accelerators
 }
 
+// Components returns the amounts of the resources, always in the same order.
+func (a Resources) Components() [3]int { return [...]int{a.MilliCPU, a.MemoryMB, a.Accelerators} }
+
+// Exceeds reports whether a component is above the limit, of which a component of 0 sets none.
+func (a Resources) Exceeds(limit Resources) bool {
+	amounts := a.Components()
+	for k, most := range limit.Components() {
+		if most > 0 && amounts[k] > most {
+			return true
+		}
+	}
+	return false
+}
+
 // AcceleratorCores is the number of cores that one accelerator counts for in prices.
 const AcceleratorCores = 8
 
