jobowner: withdrawal above a cap follows the present configuration and priorities

Cause: a workspace that lost its cap between a decision and its stored record had no use, and withdrawAboveCap panicked, which ends the owner's term. It withdrew the newest runs, whatever their priority. Change: applyCommitted reads the caps first; a missing use is skipped; the least urgent runs are withdrawn first.

--- a/jobowner/caps.go
+++ b/jobowner/caps.go
@@ -1,6 +1,8 @@
 package jobowner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -75,8 +77,13 @@
 
 // lower reports whether a component of the cap is lower than before. A component of 0 is no limit.
 func lower(now, before workload.Resources) bool {
-	less := func(a, b int) bool { return a > 0 && (b == 0 || a < b) }
-	return less(now.MilliCPU, before.MilliCPU) || less(now.MemoryMB, before.MemoryMB) || less(now.Accelerators, before.Accelerators)
+	former := before.Components()
+	for k, limit := range now.Components() {
+		if limit > 0 && (former[k] == 0 || limit < former[k]) {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *capMonitor) forget(name string) {
@@ -134,14 +141,17 @@
 }
 
 // withdrawAboveCap ends planned runs whose records have been stored if their workspace's cap was lowered since they were
-// planned, until its use is within the cap. The write may have taken long. Nothing of them has been sent.
+// planned, the least urgent first, until its use is within the cap. The write may have taken long. Nothing of them has
+// been sent.
 func (t *Term) withdrawAboveCap(starts []*jobstate.Run, now time.Time) {
 	if len(t.caps.workspaces) == 0 {
 		return
 	}
+	starts = slices.Clone(starts)
+	slices.Reverse(starts)
+	slices.SortStableFunc(starts, func(a, b *jobstate.Run) int { return cmp.Compare(priorityOf(b), priorityOf(a)) })
 	var use map[string]placement.CapUse
-	for n := len(starts) - 1; n >= 0; n-- {
-		r := starts[n]
+	for _, r := range starts {
 		name := r.Task.Step.Occurrence.Job.Submission.Workspace
 		s := t.caps.workspaces[name]
 		if s == nil || r.Phase != jobstate.Planned || r.Task.Run != r || s.loweredAt.Before(r.PlannedAt) {
@@ -150,8 +160,8 @@
 		if use == nil {
 			use = t.policy.Use(t.cluster, t.workspace, now)
 		}
-		u := use[name]
-		if !u.Above() {
+		u, known := use[name]
+		if !known || !u.Above() {
 			continue
 		}
 		for _, member := range plannedMembers(r) {
@@ -162,6 +172,8 @@
 	}
 }
 
+func priorityOf(r *jobstate.Run) int { return r.Task.Step.Occurrence.Job.Route.Priority }
+
 // plannedMembers returns the run or, if it belongs to a gang, the members that are planned.
 func plannedMembers(r *jobstate.Run) []*jobstate.Run {
 	if !r.Task.Step.Spec.Gang {
--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -307,6 +307,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.checkListAge(now) // the write may have taken a long time
+	t.followCaps(now)   // withdrawAboveCap needs the present ones
 	t.writes--
 	ended := false
 	for n, j := range b.jobs {
