internal/testplatform: QUOTA without a margin in simulated tests, and a bound on waits at a cap

Cause: the check allowed the margin of the users' rule (cap x 1.1 and a task) in each test, so that starts above the cap passed. A job whose workspace may be at its cap could stand for ever. Change: the bound is the cap, of which the highest of the last 3 s counts; Fleet.QuotaMargin allows the margin, for real processes. A job that fits its cap alone may have nothing running for 90 s. Cases for QUOTA and for the wait.

--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -45,6 +45,8 @@
 	// Load returns the tail latency in milliseconds that every run reports. speedPercents holds the
 	// ordered percentages of full speed by task. If Load is nil, runs report 0.
 	Load func(speedPercents map[string]int) float64
+	// QuotaMargin allows the margin of the users' rule on caps. Without it the bound is the cap itself.
+	QuotaMargin bool
 	// Guarantees holds the number of accelerators guaranteed to the urgent jobs of each workspace.
 	Guarantees map[string]int
 	// AdvanceInterval is the minimum time between two checks of all workers for runs that have ended, for
--- a/internal/testplatform/oracle_test.go
+++ b/internal/testplatform/oracle_test.go
@@ -58,6 +58,17 @@
 	require.NoError(o.t, err)
 }
 
+// capTwoTasks starts two of the tasks of a workspace, as many as its cap allows.
+func (o *harness) capTwoTasks() {
+	o.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+	tasks := workload.Step{Tasks: 6, Demand: workload.Resources{MilliCPU: 100, Accelerators: 2}}
+	o.fleet.RecordSubmission(&workload.Submission{ID: "capped", Workspace: "limited", Payload: "p", Steps: []workload.Step{tasks}, Queue: workload.Route{MaxAttempts: 1}})
+	o.fleet.SetCap("limited", workload.Resources{Accelerators: 4})
+	o.start("w0", "capped.0.0.0", 1)
+	o.start("w0", "capped.0.0.1", 1)
+	require.Empty(o.t, o.fleet.Violations())
+}
+
 // acknowledge acknowledges all ended runs of the worker.
 func (o *harness) acknowledge(worker string) {
 	report, err := o.fleet.Renew(context.Background(), workerapi.Target{ID: worker}, workerapi.Renew{Token: 1, LeaseUntil: 60_000})
@@ -115,6 +126,25 @@
 				o.start("w0", task, 1)
 			}
 		},
+		"QUOTA": func(o *harness) {
+			o.capTwoTasks()
+			o.start("w1", "capped.0.0.2", 1)
+		},
+		"QUOTA: capped.0.0.3 raises the use of limited to": func(o *harness) { // 6 are 4.4 and less than a task; 8 are more
+			o.fleet.QuotaMargin = true
+			o.capTwoTasks()
+			o.start("w1", "capped.0.0.2", 1)
+			require.Empty(o.t, o.fleet.Violations())
+			o.start("w1", "capped.0.0.3", 1)
+		},
+		"QUOTA: capped.0.0.3 raises": func(o *harness) { // the former cap counts for 3 s
+			o.fleet.SetCap("limited", workload.Resources{Accelerators: 6})
+			o.capTwoTasks()
+			o.start("w1", "capped.0.0.2", 1)
+			require.Empty(o.t, o.fleet.Violations())
+			time.Sleep(quotaMemory)
+			o.start("w1", "capped.0.0.3", 1)
+		},
 		"ORDER: plain": func(o *harness) { o.start("w0", "plain.0.1.0", 1) },
 		"ORDER: timed": func(o *harness) { o.start("w0", "timed.1.0.0", 1) },
 		"BUDGET": func(o *harness) {
--- a/internal/testplatform/quota.go
+++ b/internal/testplatform/quota.go
@@ -9,8 +9,8 @@
 const (
 	// quotaMemory is how long after a change of a cap the former one may still be in force.
 	quotaMemory = 3 * time.Second
-	// quotaMargin is the share of the cap that the use may reach, besides one task more: an owner cannot see in time
-	// all that runs.
+	// quotaMargin is the share of the cap that the use may reach, besides one task more, by the users' rule: an owner
+	// cannot see in time all that runs. It is allowed only with Fleet.QuotaMargin.
 	quotaMargin = 1.1
 )
 
@@ -71,18 +71,31 @@
 	return f.usedBy(workspace)
 }
 
-// checkQuota checks that a start leaves the workspace within its cap and the margin. The caller holds the lock.
+// withMargin returns the most that the users' rule allows at the limit to a start that needs the given resources.
+func withMargin(limit, need workload.Resources) workload.Resources {
+	most := func(limit, need int) int {
+		if limit == 0 {
+			return 0
+		}
+		return int(quotaMargin*float64(limit)) + need
+	}
+	return workload.Resources{MilliCPU: most(limit.MilliCPU, need.MilliCPU), MemoryMB: most(limit.MemoryMB, need.MemoryMB),
+		Accelerators: most(limit.Accelerators, need.Accelerators)}
+}
+
+// checkQuota checks that a start leaves the workspace within its cap, of which the highest in quotaMemory counts. The
+// caller holds the lock.
 func (f *Fleet) checkQuota(job *workload.Submission, need workload.Resources, task string) {
 	limit := f.highestCap(job.Workspace, time.Now())
 	if limit == (workload.Resources{}) {
 		return
 	}
 	used := f.usedBy(job.Workspace).Add(need)
-	above := func(used, limit, need int) bool {
-		return limit > 0 && float64(used) > quotaMargin*float64(limit)+float64(need)
+	bound := limit
+	if f.QuotaMargin {
+		bound = withMargin(limit, need)
 	}
-	if above(used.MilliCPU, limit.MilliCPU, need.MilliCPU) || above(used.MemoryMB, limit.MemoryMB, need.MemoryMB) ||
-		above(used.Accelerators, limit.Accelerators, need.Accelerators) {
+	if used.Exceeds(bound) {
 		f.violate("QUOTA", "%s raises the use of %s to %+v of %+v", task, job.Workspace, used, limit)
 	}
 }
@@ -101,11 +114,30 @@
 			continue
 		}
 		for n := range job.Steps {
-			a := job.Steps[n].Allocation()
-			tasks := job.Steps[n].Tasks * job.OccurrenceCount()
-			need = need.Add(workload.Resources{MilliCPU: tasks * a.MilliCPU, MemoryMB: tasks * a.MemoryMB, Accelerators: tasks * a.Accelerators})
+			need = need.Add(times(job.Steps[n].Tasks*job.OccurrenceCount(), job.Steps[n].Allocation()))
+		}
+	}
+	return need.Exceeds(limit)
+}
+
+// fitsCapAlone reports whether a task of the step, or its gang, fits into the present cap of its workspace beside the
+// workspace's long-running tasks, which do not end by themselves.
+func (f *Fleet) fitsCapAlone(workspace string, step *workload.Step) bool {
+	changes := f.caps[workspace]
+	need := step.Allocation()
+	if step.Gang {
+		need = times(step.Tasks, need)
+	}
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			if job := f.jobs[r.name.Job]; job.Workspace == workspace && job.Steps[r.name.Step].LongRunning {
+				need = need.Add(job.Steps[r.name.Step].Allocation())
+			}
 		}
 	}
-	above := func(need, limit int) bool { return limit > 0 && need > limit }
-	return above(need.MilliCPU, limit.MilliCPU) || above(need.MemoryMB, limit.MemoryMB) || above(need.Accelerators, limit.Accelerators)
+	return len(changes) > 0 && !need.Exceeds(changes[len(changes)-1].cap)
+}
+
+func times(n int, a workload.Resources) workload.Resources {
+	return workload.Resources{MilliCPU: n * a.MilliCPU, MemoryMB: n * a.MemoryMB, Accelerators: n * a.Accelerators}
 }
--- a/internal/testplatform/standing.go
+++ b/internal/testplatform/standing.go
@@ -11,6 +11,9 @@
 const (
 	// standingBound is how long a job may have nothing running although one of its tasks can run.
 	standingBound = 3 * time.Second
+	// capStandingBound is how long a job may have nothing running if its workspace may be at its cap, and one of its tasks,
+	// or its gang, fits into the cap alone. Tests send less work to a cap than it admits in half of that time.
+	capStandingBound = 90 * time.Second
 	// calmBefore is how long no fault must have disturbed the system before that time.
 	calmBefore = 4 * time.Second
 	// restartGrace is the time after the last run of a long-running task in which it may be without one.
@@ -84,8 +87,8 @@
 }
 
 // CheckStanding checks that no accepted job has had nothing running for standingBound although it was calm,
-// the turn of one of its tasks had come and there was room for it twice over. For a long-running step it checks
-// each task, from restartGrace after its last run. Tests call it many times a second.
+// all steps before one of its tasks were done and there was room for it twice over. If its workspace may be at its cap, the
+// bound is capStandingBound. For a long-running step it checks each task, from restartGrace after its last run. Tests call it many times a second.
 func (f *Fleet) CheckStanding() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,11 +98,15 @@
 		if f.finished(id) || !f.Accepted(id) {
 			continue
 		}
-		waiting := f.checkWaiting(v, job)
+		waiting, atCap := f.checkWaiting(v, job), ""
 		if v.jobs[id] {
 			waiting = ""
 		}
-		f.checkStandingSince(v, id, waiting, f.standing.ended[id])
+		if f.capMayHold(job.Workspace) {
+			waiting, atCap = "", waiting
+		}
+		f.checkStandingSince(v, id, waiting, f.standing.ended[id], standingBound)
+		f.checkStandingSince(v, id+" at the cap", atCap, f.standing.ended[id], capStandingBound)
 	}
 }
 
@@ -125,7 +132,8 @@
 			if !step.LongRunning && (v.jobs[job.ID] || waiting != "") {
 				continue
 			}
-			room := !atCap && f.turnHasCome(v, job, k, step) && f.hasRoom(job, workload.TaskName{Job: job.ID, Occurrence: k, Step: n})
+			mayStart := !atCap || !step.LongRunning && f.fitsCapAlone(job.Workspace, step)
+			room := mayStart && f.turnHasCome(v, job, k, step) && f.hasRoom(job, workload.TaskName{Job: job.ID, Occurrence: k, Step: n})
 			for i := range step.Tasks {
 				name := workload.TaskName{Job: job.ID, Occurrence: k, Step: n, Index: i}
 				task := ""
@@ -133,7 +141,7 @@
 					task = name.String()
 				}
 				if step.LongRunning {
-					f.checkStandingSince(v, name.String(), task, f.standing.ended[name.String()].Add(restartGrace))
+					f.checkStandingSince(v, name.String(), task, f.standing.ended[name.String()].Add(restartGrace), standingBound)
 				} else if waiting == "" {
 					waiting = task
 				}
@@ -145,7 +153,7 @@
 
 // checkStandingSince updates since when the job or task with the key stands, and checks how long that is.
 // waiting is the task that can run, or "" if there is none. Times before earliest do not count.
-func (f *Fleet) checkStandingSince(v *survey, key, waiting string, earliest time.Time) {
+func (f *Fleet) checkStandingSince(v *survey, key, waiting string, earliest time.Time, bound time.Duration) {
 	s := &f.standing
 	calm := f.CalmSince()
 	now := time.Now()
@@ -157,7 +165,7 @@
 		s.since[key] = now
 	}
 	since := later(later(s.since[key], earliest), calm.Add(calmBefore))
-	if now.Sub(since) > standingBound {
+	if now.Sub(since) > bound {
 		f.violate("LOST", "%s has nothing running although %s can run, for %v, with %.0f%% of the capacity in use", key, waiting, now.Sub(s.since[key]), 100*v.used)
 		s.since[key] = now
 	}
--- a/internal/testplatform/standing_test.go
+++ b/internal/testplatform/standing_test.go
@@ -86,6 +86,10 @@
 			o.submit("long", workload.Step{Tasks: 2, LongRunning: true})
 			o.start("w0", "long.0.0.0", 1)
 		},
+		"a job that fits its cap alone waits too long": func(o *harness) {
+			o.fleet.SetCap("", workload.Resources{Accelerators: 3})
+			o.watch(capStandingBound)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -106,8 +110,15 @@
 		"the job is cancelled":    func(o *harness) { o.fleet.RecordCancellation("job") },
 		"callers see it as ended": func(o *harness) { o.fleet.Ended = func(string) bool { return true } },
 		"there is room only once": func(o *harness) { o.fleet.Drain("w1") },
-		"workers are evacuated":   func(o *harness) { o.fleet.SetEvacuated("z", true) },
-		"a fault lasts":           func(o *harness) { o.fleet.CalmSince = func() time.Time { return time.Time{} } },
+		"the workspace may be at its cap": func(o *harness) {
+			o.fleet.SetCap("", workload.Resources{Accelerators: 3})
+		},
+		"a task is larger than the cap": func(o *harness) {
+			o.fleet.SetCap("", workload.Resources{Accelerators: 2})
+			o.watch(capStandingBound)
+		},
+		"workers are evacuated": func(o *harness) { o.fleet.SetEvacuated("z", true) },
+		"a fault lasts":         func(o *harness) { o.fleet.CalmSince = func() time.Time { return time.Time{} } },
 		"a fault has just ended": func(o *harness) {
 			o.watch(2 * time.Second)
 			ended := time.Now()
