--- a/internal/testplatform/quota.go
+++ b/internal/testplatform/quota.go
@@ -27,6 +27,9 @@
 	if f.caps == nil {
 		f.caps = map[string][]capChange{}
 	}
+	if changes := f.caps[workspace]; len(changes) > 0 && changes[len(changes)-1].cap == limit {
+		return
+	}
 	f.caps[workspace] = append(f.caps[workspace], capChange{time.Now(), limit})
 }
 
