--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -4,7 +4,6 @@
 package jobstate
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -469,45 +468,3 @@
 // Complete ends the job as completed unless it has ended. It is for jobs that a former owner reported as
 // completed.
 func (j *Job) Complete(now time.Time) { j.end(workload.Completed, now) }
-
-// Runs returns the current runs of the job's tasks.
-func (j *Job) Runs() []*Run {
-	var runs []*Run
-	for _, o := range j.Occurrences {
-		for _, s := range o.Steps {
-			for _, t := range s.Tasks {
-				if t.Run != nil {
-					runs = append(runs, t.Run)
-				}
-			}
-		}
-	}
-	return runs
-}
-
-// HasPlannedRun reports whether a run waits for the job's record to be stored.
-func (j *Job) HasPlannedRun() bool {
-	for _, o := range j.Occurrences {
-		for _, s := range o.Steps {
-			if s.Active > 0 && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Run != nil && t.Run.Phase == Planned }) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// MayBeRunning reports whether a task of the job has a run on a worker that responds.
-func (j *Job) MayBeRunning() bool {
-	for _, o := range j.Occurrences {
-		for _, s := range o.Steps {
-			if s.Active > 0 && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Run != nil && !t.Run.Worker.Unresponsive }) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// Queue returns the name of the queue to which the job was submitted.
-func (j *Job) Queue() string { return j.Submission.Queue.Name }
