--- a/jobstate/wait.go
+++ b/jobstate/wait.go
@@ -18,6 +18,7 @@
 	WaitReclaim                            // room is becoming free for the step
 	WaitLossLimit                          // room is reserved; stopping the runs in it would discard too much work
 	WaitReservations                       // too many other steps have reserved room
+	WaitRoomForGang                        // what is free is kept for a more urgent gang that waits
 	WaitGangMembers                        // members of an earlier run of the gang have not ended
 	WaitRetryDelay                         // after a refused start or a failed call for advice
 	WaitCap                                // its workspace has as much running as its cap allows
@@ -36,7 +37,7 @@
 
 var waitReasonNames = [waitReasons]string{
 	"undecided", "worker_list_stale", "no_worker_accepts", "no_worker_eligible", "advice", "headroom",
-	"preferred_rack", "no_room", "reclaim", "loss_limit", "reservations", "gang_members", "retry_delay", "workspace_cap",
+	"preferred_rack", "no_room", "reclaim", "loss_limit", "reservations", "room_for_gang", "gang_members", "retry_delay", "workspace_cap",
 	"record_write", "start_order", "start_answer", "former_run", "unresponsive_worker", "stop",
 }
 
@@ -48,7 +49,7 @@
 // Scarcity reports whether the reason is a lack of resources, which is usual on a service that is full.
 func (r WaitReason) Scarcity() bool {
 	switch r {
-	case WaitHeadroom, WaitNoRoom, WaitLossLimit, WaitReservations:
+	case WaitHeadroom, WaitNoRoom, WaitLossLimit, WaitReservations, WaitRoomForGang:
 		return true
 	}
 	return false
--- a/placement/claimed.go
+++ b/placement/claimed.go
@@ -75,3 +75,16 @@
 	limit(claimed.Accelerators, w.Capacity.Accelerators)
 	return share
 }
+
+// contendedServices returns the services on which units lack room. Room that is kept for a gang does not count: the gang
+// would prolong its own wait for a rack.
+func contendedServices(units []unit) map[string]bool {
+	contended := map[string]bool{}
+	for n := range units {
+		s := units[n].step
+		if s.Waiting() > 0 && s.WaitReason.Scarcity() && s.WaitReason != jobstate.WaitRoomForGang {
+			contended[units[n].job.Route.Service] = true
+		}
+	}
+	return contended
+}
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -49,7 +49,7 @@
 	expected := r.runTime(u.step, r.opts.Uses.Rack)
 	saved := time.Duration((r.opts.FarFactor - 1) * float64(expected))
 	wait := min(time.Duration(rackWaitShare*float64(objective)), saved)
-	if !r.keepsRoom() || !r.contended {
+	if !r.keepsRoom() || !r.contended[u.job.Route.Service] {
 		return wait
 	}
 	return max(wait, min(saved, objective-expected))
@@ -226,14 +226,14 @@
 	var best *jobstate.Worker
 	var bestKey [5]int
 	claimed := r.claimedBy(u.priority)
-	wait := jobstate.WaitNoRoom
+	wait, kept := jobstate.WaitNoRoom, false
 	for _, w := range workers {
 		free := r.free(w)
 		if !allocation.Fits(free) || countIn(u.step, free, present(u.step, w)) == 0 {
 			continue
 		}
 		if r.breaksRoom(u, w, free) {
-			wait = jobstate.WaitReservations
+			kept = true
 			continue
 		}
 		outside := 0
@@ -253,8 +253,11 @@
 			best, bestKey = w, key
 		}
 	}
-	if best != nil {
+	switch {
+	case best != nil:
 		wait = jobstate.WaitUndecided
+	case kept:
+		wait = jobstate.WaitRoomForGang
 	}
 	return best, wait
 }
--- a/placement/keep_room_test.go
+++ b/placement/keep_room_test.go
@@ -122,3 +122,74 @@
 		}
 	}
 }
+
+// A gang waits that no number of idle workers could run, one that waits for a rack, and one of another service. Guards
+// against room that is kept for them: less urgent tasks would wait beside idle workers.
+func TestNoRoomIsKeptWithoutUse(t *testing.T) {
+	inRack := gang(2, 8, time.Minute)
+	inRack.DataRack = "r0"
+	for name, c := range map[string]struct {
+		blocked workload.Step
+		service string
+		racks   int
+		starts  int
+	}{
+		"a gang that never fits":            {gang(9, 8, time.Minute), "service", 1, 64},
+		"a gang that waits for a full rack": {inRack, "service", 2, 64},
+		"a gang of another service":         {wide(5, time.Minute), "other", 1, 64},
+	} {
+		w := newSlowStopFixture(c.racks, 8)
+		if c.racks > 1 {
+			full := gang(8, 8, time.Minute)
+			full.DataRack = "r0"
+			w.submit(draft, "a", full)
+			w.advance(0)
+		}
+		j := w.submit(draft, "a", c.blocked)
+		j.Route.Service = c.service
+		w.advance(0)
+		tasks := w.submit(batch, "b", step(64, 1, time.Minute))
+		w.advance(0)
+		assert.Len(t, tasks.Runs(), c.starts, name)
+	}
+}
+
+// Tasks wait because their room is kept for a gang, beside a job of which nothing has run for long. Guards against
+// reservations for such tasks: the other job would start only when they end.
+func TestTasksWithoutRoomBesideAGangReserveNothing(t *testing.T) {
+	w := newSlowStopFixture(1, 8)
+	w.submit(urgent, "u", step(1, 8, time.Minute))
+	w.advance(0)
+	w.submit(draft, "a", gang(8, 8, time.Minute)) // could run, but not beside the urgent task
+	w.advance(0)
+	c := w.submit(batch, "b", step(1, 3, time.Minute))
+	w.advance(200 * time.Millisecond)
+	other := w.submit(batch, "b", step(8, 6, time.Minute))
+	w.advance(1300 * time.Millisecond)
+	assert.Equal(t, jobstate.WaitRoomForGang, other.Occurrences[0].Steps[0].WaitReason)
+	w.advance(0)
+	assert.Len(t, c.Runs(), 1, "started 1.5 s after it was ready")
+}
+
+// A task of less urgent work fits into what the gang cannot use. Guards against a worker without the gang's label, and
+// work that is as urgent as the gang, being kept idle.
+func TestRoomIsKeptFromLessUrgentWorkOnly(t *testing.T) {
+	w := newSlowStopFixture(1, 4)
+	for _, worker := range w.c.SortedWorkers()[1:] {
+		worker.Labels = []string{"large"}
+	}
+	occupied := step(1, 8, time.Minute)
+	occupied.Label = "large"
+	w.submit(urgent, "u", occupied)
+	w.advance(0)
+	blocked := gang(3, 8, time.Minute)
+	blocked.Label = "large"
+	w.submit(draft, "a", blocked)
+	w.advance(0)
+	less := w.submit(batch, "b", step(24, 1, time.Minute))
+	w.advance(0)
+	assert.Len(t, less.Runs(), 8, "on the worker without the label")
+	equal := w.submit(draft, "b", step(2, 8, time.Minute))
+	w.advance(0)
+	assert.Len(t, equal.Runs(), 2)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,7 +53,7 @@
 	urgentUse   float64 // accelerators used by urgent jobs: peak with exponential decay
 	urgentUseAt time.Time
 
-	contended bool // units lacked room in the last decision
+	contended map[string]bool // services on which units lacked room in the last decision
 
 	recent   *fairshare.Recent   // use by workspaces with a weight; nil before the first
 	observed map[string]bool     // workspaces whose last recorded use may not be 0
@@ -114,7 +114,7 @@
 	defer r.recordUseAfter(workspace)
 	units := r.units(workspace)
 	if len(units) == 0 {
-		p.contended = false
+		p.contended = nil
 		return r.plan
 	}
 	r.workers, r.available = map[string][]*jobstate.Worker{}, map[string][]*jobstate.Worker{}
@@ -136,7 +136,7 @@
 		}
 		n++
 	}
-	p.contended = slices.ContainsFunc(units, func(u unit) bool { return u.step.Waiting() > 0 && u.step.WaitReason.Scarcity() })
+	p.contended = contendedServices(units)
 	return r.plan
 }
 
@@ -322,7 +322,7 @@
 	if r.startOverdue(u) {
 		return jobstate.WaitUndecided
 	}
-	r.protect(u)
+	r.protect(u, wait)
 	if !leavesHeadroom {
 		return wait
 	}
@@ -363,7 +363,7 @@
 		r.start(u, t, w, u.step.NextRunNumber(t))
 		placed++
 	}
-	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 && !r.startOverdue(u) {
+	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 && !r.startOverdue(u) && wait != jobstate.WaitRoomForGang {
 		if further := r.reserveOrReclaim(u, workers); wait == jobstate.WaitNoRoom {
 			wait = further
 		}
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -281,7 +281,7 @@
 // advice allows yet.
 func waitsForRoom(s *jobstate.Step) bool {
 	switch s.WaitReason {
-	case jobstate.WaitCap, jobstate.WaitNoRoom, jobstate.WaitReclaim, jobstate.WaitReservations, jobstate.WaitLossLimit,
+	case jobstate.WaitCap, jobstate.WaitNoRoom, jobstate.WaitReclaim, jobstate.WaitReservations, jobstate.WaitRoomForGang, jobstate.WaitLossLimit,
 		jobstate.WaitHeadroom, jobstate.WaitPreferredRack, jobstate.WaitAdvice:
 		return true
 	}
