--- a/jobowner/admission_fuzz_test.go
+++ b/jobowner/admission_fuzz_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,7 +43,7 @@
 	*system
 	ctx       context.Context
 	instances [2]*testInstance
-	services  [2]*jobservice.Service
+	services  [2]atomic.Pointer[jobservice.Service] // calls to a peer read them while instances restart
 	fronts    [2]http.Handler
 
 	mu      sync.Mutex
@@ -82,7 +83,7 @@
 	i := d.start(name)
 	store := metastore.NewMonitor(i.client)
 	d.instances[n] = i
-	d.services[n] = jobservice.New(jobservice.Options{Store: store, StoreHealthy: store.Healthy, CheckStore: store.Check, WriteTimeout: store.CallTimeout, Elector: i.elector,
+	service := jobservice.New(jobservice.Options{Store: store, StoreHealthy: store.Healthy, CheckStore: store.Check, WriteTimeout: store.CallTimeout, Elector: i.elector,
 		Instance: name, Log: d.log, Metrics: i.metrics, OwnershipValid: func() bool { return true },
 		Term: func() jobservice.Term {
 			if t := d.currentTerm(i); t != nil {
@@ -91,12 +92,13 @@
 			return nil
 		},
 		PeerClient: func(string) relay.DRPCRelayClient {
-			if other := d.services[1-n]; other != nil {
+			if other := d.services[1-n].Load(); other != nil {
 				return directPeer{service: other}
 			}
 			return deadPeer{}
 		}})
-	d.fronts[n] = d.newFront(i, d.services[n])
+	d.services[n].Store(service)
+	d.fronts[n] = d.newFront(i, service)
 	go store.Run(d.ctx)
 }
 
@@ -153,7 +155,7 @@
 		}
 		calls.Wait()
 	case "kill":
-		d.services[a.Instance] = nil
+		d.services[a.Instance].Store(nil)
 		d.kill(fmt.Sprint("i", a.Instance))
 		d.startInstance(a.Instance)
 	case "lose":
