jobowner: an owner without a configuration starts nothing

An instance that has restarted may be elected before it has read the configuration; it then knew no cap. Change: the owner decides nothing until it has a configuration. Figures: the test fails without it.

--- a/jobowner/caps_test.go
+++ b/jobowner/caps_test.go
@@ -211,3 +211,21 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// An instance that has just restarted becomes the owner before it has read the configuration. Guards against starts of a
+// workspace without its cap.
+func TestOwnerWithoutConfigurationStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCappedSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Minute, jobstate.EndDone }
+		s.submitFor("capped", "wide", "batch", tasks(24, 1))
+		config := s.config.Swap(nil)
+		s.start("a")
+		time.Sleep(3 * time.Second)
+		assert.Zero(t, s.fleet.Used("capped").Accelerators)
+		s.config.Store(config)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, capOfTest, s.fleet.Used("capped").Accelerators)
+	})
+}
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -83,7 +83,10 @@
 	t.checkListAge(now)
 	t.checkIntakeAge(now)
 	t.followCaps(now)
-	plan := t.policy.Decide(t.cluster, t.workspace, now)
+	var plan placement.Plan
+	if t.opts.Config() != nil { // without it no cap is known, as after a restart of this process
+		plan = t.policy.Decide(t.cluster, t.workspace, now)
+	}
 	stops := t.runsToStop(now)
 	batches := t.nextBatches()
 	t.logPlan(plan)
