review: an accepted job of 16,000 tasks never starts

The record of its first decision is larger than the store's ValueBytes; the store refuses it, all planned runs are given up and planned again (jobowner/rejected.go, jobstate/record.go).

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(*scene) error{
 	"foreign-entry": foreignEntry,
+	"wide-job":      wideJob,
 }
 
 func main() {
