review: scheduled jobs whose times have come end each owner by its memory

Twenty jobs of about 130 bytes with 20,000 overdue runs each are accepted. The owner opens 20,000 occurrences of each at once (jobstate/occurrence.go) and exceeds MemoryMb; each next owner reads the same jobs and ends the same way, and no job of anybody runs any more.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*scene) error{
 	"foreign-entry": foreignEntry,
 	"wide-job":      wideJob,
+	"overdue-runs":  overdueRuns,
 }
 
 func main() {
