review: a job starts seconds after its DELETE was answered 410

The store loses the answer to a submission and executes the write later; the caller, who has left, cancels the job meanwhile and is told that none exists (jobservice/jobservice.go, createCancelKey).

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,9 +21,10 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(*scene) error{
-	"foreign-entry": foreignEntry,
-	"wide-job":      wideJob,
-	"overdue-runs":  overdueRuns,
+	"foreign-entry":     foreignEntry,
+	"wide-job":          wideJob,
+	"cancelled-unknown": cancelledUnknown,
+	"overdue-runs":      overdueRuns,
 }
 
 func main() {
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -44,6 +44,8 @@
 	leases   map[int64]*lease
 	nextID   int64
 	changed  chan struct{}
+	lateKey  string        // the next transaction that writes the key is not answered; "" for none
+	lateBy   time.Duration // and executed this much later, if its conditions still hold then
 }
 
 func newStore(rec *record) *store {
@@ -233,19 +235,28 @@
 	}
 }
 
-func (s *store) txn(w http.ResponseWriter, r *http.Request) {
-	var f struct {
-		Expect []struct {
-			Key      string
-			Revision uint64
-		}
-		Puts []struct {
-			Key   string
-			Value []byte
-			Lease int64
-		}
-		Remove []string
+type txnForm struct {
+	Expect []struct {
+		Key      string
+		Revision uint64
 	}
+	Puts []struct {
+		Key   string
+		Value []byte
+		Lease int64
+	}
+	Remove []string
+}
+
+// executeLate leaves the next transaction that writes the key unanswered and executes it later.
+func (s *store) executeLate(key string, by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateKey, s.lateBy = key, by
+}
+
+func (s *store) txn(w http.ResponseWriter, r *http.Request) {
+	var f txnForm
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil || len(f.Expect)+len(f.Puts)+len(f.Remove) > 32 {
 		reply(w, http.StatusBadRequest, nil)
 		return
@@ -261,6 +272,30 @@
 			return
 		}
 	}
+	s.mu.Lock()
+	by, late := s.lateBy, false
+	for _, p := range f.Puts {
+		late = late || p.Key == s.lateKey
+	}
+	if late {
+		s.lateKey = ""
+	}
+	s.mu.Unlock()
+	if late {
+		s.rec.line("store: the write of %s is not answered and executed %v later", f.Puts[0].Key, by)
+		time.AfterFunc(by, func() {
+			status, _ := s.execute(&f)
+			s.rec.line("store: the write of %s is executed late: %d", f.Puts[0].Key, status)
+		})
+		<-r.Context().Done()
+		return
+	}
+	status, body := s.execute(&f)
+	reply(w, status, body)
+}
+
+// execute carries out a transaction and returns its answer.
+func (s *store) execute(f *txnForm) (status int, body any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -274,13 +309,11 @@
 		now = append(now, i)
 	}
 	if !met {
-		reply(w, http.StatusPreconditionFailed, map[string]any{"items": now})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"items": now}
 	}
 	for _, p := range f.Puts {
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
-			reply(w, http.StatusNotFound, nil)
-			return
+			return http.StatusNotFound, nil
 		}
 	}
 	s.revision++
@@ -291,5 +324,5 @@
 		s.unset(key)
 	}
 	s.wake()
-	reply(w, http.StatusOK, map[string]uint64{"Revision": s.revision})
+	return http.StatusOK, map[string]uint64{"Revision": s.revision}
 }
--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -247,19 +247,24 @@
 
 // call makes a caller's call at the instance and returns the status and the body.
 func (s *system) call(i *instance, method, path, body string) (int, string) {
-	return s.callAs(i, apiKey, method, path, body)
+	return s.do(client, i, method, path, body)
 }
 
-func (s *system) callAs(i *instance, key, method, path, body string) (int, string) {
+// callFor is call by a caller who leaves after the limit.
+func (s *system) callFor(i *instance, limit time.Duration, method, path, body string) (int, string) {
+	return s.do(&http.Client{Timeout: limit}, i, method, path, body)
+}
+
+func (s *system) do(c *http.Client, i *instance, method, path, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+i.front+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, err.Error()
 	}
 	req.Host = hostName
-	req.Header.Set("X-Api-Key", key)
+	req.Header.Set("X-Api-Key", apiKey)
 	req.Header.Set("X-Cyclamenyard-Deadline-Ms", "3000")
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := client.Do(req)
+	resp, err := c.Do(req)
 	if err != nil {
 		s.rec.line("client: %s %s at %s: %v", method, path, i.name, err)
 		return 0, err.Error()
@@ -270,6 +275,6 @@
 	if len(shown) > 160 {
 		shown = shown[:160] + "..."
 	}
-	s.rec.line("client: %s %s with key %.4s at %s %s -> %d %s", method, path, key, i.name, shown, resp.StatusCode, strings.TrimSpace(string(raw)))
+	s.rec.line("client: %s %s at %s %s -> %d %s", method, path, i.name, shown, resp.StatusCode, strings.TrimSpace(string(raw)))
 	return resp.StatusCode, strings.TrimSpace(string(raw))
 }
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -22,15 +22,16 @@
 	rec *record
 	st  *store
 
-	mu      sync.Mutex
-	workers map[string]*worker // by address
-	active  map[string][]*run  // by task, on all workers that are up
-	starts  map[string]int     // by task
-	done    map[string]bool    // tasks with a run that has ended as done and was taken note of
+	mu        sync.Mutex
+	workers   map[string]*worker   // by address
+	active    map[string][]*run    // by task, on all workers that are up
+	starts    map[string]int       // by task
+	lastStart map[string]time.Time // by task
+	done      map[string]bool      // tasks with a run that has ended as done and was taken note of
 }
 
 func newFleet(rec *record, st *store) *fleet {
-	return &fleet{rec: rec, st: st, workers: map[string]*worker{}, active: map[string][]*run{}, starts: map[string]int{}, done: map[string]bool{}}
+	return &fleet{rec: rec, st: st, workers: map[string]*worker{}, active: map[string][]*run{}, starts: map[string]int{}, lastStart: map[string]time.Time{}, done: map[string]bool{}}
 }
 
 type run struct {
@@ -266,6 +267,7 @@
 	r := &run{task: o.Task, number: o.Run, worker: w, began: time.Now(), ends: time.Now().Add(work)}
 	w.runs[o.Task] = r
 	w.f.starts[o.Task]++
+	w.f.lastStart[o.Task] = r.began
 	w.f.rec.line("worker %s: %s run %d starts", w.id, o.Task, o.Run)
 	for _, other := range w.f.active[o.Task] {
 		w.f.rec.broken("TWICE", "%s: run %d on %s starts while run %d is at work on %s, which is up", o.Task, o.Run, w.id, other.number, other.worker.id)
