review: a second tenant's job with the same ID is accepted and never runs

The key of a job is its ID alone (jobowner/intake.go), and a conflict on it counts as an earlier submission of the same job (jobservice, tryCreateKey). Another tenant's job at another queue is answered 200, never runs, and is shown with the first job's state.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*scene) error{
 	"foreign-entry":     foreignEntry,
 	"wide-job":          wideJob,
+	"same-id":           sameID,
 	"cancelled-unknown": cancelledUnknown,
 	"overdue-runs":      overdueRuns,
 }
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -27,11 +27,12 @@
 	active    map[string][]*run    // by task, on all workers that are up
 	starts    map[string]int       // by task
 	lastStart map[string]time.Time // by task
+	specs     map[string]int       // starts by Spec
 	done      map[string]bool      // tasks with a run that has ended as done and was taken note of
 }
 
 func newFleet(rec *record, st *store) *fleet {
-	return &fleet{rec: rec, st: st, workers: map[string]*worker{}, active: map[string][]*run{}, starts: map[string]int{}, lastStart: map[string]time.Time{}, done: map[string]bool{}}
+	return &fleet{rec: rec, st: st, workers: map[string]*worker{}, active: map[string][]*run{}, starts: map[string]int{}, lastStart: map[string]time.Time{}, specs: map[string]int{}, done: map[string]bool{}}
 }
 
 type run struct {
@@ -268,6 +269,7 @@
 	w.runs[o.Task] = r
 	w.f.starts[o.Task]++
 	w.f.lastStart[o.Task] = r.began
+	w.f.specs[o.Spec]++
 	w.f.rec.line("worker %s: %s run %d starts", w.id, o.Task, o.Run)
 	for _, other := range w.f.active[o.Task] {
 		w.f.rec.broken("TWICE", "%s: run %d on %s starts while run %d is at work on %s, which is up", o.Task, o.Run, w.id, other.number, other.worker.id)
