review: upkeep stops the last task of a step whose other task is gone

Tasks on a worker that has crashed count as at work until its lease has expired (jobowner/upkeep.go, withinMaxUnavailable), and an upkeep may stop the others meanwhile.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -15,6 +15,7 @@
 	st      *store
 	fleet   *fleet
 	workers []*worker
+	cloud   *cloud
 	sys     *system
 	trouble bool // whether the disruption is played
 }
@@ -23,7 +24,7 @@
 var cases = map[string]func(*scene) error{
 	"foreign-entry":     foreignEntry,
 	"wide-job":          wideJob,
-	"same-id":           sameID,
+	"lost-replica":      lostReplica,
 	"cancelled-unknown": cancelledUnknown,
 	"overdue-runs":      overdueRuns,
 }
@@ -75,6 +76,10 @@
 	if s.fleet, s.workers, err = newFleetOf(s.rec, s.st, workers); err != nil {
 		return err
 	}
+	s.cloud = newCloud(s.rec, s.fleet, s.workers)
+	if s.sys.cloud, err = serve(s.cloud); err != nil {
+		return err
+	}
 	s.st.put("op/config", config(7))
 	if s.sys.store == "" {
 		if s.sys.store, err = serve(s.st); err != nil {
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -73,6 +73,21 @@
 	s.wake()
 }
 
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.unset(key)
+	s.wake()
+}
+
+func (s *store) get(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	return i.Value, ok
+}
+
 func (s *store) set(key string, raw []byte, l int64) {
 	created := s.revision
 	if old, ok := s.items[key]; ok {
--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -240,34 +240,28 @@
 	return map[string]any{"Version": version, "Routes": routes,
 		"Services": []map[string]any{{"Name": serviceName, "HealthPath": "/health", "MaxConns": 64, "AdmissionControl": false, "Standby": false}},
 		"Limits":   map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []map[string]any{{"Name": "kaje80", "ApiKeys": []string{apiKey}, "Priority": 1, "GuaranteedGpus": map[string]int{"Gpu": 8}},
-			{"Name": "mura14", "ApiKeys": []string{otherKey}, "Priority": 1, "GuaranteedGpus": map[string]int{"Gpu": 8}}}}
+		"Tenants":  []map[string]any{{"Name": "kaje80", "ApiKeys": []string{apiKey}, "Priority": 1, "GuaranteedGpus": map[string]int{"Gpu": 8}}}}
 }
 
 var client = &http.Client{Timeout: 5 * time.Second}
 
 // call makes a caller's call at the instance and returns the status and the body.
 func (s *system) call(i *instance, method, path, body string) (int, string) {
-	return s.do(client, i, apiKey, method, path, body)
-}
-
-// callAs is call with another key.
-func (s *system) callAs(i *instance, key, method, path, body string) (int, string) {
-	return s.do(client, i, key, method, path, body)
+	return s.do(client, i, method, path, body)
 }
 
 // callFor is call by a caller who leaves after the limit.
 func (s *system) callFor(i *instance, limit time.Duration, method, path, body string) (int, string) {
-	return s.do(&http.Client{Timeout: limit}, i, apiKey, method, path, body)
+	return s.do(&http.Client{Timeout: limit}, i, method, path, body)
 }
 
-func (s *system) do(c *http.Client, i *instance, key, method, path, body string) (int, string) {
+func (s *system) do(c *http.Client, i *instance, method, path, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+i.front+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, err.Error()
 	}
 	req.Host = hostName
-	req.Header.Set("X-Api-Key", key)
+	req.Header.Set("X-Api-Key", apiKey)
 	req.Header.Set("X-Cyclamenyard-Deadline-Ms", "3000")
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.Do(req)
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -27,12 +27,12 @@
 	active    map[string][]*run    // by task, on all workers that are up
 	starts    map[string]int       // by task
 	lastStart map[string]time.Time // by task
-	specs     map[string]int       // starts by Spec
+	awaySince map[string]time.Time // since when each task that lasts is not at work; zero while it is
 	done      map[string]bool      // tasks with a run that has ended as done and was taken note of
 }
 
 func newFleet(rec *record, st *store) *fleet {
-	return &fleet{rec: rec, st: st, workers: map[string]*worker{}, active: map[string][]*run{}, starts: map[string]int{}, lastStart: map[string]time.Time{}, specs: map[string]int{}, done: map[string]bool{}}
+	return &fleet{rec: rec, st: st, workers: map[string]*worker{}, active: map[string][]*run{}, starts: map[string]int{}, lastStart: map[string]time.Time{}, awaySince: map[string]time.Time{}, done: map[string]bool{}}
 }
 
 type run struct {
@@ -42,6 +42,7 @@
 	began   time.Time
 	ends    time.Time // when its work is done
 	stopped time.Time // when a stop was ordered; zero before
+	lasts   bool      // until it is stopped
 }
 
 type ended struct {
@@ -100,6 +101,9 @@
 }
 
 func (f *fleet) drop(r *run) {
+	if r.lasts {
+		f.awaySince[r.task] = time.Now()
+	}
 	list := f.active[r.task]
 	for n, other := range list {
 		if other == r {
@@ -218,6 +222,7 @@
 	case "/api/run-stop":
 		w.closed[o.Task] = max(w.closed[o.Task], o.Run)
 		if run := w.runs[o.Task]; run != nil && run.number == o.Run && run.stopped.IsZero() {
+			w.f.checkStop(run)
 			run.stopped = time.Now()
 		}
 		w.f.rec.line("worker %s: stop of %s run %d", w.id, o.Task, o.Run)
@@ -266,10 +271,19 @@
 		work = time.Duration(n) * time.Millisecond
 	}
 	r := &run{task: o.Task, number: o.Run, worker: w, began: time.Now(), ends: time.Now().Add(work)}
+	if r.lasts = o.Spec == "lasts"; r.lasts {
+		r.ends = time.Now().Add(24 * time.Hour)
+		time.AfterFunc(startup, func() {
+			w.f.mu.Lock()
+			defer w.f.mu.Unlock()
+			if w.runs[o.Task] == r {
+				w.f.awaySince[o.Task] = time.Time{}
+			}
+		})
+	}
 	w.runs[o.Task] = r
 	w.f.starts[o.Task]++
 	w.f.lastStart[o.Task] = r.began
-	w.f.specs[o.Spec]++
 	w.f.rec.line("worker %s: %s run %d starts", w.id, o.Task, o.Run)
 	for _, other := range w.f.active[o.Task] {
 		w.f.rec.broken("TWICE", "%s: run %d on %s starts while run %d is at work on %s, which is up", o.Task, o.Run, w.id, other.number, other.worker.id)
@@ -315,6 +329,10 @@
 	}
 	running, ends := [][]any{}, [][]any{}
 	for _, r := range w.runs {
+		if r.lasts {
+			running = append(running, []any{r.task, r.number, "", int(min(100, 100*time.Since(r.began)/startup))})
+			continue
+		}
 		percent := 100 * float64(time.Since(r.began)) / float64(r.ends.Sub(r.began))
 		running = append(running, []any{r.task, r.number, "", int(percent)})
 	}
@@ -358,3 +376,17 @@
 	}
 	return f, list, nil
 }
+
+// crash ends the worker without a word. Its entry stays.
+func (w *worker) crash() {
+	w.f.mu.Lock()
+	w.up = false
+	for _, r := range w.runs {
+		w.f.drop(r)
+	}
+	w.runs = map[string]*run{}
+	w.f.mu.Unlock()
+	close(w.done)
+	_ = w.server.Close()
+	w.f.rec.line("worker %s is gone", w.id)
+}
