--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,7 +23,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(*scene) error{
 	"foreign-entry":     foreignEntry,
-	"wide-job":          wideJob,
+	"vanished":          vanished,
 	"lost-replica":      lostReplica,
 	"cancelled-unknown": cancelledUnknown,
 	"overdue-runs":      overdueRuns,
