--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -49,13 +51,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	if os.Getenv("KEEP") == "" {
-		defer func() { _ = os.RemoveAll(temp) }()
-	}
+	defer func() { _ = os.RemoveAll(temp) }()
 	s := &scene{rec: rec, st: newStore(rec), trouble: os.Getenv("TROUBLE") != "0"}
 	rec.line("trouble: %v", s.trouble)
 	s.sys = &system{rec: rec, dir: temp, fencing: true}
 	defer s.sys.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		s.sys.stop()
+		os.Exit(2)
+	}()
 	if err := c(s); err != nil {
 		rec.line("the case could not run: %v", err)
 		fmt.Println("could not run:", err)
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -101,8 +101,9 @@
 	posting.Wait()
 	ordinary := func(n int) string { return fmt.Sprintf("/q0/0d0e7a21%08x", n) }
 	var known []int
-	for n := range 20 {
-		if status, _ := s.sys.call(s.sys.instances[n%3], "POST", ordinary(n), `{"Spec":"work_ms=1000","Steps":[{"Count":1,"Gpu":1,"EstimateMs":1000}]}`); status == 200 {
+	posted := time.Now()
+	for n := 0; n < 20 && time.Since(posted) < 25*time.Second; n++ {
+		if status, _ := s.sys.callFor(s.sys.instances[n%3], 2*time.Second, "POST", ordinary(n), `{"Spec":"work_ms=1000","Steps":[{"Count":1,"Gpu":1,"EstimateMs":1000}]}`); status == 200 {
 			known = append(known, n)
 		}
 		time.Sleep(500 * time.Millisecond)
@@ -114,7 +115,7 @@
 	}
 	open := 0
 	for _, n := range known {
-		if _, body := s.sys.call(s.sys.instances[n%3], "GET", ordinary(n), ""); body != `{"State":"completed"}` {
+		if _, body := s.sys.callFor(s.sys.instances[n%3], time.Second, "GET", ordinary(n), ""); body != `{"State":"completed"}` {
 			open++
 		}
 	}
