--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -39,6 +39,9 @@
 	os.Exit(play(cases[os.Args[1]], os.Args[2]))
 }
 
+// longest is how long a case may take.
+const longest = 115 * time.Second
+
 func play(c func(*scene) error, dir string) int {
 	rec, err := newRecord(dir)
 	if err != nil {
@@ -54,13 +57,18 @@
 	defer func() { _ = os.RemoveAll(temp) }()
 	s := &scene{rec: rec, st: newStore(rec), trouble: os.Getenv("TROUBLE") != "0"}
 	rec.line("trouble: %v", s.trouble)
-	s.sys = &system{rec: rec, dir: temp, fencing: true}
+	s.sys = &system{rec: rec, dir: temp}
 	defer s.sys.stop()
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-interrupted
+		select {
+		case <-interrupted:
+		case <-time.After(longest):
+			rec.line("the case takes longer than %v", longest)
+		}
 		s.sys.stop()
+		_ = os.RemoveAll(temp)
 		os.Exit(2)
 	}()
 	if err := c(s); err != nil {
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -44,6 +44,7 @@
 	leases   map[int64]*lease
 	nextID   int64
 	changed  chan struct{}
+	executed int           // transactions
 	lateKey  string        // the next transaction that writes the key is not answered; "" for none
 	lateBy   time.Duration // and executed this much later, if its conditions still hold then
 }
@@ -81,6 +82,13 @@
 	s.wake()
 }
 
+// writes returns the number of transactions that were executed.
+func (s *store) writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executed
+}
+
 func (s *store) get(key string) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -332,6 +340,7 @@
 		}
 	}
 	s.revision++
+	s.executed++
 	for _, p := range f.Puts {
 		s.set(p.Key, p.Value, p.Lease)
 	}
