--- a/events/events.go
+++ b/events/events.go
@@ -96,6 +96,8 @@
 	RunTimeObserved        ID = 255
 	WorkspaceOverloaded    ID = 254
 	RunTimesNotKept        ID = 256
+	EntryDisputed          ID = 257
+	EntryOfNoService       ID = 258
 	OwnerSeen              ID = 420
 	OwnershipNotWon        ID = 421
 	OwnershipUnconfirmed   ID = 422
@@ -198,6 +200,8 @@
 	TermNotLoaded:          {"TermNotLoaded", "jobs not loaded since the start of the term"},
 	IntakeStale:            {"IntakeStale", "staleness of the accepted jobs changed"},
 	OwnerLags:              {"OwnerLags", "owner began or ceased to lag"},
+	EntryDisputed:          {"EntryDisputed", "entry describes another incarnation of the worker; its address is asked"},
+	EntryOfNoService:       {"EntryOfNoService", "entry names no service of the configuration"},
 	RecordRejected:         {"RecordRejected", "job record not accepted by the store"},
 	WaveAccepted:           {"WaveTaken", "upkeep wave accepted or withdrawn"},
 	UpkeepOrdered:          {"UpkeepOrdered", "upkeep of a machine requested"},
--- a/internal/testplatform/calls.go
+++ b/internal/testplatform/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -42,11 +43,11 @@
 }
 
 // authorize returns the target worker and stores the fencing token, unless the worker has seen a higher
-// one. The caller holds the lock.
+// one. A target without an address is called where it listens. The caller holds the lock.
 func (f *Fleet) authorize(t workerapi.Target, token uint64) (*worker, error) {
 	w := f.workers[t.ID]
-	if w == nil {
-		return nil, workerapi.ErrNotReached
+	if w == nil || t.Address != "" && t.Address != w.entry.Worker.Address {
+		return nil, f.refusal(t.Address)
 	}
 	if token < w.token {
 		return nil, workerapi.ErrStaleToken
@@ -55,6 +56,16 @@
 	return w, nil
 }
 
+// refusal returns the error of a call that is meant for another worker than the one at the address, if there is one.
+func (f *Fleet) refusal(address string) error {
+	for _, w := range f.workers {
+		if w.entry.Worker.Address == address {
+			return workerapi.ErrWorkerRestarted
+		}
+	}
+	return fmt.Errorf("%w: %w", workerapi.ErrNotReached, workerapi.ErrNoListener)
+}
+
 // extendLease extends the lease up to a time on the worker's clock, at most by limit.
 func (w *worker) extendLease(until int64, limit time.Duration) {
 	left := min(time.Duration(until-w.clock())*time.Millisecond, limit)
--- a/internal/testplatform/fleet.go
+++ b/internal/testplatform/fleet.go
@@ -14,6 +14,8 @@
 const (
 	// orderLatency is how long a call to a worker takes.
 	orderLatency = 2 * time.Millisecond
+	// drainTime is how long a draining worker announces to stay.
+	drainTime = 2 * time.Second
 	// gangTimeout is how long a run of a gang waits for the other members to start.
 	gangTimeout = 3 * time.Second
 	// MaxLease is the default of Fleet.MaxLease.
@@ -174,6 +176,28 @@
 	return entry
 }
 
+// SetNextIncarnation sets the incarnation of the next worker that is added. Those of later ones follow.
+func (f *Fleet) SetNextIncarnation(n int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastIncarnation = n - 1
+}
+
+// Entry returns the worker's entry, and false if there is no such worker.
+func (f *Fleet) Entry(id string) (workerapi.Entry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	if w == nil {
+		return workerapi.Entry{}, false
+	}
+	entry := w.entry
+	if !w.drainingSince.IsZero() {
+		entry.Draining, entry.DrainTime = true, drainTime
+	}
+	return entry, true
+}
+
 // RecordSubmission adds a job to those whose tasks may be started.
 func (f *Fleet) RecordSubmission(s *workload.Submission) {
 	f.mu.Lock()
--- a/internal/testplatform/oracle.go
+++ b/internal/testplatform/oracle.go
@@ -240,7 +240,7 @@
 	w.drainingSince = time.Now()
 	entry := w.entry
 	entry.Draining = true
-	entry.DrainTime = 2 * time.Second
+	entry.DrainTime = drainTime
 	return entry
 }
 
--- a/jobowner/admission_loads.go
+++ b/jobowner/admission_loads.go
@@ -15,7 +15,7 @@
 	monitor *admission.Monitor
 	list    []admission.Load
 	index   map[string]int
-	sizes   map[workerSize]struct{} // of the listed workers
+	sizes   map[workerSize]struct{} // of the listed workers that have answered
 	stuck   []bool                  // memory for addOccurrence: by step, whether it cannot run
 }
 
@@ -57,7 +57,7 @@
 		for r := range w.Runs {
 			l.addRun(r)
 		}
-		if w.Listed && !w.Draining {
+		if w.Listed && w.Confirmed && !w.Draining {
 			s.Total = s.Total.Add(w.Capacity)
 			l.sizes[workerSize{w.Service, w.Capacity}] = struct{}{}
 		}
--- a/jobowner/agent.go
+++ b/jobowner/agent.go
@@ -53,6 +53,8 @@
 	clockBound  clockBound
 	failures    int
 	lastAnswer  time.Time
+	refusedAt   time.Time // when the worker's machine last refused a connection
+	asking      bool      // askIncarnation is running
 	throttledAt time.Time // when the fillers on the worker were last adjusted
 }
 
@@ -274,6 +276,9 @@
 		return
 	}
 	now := time.Now()
+	if errors.Is(err, workerapi.ErrNoListener) {
+		a.refusedAt = now
+	}
 	if a.failures++; a.failures == maxFailedReports {
 		events.Warn(t.opts.Log, events.WorkerUnresponsive, zap.String("worker", a.worker.ID), zap.Int("runs", len(a.worker.Runs)), zap.Error(err))
 	}
--- a/jobowner/caps_withdraw_test.go
+++ b/jobowner/caps_withdraw_test.go
@@ -23,7 +23,7 @@
 		config = workload.NewConfig(workload.Config{Workspaces: []workload.Workspace{{Name: "a", Cap: workload.Resources{Accelerators: accelerators}}}})
 	}
 	w := term.cluster.EnsureWorker("w0", 1, now)
-	w.Capacity, w.Listed, w.Answered = workload.Resources{Accelerators: 8}, true, true
+	w.Capacity, w.Listed, w.Answered, w.Confirmed = workload.Resources{Accelerators: 8}, true, true, true
 	var runs []*jobstate.Run
 	for priority, id := range []string{"urgent", "batch"} {
 		j := term.cluster.AddJob(&workload.Submission{ID: id, Workspace: "a", Steps: []workload.Step{{Tasks: 2, Demand: workload.Resources{Accelerators: 1}}},
--- a/jobowner/fleet.go
+++ b/jobowner/fleet.go
@@ -8,45 +8,8 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/suspend"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
-	"github.com/cyclamenyard/cyclamenyard/workerapi"
 )
 
-// OnWorker applies a new or changed entry of the platform's list of workers.
-func (t *Term) OnWorker(e workerapi.Entry) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	w := t.ensureWorker(e.Worker.ID, e.Incarnation, now)
-	if w.Incarnation != e.Incarnation {
-		return // entry of an earlier incarnation
-	}
-	w.EntryWrittenAfter = t.listAsOf // the entry was written later
-	if previous := t.entries[w.ID]; previous != nil && w.Listed && previous.Equal(&e) {
-		return // a heartbeat
-	}
-	t.entries[w.ID] = &e
-	t.dropReplacedWorker(w, e, now)
-	first := !w.Listed
-	w.Address, w.Service, w.DataCentre, w.Rack = e.Worker.Address, e.Service, e.DataCentre, e.Rack
-	w.Labels, w.Capacity = e.Labels, e.Capacity
-	w.Listed = true
-	if e.Draining && (!w.Draining || e.DrainTime > 0) {
-		w.LeavesAt = now.Add(e.DrainTime)
-	}
-	w.Draining = e.Draining
-	delete(t.unlistedSince, w)
-	if first {
-		events.Info(t.opts.Log, events.WorkerListed, zap.String("worker", w.ID), zap.Int64("life", w.Incarnation),
-			zap.String("zone", w.DataCentre), zap.Bool("draining", w.Draining))
-	}
-	a := t.ensureAgent(w)
-	if a.clockAt.IsZero() && w.LeaseEnds.IsZero() {
-		w.LeaseEnds = t.initialLeaseEnd(w, now)
-	}
-	a.signal()
-	t.wakeLoop()
-}
-
 // isUnresponsive reports whether the last requests to the worker failed. A worker that is not listed counts as
 // unresponsive once the list has been read, and after firstListingGrace.
 func (t *Term) isUnresponsive(w *jobstate.Worker, now time.Time) bool {
@@ -57,57 +20,6 @@
 	return a.failures >= maxFailedReports
 }
 
-// dropReplacedWorker drops the worker that w has replaced at its address.
-func (t *Term) dropReplacedWorker(w *jobstate.Worker, e workerapi.Entry, now time.Time) {
-	if e.Worker.Address == "" {
-		return
-	}
-	if t.addresses == nil {
-		t.indexAddresses()
-	}
-	other := t.addresses[e.Worker.Address]
-	if other != nil && other != w {
-		if other.Incarnation >= e.Incarnation {
-			return
-		}
-		if t.cluster.Workers[other.ID] == other && other.Address == e.Worker.Address {
-			t.dropWorker(other, "replaced at its address by "+w.ID, now)
-		}
-	}
-	t.addresses[e.Worker.Address] = w
-}
-
-// indexAddresses indexes the workers from job records by address. All records have been read before
-// the first worker is listed.
-func (t *Term) indexAddresses() {
-	t.addresses = map[string]*jobstate.Worker{}
-	for _, w := range t.cluster.Workers {
-		if other := t.addresses[w.Address]; w.Address != "" && (other == nil || other.Incarnation < w.Incarnation) {
-			t.addresses[w.Address] = w
-		}
-	}
-}
-
-// OnWorkerRemoved applies the removal of the worker's entry.
-func (t *Term) OnWorkerRemoved(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if w := t.cluster.Workers[id]; w != nil {
-		t.unlist(w)
-	}
-}
-
-// OnWorkerUnreadable applies an entry that names no worker. It may come from another writer, so that its time says nothing
-// about the worker.
-func (t *Term) OnWorkerUnreadable(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if w := t.cluster.Workers[id]; w != nil {
-		t.unlist(w)
-		w.EntryWrittenAfter = suspend.Stamp{}
-	}
-}
-
 // unlist excludes the worker from new work until it has an entry again. The caller holds the lock.
 func (t *Term) unlist(w *jobstate.Worker) {
 	if !w.Listed {
@@ -187,16 +99,20 @@
 	return false
 }
 
-// hasLeft reports whether a worker without an entry has left: it has no runs, or it was draining and its
-// entry was removed within HeartbeatGap of its last heartbeat. A missing entry alone is no proof. It also
-// expires when the worker cannot reach the store, and its runs continue until their lease expires.
+// hasLeft reports whether a worker without an entry has left: it has no runs, or it was draining, its entry was removed
+// within HeartbeatGap of its last heartbeat, and its machine has refused a connection since. A missing entry alone is no
+// proof. It also expires when the worker cannot reach the store, and an entry that announces a departure may come from
+// another writer. Without that proof its runs continue until their lease expires.
 func (t *Term) hasLeft(w *jobstate.Worker, since, now time.Time) bool {
 	a := t.agents[w.ID]
-	answers := a != nil && a.lastAnswer.After(since) && a.failures == 0
-	if answers {
+	asked := a != nil && a.worker == w
+	if asked && a.lastAnswer.After(since) && a.failures == 0 {
 		return false
 	}
 	left := w.Draining && now.After(w.LeavesAt) && w.EntryWrittenAfter.Age(since, t.opts.Suspended()) < t.opts.HeartbeatGap
+	if len(w.Runs) > 0 && !(asked && a.refusedAt.After(since)) {
+		return false
+	}
 	if left && t.opts.StoreStable() {
 		return true
 	}
@@ -218,5 +134,9 @@
 	delete(t.entries, w.ID)
 	t.learner.observeLost(w, now)
 	t.cluster.RemoveWorker(w, now)
+	if e := t.disputed[w.ID]; e != nil {
+		delete(t.disputed, w.ID)
+		t.applyEntry(*e, now)
+	}
 	t.wakeLoop()
 }
--- a/jobowner/fuzz_faults_test.go
+++ b/jobowner/fuzz_faults_test.go
@@ -26,7 +26,7 @@
 
 // undisturbing are the actions that are no fault.
 var undisturbing = map[string]bool{"submit": true, "gang": true, "chain": true, "labelled": true, "long_running": true, "evacuate": true,
-	"cancel": true, "quiet": true, "capped": true, "capped_gang": true, "cap": true}
+	"cancel": true, "quiet": true, "capped": true, "capped_gang": true, "cap": true, "foreign": true}
 
 // standingActions are the actions of TestFuzzStanding. TestFuzzTerms keeps its own, so that its seeds stay the same.
 var standingActions = append([]string{"power", "owners", "owners", "release", "release", "failing", "slow_store", "quiet", "quiet", "quiet", "quiet"}, actions...)
@@ -48,6 +48,39 @@
 	fuzzScenarios(t, func(t *rapid.T) []event { return drawFrom(t, outageActions) }, fuzzOptions{maxReportedEnds: 4})
 }
 
+// foreignActions are the actions of TestFuzzForeignEntries.
+var foreignActions = append([]string{"foreign", "foreign", "foreign", "foreign", "foreign", "foreign", "quiet", "release", "owners", "power"}, actions...)
+
+// Guards against runs that are taken for gone, and against workers that are lost, because another writer stored entries
+// under the keys of workers or with their addresses.
+func TestFuzzForeignEntries(t *testing.T) {
+	fuzzScenarios(t, func(t *rapid.T) []event { return drawFrom(t, foreignActions) }, fuzzOptions{})
+}
+
+// foreignEntry stores an entry of another writer, under a key of its own or under that of a worker. It is removed, or
+// replaced by the worker's next heartbeat.
+func (d *scenario) foreignEntry(target, amount int) {
+	own, ok := d.fleet.Entry(d.worker(target))
+	other, okOther := d.fleet.Entry(d.worker((target + 1 + amount%2) % fuzzWorkers))
+	if !ok || !okOther {
+		return
+	}
+	names := slices.Sorted(maps.Keys(foreignEntries))
+	entry := foreignEntries[names[(target+3*amount)%len(names)]](own, other)
+	d.list(entry)
+	time.Sleep(time.Duration(amount) * 150 * time.Millisecond)
+	if amount%2 == 0 || entry.Worker.ID != own.Worker.ID {
+		d.store.Remove(workersPrefix + entry.Worker.ID)
+		time.Sleep(200 * time.Millisecond)
+	}
+	for range 2 { // heartbeats
+		if current, ok := d.fleet.Entry(own.Worker.ID); ok {
+			d.list(current)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
 // outage makes the store unreachable for all instances. A worker that drains leaves meanwhile, and in some cases a data
 // centre loses power with its instance.
 func (d *scenario) outage(target, amount int) {
@@ -207,6 +240,8 @@
 		d.submitFor("capped", d.id("kg"), []string{"urgent", "batch"}[e.amount%2], gang(e.amount, e.target%3+1))
 	case "cap":
 		d.setCap(cappedGuarantee + 2*e.amount)
+	case "foreign":
+		d.foreignEntry(e.target, e.amount)
 	case "quiet":
 		d.quiet(time.Duration(8+e.amount) * time.Second)
 	}
--- a/jobowner/handover_test.go
+++ b/jobowner/handover_test.go
@@ -32,9 +32,7 @@
 		s.kill("a")
 		s.fleet.RemoveWorker("w0")
 		s.store.Remove(workersPrefix + "w0")
-		entry := s.fleet.Add("w1", "zone-0", "rack-0", workerCapacity)
-		entry.Worker.Address = "10.0.0.1:w0"
-		s.list(entry)
+		s.list(s.fleet.Replace("w0", "w1", "zone-0", "rack-0", workerCapacity))
 		s.start("b")
 		time.Sleep(2500 * time.Millisecond)
 		assert.Equal(t, 4, s.fleet.StartCount())
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -97,6 +97,7 @@
 		}
 	}()
 	t.refreshRoute(j)
+	t.services[j.Route.Service] = true
 	if stored, ok := t.records[id]; ok {
 		t.cluster.Restore(j, stored.record, stored.revision, now)
 	}
@@ -166,7 +167,9 @@
 	for _, j := range t.cluster.Jobs {
 		if !j.State.Ended() {
 			t.refreshRoute(j)
+			t.services[j.Route.Service] = true
 		}
 	}
+	t.applyParkedEntries(time.Now())
 	t.wakeLoop()
 }
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -22,10 +22,11 @@
 // apply updates the state from a report that was requested at sent. The caller holds the lock.
 func (a *agent) apply(report workerapi.Report, sent time.Time) {
 	t, w, now := a.t, a.worker, time.Now()
-	if report.Incarnation != 0 && w.Incarnation != 0 && report.Incarnation != w.Incarnation {
-		t.replaceIncarnation(w, report.Incarnation, now)
+	if w.Confirmed && report.Incarnation != 0 && w.Incarnation != 0 && report.Incarnation != w.Incarnation {
+		t.replaceIncarnation(w, report.Incarnation, w.Address, now)
 		return
 	}
+	a.confirmIncarnation(report.Incarnation)
 	changed := !w.Answered || w.Unresponsive || len(w.Untracked) > 0
 	a.recordAnswer(report.Clock, sent, now)
 	w.ReportedAt = later(w.ReportedAt, sent)
@@ -73,19 +74,37 @@
 	}
 }
 
-// replaceIncarnation replaces a worker whose report shows a newer incarnation than its entry. The newer one
-// gets no new work until it is listed.
-func (t *Term) replaceIncarnation(w *jobstate.Worker, incarnation int64, now time.Time) {
-	if incarnation < w.Incarnation {
-		return // a late report of an earlier incarnation
-	}
-	next := t.ensureWorker(w.ID, incarnation, now)
-	next.Address, next.Service, next.DataCentre, next.Rack = w.Address, w.Service, w.DataCentre, w.Rack
-	next.Labels, next.Capacity = w.Labels, w.Capacity
+// confirmIncarnation records which incarnation answers at the worker's address. If its entry names another one, that is
+// not the worker's own, and the worker gets no new work until it writes one. The caller holds the lock.
+func (a *agent) confirmIncarnation(incarnation int64) {
+	w := a.worker
+	if !w.Confirmed && w.Incarnation != 0 && incarnation != w.Incarnation {
+		a.t.excludeUntilListed(w.ID)
+		delete(a.t.entries, w.ID)
+		w.Incarnation = incarnation
+	}
+	if w.Incarnation == 0 {
+		w.Incarnation = incarnation
+	}
+}
+
+// replaceIncarnation replaces a worker after a report of another incarnation at the address. Requests to it are made only
+// after the former one has answered for the last time, so that the number of the answering one need not be higher. It gets
+// no new work until it is listed. The caller holds the lock.
+func (t *Term) replaceIncarnation(w *jobstate.Worker, incarnation int64, address string, now time.Time) {
+	t.learner.observeLost(w, now)
 	events.Info(t.opts.Log, events.WorkerIncarnationEnded, zap.String("worker", w.ID), zap.Int64("life", w.Incarnation), zap.Int("runs", len(w.Runs)),
-		zap.String("reason", "report of a newer incarnation"))
+		zap.String("reason", "report of another incarnation"), zap.Int64("new_life", incarnation))
+	next := t.cluster.ReplaceWorker(w, w.ID, incarnation, now)
+	next.Address, next.Service, next.DataCentre, next.Rack = address, w.Service, w.DataCentre, w.Rack
+	next.Labels, next.Capacity, next.Confirmed = w.Labels, w.Capacity, true
 	delete(t.unlistedSince, w)
+	delete(t.entries, w.ID)
 	t.ensureAgent(next)
+	if e := t.disputed[w.ID]; e != nil && t.describes(next, e) {
+		delete(t.disputed, w.ID)
+		t.list(next, *e, now)
+	}
 	t.wakeLoop()
 }
 
@@ -93,7 +112,8 @@
 // caller holds the lock.
 func (a *agent) recordAnswer(clock int64, sent, now time.Time) {
 	if !a.worker.Answered {
-		a.worker.Answered = true
+		a.worker.Answered, a.worker.Confirmed = true, true
+		a.t.takeAddress(a.worker, now)
 		a.worker.LeaseEnds = now.Add(a.t.maxLeaseDuration()) // after this answer no former owner can renew it
 		events.Info(a.t.opts.Log, events.WorkerAnswered, zap.String("worker", a.worker.ID), zap.Int64("life", a.worker.Incarnation))
 	}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -114,7 +114,11 @@
 	agents          map[string]*agent
 	unlistedSince   map[*jobstate.Worker]time.Time  // when the worker's entry was removed
 	entries         map[string]*workerapi.Entry     // newest entry of each listed worker, by id
-	addresses       map[string]*jobstate.Worker     // newest worker at each address; nil before the first entry
+	parked          map[string]workerapi.Entry      // entries whose service no configuration names, by id
+	disputed        map[string]*workerapi.Entry     // newest entry under the id that describes another incarnation than the known one
+	services        map[string]bool                 // named by a configuration or an accepted job
+	servicesOf      *workload.Config                // newest configuration in services
+	addresses       map[string]*jobstate.Worker     // newest worker that answered at each address; nil before the first answer
 	records         map[string]storedRecord         // read at the start, of jobs that are not loaded yet
 	pendingCancels  map[string]bool                 // jobs whose cancellation arrived before their submission
 	formerCompleted map[string]bool                 // jobs whose completion a former owner observed and could not store
@@ -191,7 +195,7 @@
 	t := &Term{
 		opts: o, policy: placement.New(o.Placement), learner: l, cluster: jobstate.New(),
 		agents: map[string]*agent{}, unlistedSince: map[*jobstate.Worker]time.Time{},
-		entries: map[string]*workerapi.Entry{},
+		entries: map[string]*workerapi.Entry{}, parked: map[string]workerapi.Entry{}, disputed: map[string]*workerapi.Entry{}, services: map[string]bool{},
 		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, formerCompleted: map[string]bool{},
 		formerEnds: map[string][]workerapi.EndedRun{}, unstoredEnds: map[*jobstate.Job][]unstoredEnd{},
 		adviceQueue: make(chan *jobstate.Step, maxAdviceQueue),
--- a/jobowner/waits_bench_test.go
+++ b/jobowner/waits_bench_test.go
@@ -41,7 +41,7 @@
 	now := time.Now()
 	for n := range 600 {
 		w := t.cluster.EnsureWorker(fmt.Sprint("w", n), 1, now)
-		w.Service, w.Listed, w.Answered = "service", true, true
+		w.Service, w.Listed, w.Answered, w.Confirmed = "service", true, true, true
 	}
 	for n := range 1000 {
 		j := t.cluster.AddJob(&workload.Submission{ID: fmt.Sprint("job", n), Queue: workload.Route{Service: "service"},
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -231,6 +231,7 @@
 	Capacity    workload.Resources
 	Used        workload.Resources
 
+	Confirmed         bool // this incarnation has answered at Address, to this owner or to a former one
 	Listed            bool // it has an entry in the store
 	Draining          bool
 	UpkeepPending     bool          // its machine is the next one to be taken down for upkeep
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -134,6 +134,7 @@
 		// A newer incarnation of the worker may have received the start order; its first report shows
 		// whether it did.
 		w := c.EnsureWorker(tr.Worker, tr.Incarnation, now)
+		w.Confirmed = true // starts are ordered only after an answer
 		if w.Incarnation == tr.Incarnation && w.Address == "" {
 			w.Address = tr.Address
 		}
--- a/jobstate/worker.go
+++ b/jobstate/worker.go
@@ -11,14 +11,21 @@
 // unless the new one may have started them.
 func (c *Cluster) EnsureWorker(id string, incarnation int64, now time.Time) *Worker {
 	w := c.Workers[id]
-	if w != nil && (w.Incarnation == incarnation || incarnation < w.Incarnation) {
+	if w != nil && incarnation <= w.Incarnation {
 		return w
 	}
+	return c.ReplaceWorker(w, id, incarnation, now)
+}
+
+// ReplaceWorker adds an incarnation of the worker with the id as not listed, and returns it. It removes the former one
+// unless that is nil, and ends its runs unless the added one may have started them. The order of the two numbers does not
+// matter: a wall clock may have been set back between the two starts.
+func (c *Cluster) ReplaceWorker(former *Worker, id string, incarnation int64, now time.Time) *Worker {
 	next := &Worker{ID: id, Incarnation: incarnation, Epoch: c.incarnations[id], Runs: map[*Run]struct{}{}, Untracked: map[string]workload.Resources{}}
 	c.incarnations[id]++
-	if w != nil {
-		c.transferUncertainRuns(w, next, now)
-		c.RemoveWorker(w, now)
+	if former != nil {
+		c.transferUncertainRuns(former, next, now)
+		c.RemoveWorker(former, now)
 	}
 	c.Workers[id] = next
 	c.sorted = nil
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -37,7 +37,7 @@
 			worker := w.c.EnsureWorker(fmt.Sprintf("r%d-%d", r, n), 1, w.now)
 			worker.Rack, worker.DataCentre, worker.Service = fmt.Sprint("r", r), fmt.Sprint("z", r%2), "service"
 			worker.Capacity = workload.Resources{MilliCPU: 128_000, MemoryMB: 256_000, Accelerators: 8}
-			worker.Listed, worker.Answered = true, true
+			worker.Listed, worker.Answered, worker.Confirmed = true, true, true
 		}
 	}
 	return w
--- a/placement/share.go
+++ b/placement/share.go
@@ -31,10 +31,10 @@
 		fairshare.Amount{Used: used.MemoryMB, Total: total.MemoryMB}, fairshare.Amount{Used: used.Accelerators, Total: total.Accelerators})
 }
 
-// countCapacity adds up the capacity of all listed workers.
+// countCapacity adds up the capacity of all listed workers that have answered. Other entries may come from another writer.
 func (r *round) countCapacity() {
 	for _, w := range r.c.Workers {
-		if w.Listed {
+		if w.Listed && w.Confirmed {
 			r.capacity = r.capacity.Add(w.Capacity)
 		}
 	}
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -24,6 +24,8 @@
 	ErrUnhealthy       = errors.New("worker is unhealthy and did not execute the request")
 	ErrInvalidRequest  = errors.New("worker rejected the request as malformed")
 	ErrNotReached      = errors.New("cannot connect to the worker")
+	// ErrNoListener is reported together with ErrNotReached if the machine at the address refused the connection.
+	ErrNoListener = errors.New("nothing listens at the worker's address")
 )
 
 // NotExecuted reports whether err means that the worker has not executed the request and never will.
