--- a/jobowner/commit.go
+++ b/jobowner/commit.go
@@ -134,6 +134,7 @@
 	if err != nil {
 		return err
 	}
+	j.Recorded(len(raw))
 	j.Dirty, j.Writing, j.WritingFrom = false, true, time.Now()
 	j.UnwrittenSince = time.Time{}
 	j.WritingUnresponsive = j.UnresponsiveWorkers()
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -108,6 +108,7 @@
 			return
 		}
 		t.cluster.Restore(j, record, stored.revision, t.opts.WallClock().UnixMilli(), now)
+		j.Recorded(len(stored.value))
 	}
 	t.applyFormerEnds(j, now)
 	if t.formerCompleted[id] {
--- a/jobowner/rejected_record_test.go
+++ b/jobowner/rejected_record_test.go
@@ -16,6 +16,9 @@
 	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
+// maxValueBytes is the largest value that the users' store accepts.
+const maxValueBytes = 1 << 20
+
 // rejectedKeys holds the keys that the store does not accept, as if their values were over its limit.
 type rejectedKeys struct {
 	mu       sync.Mutex
@@ -42,7 +45,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range txn.Puts {
-		if r.keys[p.Key] {
+		if r.keys[p.Key] || len(p.Value) > maxValueBytes {
 			r.attempts++
 			return true
 		}
@@ -126,3 +129,25 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// All tasks of a job of 12,000 tasks fit on the workers at the same time, but not into a record that the store accepts.
+// Guards against a job that is accepted and never starts (LOST).
+func TestJobWithMoreTasksThanARecordHoldsIsCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.AdvanceInterval = 100 * time.Millisecond
+		for n := range 6 {
+			s.addWorker(fmt.Sprint("worker-with-a-long-id-", n), n) // each run has it in the record
+		}
+		s.start("a")
+		time.Sleep(time.Second)
+		small := workload.Step{Tasks: 6000, Demand: workload.Resources{MilliCPU: 1, MemoryMB: 1}, Estimate: time.Second}
+		s.submit("job", "batch", small, small)
+		time.Sleep(2 * time.Second)
+		assert.True(t, s.fleet.Started("job"))
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "job", time.Minute))
+		assert.Zero(t, s.rejected.count())
+		s.requireNoViolations(t)
+	})
+}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -220,7 +220,10 @@
 	Occurrences    []*Occurrence
 	Finished       workload.Ranges // numbers of the occurrences that are done and have been released
 	NextOccurrence int             // number of the next occurrence to open
+	RecordBytes    int             // size of the newest record
 	OpenWindow     int             // how many occurrences with nothing running may be open at a time
+
+	unrecordedStarts int // runs that were planned since the newest record
 }
 
 // Worker is one incarnation of a worker: the lifetime of one worker process. A restarted worker keeps its id
@@ -296,7 +299,9 @@
 	t.LastRun = number
 	t.Preempted = false
 	t.Step.Active++
-	t.Step.Occurrence.Job.Dirty = true
+	j := t.Step.Occurrence.Job
+	j.Dirty = true
+	j.unrecordedStarts++
 	w.Runs[r] = struct{}{}
 	w.Used = w.Used.Add(t.Step.Spec.Allocation())
 	return r
--- a/jobstate/wait.go
+++ b/jobstate/wait.go
@@ -22,6 +22,7 @@
 	WaitGangMembers                        // members of an earlier run of the gang have not ended
 	WaitRetryDelay                         // after a refused start or a failed call for advice
 	WaitCap                                // its workspace has as much running as its cap allows
+	WaitRecordRoom                         // further runs would make the job's record larger than the store accepts
 
 	// Reasons for which the runs of a step without waiting tasks do not work.
 
@@ -37,7 +38,7 @@
 
 var waitReasonNames = [waitReasons]string{
 	"undecided", "worker_list_stale", "no_worker_accepts", "no_worker_eligible", "advice", "headroom",
-	"preferred_rack", "no_room", "reclaim", "loss_limit", "reservations", "room_for_gang", "gang_members", "retry_delay", "workspace_cap",
+	"preferred_rack", "no_room", "reclaim", "loss_limit", "reservations", "room_for_gang", "gang_members", "retry_delay", "workspace_cap", "record_room",
 	"record_write", "start_order", "start_answer", "former_run", "unresponsive_worker", "stop",
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -318,6 +318,9 @@
 
 // scheduleGang returns why the gang waits, if it does.
 func (r *round) scheduleGang(u *unit, workers []*jobstate.Worker) jobstate.WaitReason {
+	if u.job.StartRoom() < len(u.waiting) {
+		return jobstate.WaitRecordRoom
+	}
 	wait := jobstate.WaitHeadroom
 	leavesHeadroom := r.leavesHeadroom(u, len(u.waiting))
 	if leavesHeadroom {
@@ -360,6 +363,10 @@
 	placed := 0
 	wait := jobstate.WaitUndecided
 	for _, t := range u.waiting {
+		if u.job.StartRoom() == 0 {
+			wait = jobstate.WaitRecordRoom
+			break
+		}
 		if !r.leavesHeadroom(u, 1) {
 			wait = jobstate.WaitHeadroom
 			break
@@ -371,7 +378,7 @@
 		r.start(u, t, w, u.step.NextRunNumber(t))
 		placed++
 	}
-	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 && !r.startOverdue(u) && wait != jobstate.WaitRoomForGang {
+	if u.waiting = u.waiting[placed:]; len(u.waiting) > 0 && wait != jobstate.WaitRecordRoom && !r.startOverdue(u) && wait != jobstate.WaitRoomForGang {
 		if further := r.reserveOrReclaim(u, workers); wait == jobstate.WaitNoRoom {
 			wait = further
 		}
--- a/workload/job.go
+++ b/workload/job.go
@@ -148,6 +148,7 @@
 // Limits of a submission. They bound the memory that an owner needs for one job.
 const (
 	MaxTasks       = 10_000  // per step
+	MaxGang        = 5_000   // tasks of a gang, which start together and have to fit into one record
 	MaxJobTasks    = 20_000  // over all steps
 	MaxOccurrences = 100_000 // per schedule
 	maxAmount      = 1 << 30 // per component of a task's demand
@@ -168,6 +169,9 @@
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return fmt.Errorf("tasks: %d; must be from 1 to %d", s.Tasks, MaxTasks)
 	}
+	if s.Gang && s.Tasks > MaxGang {
+		return fmt.Errorf("tasks: %d of a gang; must be at most %d", s.Tasks, MaxGang)
+	}
 	if !s.Demand.inRange() {
 		return fmt.Errorf("demand: %+v; each must be from 0 to %d", s.Demand, maxAmount)
 	}
