--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -54,6 +54,8 @@
 	StateUnavailable  Kind = "state_unavailable"
 	Overloaded        Kind = "overloaded"
 	BodyIncomplete    Kind = "body_incomplete"
+	BacklogFull       Kind = "backlog_full"
+	JobRevoked        Kind = "job_revoked"
 	Internal          Kind = "internal"
 )
 
@@ -97,6 +99,8 @@
 	StateUnavailable:  {http.StatusServiceUnavailable, MayHaveRun, true, "neither the owner nor the store could be asked in time"},
 	Overloaded:        {http.StatusServiceUnavailable, NotRun, true, "the instance holds as many requests as its memory allows"},
 	BodyIncomplete:    {http.StatusServiceUnavailable, NotRun, true, "the body did not arrive within the deadline of the call"},
+	BacklogFull:       {http.StatusServiceUnavailable, NotRun, true, "the accepted jobs that have not ended take as much of an owner's memory as they may; the message names the limit"},
+	JobRevoked:        {http.StatusConflict, NotRun, false, "the job was cancelled before a submission of it was stored; another id is needed"},
 	Internal:          {http.StatusInternalServerError, MayHaveRun, false, "a fault in the system itself"},
 }
 
--- a/jobfront/admission_test.go
+++ b/jobfront/admission_test.go
@@ -31,12 +31,15 @@
 	accepted map[string]bool
 	unknown  bool          // whether a job was accepted cannot be determined
 	wait     time.Duration // of new jobs; 0 if the workspace is not overloaded
+	full     bool          // the owner has no memory for further jobs
 }
 
 func (j *recordingJobs) Overloaded(context.Context, *workload.Submission) (time.Duration, bool) {
 	return j.wait, j.wait > 0
 }
 
+func (j *recordingJobs) BacklogFull(context.Context, int64) bool { return j.full }
+
 func (j *recordingJobs) Begin(string) func() { return func() {} }
 
 func (j *recordingJobs) Submit(_ context.Context, job *workload.Submission) error {
@@ -103,3 +106,22 @@
 	w.Weight = 0
 	assert.Equal(t, http.StatusOK, submit(newFront(jobs, &w), "late").Code, "a workspace without weight and cap")
 }
+
+// The owner has no memory for further jobs. Guards against accepting one, against a refusal without a time to return, and
+// against a refusal that says "not run" of a job that was accepted before or may have been.
+func TestJobWithoutRoomIsRefused(t *testing.T) {
+	w := workload.Workspace{Name: "team", Keys: []string{"key"}}
+	jobs := &recordingJobs{accepted: map[string]bool{}}
+	front := newFront(jobs, &w)
+	assert.Equal(t, http.StatusOK, submit(front, "early").Code)
+	jobs.full = true
+	answer := submit(front, "late")
+	assert.Equal(t, http.StatusServiceUnavailable, answer.Code)
+	assert.NotEmpty(t, answer.Header().Get("Retry-After"))
+	assert.Contains(t, answer.Body.String(), `"kind":"backlog_full"`)
+	assert.Contains(t, answer.Body.String(), `"run_state":"not_run"`)
+	assert.False(t, jobs.accepted["late"])
+	assert.Equal(t, http.StatusOK, submit(front, "early").Code, "a repeated submission")
+	jobs.unknown = true
+	assert.Equal(t, http.StatusOK, submit(front, "uncertain").Code)
+}
--- a/jobfront/jobfront.go
+++ b/jobfront/jobfront.go
@@ -39,6 +39,8 @@
 	// Overloaded reports whether the job could not be done in time because its workspace, which has a weight or a cap, has
 	// sent too much, and when to retry.
 	Overloaded(ctx context.Context, job *workload.Submission) (retryAfter time.Duration, overloaded bool)
+	// BacklogFull reports whether there is no room for a job of the footprint, in bytes, beside the accepted ones.
+	BacklogFull(ctx context.Context, footprint int64) bool
 	// Begin records that a submission of the id is in progress until end is called.
 	Begin(id string) (end func())
 	// CertainlyNew reports whether no submission of the id has been accepted, nor is in progress besides that of the caller,
--- a/jobfront/jobfront_test.go
+++ b/jobfront/jobfront_test.go
@@ -33,6 +33,8 @@
 // faultyJobs panics on the job "malformed".
 type faultyJobs struct{ jobfront.Jobs }
 
+func (faultyJobs) BacklogFull(context.Context, int64) bool { return false }
+
 func (faultyJobs) Begin(string) func() { return func() {} }
 
 func (faultyJobs) Submit(_ context.Context, job *workload.Submission) error {
--- a/jobowner/harness_test.go
+++ b/jobowner/harness_test.go
@@ -115,7 +115,7 @@
 			Config: s.readConfig, Guard: guard, WallClock: time.Now, MaxLease: testplatform.MaxLease,
 			OwnershipConfirmed: func() bool { return elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
 			Placement:          placement.Options{FarFactor: 3, StopTimeout: 200 * time.Millisecond, Uses: s.uses},
-			EndedRetention:     s.retention, StoreTimeout: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3750 * time.Millisecond, StoreStable: func() bool { return s.storeStable.Load() },
+			EndedRetention:     s.retention, MaxBacklog: 1 << 30, StoreTimeout: 500 * time.Millisecond, MaxListAge: maxListAge, HeartbeatGap: 3750 * time.Millisecond, StoreStable: func() bool { return s.storeStable.Load() },
 			Suspended: s.suspended, Lag: c.lag, Link: c.link.meterOrNil(),
 			WriteTimeout: func(int) time.Duration { return 500*time.Millisecond + 4*c.lag() },
 			Unstored:     func(context.Context) jobowner.Unstored { return s.unstored() },
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -89,10 +89,12 @@
 		return
 	}
 	j := t.cluster.AddJob(s, now)
+	t.addToBacklog(j)
 	complete := false
 	defer func() {
 		if !complete { // a panic; the mirror applies the change again
 			t.cluster.DiscardJob(j)
+			t.shrinkInBacklog(j, 0)
 			delete(t.unstoredEnds, j)
 			delete(t.scheduled, j)
 		}
@@ -103,9 +105,7 @@
 		record, err := workload.DecodeRecord(stored.value)
 		if err != nil {
 			t.opts.Log.Error("cannot decode job record", zap.String("job", id), zap.Error(err))
-			t.cluster.DiscardJob(j)
-			complete = true
-			return
+			return // the job is discarded
 		}
 		t.cluster.Restore(j, record, stored.revision, t.opts.WallClock().UnixMilli(), now)
 		j.Recorded(len(stored.value))
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -115,6 +115,7 @@
 		t.checkedAt = now
 		t.checkWorkers(now)
 		t.evictEnded(now)
+		t.backlogGauge.Update(t.backlog.Load())
 	}
 }
 
@@ -172,11 +173,12 @@
 // their removal from the store.
 func (t *Term) evictEnded(now time.Time) {
 	for id, j := range t.cluster.Jobs {
-		if j.State.Ended() && len(j.Occurrences) > 0 && !j.Dirty && !j.Writing && len(j.Runs()) == 0 {
-			j.Release()
+		if j.State.Ended() && !j.Released && !j.Dirty && !j.Writing && len(j.Runs()) == 0 {
+			t.releaseJob(j)
 		}
 		if j.State.Ended() && !j.Dirty && !j.Writing && now.Sub(j.EndedAt) > t.opts.EndedRetention && len(j.Runs()) == 0 {
 			delete(t.cluster.Jobs, id)
+			t.shrinkInBacklog(j, 0)
 			t.tasks.Add(1)
 			go t.removeJob(id, j.Revision)
 		}
--- a/jobowner/schedule_test.go
+++ b/jobowner/schedule_test.go
@@ -128,3 +128,30 @@
 		s.requireNoViolations(t)
 	})
 }
+
+// Guards against jobs that count towards the memory of the owner after they have ended, so that it refuses new ones for good.
+func TestEndedJobsLeaveRoomForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.retention = 20 * time.Second
+		s.addWorker("w0", 0)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		before, _ := s.currentTerm(a).Room()
+		wide := s.submit("wide", "batch", tasks(5000, 1))
+		s.submitScheduled("scheduled", "batch", 1000, tasks(1, 1))
+		time.Sleep(time.Second)
+		room, _ := s.currentTerm(a).Room()
+		assert.Less(t, room, before-wide.Footprint())
+		s.cancelJob("wide")
+		s.cancelJob("scheduled")
+		time.Sleep(3 * time.Second)
+		room, _ = s.currentTerm(a).Room()
+		assert.Equal(t, before-2*workload.EndedFootprint, room)
+		time.Sleep(25 * time.Second)
+		room, _ = s.currentTerm(a).Room()
+		assert.Equal(t, before, room)
+		s.requireNoViolations(t)
+	})
+}
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -53,6 +54,7 @@
 	// Lag returns how long calls of this process wait for its own CPU and its own link; nil for a process in which
 	// none waits.
 	Lag        func() time.Duration
+	MaxBacklog int64         // memory for accepted jobs, in bytes, as their footprints count it
 	Link       *link.Meter   // over which this process sends; nil if its speed is not known
 	MaxListAge time.Duration // maximum age of the list of workers for new orders; 0 for no limit
 
@@ -132,6 +134,7 @@
 	listAsOf        suspend.Stamp              // the list of workers includes all entries written before
 	lagging         bool                       // the lag was reported and has not ended
 	listStale       bool                       // the list is older than MaxListAge
+	backlog         atomic.Int64               // footprint of all jobs, in bytes
 	scheduled       map[*jobstate.Job]struct{} // jobs with occurrences that are not open yet
 	nextDue         int64                      // Unix milliseconds of the next occurrence that is not due yet; 0 for none
 	writes          int                        // transactions in progress
@@ -159,6 +162,7 @@
 	lagGauge             metrics.Gauge     // milliseconds
 	linkGauge            metrics.Gauge     // milliseconds
 	ordersGauge          metrics.Gauge     // orders in progress
+	backlogGauge         metrics.Gauge     // bytes
 	idleOccurrences      metrics.Gauge     // open occurrences of scheduled jobs with nothing running
 	announcementsIgnored metrics.Counter   // before all jobs were loaded
 	decisions            metrics.Histogram // the histograms are in microseconds
@@ -215,6 +219,7 @@
 		linkGauge:   metrics.GetOrRegisterGauge("owner.link_queue_ms", o.Metrics),
 		ordersGauge: metrics.GetOrRegisterGauge("owner.orders_in_progress", o.Metrics),
 
+		backlogGauge:    metrics.GetOrRegisterGauge("owner.backlog_bytes", o.Metrics),
 		idleOccurrences: metrics.GetOrRegisterGauge("owner.idle_occurrences", o.Metrics),
 
 		announcementsIgnored: metrics.GetOrRegisterCounter("owner.announcements_ignored", o.Metrics),
--- a/jobservice/admission.go
+++ b/jobservice/admission.go
@@ -153,14 +153,18 @@
 	return newOverloads(a, asked)
 }
 
-// HandleAdmission answers a peer which workspaces are overloaded. If this instance is not the owner, the reply is empty.
-func (s *Service) HandleAdmission(context.Context, *relay.AdmissionRequest) (*relay.AdmissionReply, error) {
+// HandleAdmission answers a peer which workspaces are overloaded, and how much room it may use. If this instance is not the
+// owner, the reply is empty.
+func (s *Service) HandleAdmission(_ context.Context, r *relay.AdmissionRequest) (*relay.AdmissionReply, error) {
 	term := s.currentTerm()
 	if term == nil {
 		return &relay.AdmissionReply{}, nil
 	}
 	a, ok := term.Admission()
-	reply := &relay.AdmissionReply{Owner: ok, Token: a.Token}
+	reply := &relay.AdmissionReply{Owner: ok, Token: term.Token()}
+	if room, known := term.Room(); known {
+		reply.RoomKnown, reply.Room = true, roomFor(room, r.Bytes, len(s.opts.Elector.Peers())+1)
+	}
 	for _, o := range a.Overloads {
 		reply.Overloads = append(reply.Overloads, &relay.Overload{Workspace: o.Workspace, Priority: int64(o.Priority),
 			WaitMs: o.Wait.Milliseconds(), RefuseForMs: o.RefuseFor.Milliseconds()})
--- a/jobservice/admission_test.go
+++ b/jobservice/admission_test.go
@@ -262,6 +262,9 @@
 	return jobowner.Admission{Token: 7, Overloads: []admission.Overload{{Workspace: "hot", Wait: time.Minute, RefuseFor: time.Second}}}, true
 }
 
+func (limitedTerm) Token() uint64       { return 7 }
+func (limitedTerm) Room() (int64, bool) { return 0, false }
+
 // Guards against an owner that does not refuse itself, or that answers peers otherwise, and against one that still
 // refuses when another instance may have become the owner.
 func TestOwnerAnswersItselfAndPeers(t *testing.T) {
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -55,7 +55,10 @@
 	State(ctx context.Context, id string) (workload.State, bool)
 	Pending(route string) (n int, ok bool)
 	HasJob(id string) bool
+	Token() uint64
 	Admission() (jobowner.Admission, bool)
+	// Room returns the footprint, in bytes, of the jobs that may still be accepted.
+	Room() (bytes int64, ok bool)
 	// OnAnnounced applies a submission or cancellation that the store's watch may not have
 	// delivered yet.
 	OnAnnounced(change metastore.Change)
@@ -75,6 +78,8 @@
 	Term         func() Term // nil when this instance is not the owner
 	// OwnershipValid reports whether no other instance can have become the owner without this one's knowledge.
 	OwnershipValid func() bool
+	// MaxBacklog is the memory of the owner for accepted jobs, in bytes; 0 for no limit.
+	MaxBacklog int64
 	// Suspended returns the machine's total time in suspension; nil reads it from the system.
 	Suspended  func() time.Duration
 	PeerClient func(address string) relay.DRPCRelayClient
@@ -94,6 +99,7 @@
 	announcementsUnowned metrics.Counter // to or by an instance with no owner to tell
 	overloadCache        *overloadCache
 	submissions          *submissions
+	room                 *roomGrant
 }
 
 func New(o Options) *Service {
@@ -104,7 +110,7 @@
 	return &Service{opts: o, relayed: counter("jobs.relayed"), local: counter("jobs.state_local"),
 		owner: counter("jobs.state_owner"), store: counter("jobs.state_store"),
 		announcementsFailed: counter("jobs.announcements_failed"), announcementsUnowned: counter("jobs.announcements_unowned"),
-		overloadCache: newOverloadCache(o.Metrics), submissions: newSubmissions()}
+		overloadCache: newOverloadCache(o.Metrics), submissions: newSubmissions(), room: &roomGrant{suspended: o.Suspended}}
 }
 
 // outcome is the outcome of a write, as far as it can be determined.
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -225,6 +225,8 @@
 func (t term) OnAnnounced(metastore.Change)                               {}
 func (t term) HasJob(job string) bool                                     { return job == id }
 func (t term) Admission() (jobowner.Admission, bool)                      { return jobowner.Admission{}, false }
+func (t term) Token() uint64                                              { return 1 }
+func (t term) Room() (int64, bool)                                        { return 1 << 30, true }
 
 // Guards against reporting an accepted job as unknown (410), and against reporting a state that neither the
 // owner nor the store has.
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -220,10 +220,12 @@
 	Occurrences    []*Occurrence
 	Finished       workload.Ranges // numbers of the occurrences that are done and have been released
 	NextOccurrence int             // number of the next occurrence to open
-	RecordBytes    int             // size of the newest record
-	OpenWindow     int             // how many occurrences with nothing running may be open at a time
 
-	unrecordedStarts int // runs that were planned since the newest record
+	unrecordedStarts int   // runs that were planned since the newest record
+	Released         bool  // Release was called
+	RecordBytes      int   // size of the newest record
+	Footprint        int64 // memory that it counts for, in bytes
+	OpenWindow       int   // how many occurrences with nothing running may be open at a time
 }
 
 // Worker is one incarnation of a worker: the lifetime of one worker process. A restarted worker keeps its id
--- a/jobstate/occurrence.go
+++ b/jobstate/occurrence.go
@@ -102,6 +102,7 @@
 	slim := *j.Submission
 	slim.Payload, slim.Steps = "", nil
 	j.Submission = &slim
+	j.Released = true
 }
 
 // occurrence returns the open occurrence with the number, or nil.
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,7 @@
 	HeartbeatGap   time.Duration
 	GracePeriod    time.Duration // from the signal to stop until the process is killed
 	EndedRetention time.Duration // retention of ended jobs
+	MaxBacklog     int64         // memory of the owner for accepted jobs, in bytes
 	Placement      placement.Options
 	Ingress        ingress.Settings // bounds of what clients of the listeners can hold
 
@@ -144,7 +145,7 @@
 		Apply: n.elector.Apply, Synced: n.elector.InstancesSynced,
 	})
 	n.jobs = jobservice.New(jobservice.Options{
-		Store: n.store, StoreHealthy: n.store.Healthy, CheckStore: n.store.Check, WriteTimeout: n.store.CallTimeout, Elector: n.elector, Instance: o.Instance, Log: o.Log, Metrics: o.Metrics,
+		Store: n.store, StoreHealthy: n.store.Healthy, CheckStore: n.store.Check, WriteTimeout: n.store.CallTimeout, Elector: n.elector, Instance: o.Instance, MaxBacklog: o.MaxBacklog, Log: o.Log, Metrics: o.Metrics,
 		Term: n.currentTerm,
 		OwnershipValid: func() bool {
 			return n.elector.ConfirmedWithin(ownership.OwnerTTL) || n.operatorData.outage.keepsOwnership(time.Now())
@@ -199,7 +200,7 @@
 		Store: n.store, Workers: a.Workers, Advisor: a.Advisor, Log: n.log, Metrics: n.opts.Metrics, Guard: n.guard, Token: token, Fence: fence,
 		Config: n.operatorData.config, WallClock: time.Now, MaxLease: n.opts.MaxLease, Placement: n.opts.Placement,
 		OwnershipConfirmed: func() bool { return n.elector.ConfirmedWithin(jobowner.MaxUnconfirmedRenewal) },
-		EndedRetention:     n.opts.EndedRetention, StoreTimeout: storeTimeout, MaxListAge: n.opts.MaxListAge, HeartbeatGap: n.opts.HeartbeatGap, Lag: n.callDelay, Link: n.opts.Link,
+		EndedRetention:     n.opts.EndedRetention, StoreTimeout: storeTimeout, MaxListAge: n.opts.MaxListAge, HeartbeatGap: n.opts.HeartbeatGap, Lag: n.callDelay, Link: n.opts.Link, MaxBacklog: n.opts.MaxBacklog,
 		StoreStable:  func() bool { return n.store.SinceFailure() > storeStableAfter },
 		WriteTimeout: n.store.CallTimeout, Unstored: n.collectUnstored,
 	})
