--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -63,14 +63,17 @@
 )
 
 func (t *Term) applyIntake(change metastore.Change, source intakeSource) {
-	if change.Removed {
-		return // only the owner removes jobs, after their retention time
-	}
 	rest := strings.TrimPrefix(change.Key, IntakePrefix)
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
+	case change.Removed: // only the owner removes jobs, after their retention time
+		delete(t.revoked, strings.TrimSuffix(rest, jobSuffix))
+		return
+	case strings.HasSuffix(rest, jobSuffix) && workload.IsRevocation(change.Value):
+		t.noteRevocation(strings.TrimSuffix(rest, jobSuffix), change.Revision, now)
+		return
 	case strings.HasSuffix(rest, jobSuffix):
 		t.addJob(strings.TrimSuffix(rest, jobSuffix), change, source, now)
 	case strings.HasSuffix(rest, cancelSuffix):
--- a/jobowner/loop.go
+++ b/jobowner/loop.go
@@ -115,6 +115,7 @@
 		t.checkedAt = now
 		t.checkWorkers(now)
 		t.evictEnded(now)
+		t.evictRevocations(now)
 		t.backlogGauge.Update(t.backlog.Load())
 	}
 }
--- a/jobowner/term.go
+++ b/jobowner/term.go
@@ -111,36 +111,39 @@
 	learner   *learner
 	startedAt time.Time
 
-	mu              sync.Mutex
-	cluster         *jobstate.Cluster
-	agents          map[string]*agent
-	unlistedSince   map[*jobstate.Worker]time.Time  // when the worker's entry was removed
-	entries         map[string]*workerapi.Entry     // newest entry of each listed worker, by id
-	parked          map[string]workerapi.Entry      // entries whose service no configuration names, by id
-	disputed        map[string]*workerapi.Entry     // newest entry under the id that describes another incarnation than the known one
-	services        map[string]bool                 // named by a configuration or an accepted job
-	servicesOf      *workload.Config                // newest configuration in services
-	addresses       map[string]*jobstate.Worker     // newest worker that answered at each address; nil before the first answer
-	records         map[string]storedRecord         // read at the start, of jobs that are not loaded yet
-	pendingCancels  map[string]bool                 // jobs whose cancellation arrived before their submission
-	formerCompleted map[string]bool                 // jobs whose completion a former owner observed and could not store
-	formerEnds      map[string][]workerapi.EndedRun // the same for ends of runs, by job, until the job is loaded
-	unstoredEnds    map[*jobstate.Job][]unstoredEnd // ends of runs that are not in the store yet, in the order of their arrival
-	checkedAt       time.Time
-	waitsCheckedAt  time.Time
-	intakeAsOf      time.Time // all jobs accepted before are loaded
-	intakeStale     bool      // intakeAsOf is older than maxIntakeAge
-	loading         loadReport
-	listAsOf        suspend.Stamp              // the list of workers includes all entries written before
-	lagging         bool                       // the lag was reported and has not ended
-	listStale       bool                       // the list is older than MaxListAge
-	backlog         atomic.Int64               // footprint of all jobs, in bytes
-	scheduled       map[*jobstate.Job]struct{} // jobs with occurrences that are not open yet
-	nextDue         int64                      // Unix milliseconds of the next occurrence that is not due yet; 0 for none
-	writes          int                        // transactions in progress
-	pendingAck      *ackPoint                  // ends that may be discarded after certain writes; nil for none
-	ended           bool
-	admission       admissionState
+	mu               sync.Mutex
+	cluster          *jobstate.Cluster
+	agents           map[string]*agent
+	unlistedSince    map[*jobstate.Worker]time.Time // when the worker's entry was removed
+	entries          map[string]*workerapi.Entry    // newest entry of each listed worker, by id
+	parked           map[string]workerapi.Entry     // entries whose service no configuration names, by id
+	disputed         map[string]*workerapi.Entry    // newest entry under the id that describes another incarnation than the known one
+	services         map[string]bool                // named by a configuration or an accepted job
+	servicesOf       *workload.Config               // newest configuration in services
+	addresses        map[string]*jobstate.Worker    // newest worker that answered at each address; nil before the first answer
+	records          map[string]storedRecord        // read at the start, of jobs that are not loaded yet
+	revoked          map[string]revocation          // by job
+	revokedCheckedAt time.Time
+	removingRevoked  bool
+	pendingCancels   map[string]bool                 // jobs whose cancellation arrived before their submission
+	formerCompleted  map[string]bool                 // jobs whose completion a former owner observed and could not store
+	formerEnds       map[string][]workerapi.EndedRun // the same for ends of runs, by job, until the job is loaded
+	unstoredEnds     map[*jobstate.Job][]unstoredEnd // ends of runs that are not in the store yet, in the order of their arrival
+	checkedAt        time.Time
+	waitsCheckedAt   time.Time
+	intakeAsOf       time.Time // all jobs accepted before are loaded
+	intakeStale      bool      // intakeAsOf is older than maxIntakeAge
+	loading          loadReport
+	listAsOf         suspend.Stamp              // the list of workers includes all entries written before
+	lagging          bool                       // the lag was reported and has not ended
+	listStale        bool                       // the list is older than MaxListAge
+	backlog          atomic.Int64               // footprint of all jobs, in bytes
+	scheduled        map[*jobstate.Job]struct{} // jobs with occurrences that are not open yet
+	nextDue          int64                      // Unix milliseconds of the next occurrence that is not due yet; 0 for none
+	writes           int                        // transactions in progress
+	pendingAck       *ackPoint                  // ends that may be discarded after certain writes; nil for none
+	ended            bool
+	admission        admissionState
 
 	adviceQueue  chan *jobstate.Step // steps that wait for advice
 	orders       *orderGate
@@ -204,7 +207,7 @@
 		opts: o, policy: placement.New(o.Placement), learner: l, cluster: jobstate.New(),
 		agents: map[string]*agent{}, unlistedSince: map[*jobstate.Worker]time.Time{},
 		entries: map[string]*workerapi.Entry{}, parked: map[string]workerapi.Entry{}, disputed: map[string]*workerapi.Entry{}, services: map[string]bool{},
-		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, formerCompleted: map[string]bool{},
+		records: map[string]storedRecord{}, pendingCancels: map[string]bool{}, revoked: map[string]revocation{}, formerCompleted: map[string]bool{},
 		formerEnds: map[string][]workerapi.EndedRun{}, unstoredEnds: map[*jobstate.Job][]unstoredEnd{},
 		scheduled:   map[*jobstate.Job]struct{}{},
 		adviceQueue: make(chan *jobstate.Step, maxAdviceQueue),
--- a/jobservice/jobservice.go
+++ b/jobservice/jobservice.go
@@ -80,6 +80,8 @@
 	OwnershipValid func() bool
 	// MaxBacklog is the memory of the owner for accepted jobs, in bytes; 0 for no limit.
 	MaxBacklog int64
+	// Revocations is how many cancellations of unknown jobs all instances together may store, per second; 0 for no limit.
+	Revocations float64
 	// Suspended returns the machine's total time in suspension; nil reads it from the system.
 	Suspended  func() time.Duration
 	PeerClient func(address string) relay.DRPCRelayClient
@@ -100,6 +102,7 @@
 	overloadCache        *overloadCache
 	submissions          *submissions
 	room                 *roomGrant
+	revocations          *revocations
 }
 
 func New(o Options) *Service {
@@ -110,7 +113,7 @@
 	return &Service{opts: o, relayed: counter("jobs.relayed"), local: counter("jobs.state_local"),
 		owner: counter("jobs.state_owner"), store: counter("jobs.state_store"),
 		announcementsFailed: counter("jobs.announcements_failed"), announcementsUnowned: counter("jobs.announcements_unowned"),
-		overloadCache: newOverloadCache(o.Metrics), submissions: newSubmissions(), room: &roomGrant{suspended: o.Suspended}}
+		overloadCache: newOverloadCache(o.Metrics), submissions: newSubmissions(), room: &roomGrant{suspended: o.Suspended}, revocations: newRevocations(o)}
 }
 
 // outcome is the outcome of a write, as far as it can be determined.
@@ -121,11 +124,15 @@
 	stored     = relay.OutcomeReply_STORED
 	refused    = relay.OutcomeReply_REFUSED
 	unknownJob = relay.OutcomeReply_UNKNOWN_JOB
+	revoked    = relay.OutcomeReply_REVOKED
 )
 
+// final reports whether the outcome holds whatever happens to earlier attempts of the same write.
+func final(out outcome) bool { return out == stored || out == unknownJob || out == revoked }
+
 // Submit accepts the job, or returns an error of kind StoreUnavailable (certainly not
-// accepted) or SubmitUncertain (may have been accepted, or may still be). A repeated
-// submission of an id succeeds without effect.
+// accepted), JobRevoked (it was cancelled before, and is never accepted) or SubmitUncertain (may have been
+// accepted, or may still be). A repeated submission of an id succeeds without effect.
 func (s *Service) Submit(ctx context.Context, job *workload.Submission) error {
 	raw, err := json.Marshal(job)
 	if err != nil {
@@ -144,14 +151,18 @@
 		func(ctx context.Context, c relay.DRPCRelayClient) (*relay.OutcomeReply, error) {
 			return c.Submit(ctx, &relay.SubmitRequest{Job: id, Submission: raw})
 		})
-	if out != stored && s.ownerHasJob(ctx, id) {
+	if !final(out) && s.ownerHasJob(ctx, id) {
 		out = stored // repeated submission: the owner has the job from an earlier one
 	}
 	switch out {
 	case stored:
 		return nil
+	case revoked:
+		return errkind.New(errkind.JobRevoked, "job %s was cancelled before it was submitted; submit it under another id", id)
 	case refused:
-		return errkind.New(errkind.StoreUnavailable, "the store turned the submission away")
+		if !s.submissions.mayBeStored(id) {
+			return errkind.New(errkind.StoreUnavailable, "the store turned the submission away")
+		}
 	}
 	return errkind.New(errkind.SubmitUncertain, "the store did not confirm the submission")
 }
@@ -168,10 +179,12 @@
 	return reply != nil && reply.Known
 }
 
-// Cancel cancels the job. It returns an error of kind JobUnknown if there is none.
+// Cancel cancels the job. It returns an error of kind JobUnknown if there is none; a submission of it that is still under way
+// is then never accepted.
 func (s *Service) Cancel(ctx context.Context, id string) error {
+	permit := s.revocations.permit()
 	out := s.writeOrRelay(ctx, id,
-		func(ctx context.Context) outcome { return s.createCancelKey(ctx, id) },
+		func(ctx context.Context) outcome { return s.createCancelKey(ctx, id, permit) },
 		func(ctx context.Context, c relay.DRPCRelayClient) (*relay.OutcomeReply, error) {
 			return c.Cancel(ctx, &relay.CancelRequest{Job: id})
 		})
@@ -189,7 +202,7 @@
 func (s *Service) writeOrRelay(ctx context.Context, id string, direct func(context.Context) outcome,
 	peer func(context.Context, relay.DRPCRelayClient) (*relay.OutcomeReply, error)) outcome {
 	out := direct(ctx)
-	if out == stored || out == unknownJob {
+	if final(out) {
 		return out
 	}
 	mayBeStored := out == uncertain
@@ -205,7 +218,7 @@
 		switch {
 		case err != nil:
 			mayBeStored = true
-		case reply.Outcome == stored || reply.Outcome == unknownJob:
+		case final(reply.Outcome):
 			return reply.Outcome
 		case reply.Outcome == uncertain:
 			mayBeStored = true
@@ -222,7 +235,7 @@
 // not be reported as refused.
 func (s *Service) retryUncertain(ctx context.Context, direct func(context.Context) outcome) outcome {
 	for timeRemains(ctx) && wait.For(ctx, retryDelay) {
-		if out := direct(ctx); out == stored || out == unknownJob {
+		if out := direct(ctx); final(out) {
 			return out
 		}
 	}
@@ -245,7 +258,7 @@
 }
 
 // createKey creates the key. An existing key was written earlier for the same job, and counts
-// as stored. While the store does not answer, nothing is written, so that the outcome is
+// as stored unless it is a revocation. While the store does not answer, nothing is written, so that the outcome is
 // certain.
 func (s *Service) createKey(ctx context.Context, key string, value []byte) outcome {
 	if !s.opts.CheckStore(ctx, maxAnswerAge) {
@@ -272,7 +285,11 @@
 		s.announceToOwner(metastore.Item{Key: key, Value: value, Revision: revision})
 		return stored
 	case errors.As(err, &conflict):
-		if item, ok := conflict.Find(key); ok {
+		item, ok := conflict.Find(key)
+		if ok && workload.IsRevocation(item.Value) {
+			return revoked
+		}
+		if ok {
 			s.announceToOwner(item)
 		}
 		return stored
@@ -312,22 +329,6 @@
 	s.opts.Log.Debug("change not announced because there is no owner", zap.String("key", key))
 }
 
-func (s *Service) createCancelKey(ctx context.Context, id string) outcome {
-	if !s.opts.StoreHealthy() {
-		return refused
-	}
-	call, cancel := context.WithTimeout(ctx, readTimeout)
-	_, err := s.opts.Store.Get(call, jobowner.JobKey(id))
-	cancel()
-	if errors.Is(err, metastore.ErrNotFound) {
-		return unknownJob
-	}
-	if err != nil {
-		return refused
-	}
-	return s.createKey(ctx, jobowner.CancelKey(id), []byte("{}"))
-}
-
 // currentTerm returns the term of this instance, or nil if it has none or another instance may have become the
 // owner, so that the store may hold newer states.
 func (s *Service) currentTerm() Term {
@@ -415,8 +416,8 @@
 	if !errors.Is(err, metastore.ErrNotFound) {
 		return "", errkind.Wrap(errkind.StateUnavailable, err, "read job %s", id)
 	}
-	_, err = s.opts.Store.Get(call, jobowner.JobKey(id))
-	if errors.Is(err, metastore.ErrNotFound) {
+	item, err = s.opts.Store.Get(call, jobowner.JobKey(id))
+	if errors.Is(err, metastore.ErrNotFound) || err == nil && workload.IsRevocation(item.Value) {
 		return "", errkind.New(errkind.JobUnknown, "no record of the job exists")
 	}
 	if err != nil {
--- a/jobservice/jobservice_test.go
+++ b/jobservice/jobservice_test.go
@@ -78,7 +78,7 @@
 	}
 	i.elector = elector
 	i.Service = jobservice.New(jobservice.Options{Store: monitor, StoreHealthy: monitor.Healthy, CheckStore: monitor.Check, WriteTimeout: monitor.CallTimeout,
-		Elector: elector, Instance: "self", Log: zap.NewNop(), Metrics: i.metrics,
+		Elector: elector, Instance: "self", Log: zap.NewNop(), Metrics: i.metrics, Revocations: 20,
 		Term: func() jobservice.Term { return term }, OwnershipValid: func() bool { return !i.deposed },
 		PeerClient: func(string) relay.DRPCRelayClient {
 			if peer == nil {
--- a/jobservice/peer.go
+++ b/jobservice/peer.go
@@ -37,7 +37,7 @@
 
 // HandleCancel handles a cancellation that a peer relays.
 func (s *Service) HandleCancel(ctx context.Context, r *relay.CancelRequest) (*relay.OutcomeReply, error) {
-	return &relay.OutcomeReply{Outcome: s.createCancelKey(ctx, r.Job)}, nil
+	return &relay.OutcomeReply{Outcome: s.createCancelKey(ctx, r.Job, s.revocations.permit())}, nil
 }
 
 // HandleAnnounce handles a peer's announcement of a submission or cancellation. Only the owner
--- a/jobservice/uncertain.go
+++ b/jobservice/uncertain.go
@@ -7,7 +7,7 @@
 
 const (
 	// uncertainRetention is how long the id of a submission with an uncertain outcome is kept. A write without an answer
-	// may take effect later than its timeout, which is below a second, but not after the connection is closed.
+	// may take effect seconds after its timeout, also if its connection is closed.
 	uncertainRetention = 2 * time.Minute
 	// maxUncertain bounds these ids. While one is missing, nothing is refused.
 	maxUncertain = 4096
@@ -67,6 +67,14 @@
 	return o.begun, o.calls == 1
 }
 
+// mayBeStored reports whether an earlier submission of the id had an uncertain outcome, so that it may still be stored.
+func (s *submissions) mayBeStored(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	return now.Before(s.uncertain[id]) || now.Before(s.missing)
+}
+
 func (s *submissions) markUncertain(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -69,6 +69,7 @@
 	GracePeriod    time.Duration // from the signal to stop until the process is killed
 	EndedRetention time.Duration // retention of ended jobs
 	MaxBacklog     int64         // memory of the owner for accepted jobs, in bytes
+	Revocations    float64       // per second: cancellations of unknown jobs that all instances together store
 	Placement      placement.Options
 	Ingress        ingress.Settings // bounds of what clients of the listeners can hold
 
@@ -145,7 +146,7 @@
 		Apply: n.elector.Apply, Synced: n.elector.InstancesSynced,
 	})
 	n.jobs = jobservice.New(jobservice.Options{
-		Store: n.store, StoreHealthy: n.store.Healthy, CheckStore: n.store.Check, WriteTimeout: n.store.CallTimeout, Elector: n.elector, Instance: o.Instance, MaxBacklog: o.MaxBacklog, Log: o.Log, Metrics: o.Metrics,
+		Store: n.store, StoreHealthy: n.store.Healthy, CheckStore: n.store.Check, WriteTimeout: n.store.CallTimeout, Elector: n.elector, Instance: o.Instance, MaxBacklog: o.MaxBacklog, Revocations: o.Revocations, Log: o.Log, Metrics: o.Metrics,
 		Term: n.currentTerm,
 		OwnershipValid: func() bool {
 			return n.elector.ConfirmedWithin(ownership.OwnerTTL) || n.operatorData.outage.keepsOwnership(time.Now())
--- a/workload/job.go
+++ b/workload/job.go
@@ -232,3 +232,13 @@
 	}
 	return t, nil
 }
+
+// revocation is what is stored in place of the submission of a job that was cancelled before it was submitted.
+const revocation = `{"revoked":true}`
+
+// Revocation returns the value that is stored in place of the submission of a job that was cancelled before it was submitted.
+// A submission that is still under way is stored only if nothing else is, and thus never.
+func Revocation() []byte { return []byte(revocation) }
+
+// IsRevocation reports whether the stored value is a revocation and not a submission.
+func IsRevocation(value []byte) bool { return string(value) == revocation }
