--- a/jobowner/admission_loads.go
+++ b/jobowner/admission_loads.go
@@ -157,7 +157,7 @@
 		runTime = s.Spec.Estimate
 	}
 	deadline, lateness := s.Occurrence.Objective(readyAt, runTime, l.now)
-	return admission.Work{Time: l.monitor.Expected(load.Name, s.Spec.Estimate), Deadline: deadline.Sub(l.now), TooLate: lateness >= jobstate.TooLate}
+	return admission.Work{Time: l.monitor.Expected(load.Name, s.Spec.Estimate), Deadline: deadline.Sub(l.now), TooLate: lateness == jobstate.TooLate}
 }
 
 // addRun adds a run. Without a measured rate, its end is expected by its estimate.
--- a/jobowner/caps.go
+++ b/jobowner/caps.go
@@ -172,7 +172,7 @@
 	}
 }
 
-func priorityOf(r *jobstate.Run) int { return r.Task.Step.Occurrence.Job.Route.Priority }
+func priorityOf(r *jobstate.Run) int { return r.Task.Step.Occurrence.Priority() }
 
 // plannedMembers returns the run or, if it belongs to a gang, the members that are planned.
 func plannedMembers(r *jobstate.Run) []*jobstate.Run {
--- a/jobowner/intake.go
+++ b/jobowner/intake.go
@@ -110,7 +110,7 @@
 			t.opts.Log.Error("cannot decode job record", zap.String("job", id), zap.Error(err))
 			return // the job is discarded
 		}
-		t.cluster.Restore(j, record, stored.revision, t.opts.WallClock().UnixMilli(), now)
+		t.cluster.Restore(j, record, stored.revision, now)
 		j.Recorded(len(stored.value))
 	}
 	t.applyFormerEnds(j, now)
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -84,7 +84,7 @@
 func (t *Term) start(ctx context.Context, a *agent, r *jobstate.Run, order workerapi.Start) {
 	uncertain := false
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		leave, ok := a.enterOrder(ctx, len(order.Payload), r.Task.Step.Occurrence.Job.Route.Priority == 0)
+		leave, ok := a.enterOrder(ctx, len(order.Payload), r.Task.Step.Occurrence.Priority() == 0)
 		if !ok {
 			return
 		}
--- a/jobowner/schedule.go
+++ b/jobowner/schedule.go
@@ -13,15 +13,24 @@
 	idlePerWorker = 2
 	// minIdleOccurrences is the smallest such limit.
 	minIdleOccurrences = 64
+	// idleTasksPerOccurrence times the limit is how many tasks these occurrences may have together.
+	idleTasksPerOccurrence = 8
 )
 
 // dueQueue is a heap of jobs by the time at which their next occurrence is due.
 type dueQueue []*dueJob
 
 type dueJob struct {
-	job  *jobstate.Job
-	due  int64 // Unix milliseconds
-	idle int   // open occurrences with nothing running
+	job   *jobstate.Job
+	due   int64 // Unix milliseconds
+	idle  int   // open occurrences with nothing running
+	tasks int   // of one occurrence
+}
+
+// mustWait reports whether the job opens no further occurrence while the limit is reached: one of its occurrences waits, or those
+// that are open are large.
+func (d *dueJob) mustWait() bool {
+	return d.idle > 0 || len(d.job.Occurrences) > 0 && d.tasks > idleTasksPerOccurrence*minIdleOccurrences
 }
 
 func (q dueQueue) Len() int { return len(q) }
@@ -51,7 +60,7 @@
 	}
 	wall := t.opts.WallClock().UnixMilli()
 	queue := make(dueQueue, 0, len(t.scheduled))
-	idle := 0
+	idle, idleTasks := 0, 0
 	for j := range t.scheduled {
 		due, ok := j.NextDue()
 		if !ok {
@@ -59,25 +68,28 @@
 			continue
 		}
 		j.ReleaseDone()
-		own := j.Idle()
+		own, tasks := j.Idle(), j.OccurrenceTasks()
 		idle += own
+		idleTasks += own * tasks
 		if due > wall {
 			t.noteDue(due)
 			continue
 		}
 		adjustWindow(j, own)
-		queue = append(queue, &dueJob{j, due, own})
+		queue = append(queue, &dueJob{j, due, own, tasks})
 	}
 	heap.Init(&queue)
 	limit := max(minIdleOccurrences, idlePerWorker*len(t.cluster.Workers))
 	for len(queue) > 0 {
 		d := queue[0]
-		if d.idle >= d.job.OpenWindow || d.idle > 0 && idle >= limit || !d.job.OpenNext(wall, now) {
+		full := idle >= limit || idleTasks+d.tasks > limit*idleTasksPerOccurrence
+		if d.idle >= d.job.OpenWindow || full && d.mustWait() || !d.job.OpenNext(wall, now) {
 			heap.Pop(&queue)
 			continue
 		}
 		d.idle++
 		idle++
+		idleTasks += d.tasks
 		var ok bool
 		if d.due, ok = d.job.NextDue(); !ok || d.due > wall {
 			if ok {
--- a/jobowner/schedule_test.go
+++ b/jobowner/schedule_test.go
@@ -74,6 +74,34 @@
 	})
 }
 
+// An urgent queue has thousands of times that lie in the past. Guards against ordinary jobs of a less urgent queue, and urgent jobs
+// that come later, which wait behind all of them or whose runs are stopped for them.
+func TestOverdueOccurrencesComeLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem()
+		defer s.stop()
+		s.fleet.Outcome = func(name workload.TaskName, _ int) (time.Duration, jobstate.End) {
+			return map[bool]time.Duration{true: 3 * time.Second, false: time.Second}[name.Job == "ordinary"], jobstate.EndDone
+		}
+		s.addWorker("w0", 0)
+		s.addWorker("w1", 1)
+		s.start("a")
+		time.Sleep(time.Second)
+		for n := range 2 {
+			s.submitScheduled(fmt.Sprint("scheduled", n), "urgent", 2000, tasks(1, 8))
+		}
+		time.Sleep(3 * time.Second)
+		s.submit("ordinary", "batch", tasks(2, 8))
+		time.Sleep(2500 * time.Millisecond)
+		s.submit("urgent", "urgent", tasks(2, 4))
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "urgent", 3*time.Second))
+		assert.Equal(t, workload.Completed, s.waitForEnd(t, "ordinary", 8*time.Second))
+		time.Sleep(3 * time.Second)
+		assert.GreaterOrEqual(t, s.fleet.StartCount(), 10, "room that is free is used")
+		s.requireNoViolations(t)
+	})
+}
+
 // Guards against a fleet that stands idle although occurrences are due, and against some that never run, when the occurrences
 // of another job can never start (LOST).
 func TestFreeRoomOpensDueOccurrences(t *testing.T) {
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -176,11 +176,12 @@
 
 // Occurrence is one execution of all steps of a job.
 type Occurrence struct {
-	Job    *Job
-	Number int
-	Late   time.Duration // how long it had been due when it was opened
-	Steps  []*Step
-	done   int // steps that are done
+	Job     *Job
+	Number  int
+	Late    time.Duration // how long it had been due when it was opened
+	Overdue bool          // it was of no use in time any more then
+	Steps   []*Step
+	done    int // steps that are done
 }
 
 func (o *Occurrence) Done() bool { return o.done == len(o.Steps) }
--- a/jobstate/occurrence.go
+++ b/jobstate/occurrence.go
@@ -7,7 +7,7 @@
 
 // addOccurrence adds occurrence k, with all its steps and tasks, to the job. late is how long it has been due.
 func (j *Job) addOccurrence(k int, late time.Duration, now time.Time) *Occurrence {
-	o := &Occurrence{Job: j, Number: k, Late: late, Steps: make([]*Step, 0, len(j.Submission.Steps))}
+	o := &Occurrence{Job: j, Number: k, Late: late, Overdue: j.isOverdue(k, late), Steps: make([]*Step, 0, len(j.Submission.Steps))}
 	for n := range j.Submission.Steps {
 		spec := &j.Submission.Steps[n]
 		step := &Step{Occurrence: o, Number: n, Spec: spec, Tasks: make([]*Task, spec.Tasks), Tickets: map[string]Ticket{}}
@@ -52,10 +52,11 @@
 	return true
 }
 
-// overdueBy returns for how long occurrence k has been due at wall. It is 0 for a job without a schedule.
+// overdueBy returns for how long occurrence k has been due at wall. It is 0 for a job without a schedule, and for the first
+// occurrence, which counts from the job's acceptance.
 func (j *Job) overdueBy(k int, wall int64) time.Duration {
 	due := j.Submission.Due(k)
-	if due <= 0 || wall <= due {
+	if k == 0 || due <= 0 || wall <= due {
 		return 0
 	}
 	return time.Duration(min(wall-due, maxLateMs)) * time.Millisecond
@@ -75,6 +76,15 @@
 	return n
 }
 
+// OccurrenceTasks returns how many tasks an occurrence of the job has.
+func (j *Job) OccurrenceTasks() int {
+	n := 0
+	for k := range j.Submission.Steps {
+		n += j.Submission.Steps[k].Tasks
+	}
+	return n
+}
+
 func (o *Occurrence) active() bool {
 	return slices.ContainsFunc(o.Steps, func(s *Step) bool { return s.Active > 0 })
 }
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -22,7 +22,7 @@
 }
 
 func (o *Occurrence) record(wall int64, now time.Time) workload.OccurrenceRecord {
-	r := workload.OccurrenceRecord{Number: o.Number, Done: o.Done()}
+	r := workload.OccurrenceRecord{Number: o.Number, Done: o.Done(), Overdue: o.Overdue}
 	if r.Done {
 		return r
 	}
@@ -81,8 +81,8 @@
 }
 
 // Restore sets the job's progress from its stored record. Runs whose end is not recorded become ordered
-// runs on their workers, which are added if they are missing. wall is the wall-clock time at now, in Unix milliseconds.
-func (c *Cluster) Restore(j *Job, r *workload.Record, revision uint64, wall int64, now time.Time) {
+// runs on their workers, which are added if they are missing.
+func (c *Cluster) Restore(j *Job, r *workload.Record, revision uint64, now time.Time) {
 	j.State, j.StoredState = r.State, r.State
 	j.Sequence, j.Revision = r.Sequence, revision
 	j.Started = r.State != workload.Queued
@@ -96,7 +96,8 @@
 			continue
 		}
 		next := j.NextOccurrence
-		o := j.addOccurrence(or.Number, j.overdueBy(or.Number, wall), now)
+		o := j.addOccurrence(or.Number, 0, now)
+		o.Overdue = or.Overdue
 		j.NextOccurrence = max(next, j.NextOccurrence)
 		for n, s := range o.Steps {
 			switch {
--- a/jobstate/record_test.go
+++ b/jobstate/record_test.go
@@ -31,7 +31,7 @@
 
 	nextOwner := jobstate.New()
 	restored := nextOwner.AddJob(submission, now)
-	nextOwner.Restore(restored, record, 12, now.UnixMilli(), now)
+	nextOwner.Restore(restored, record, 12, now)
 	assert.Equal(t, workload.Running, restored.State)
 	step := restored.Occurrences[0].Steps[0]
 	assert.Equal(t, 1, step.DoneTasks)
--- a/placement/claimed.go
+++ b/placement/claimed.go
@@ -29,7 +29,7 @@
 	for _, w := range r.c.Workers {
 		var sum workload.Resources
 		for run := range w.Runs {
-			if run.Task.Step.Occurrence.Job.Route.Priority <= priority {
+			if run.Task.Step.Occurrence.Priority() <= priority {
 				sum = sum.Add(run.Task.Step.Spec.Allocation())
 			}
 		}
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	j := s.Occurrence.Job
-	u := unit{step: s, job: j, priority: j.Route.Priority}
+	u := unit{step: s, job: j, priority: s.Occurrence.Priority()}
 	u.deadline, u.lateness = r.objective(s)
 	best := RackExplanation{Wait: r.rackWait(&u)}
 	for _, k := range byRack(eligible) {
--- a/placement/headroom.go
+++ b/placement/headroom.go
@@ -35,7 +35,7 @@
 	urgent := 0
 	for _, w := range r.c.Workers {
 		for run := range w.Runs {
-			if run.Task.Step.Occurrence.Job.Route.Priority == 0 {
+			if run.Task.Step.Occurrence.Priority() == 0 {
 				urgent += run.Task.Step.Spec.Demand.Accelerators
 			}
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,7 +69,7 @@
 	job        *jobstate.Job
 	priority   int
 	guaranteed bool // within the guarantee of its workspace
-	lateness   int  // 0: can meet its objective, 1: late, but still of some use, jobstate.TooLate or jobstate.Overdue
+	lateness   int  // 0: can meet its objective, 1: late, but still of some use, 2: too late
 	deadline   time.Time
 	waiting    []*jobstate.Task
 	account    *account // of its workspace; nil without a weight and a cap
@@ -162,7 +162,7 @@
 			}
 			for _, s := range o.Steps {
 				if u, ok := r.unit(j, s); ok {
-					u.guaranteed = j.Route.Priority == 0 && within[j.Submission.Workspace]
+					u.guaranteed = u.priority == 0 && within[j.Submission.Workspace]
 					units = append(units, u)
 				}
 			}
@@ -185,7 +185,7 @@
 		s.WaitReason = jobstate.WaitGangMembers
 		return unit{}, false
 	}
-	u := unit{step: s, job: j, priority: j.Route.Priority}
+	u := unit{step: s, job: j, priority: s.Occurrence.Priority()}
 	for _, t := range s.Tasks {
 		if !t.Done && t.Run == nil {
 			u.waiting = append(u.waiting, t)
@@ -409,7 +409,7 @@
 
 // stepExclusion returns why a worker that accepts work may not run the step's tasks.
 func stepExclusion(s *jobstate.Step, w *jobstate.Worker, now time.Time) jobstate.Exclusion {
-	if onProbation(w, now) && (s.Spec.Gang || s.Occurrence.Job.Route.Priority == 0) {
+	if onProbation(w, now) && (s.Spec.Gang || s.Occurrence.Priority() == 0) {
 		return jobstate.ExcludeProbation
 	}
 	return requirementExclusion(s, w, now)
--- a/placement/quota.go
+++ b/placement/quota.go
@@ -155,7 +155,7 @@
 
 // heldBefore returns the part of the cap that is kept for other units before this one.
 func (a *account) heldBefore(u *unit) workload.Resources {
-	if a.oldest == nil || a.oldest == u.step || u.priority < a.oldest.Occurrence.Job.Route.Priority {
+	if a.oldest == nil || a.oldest == u.step || u.priority < a.oldest.Occurrence.Priority() {
 		return a.held
 	}
 	return a.held.Add(allocationFor(a.oldest, len(a.oldest.Tasks)))
@@ -387,7 +387,7 @@
 func (r *round) roomBeside(w *jobstate.Worker, u *unit) workload.Resources {
 	room := w.Free()
 	for run := range w.Runs {
-		if r.isEnding(run) || run.Task.Step.Occurrence.Job.Route.Priority > u.priority && !run.Task.Step.Spec.LongRunning {
+		if r.isEnding(run) || run.Task.Step.Occurrence.Priority() > u.priority && !run.Task.Step.Spec.LongRunning {
 			room = room.Add(run.Task.Step.Spec.Allocation())
 		}
 	}
@@ -442,7 +442,7 @@
 	gangs := map[*jobstate.Step]bool{}
 	for _, run := range u.account.runs {
 		step := run.Task.Step
-		if step.Occurrence.Job.Route.Priority <= u.priority || !r.mayPreempt(run) || gangs[step] {
+		if step.Occurrence.Priority() <= u.priority || !r.mayPreempt(run) || gangs[step] {
 			continue
 		}
 		members := gangOf(run)
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -312,7 +312,7 @@
 	var list []victim
 	for _, v := range all {
 		run := v.run
-		if stopped[run] || run.Phase == jobstate.Stopping || run.Task.Step.Occurrence.Job.Route.Priority <= u.priority {
+		if stopped[run] || run.Phase == jobstate.Stopping || run.Task.Step.Occurrence.Priority() <= u.priority {
 			continue
 		}
 		list = append(list, v)
--- a/placement/share.go
+++ b/placement/share.go
@@ -151,7 +151,7 @@
 // before reports whether the unit is more urgent than the step, or waits longer at the same priority.
 func (u *unit) before(s *jobstate.Step) bool {
 	j := s.Occurrence.Job
-	return cmp.Or(cmp.Compare(u.priority, j.Route.Priority), u.step.ReadyAt.Compare(s.ReadyAt),
+	return cmp.Or(cmp.Compare(u.priority, s.Occurrence.Priority()), u.step.ReadyAt.Compare(s.ReadyAt),
 		cmp.Compare(u.job.Submission.ID, j.Submission.ID), cmp.Compare(u.step.Number, s.Number)) < 0
 }
 
--- a/workload/record.go
+++ b/workload/record.go
@@ -53,9 +53,11 @@
 
 // OccurrenceRecord is the stored progress of one occurrence.
 type OccurrenceRecord struct {
-	Number int          `json:"k"`
-	Done   bool         `json:"d,omitempty"` // Steps is empty then
-	Steps  []StepRecord `json:"s,omitempty"`
+	Number int  `json:"k"`
+	Done   bool `json:"d,omitempty"` // Steps is empty then
+	// Overdue is whether it was of no use in time any more when it was opened.
+	Overdue bool         `json:"o,omitempty"`
+	Steps   []StepRecord `json:"s,omitempty"`
 }
 
 // Record is the stored progress of a job. It is written before a request that it describes is sent
