--- a/internal/testplatform/calls.go
+++ b/internal/testplatform/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/internal/wait"
@@ -42,10 +43,13 @@
 	return locked()
 }
 
+// AliasOf returns another ID to which the worker answers as to its own, as one whose header loses a space on the way.
+func AliasOf(id string) string { return id + " " }
+
 // authorize returns the target worker and stores the fencing token, unless the worker has seen a higher
 // one. A target without an address is called where it listens. The caller holds the lock.
 func (f *Fleet) authorize(t workerapi.Target, token uint64) (*worker, error) {
-	w := f.workers[t.ID]
+	w := f.workers[strings.TrimSpace(t.ID)]
 	if w == nil || t.Address != "" && t.Address != w.entry.Worker.Address {
 		return nil, f.refusal(t.Address)
 	}
--- a/jobowner/entries.go
+++ b/jobowner/entries.go
@@ -244,19 +244,27 @@
 	}
 }
 
-// takeAddress ends the worker that answered at the worker's address before. The caller holds the lock.
-func (t *Term) takeAddress(w *jobstate.Worker, now time.Time) {
+// takeAddress ends the worker that answered at the worker's address before. It returns false if that is the same process under
+// another ID: the entry of this one is not its own, and it is dropped. The caller holds the lock.
+func (t *Term) takeAddress(w *jobstate.Worker, now time.Time) bool {
 	if w.Address == "" {
-		return
+		return true
 	}
 	if t.addresses == nil {
 		t.indexAddresses()
 	}
 	other := t.addresses[w.Address]
-	t.addresses[w.Address] = w
-	if other != nil && other != w && t.cluster.Workers[other.ID] == other && other.Address == w.Address {
-		t.dropWorker(other, "replaced at its address by "+w.ID, now)
+	if other == nil || other == w || t.cluster.Workers[other.ID] != other || other.Address != w.Address {
+		t.addresses[w.Address] = w
+		return true
 	}
+	if w.Incarnation != 0 && w.Incarnation == other.Incarnation && (other.Listed || len(other.Runs) > 0) {
+		t.dropWorker(w, "its process is that of "+other.ID, now)
+		return false
+	}
+	t.addresses[w.Address] = w
+	t.dropWorker(other, "replaced at its address by "+w.ID, now)
+	return true
 }
 
 // indexAddresses indexes the workers from job records by address. All records have been read before the first worker is
--- a/jobowner/foreign_entry_test.go
+++ b/jobowner/foreign_entry_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/jobstate"
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
 	"github.com/cyclamenyard/cyclamenyard/workload"
@@ -25,6 +26,14 @@
 		own.Worker.ID, own.Incarnation = "probe", laterLife
 		return own
 	},
+	"new key, alias of a worker": func(own, _ workerapi.Entry) workerapi.Entry {
+		own.Worker.ID = testplatform.AliasOf(own.Worker.ID)
+		return own
+	},
+	"new key, alias of a worker, later incarnation": func(own, _ workerapi.Entry) workerapi.Entry {
+		own.Worker.ID, own.Incarnation = testplatform.AliasOf(own.Worker.ID), laterLife
+		return own
+	},
 	"key of a worker, later incarnation": func(own, _ workerapi.Entry) workerapi.Entry {
 		own.Incarnation = laterLife
 		return own
--- a/jobowner/orders.go
+++ b/jobowner/orders.go
@@ -229,8 +229,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	a.recordAnswer(clock, sent, now)
-	if r.Worker == a.worker && r.StartedAt.IsZero() {
+	if a.recordAnswer(clock, sent, now) && r.Worker == a.worker && r.StartedAt.IsZero() {
 		if _, present := a.worker.Runs[r]; present {
 			r.StartAnswered, r.StartSentAt, r.StartClock = onlyOrder, sent, clock
 			a.worker.RefusalStreak = 0
--- a/jobowner/report.go
+++ b/jobowner/report.go
@@ -28,7 +28,9 @@
 	}
 	a.confirmIncarnation(report.Incarnation)
 	changed := !w.Answered || w.Unresponsive || len(w.Untracked) > 0
-	a.recordAnswer(report.Clock, sent, now)
+	if !a.recordAnswer(report.Clock, sent, now) {
+		return
+	}
 	w.ReportedAt = later(w.ReportedAt, sent)
 	runs := make(map[runKey]*jobstate.Run, len(w.Runs))
 	for r := range w.Runs {
@@ -108,12 +110,14 @@
 	t.wakeLoop()
 }
 
-// recordAnswer updates the worker's liveness and clock after an answer to a request that was sent at sent. The
-// caller holds the lock.
-func (a *agent) recordAnswer(clock int64, sent, now time.Time) {
+// recordAnswer updates the worker's liveness and clock after an answer to a request that was sent at sent. It returns false
+// if the worker is another one under a second ID. The caller holds the lock.
+func (a *agent) recordAnswer(clock int64, sent, now time.Time) bool {
 	if !a.worker.Answered {
+		if !a.t.takeAddress(a.worker, now) {
+			return false
+		}
 		a.worker.Answered, a.worker.Confirmed = true, true
-		a.t.takeAddress(a.worker, now)
 		a.worker.LeaseEnds = now.Add(a.t.maxLeaseDuration()) // after this answer no former owner can renew it
 		events.Info(a.t.opts.Log, events.WorkerAnswered, zap.String("worker", a.worker.ID), zap.Int64("life", a.worker.Incarnation))
 	}
@@ -127,6 +131,7 @@
 	if a.clockAt.IsZero() || clock > a.clockMs {
 		a.clockMs, a.clockAt = clock, now
 	}
+	return true
 }
 
 // recordRunning applies a row of a report that its worker made at the time clock, in milliseconds.
