--- a/cli/platform.go
+++ b/cli/platform.go
@@ -84,7 +84,7 @@
 		Instance: s.Instance, CPUShare: s.CPUShare,
 		MaxLease: s.MaxLease, MaxListAge: s.DrainBound * 3 / 4, HeartbeatGap: s.Heartbeat * 5 / 2, GracePeriod: s.Grace, EndedRetention: s.KeepEnded,
 		Placement: placement.Options{FarFactor: s.FarFactor, StopTimeout: s.StopTimeout, Uses: uses},
-		Ingress:   s.Ingress, MaxBacklog: s.MaxBacklog, Revocations: s.Revocations,
+		Ingress:   s.Ingress, MaxBacklog: s.Jobs.MaxBacklog(), Revocations: s.Jobs.Revocations(),
 		Link: link.New(s.LinkMbps), Log: log, Metrics: registry,
 	}
 	options.Adapter = newAdapter(s, log, registry, options.Link)
--- a/jobowner/schedule.go
+++ b/jobowner/schedule.go
@@ -51,8 +51,7 @@
 
 // openDue opens occurrences of scheduled jobs in the order in which they were due, as room comes: memory and the time of a
 // decision follow what can run and not what has been accepted. A job whose occurrences start at once may open twice as many
-// with the next decision. One whose occurrences wait has one of them open, and up to the limit of the fleet those that it
-// had opened before. It updates nextDue. The caller holds the lock.
+// with the next decision. While the limit of the fleet is reached, a job opens one if none of its own waits. It updates nextDue. The caller holds the lock.
 func (t *Term) openDue(now time.Time) {
 	t.nextDue = 0
 	if len(t.scheduled) == 0 {
@@ -103,18 +102,22 @@
 	t.idleOccurrences.Update(int64(idle))
 }
 
+// minOpenWindow and maxOpenWindow limit how many occurrences of one job with nothing running are open. The smallest window lets
+// overlapping occurrences of an ordinary schedule wait for room together.
+const (
+	minOpenWindow = 8
+	maxOpenWindow = 512
+)
+
 // adjustWindow doubles the job's window if all its open occurrences have started, and halves it otherwise.
 func adjustWindow(j *jobstate.Job, idle int) {
 	if idle == 0 {
-		j.OpenWindow = min(max(1, 2*j.OpenWindow), maxOpenWindow)
+		j.OpenWindow = min(max(minOpenWindow, 2*j.OpenWindow), maxOpenWindow)
 		return
 	}
-	j.OpenWindow = max(1, j.OpenWindow/2)
+	j.OpenWindow = max(minOpenWindow, j.OpenWindow/2)
 }
 
-// maxOpenWindow limits how many occurrences of one job one decision opens.
-const maxOpenWindow = 512
-
 // noteDue has the next decision made by the time, in Unix milliseconds.
 func (t *Term) noteDue(due int64) {
 	if t.nextDue == 0 || due < t.nextDue {
--- a/workerapi/workerapi.go
+++ b/workerapi/workerapi.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -45,6 +46,20 @@
 	Address string
 }
 
+// CheckID returns an error for an ID that a worker may take for its own although it is another one: an empty header, or one
+// that loses spaces on the way.
+func CheckID(id string) error {
+	if id == "" {
+		return errors.New("worker id: empty")
+	}
+	for _, c := range []byte(id) {
+		if c <= ' ' || c > '~' {
+			return fmt.Errorf("worker id: %q; must have visible ASCII characters only", id)
+		}
+	}
+	return nil
+}
+
 // Start asks a worker to start a run.
 type Start struct {
 	Task       string
