--- a/jobservice/room_test.go
+++ b/jobservice/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,10 +21,11 @@
 // fillingTerm is a term whose memory fills with the accepted jobs.
 type fillingTerm struct {
 	term
-	accepted, limit int64
+	accepted atomic.Int64
+	limit    int64
 }
 
-func (t *fillingTerm) Room() (int64, bool) { return max(0, t.limit-t.accepted), true }
+func (t *fillingTerm) Room() (int64, bool) { return max(0, t.limit-t.accepted.Load()), true }
 
 // roomPeer is the owner as another instance reaches it.
 type roomPeer struct {
@@ -73,19 +75,19 @@
 				owner, instances, _ := newRoomSystem(8)
 				refused := 0
 				for n := int64(0); n < 3*maxBacklog/footprint; n++ {
-					free := owner.limit - owner.accepted
+					free := owner.limit - owner.accepted.Load()
 					if instances[n%7].BacklogFull(context.Background(), footprint) {
 						assert.Less(t, free, 2*footprint+maxBacklog/8, "refused although there is room")
 						refused++
 						continue
 					}
-					owner.accepted += footprint
+					owner.accepted.Add(footprint)
 					time.Sleep(time.Millisecond)
 				}
 				assert.Positive(t, refused)
-				assert.LessOrEqual(t, owner.accepted, int64(maxBacklog+maxBacklog/8+7*(256<<10)))
-				assert.GreaterOrEqual(t, owner.accepted, int64(maxBacklog/2))
-				owner.accepted = 0 // all jobs have ended
+				assert.LessOrEqual(t, owner.accepted.Load(), int64(maxBacklog+maxBacklog/8+7*(256<<10)))
+				assert.GreaterOrEqual(t, owner.accepted.Load(), int64(maxBacklog/2))
+				owner.accepted.Store(0) // all jobs have ended
 				time.Sleep(10 * time.Second)
 				assert.False(t, instances[0].BacklogFull(context.Background(), footprint))
 			})
