--- a/review/standin3/turns.go
+++ b/review/standin3/turns.go
@@ -8,7 +8,7 @@
 func init() { cases["turns"] = turns }
 
 const (
-	leaseMs    = 3 * time.Second // LeaseMs
+	leaseTime    = 3 * time.Second // LeaseMs
 	yieldCheck = 3 * time.Second // how often a weak owner looks for a strong instance to hand over to
 )
 
@@ -51,7 +51,7 @@
 	for _, o := range s.cloud.orders {
 		former, known := last[o.machine]
 		last[o.machine] = o
-		if !known || former.holder == o.holder || o.at.Sub(former.at) >= leaseMs || !s.inTouch(former) || !s.inTouch(o) {
+		if !known || former.holder == o.holder || o.at.Sub(former.at) >= leaseTime || !s.inTouch(former) || !s.inTouch(o) {
 			continue
 		}
 		n++
