--- a/review/standin3/turns.go
+++ b/review/standin3/turns.go
@@ -8,7 +8,7 @@
 func init() { cases["turns"] = turns }
 
 const (
-	leaseTime    = 3 * time.Second // LeaseMs
+	leaseTime  = 3 * time.Second // LeaseMs
 	yieldCheck = 3 * time.Second // how often a weak owner looks for a strong instance to hand over to
 )
 
