review: a failed lasting task is not started again behind 64 others (case 14)

Shows: 66 jobs have a task on each of 16 workers (AntiAffinity 1), and one worker leaves. A lasting task of a later job of the same shape fails and is not started again for the 30 s that the script watches, with 12 workers that could run it (LOST). Code at fault: placement/backlog.go, followsBacklog: after 64 units of a shape without room the next ones are not tried, although room for a unit with MaxPerWorker depends on where its own tasks run.

--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -57,6 +58,8 @@
 	ended   []endedRun
 	lastEnd int64
 	changed chan struct{}
+	leaves  time.Time     // earliest time at which it leaves; zero while it does not drain
+	report  chan struct{} // has its entry written at once
 }
 
 // fleet is a stand-in of all workers. Its behaviour follows the page on running tasks; hooks let a case disturb it.
@@ -73,6 +76,8 @@
 	load func(r *taskRun) float64
 	// before is called before an order is carried out. It returns false if the order gets no answer and is not carried out.
 	before func(w *worker, call string, body map[string]any) bool
+	// gang is how the names of the tasks of a gang begin; empty without one. Its members start together here.
+	gang string
 	// lasts reports whether a task runs until it is stopped.
 	lasts func(task string) bool
 }
@@ -97,7 +102,7 @@
 	f.mu.Lock()
 	f.count++
 	w := &worker{fleet: f, id: fmt.Sprintf("i-%04d", f.count), machine: machine, zone: zone, rack: rack, address: l.Addr().String(),
-		born: time.Now().UnixMilli(), started: time.Now(), stopped: make(chan struct{}), runs: map[string]*taskRun{}, last: map[string]int{}, changed: make(chan struct{})}
+		born: time.Now().UnixMilli(), started: time.Now(), stopped: make(chan struct{}), runs: map[string]*taskRun{}, last: map[string]int{}, changed: make(chan struct{}), report: make(chan struct{}, 1)}
 	f.workers[w.id] = w
 	f.mu.Unlock()
 	mux := http.NewServeMux()
@@ -113,11 +118,24 @@
 	return w
 }
 
+// drain has the worker report that it drains and leave after the time. Its entry is removed then.
+func (f *fleet) drain(w *worker, after time.Duration) {
+	f.mu.Lock()
+	w.leaves = time.Now().Add(after)
+	f.mu.Unlock()
+	w.report <- struct{}{}
+	time.Sleep(after)
+	f.rec.printf("worker %s: leaves", w.id)
+	f.crash(w)
+	f.store.delete("servers/" + w.id)
+}
+
 // crash ends the worker and everything that runs on it.
 func (f *fleet) crash(w *worker) {
 	f.mu.Lock()
 	for _, r := range w.runs {
 		f.rec.printf("worker %s: %s run %d ends with its worker", w.id, r.task, r.number)
+		f.breakGang(r)
 	}
 	clear(w.runs)
 	delete(f.workers, w.id)
@@ -126,13 +144,40 @@
 	_ = w.server.Close() // a crashed worker answers nothing
 }
 
+// breakGang ends the other members of the run's gang. The caller holds the lock.
+func (f *fleet) breakGang(r *taskRun) {
+	step := r.task[:strings.LastIndex(r.task, ".")+1]
+	if f.gang == "" || !strings.HasPrefix(step, f.gang) {
+		return
+	}
+	for _, w := range f.workers {
+		for _, o := range w.runs {
+			if w != r.worker && strings.HasPrefix(o.task, step) && o.number == r.number {
+				w.end(o, "broken")
+			}
+		}
+	}
+}
+
+// entry returns the worker's entry.
+func (w *worker) entry(seq int) map[string]any {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	e := map[string]any{"Service": serviceName, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8,
+		"State": "ready", "ColdLeftMs": 0, "Capacity": map[string]int{"Cpu": 128000, "MemMb": 262144, "Gpu": 8}, "Labels": []string{"a", w.rack},
+		"ClockMs": w.clock(), "Seq": seq, "born": w.born}
+	if !w.leaves.IsZero() {
+		e["State"], e["RemainingMs"] = "draining", max(0, time.Until(w.leaves).Milliseconds())
+	}
+	return e
+}
+
 // beat writes the worker's entry.
 func (w *worker) beat() {
 	for seq := 1; ; seq++ {
-		w.fleet.store.write("servers/"+w.id, map[string]any{"Service": serviceName, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8,
-			"State": "ready", "ColdLeftMs": 0, "Capacity": map[string]int{"Cpu": 128000, "MemMb": 262144, "Gpu": 8}, "Labels": []string{"a", w.rack},
-			"ClockMs": w.clock(), "Seq": seq, "born": w.born})
+		w.fleet.store.write("servers/"+w.id, w.entry(seq))
 		select {
+		case <-w.report:
 		case <-w.stopped:
 			return
 		case <-time.After(heartbeat):
--- a/review/standin3/hup.go
+++ b/review/standin3/hup.go
@@ -88,7 +88,7 @@
 // one changes while it stops.
 func hup(s *system, trouble bool) bool {
 	s.restartDelay = time.Second
-	s.begin(12, 4, 0.4)
+	s.begin(12, 4)
 	b, l := newBalancer(s), &lost{}
 	end := time.Now().Add(20 * time.Second)
 	var clients sync.WaitGroup
--- a/review/standin3/pace.go
+++ b/review/standin3/pace.go
@@ -81,7 +81,7 @@
 
 // play returns whether the accepted filling job had nothing running for longer than the rule allows.
 func (p *paceCase) play(restart, unanswered bool) bool {
-	p.begin(12, 3, 0.4)
+	p.begin(12, 3)
 	if !p.submit("/replan/"+servingJob, map[string]any{"Spec": "serve", "Steps": []any{
 		map[string]any{"Count": 1, "Cpu": 8000, "MemMb": 1000, "LongRunning": true, "Image": "web", "TargetMs": servingTarget}}}) ||
 		!waitFor(5*time.Second, func() bool { return p.state("/replan/"+servingJob) == "running" }) {
@@ -106,7 +106,7 @@
 	}
 	p.setBusy(false)
 	time.Sleep(standing + 4*time.Second) // the calm that the rule asks for
-	return p.stands()
+	return p.standsAtPace()
 }
 
 // restartOwner stops the elected instance as the platform does, and waits until another one is elected.
@@ -119,9 +119,9 @@
 	}
 }
 
-// stands watches the filling job, and reports whether its only task did not work for longer than the rule allows, although
+// standsAtPace watches the filling job, and reports whether its only task did not work for longer than the rule allows, although
 // nothing disturbs and the service is all but idle.
-func (p *paceCase) stands() bool {
+func (p *paceCase) standsAtPace() bool {
 	var since time.Time
 	longest, last := time.Duration(0), -1.0
 	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
--- a/review/standin3/proc.go
+++ b/review/standin3/proc.go
@@ -38,9 +38,6 @@
 	ip       string
 	ports    [5]int // front, ready, control, then the two of PortRange
 	settings string
-	cpu      float64
-
-	startedAt time.Time // of the first process
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -60,7 +57,6 @@
 	cloud     *cloud
 	storeAddr string
 	cloudAddr string
-	advice    string // may be empty
 	instances []*instance
 	ipBase    int
 	// restartDelay is the time between the end of a process and its restart.
@@ -134,11 +130,11 @@
 	return 0
 }
 
-// addInstance adds an instance of the given share of a core. start starts it.
-func (s *system) addInstance(zone string, cpu float64) *instance {
+// addInstance adds an instance. start starts it.
+func (s *system) addInstance(zone string) *instance {
 	ip := fmt.Sprintf("127.0.0.%d", s.ipBase+len(s.instances))
 	first := freePorts(s.rec, ip, 5)
-	i := &instance{sys: s, name: fmt.Sprintf("front-%s-%d", zone, len(s.instances)+1), zone: zone, ip: ip, cpu: cpu,
+	i := &instance{sys: s, name: fmt.Sprintf("front-%s-%d", zone, len(s.instances)+1), zone: zone, ip: ip,
 		ports: [5]int{first, first + 1, first + 2, first + 3, first + 4}}
 	i.settings = filepath.Join(s.dir, i.name+".yaml")
 	if err := os.WriteFile(i.settings, []byte(i.text()), 0o644); err != nil {
@@ -172,7 +168,7 @@
 Bootstrap: true
 CountsAsLoss: false
 Limits:
-  CpuShare: %g
+  CpuShare: 0.4
   Cores: 1
   MemoryMb: 284
   MaxFds: 4100
@@ -213,7 +209,6 @@
   HarmMs: 4000
   ReclaimMs: 2700
 Orders: "call"
-Advice: %q
 platform:
   Address: %q
   form: "kv"
@@ -227,7 +222,7 @@
   RatePerS: 60.0
   Duties: []
   DutiesPerS: 60.0
-`, i.name, i.ip, i.zone, i.ip, i.ports[0], i.ip, i.ports[1], i.ip, i.ports[2], i.ports[3], i.ports[4], i.cpu, i.sys.advice, i.sys.storeAddr, i.sys.cloudAddr)
+`, i.name, i.ip, i.zone, i.ip, i.ports[0], i.ip, i.ports[1], i.ip, i.ports[2], i.ports[3], i.ports[4], i.sys.storeAddr, i.sys.cloudAddr)
 }
 
 func (i *instance) front() string { return fmt.Sprintf("%s:%d", i.ip, i.ports[0]) }
@@ -237,7 +232,6 @@
 func (i *instance) start() {
 	i.mu.Lock()
 	i.restarts = true
-	i.startedAt = time.Now()
 	i.mu.Unlock()
 	i.launch()
 }
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -107,6 +107,14 @@
 	s.put(key, raw, 0)
 }
 
+// delete removes a key as the operator and the workers do.
+func (s *store) delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+}
+
 // value returns the value of a key, or "".
 func (s *store) value(key string) string {
 	s.mu.Lock()
