--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -12,10 +12,9 @@
 
 // Bounds of the platform, as in the settings of a small deployment.
 const (
-	holdMaxMs   = 10_000
-	stopTime    = 150 * time.Millisecond // at most StopTimeoutMs, 200 ms
-	heartbeat   = 1500 * time.Millisecond
-	maintenance = 2 * time.Second // MaintenanceS
+	holdMaxMs = 10_000
+	stopTime  = 150 * time.Millisecond // at most StopTimeoutMs, 200 ms
+	heartbeat = 1500 * time.Millisecond
 )
 
 // taskRun is one run of a task on a worker.
@@ -23,7 +22,6 @@
 	task    string
 	number  int
 	worker  *worker
-	began   time.Time
 	saved   string
 	percent float64
 	pace    int
@@ -90,19 +88,16 @@
 
 // addWorker starts a worker on the machine.
 func (f *fleet) addWorker(machine, zone, rack string) *worker {
-	return f.addWorkerAs("", machine, zone, rack)
-}
-
-// addWorkerAs starts a worker with the id, or a new one.
-func (f *fleet) addWorkerAs(id, machine, zone, rack string) *worker {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.rec.fail("worker: %v", err)
 	}
 	f.mu.Lock()
 	f.count++
+	now := time.Now()
 	w := &worker{fleet: f, id: fmt.Sprintf("i-%04d", f.count), machine: machine, zone: zone, rack: rack, address: l.Addr().String(),
-		born: time.Now().UnixMilli(), started: time.Now(), stopped: make(chan struct{}), runs: map[string]*taskRun{}, last: map[string]int{}, changed: make(chan struct{}), report: make(chan struct{}, 1)}
+		born: now.UnixMilli(), started: now, stopped: make(chan struct{}), changed: make(chan struct{}), report: make(chan struct{}, 1),
+		runs: map[string]*taskRun{}, last: map[string]int{}}
 	f.workers[w.id] = w
 	f.mu.Unlock()
 	mux := http.NewServeMux()
@@ -248,7 +243,7 @@
 	if w.until <= w.clock() {
 		return http.StatusConflict, map[string]any{"Reason": "late"}
 	}
-	r := &taskRun{task: task, number: run, worker: w, began: time.Now(), saved: text(body, "LastCheckpoint"), pace: 100}
+	r := &taskRun{task: task, number: run, worker: w, saved: text(body, "LastCheckpoint"), pace: 100}
 	w.runs[task] = r
 	return http.StatusOK, map[string]any{}
 }
--- a/review/standin3/proc.go
+++ b/review/standin3/proc.go
@@ -74,7 +74,7 @@
 	s.run = deployedCommand(rec, root)
 	go s.store.run()
 	s.fleet = newFleet(s.store, rec)
-	s.cloud = newCloud(s.fleet, rec)
+	s.cloud = &cloud{fleet: s.fleet}
 	s.storeAddr = listen(rec, s.store.handler())
 	s.cloudAddr = listen(rec, s.cloud.handler())
 	return s
