--- a/review/standin3/backlog.go
+++ b/review/standin3/backlog.go
@@ -14,6 +14,7 @@
 	backlogJobs    = 66 // more than the units alike that a decision tries to place
 	lastJob        = "00000000000000f1"
 	lastTasks      = 4
+	jobInterval    = 380 * time.Millisecond // 2.6 jobs a second, as the site's traffic
 )
 
 // failingTask is a lasting task that fails.
@@ -51,7 +52,7 @@
 		if !s.submit(fmt.Sprintf("/replan/%014d%02x", 0, n), spread(backlogWorkers)) {
 			s.rec.fail("a job was not accepted")
 		}
-		time.Sleep(150 * time.Millisecond)
+		time.Sleep(jobInterval)
 	}
 	if !s.submit("/replan/"+lastJob, spread(lastTasks)) {
 		s.rec.fail("the last job was not accepted")
--- a/review/standin3/proc.go
+++ b/review/standin3/proc.go
@@ -17,12 +17,14 @@
 var (
 	processMu sync.Mutex
 	processes []*exec.Cmd
+	ending    bool // no process is started any more
 )
 
 // endProcesses ends all processes that were started.
 func endProcesses() {
 	processMu.Lock()
 	defer processMu.Unlock()
+	ending = true
 	for _, p := range processes {
 		if p.ProcessState == nil {
 			_ = p.Process.Kill() // it may have ended meanwhile
@@ -246,6 +248,10 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CYCLAMENYARD_CONFIG=" + i.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	processMu.Lock()
+	if ending {
+		processMu.Unlock()
+		return
+	}
 	err = cmd.Start()
 	if err == nil {
 		processes = append(processes, cmd)
