--- a/cli/platform.go
+++ b/cli/platform.go
@@ -1,15 +1,13 @@
 package cli
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -18,6 +16,7 @@
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/link"
 	"github.com/cyclamenyard/cyclamenyard/internal/logsink"
+	"github.com/cyclamenyard/cyclamenyard/internal/signals"
 	"github.com/cyclamenyard/cyclamenyard/node"
 	"github.com/cyclamenyard/cyclamenyard/placement"
 	"github.com/cyclamenyard/cyclamenyard/platform"
@@ -37,6 +36,7 @@
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
+	received := signals.Receive()
 	level, err := zapcore.ParseLevel(c.LogLevel)
 	if err != nil {
 		return usageError(fmt.Errorf("--log-level %q: must be debug, info, warn or error", c.LogLevel))
@@ -58,7 +58,7 @@
 	})
 	defer sink.Close()
 	log := newSinkLogger(sink, level).With(zap.String("instance", settings.Instance))
-	return c.run(settings, uses, log)
+	return c.run(settings, uses, received, log)
 }
 
 func newSinkLogger(sink *logsink.Sink, level zapcore.Level) *zap.Logger {
@@ -78,7 +78,7 @@
 	return platform.DecodeSettings(raw)
 }
 
-func (c *platformCommand) run(s *platform.Settings, uses placement.Uses, log *zap.Logger) error {
+func (c *platformCommand) run(s *platform.Settings, uses placement.Uses, received *signals.Receiver, log *zap.Logger) error {
 	registry := metrics.NewRegistry()
 	options := node.Options{
 		Instance: s.Instance, CPUShare: s.CPUShare,
@@ -98,34 +98,39 @@
 		}
 		*l.listener = listener
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go c.reload(ctx, log)
+	go c.handleSignals(received, log)
 	events.Info(log, events.ProcessStarted, zap.String("version", Version), zap.Any("settings", s))
-	err := node.New(options).Run(ctx)
+	err := node.New(options).Run(received.Stopping)
 	events.Info(log, events.ProcessStopped, zap.Error(err))
 	return err
 }
 
-// reload reads and logs the settings again on SIGHUP. Addresses and limits do not change while the
-// process runs. An invalid file is logged as a warning and has no effect.
-func (c *platformCommand) reload(ctx context.Context, log *zap.Logger) {
-	hangupSignals := make(chan os.Signal, 1)
-	signal.Notify(hangupSignals, syscall.SIGHUP)
-	defer signal.Stop(hangupSignals)
+// handleSignals handles SIGHUP, and logs signals that have no effect, until the process exits.
+func (c *platformCommand) handleSignals(received *signals.Receiver, log *zap.Logger) {
 	for {
 		select {
-		case <-ctx.Done():
-			return
-		case <-hangupSignals:
+		case s := <-received.Hangups:
+			if received.Stopping.Err() != nil {
+				logIgnored(log, s, instanceStopping)
+			} else {
+				c.reload(log)
+			}
+		case s := <-received.Repeated:
+			logIgnored(log, s, instanceStopping)
 		}
-		s, err := c.load()
-		if err != nil {
-			events.Warn(log, events.SettingsReloaded, zap.Error(err))
-			continue
-		}
-		events.Info(log, events.SettingsReloaded, zap.Any("settings", s))
+		time.Sleep(signalPause)
+	}
+}
+
+// reload reads and logs the settings again. Addresses and limits do not change while the process runs. An invalid file is
+// logged as a warning and has no effect.
+func (c *platformCommand) reload(log *zap.Logger) {
+	s, err := c.load()
+	if err != nil {
+		events.Warn(log, events.SettingsReloaded, zap.Error(err))
+		return
 	}
+	events.Info(log, events.SettingsReloaded, zap.Any("settings", s))
 }
 
 func newAdapter(s *platform.Settings, log *zap.Logger, registry metrics.Registry, l *link.Meter) node.Adapter {
--- /dev/null
+++ b/cli/signals_test.go
@@ -0,0 +1,147 @@
+package cli
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenyard/cyclamenyard/events"
+)
+
+// commands are the long-running commands, which receive the signals of operators.
+var commands = []struct {
+	name  string
+	path  string // of a request with a body
+	start func(t *testing.T, logs *os.File) *system
+}{
+	{"platform", platformPath, startPlatform},
+}
+
+// Guards against a SIGHUP that ends a stopping process, so that requests it has read get no answer.
+func TestHangupWhileStopping(t *testing.T) {
+	for _, c := range commands {
+		for _, stop := range stopSignals {
+			t.Run(fmt.Sprint(c.name, "-", stop), func(t *testing.T) {
+				t.Parallel()
+				s := c.start(t, nil)
+				request := s.openRequest(t, c.path)
+				s.signal(stop)
+				s.awaitEvent(t, events.ProcessStopping)
+				s.signal(syscall.SIGHUP)
+				s.awaitEvent(t, events.SignalIgnored)
+				line, err := request.answer()
+				require.NoError(t, err)
+				assert.Contains(t, line, "HTTP/1.1 ")
+				s.requireGracefulEnd(t)
+			})
+		}
+	}
+}
+
+// Guards against a SIGHUP that ends a process which serves, whatever has become of its settings file.
+func TestHangupWhileServing(t *testing.T) {
+	for _, c := range commands {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := c.start(t, nil)
+			for n, change := range settingsChanges {
+				if s.settings != "" {
+					change(t, s.settings)
+				}
+				s.signal(syscall.SIGHUP)
+				await(t, "reaction to SIGHUP", func() bool {
+					return s.count(events.SettingsReloaded)+s.count(events.SignalIgnored) > n || s.hasExited()
+				})
+			}
+			assert.True(t, s.isReady(), s.text())
+			s.signal(syscall.SIGTERM)
+			s.requireGracefulEnd(t)
+		})
+	}
+}
+
+// settingsChanges change a settings file: to one that is broken, missing, or not a file.
+var settingsChanges = []func(t require.TestingT, path string){
+	func(t require.TestingT, path string) {
+		require.NoError(t, os.WriteFile(path, []byte("Node: [\xff"), 0o600))
+	},
+	func(t require.TestingT, path string) { require.NoError(t, os.Remove(path)) },
+	func(t require.TestingT, path string) { require.NoError(t, os.Mkdir(path, 0o700)) },
+}
+
+// Guards against signals that end a process by their default effect before its listeners are open. The settings file is a pipe,
+// so that the command waits for its content.
+func TestSignalsBeforeTheListenersAreOpen(t *testing.T) {
+	s := platformSettings(t)
+	text, err := os.ReadFile(s.settings)
+	require.NoError(t, err)
+	pipe := filepath.Join(t.TempDir(), "pipe")
+	require.NoError(t, syscall.Mkfifo(pipe, 0o600))
+	s.process = startProcess(t, nil, "platform", "--settings", pipe)
+	t.Cleanup(s.end)
+	writer, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns when the command has opened the file
+	require.NoError(t, err)
+	for _, sig := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
+		s.signal(sig)
+	}
+	_, err = writer.Write(text)
+	require.NoError(t, err)
+	require.NoError(t, writer.Close())
+	s.requireGracefulEnd(t)
+	assert.True(t, s.logged(events.ProcessStopping))
+}
+
+// Guards against signals that end a process by their default effect after its drain, before its last log lines are written.
+// Its output is a pipe that is full at that time.
+func TestSignalsAfterTheDrain(t *testing.T) {
+	for _, c := range commands {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			reader, writer, err := os.Pipe()
+			require.NoError(t, err)
+			defer reader.Close()
+			s := c.start(t, writer)
+			fill(t, writer)
+			require.NoError(t, writer.Close())
+			s.signal(syscall.SIGTERM)
+			await(t, "end of the drain", func() bool { return !s.listens() })
+			for _, sig := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP} {
+				s.signal(sig)
+			}
+			go func() { _, _ = s.output.ReadFrom(reader) }() // ends with the process
+			s.awaitExit(t)
+			require.NoError(t, s.err)
+		})
+	}
+}
+
+// fill writes to the pipe until it is full.
+func fill(t *testing.T, pipe *os.File) {
+	// A descriptor of its own, so that only these writes do not block.
+	own, err := os.OpenFile(fmt.Sprint("/proc/self/fd/", pipe.Fd()), os.O_WRONLY|syscall.O_NONBLOCK, 0)
+	require.NoError(t, err)
+	defer own.Close()
+	require.NoError(t, own.SetWriteDeadline(time.Now().Add(200*time.Millisecond)))
+	for {
+		if _, err := own.Write([]byte{'\n'}); err != nil {
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+			return
+		}
+	}
+}
+
+func (s *system) listens() bool {
+	conn, err := net.Dial("tcp", s.callers)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
--- a/events/events.go
+++ b/events/events.go
@@ -110,6 +110,7 @@
 	ConnectionsBounded     ID = 516
 	CallerRefused          ID = 517
 	ConnectionClosed       ID = 518
+	SignalIgnored          ID = 519
 	ReadinessChanged       ID = 514
 )
 
@@ -221,6 +222,7 @@
 	ConnectionsBounded:     {"ConnectionsBounded", "limit of connections to workers reached"},
 	CallerRefused:          {"CallerRefused", "requests refused because resources are short or their bodies did not arrive"},
 	ConnectionClosed:       {"ConnectionClosed", "connections closed to free resources"},
+	SignalIgnored:          {"SignalIgnored", "signal has no effect"},
 	PanicContained:         {"PanicContained", "panic recovered"},
 	ReadinessChanged:       {"ReadinessChanged", "readiness changed"},
 }
