--- a/cli/process_test.go
+++ b/cli/process_test.go
@@ -19,9 +19,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenyard/cyclamenyard/events"
+	"github.com/cyclamenyard/cyclamenyard/examples"
 	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/internal/testports"
 	"github.com/cyclamenyard/cyclamenyard/platform/httpstore"
+	"github.com/cyclamenyard/cyclamenyard/standin"
+	"github.com/cyclamenyard/cyclamenyard/structs"
 )
 
 const (
@@ -180,6 +183,42 @@
 	return nil
 }
 
+// startServe starts `cyclamenyard serve` beside stand-ins and waits until it is ready.
+func startServe(t *testing.T, logs *os.File) *system {
+	list := standin.NewList(100 * time.Millisecond)
+	platform, err := standin.Serve(testports.Address(0), standin.PlatformHandler(standin.NewStore(), list))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = platform.Close() }) // the test is over
+	for range startAttempts {
+		first, err := testports.Adjacent(3)
+		require.NoError(t, err)
+		info := structs.Instance{ID: "entry-1", DataCentre: "augsburg", CallerAddr: testports.Address(first), PeerAddr: testports.Address(first + 1), AdminAddr: testports.Address(first + 2)}
+		list.SetInstances([]structs.Instance{info})
+		s := &system{callers: info.CallerAddr, ready: "http://" + info.AdminAddr + "/readyz"}
+		s.process = startProcess(t, logs, "serve", "--id", info.ID, "--data-centre", info.DataCentre, "--platform", platform.Address,
+			"--listen", info.CallerAddr, "--peer-listen", info.PeerAddr, "--admin-listen", info.AdminAddr, "--list-lag", "500ms", "--drain-timeout", "20s")
+		t.Cleanup(s.end)
+		await(t, "a manifest in force", func() bool { return s.hasExited() || commitManifest(info.AdminAddr) })
+		if !s.hasExited() {
+			await(t, "readiness", s.isReady)
+			return s
+		}
+		t.Logf("not started: %v\n%s", s.err, s.text())
+	}
+	require.Fail(t, "not started")
+	return nil
+}
+
+// commitManifest commits a manifest and reports whether it was accepted.
+func commitManifest(admin string) bool {
+	resp, err := http.Post("http://"+admin+"/v1/manifest", "application/yaml", bytes.NewReader(examples.Verband))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // only the status is of interest
+	return resp.StatusCode == http.StatusOK
+}
+
 // openRequest is a request whose body is not complete. The process has read its header.
 type openRequest struct {
 	conn net.Conn
@@ -219,6 +258,7 @@
 
 const (
 	platformPath = "/urgent/00000000000000a1"
+	servePath    = "/v1/jobs"
 )
 
 var stopSignals = []os.Signal{syscall.SIGTERM, syscall.SIGINT}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -1,20 +1,18 @@
 package cli
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/cyclamenyard/cyclamenyard/instance"
+	"github.com/cyclamenyard/cyclamenyard/internal/signals"
 )
 
 // serveCommand runs an entry instance.
@@ -77,6 +75,7 @@
 
 // Execute implements flags.Commander.
 func (c *serveCommand) Execute([]string) error {
+	received := signals.Receive()
 	if err := c.check(); err != nil {
 		return usageError(err)
 	}
@@ -89,18 +88,24 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
 	go func() {
-		<-signals
-		stop()
-		<-signals
+		<-received.Repeated
 		i.Kill()
 	}()
-	return i.Run(ctx)
+	go logHangups(received, log)
+	return i.Run(received.Stopping)
+}
+
+// logHangups logs SIGHUP, which has no effect, until the process exits.
+func logHangups(received *signals.Receiver, log *zap.Logger) {
+	for s := range received.Hangups {
+		reason := noSettingsFile
+		if received.Stopping.Err() != nil {
+			reason = instanceStopping
+		}
+		logIgnored(log, s, reason)
+		time.Sleep(signalPause)
+	}
 }
 
 func (c *serveCommand) newInstance(log *zap.Logger) (*instance.Instance, error) {
--- a/cli/signals.go
+++ b/cli/signals.go
@@ -15,6 +15,7 @@
 // Reasons why a signal has no effect.
 const (
 	instanceStopping = "the instance is stopping"
+	noSettingsFile   = "the command has no settings file to read again"
 )
 
 func logIgnored(log *zap.Logger, s os.Signal, reason string) {
