cli: a stalled reader of serve's log delays nothing

What callers saw: with a reader of standard error that stalled, `cyclamenyard serve` stopped answering, and did not react to SIGTERM: its drain waited for a log line.

Cause: serve wrote through a buffer that is flushed under the lock that each log line takes. The platform command has a queue that drops and counts lines instead.

Evidence: TestSignalsAfterTheDrain/serve failed before (in one play on "not observed: end of the drain"); it depends on a flush that falls into the time in which the pipe is full. It passes now.

--- a/cli/demo.go
+++ b/cli/demo.go
@@ -1,7 +1,10 @@
 package cli
 
 import (
+	"os"
+
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/cyclamenyard/cyclamenyard/demo"
 	"github.com/cyclamenyard/cyclamenyard/examples"
@@ -24,10 +27,9 @@
 	}
 	log := zap.NewNop()
 	if c.Log {
-		if log, err = newLogger("info"); err != nil {
-			return err
-		}
-		defer func() { _ = log.Sync() }()
+		var closeLog func()
+		log, closeLog = newLogger(os.Stderr, zapcore.InfoLevel)
+		defer closeLog()
 	}
 	return demo.Run(demo.Options{Manifest: m, Out: c.out, Log: log})
 }
--- a/cli/platform.go
+++ b/cli/platform.go
@@ -15,7 +15,6 @@
 
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/internal/link"
-	"github.com/cyclamenyard/cyclamenyard/internal/logsink"
 	"github.com/cyclamenyard/cyclamenyard/internal/signals"
 	"github.com/cyclamenyard/cyclamenyard/node"
 	"github.com/cyclamenyard/cyclamenyard/placement"
@@ -53,18 +52,9 @@
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(gcMemoryFraction * float64(settings.MemoryMB) * (1 << 20)))
 	}
-	sink := logsink.New(os.Stdout, func(n int64) []byte {
-		return logsink.Report(int(events.LinesDropped), events.Message(events.LinesDropped), n)
-	})
-	defer sink.Close()
-	log := newSinkLogger(sink, level).With(zap.String("instance", settings.Instance))
-	return c.run(settings, uses, received, log)
-}
-
-func newSinkLogger(sink *logsink.Sink, level zapcore.Level) *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, level))
+	log, closeLog := newLogger(os.Stdout, level)
+	defer closeLog()
+	return c.run(settings, uses, received, log.With(zap.String("instance", settings.Instance)))
 }
 
 func (c *platformCommand) load() (*platform.Settings, error) {
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -79,11 +79,12 @@
 	if err := c.check(); err != nil {
 		return usageError(err)
 	}
-	log, err := newLogger(c.LogLevel)
+	level, err := zapcore.ParseLevel(c.LogLevel)
 	if err != nil {
 		return usageError(err)
 	}
-	defer func() { _ = log.Sync() }()
+	log, closeLog := newLogger(os.Stderr, level)
+	defer closeLog()
 	i, err := c.newInstance(log)
 	if err != nil {
 		return err
@@ -123,21 +124,3 @@
 		ListLag: c.ListLag, DrainTimeout: c.DrainTimeout, StoreCallsPerSec: c.StoreRate, Log: log,
 	})
 }
-
-// Log lines are buffered, so that a request does not wait for a write to standard error. They are
-// written within logFlushInterval.
-const (
-	logBufferBytes   = 256 << 10
-	logFlushInterval = time.Second
-)
-
-func newLogger(level string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, err
-	}
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	sink := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stderr), Size: logBufferBytes, FlushInterval: logFlushInterval}
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, l)), nil
-}
--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -102,10 +102,10 @@
 	assert.True(t, s.logged(events.ProcessStopping))
 }
 
-// Guards against signals that end a process by their default effect after its drain, before its last log lines are written.
-// Its output is a pipe that is full at that time.
+// Guards against signals that end a process by their default effect after its drain, before its last log lines are written, and
+// against a drain that waits for a reader of the log. The output is a pipe that is full until the drain is over.
 func TestSignalsAfterTheDrain(t *testing.T) {
-	for _, c := range commands[:1] {
+	for _, c := range commands {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			reader, writer, err := os.Pipe()
