internal/signals: a reader of the log that goes away does not end the process

What callers saw: when the reader of standard output (of `platform`) or standard error (of `serve`) went away, the next log line ended the process with "signal: broken pipe"; requests that it had read got no answer.

Cause: Go ends a process by SIGPIPE on a write to these two descriptors, unless the program handles or ignores the signal.

Change: the signal is ignored.

Evidence: TestReaderOfTheLogIsGone failed before on both commands (no answer; "signal: broken pipe") and passes now.

--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -163,3 +163,25 @@
 	_ = conn.Close() // nothing was sent
 	return true
 }
+
+// Guards against a write to standard output or standard error that ends the process because the reader has gone.
+func TestReaderOfTheLogIsGone(t *testing.T) {
+	for _, c := range commands {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			reader, writer, err := os.Pipe()
+			require.NoError(t, err)
+			s := c.start(t, writer)
+			require.NoError(t, writer.Close())
+			require.NoError(t, reader.Close())
+			request := s.openRequest(t, c.path)
+			s.signal(syscall.SIGHUP) // leads to a log line
+			s.signal(syscall.SIGTERM)
+			await(t, "stopping", func() bool { return !s.isReady() })
+			_, err = request.answer()
+			require.NoError(t, err)
+			s.awaitExit(t)
+			require.NoError(t, s.err, "the process did not end by itself with exit code 0")
+		})
+	}
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -19,8 +19,10 @@
 	Hangups <-chan os.Signal
 }
 
-// Receive returns a receiver. A command that must survive signals calls it before anything else.
+// Receive returns a receiver. A command that must survive signals calls it before anything else. Writes to standard output and
+// standard error, whose reader may go away, return an error from then on; by default, Go ends the process with SIGPIPE.
 func Receive() *Receiver {
+	signal.Ignore(syscall.SIGPIPE)
 	// Signals that do not fit into a channel are dropped. SIGHUP has one of its own, so that it displaces no SIGTERM.
 	stops, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
