cli: a settings file is read up to 256 KiB

What callers saw: nothing yet. A SIGHUP while the settings file is a broken one of any size made the process read all of it: with 512 MB (sparse), more than the 284 MB of its machine, and seconds of its processor.

Change: a file above 256 KiB is refused with an error that names the rule; at a SIGHUP it has no effect.

Evidence: TestHangupWhileServing/platform failed before (no reaction to the SIGHUP within 30 s) and passes now.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"runtime"
@@ -61,13 +62,29 @@
 	if c.Settings == "" {
 		return nil, errors.New("--settings: must name the platform's settings file")
 	}
-	raw, err := os.ReadFile(c.Settings)
+	raw, err := readSettings(c.Settings)
 	if err != nil {
 		return nil, fmt.Errorf("--settings %q: %w", c.Settings, err)
 	}
 	return platform.DecodeSettings(raw)
 }
 
+// maxSettingsBytes limits the settings file, so that reading a broken one does not exceed the memory of the machine.
+const maxSettingsBytes = 256 << 10
+
+func readSettings(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	raw, err := io.ReadAll(io.LimitReader(file, maxSettingsBytes+1))
+	if err == nil && len(raw) > maxSettingsBytes {
+		err = fmt.Errorf("must be at most %d bytes long", maxSettingsBytes)
+	}
+	return raw, err
+}
+
 func (c *platformCommand) run(s *platform.Settings, uses placement.Uses, received *signals.Receiver, log *zap.Logger) error {
 	registry := metrics.NewRegistry()
 	options := node.Options{
--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -65,17 +65,24 @@
 				})
 			}
 			assert.True(t, s.isReady(), s.text())
+			if s.settings != "" {
+				assert.Contains(t, s.text(), "must be at most 262144 bytes long")
+			}
 			s.signal(syscall.SIGTERM)
 			s.requireGracefulEnd(t)
 		})
 	}
 }
 
-// settingsChanges change a settings file: to one that is broken, missing, or not a file.
+// settingsChanges change a settings file: to one that is broken, too large, missing, or not a file.
 var settingsChanges = []func(t require.TestingT, path string){
 	func(t require.TestingT, path string) {
 		require.NoError(t, os.WriteFile(path, []byte("Node: [\xff"), 0o600))
 	},
+	func(t require.TestingT, path string) {
+		require.NoError(t, os.Truncate(path, 0))
+		require.NoError(t, os.Truncate(path, 1<<29)) // sparse
+	},
 	func(t require.TestingT, path string) { require.NoError(t, os.Remove(path)) },
 	func(t require.TestingT, path string) { require.NoError(t, os.Mkdir(path, 0o700)) },
 }
