instance: a second signal stops a drain that waits for requests

Cause: Kill was looked at before the wait for the open requests, not during it.

Change: Kill ends the context of the whole drain.

Evidence: TestSecondSignalWhileServeDrains failed before (exit code 0 after 10 s, with the timeout of the request's body) and passes now.

--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -192,3 +195,30 @@
 		})
 	}
 }
+
+// Guards against a second signal that does not stop serve at once while it waits for an open request.
+func TestSecondSignalWhileServeDrains(t *testing.T) {
+	t.Parallel()
+	s := startServe(t, nil)
+	request := s.openRequest(t, servePath)
+	defer request.conn.Close()
+	s.signal(syscall.SIGTERM)
+	await(t, "refusal of new requests", func() bool { return s.refuses() })
+	s.signal(syscall.SIGINT)
+	s.awaitExit(t)
+	var exit *exec.ExitError
+	require.ErrorAs(t, s.err, &exit, s.text())
+	assert.Equal(t, ExitFailed, exit.ExitCode())
+	assert.Contains(t, s.text(), "stopped without draining")
+}
+
+// refuses reports whether new requests are refused because the process stops.
+func (s *system) refuses() bool {
+	resp, err := http.Get("http://" + s.callers + "/v1/jobs/oberbayern/none")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return err == nil && strings.Contains(string(raw), "shutting_down")
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/cyclamenyard/cyclamenyard/config"
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/gateway"
+	"github.com/cyclamenyard/cyclamenyard/internal/wait"
 	"github.com/cyclamenyard/cyclamenyard/membership"
 	"github.com/cyclamenyard/cyclamenyard/owner"
 	"github.com/cyclamenyard/cyclamenyard/peer"
@@ -52,6 +53,8 @@
 	killOnce  sync.Once
 }
 
+var errNotDrained = errors.New("stopped without draining")
+
 // New returns an instance. Run starts it.
 func New(o Options) (*Instance, error) {
 	if o.Log == nil {
@@ -134,7 +137,7 @@
 	case <-ctx.Done():
 		stopErr = i.stop(stopBackground)
 	case <-i.killed:
-		stopErr = errors.New("stopped without draining")
+		stopErr = errNotDrained
 	case <-servingCtx.Done():
 	}
 	stopServing()
@@ -175,12 +178,22 @@
 	i.members.SetLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), i.opts.DrainTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-i.killed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if !wait.For(ctx, i.opts.ListLag) {
+		return errNotDrained
+	}
+	err := i.gateway.Drain(ctx)
 	select {
-	case <-time.After(i.opts.ListLag):
 	case <-i.killed:
-		return errors.New("stopped without draining")
+		return errNotDrained
+	default:
 	}
-	err := i.gateway.Drain(ctx)
 	stopBackground()
 	return err
 }
