instance: the drain of serve ends after its answers are written

What callers saw: a request that `cyclamenyard serve` had handled at the end of its drain could lose its connection without an answer.

Cause: a request counts as in flight until its handler returns. net/http writes the answer after that, and the connections were closed as soon as none was in flight.

Change: the drain then waits until the connections are idle, for at most 2 s, before it hands over and closes them.

--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -222,3 +223,25 @@
 	raw, err := io.ReadAll(resp.Body)
 	return err == nil && strings.Contains(string(raw), "shutting_down")
 }
+
+// Guards against an answer that is cut off because the drain of serve ends before the answer is written.
+func TestAnswersAtTheEndOfTheDrain(t *testing.T) {
+	t.Parallel()
+	s := startServe(t, nil)
+	const requests = 20
+	var open []*openRequest
+	for range requests {
+		open = append(open, s.openRequest(t, servePath))
+	}
+	s.signal(syscall.SIGTERM)
+	await(t, "refusal of new requests", func() bool { return s.refuses() })
+	var answers sync.WaitGroup
+	for _, request := range open {
+		answers.Go(func() {
+			_, err := request.answer()
+			assert.NoError(t, err)
+		})
+	}
+	answers.Wait()
+	s.requireGracefulEnd(t)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -53,6 +53,9 @@
 	killOnce  sync.Once
 }
 
+// answerTimeout limits how long the end of a drain waits for callers that do not read their answers.
+const answerTimeout = 2 * time.Second
+
 var errNotDrained = errors.New("stopped without draining")
 
 // New returns an instance. Run starts it.
@@ -135,7 +138,7 @@
 	var stopErr error
 	select {
 	case <-ctx.Done():
-		stopErr = i.stop(stopBackground)
+		stopErr = i.stop(callers, stopBackground)
 	case <-i.killed:
 		stopErr = errNotDrained
 	case <-servingCtx.Done():
@@ -171,8 +174,8 @@
 
 // stop stops the instance gracefully. It first reports the instance as not ready and keeps accepting
 // requests for ListLag, until the platform's list shows it. Then it refuses new requests and waits for
-// the open ones. It hands over the data centres last, because requests need their owners.
-func (i *Instance) stop(stopBackground func()) error {
+// the open ones and their answers. It hands over the data centres last, because requests need their owners.
+func (i *Instance) stop(callers *http.Server, stopBackground func()) error {
 	events.Info(i.log, events.ProcessStopping, zap.Duration("list_lag", i.opts.ListLag))
 	i.stopping.Store(true)
 	i.members.SetLeaving()
@@ -194,10 +197,20 @@
 		return errNotDrained
 	default:
 	}
+	i.awaitAnswers(ctx, callers)
 	stopBackground()
 	return err
 }
 
+// awaitAnswers waits until the answers of handlers that have returned are written, for at most answerTimeout.
+func (i *Instance) awaitAnswers(ctx context.Context, callers *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		i.log.Warn("answers aborted at the end of the drain", zap.Error(err), zap.Duration("timeout", answerTimeout))
+	}
+}
+
 // Ready reports whether the instance accepts callers: it has received a manifest and is not stopping.
 func (i *Instance) Ready() bool {
 	return i.config.Ready() && !i.stopping.Load()
