cli: fuzz of signals against a process of its own

TestFuzzSignals and TestFuzzSignalsOfServe draw series of SIGHUP, SIGTERM and SIGINT before the settings are read, while the process starts, serves and drains, and until it exits, with settings files that are whole, broken, too large, missing or no file. The check: exit code 0, the last log line, and an answer for each request that was read.

--- a/cli/process_test.go
+++ b/cli/process_test.go
@@ -131,10 +131,21 @@
 type system struct {
 	*process
 	callers  string // address
+	admin    string // address; only of serve
 	ready    string // URL that answers 200 while the process is ready
 	settings string // path of the settings file; empty for serve
 }
 
+// listens reports whether the process accepts connections of callers.
+func (s *system) listens() bool {
+	conn, err := net.Dial("tcp", s.callers)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
+
 func (s *system) isReady() bool {
 	resp, err := http.Get(s.ready)
 	if err != nil {
@@ -183,8 +194,16 @@
 	return nil
 }
 
-// startServe starts `cyclamenyard serve` beside stand-ins and waits until it is ready.
+// startServe starts `cyclamenyard serve` beside stand-ins and waits until it is ready, with a manifest in force.
 func startServe(t *testing.T, logs *os.File) *system {
+	s := launchServe(t, logs)
+	await(t, "a manifest in force", func() bool { return commitManifest(s.admin) || s.hasExited() })
+	await(t, "readiness", func() bool { return s.isReady() || s.hasExited() })
+	return s
+}
+
+// launchServe starts `cyclamenyard serve` beside stand-ins and waits until it listens.
+func launchServe(t *testing.T, logs *os.File) *system {
 	list := standin.NewList(100 * time.Millisecond)
 	platform, err := standin.Serve(testports.Address(0), standin.PlatformHandler(standin.NewStore(), list))
 	require.NoError(t, err)
@@ -194,13 +213,12 @@
 		require.NoError(t, err)
 		info := structs.Instance{ID: "entry-1", DataCentre: "augsburg", CallerAddr: testports.Address(first), PeerAddr: testports.Address(first + 1), AdminAddr: testports.Address(first + 2)}
 		list.SetInstances([]structs.Instance{info})
-		s := &system{callers: info.CallerAddr, ready: "http://" + info.AdminAddr + "/readyz"}
+		s := &system{callers: info.CallerAddr, admin: info.AdminAddr, ready: "http://" + info.AdminAddr + "/readyz"}
 		s.process = startProcess(t, logs, "serve", "--id", info.ID, "--data-centre", info.DataCentre, "--platform", platform.Address,
 			"--listen", info.CallerAddr, "--peer-listen", info.PeerAddr, "--admin-listen", info.AdminAddr, "--list-lag", "500ms", "--drain-timeout", "20s")
 		t.Cleanup(s.end)
-		await(t, "a manifest in force", func() bool { return s.hasExited() || commitManifest(info.AdminAddr) })
+		await(t, "a listener", func() bool { return s.hasExited() || s.listens() })
 		if !s.hasExited() {
-			await(t, "readiness", s.isReady)
 			return s
 		}
 		t.Logf("not started: %v\n%s", s.err, s.text())
--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -84,10 +83,10 @@
 		require.NoError(t, os.WriteFile(path, []byte("Node: [\xff"), 0o600))
 	},
 	func(t require.TestingT, path string) {
-		require.NoError(t, os.Truncate(path, 0))
+		require.NoError(t, os.WriteFile(path, nil, 0o600))
 		require.NoError(t, os.Truncate(path, 1<<29)) // sparse
 	},
-	func(t require.TestingT, path string) { require.NoError(t, os.Remove(path)) },
+	func(t require.TestingT, path string) { require.NoError(t, os.RemoveAll(path)) },
 	func(t require.TestingT, path string) { require.NoError(t, os.Mkdir(path, 0o700)) },
 }
 
@@ -166,15 +165,6 @@
 	}
 }
 
-func (s *system) listens() bool {
-	conn, err := net.Dial("tcp", s.callers)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close() // nothing was sent
-	return true
-}
-
 // Guards against a write to standard output or standard error that ends the process because the reader has gone.
 func TestReaderOfTheLogIsGone(t *testing.T) {
 	for _, c := range commands {
