node: calls that outlast the drain are answered before its end

What callers saw: a call that waited, for an owner or for the store, when its stopping instance had used up its grace period lost its connection without an answer. It takes a call that comes late in the drain, or a route with a long timeout.

Cause: the drain ended by closing the connections of open calls; nothing ended the calls themselves.

Change: the drain has an end, 300 ms before the connections are closed. It bounds the deadline of calls that arrive while the instance drains, and ends those that are open. Both are answered as at their own deadline, with what is known of the request: a submission whose write has no answer stays uncertain.

--- a/cli/process_test.go
+++ b/cli/process_test.go
@@ -130,10 +130,11 @@
 // system is a process that serves callers, with the platform around it.
 type system struct {
 	*process
-	callers  string // address
-	admin    string // address; only of serve
-	ready    string // URL that answers 200 while the process is ready
-	settings string // path of the settings file; empty for serve
+	callers  string               // address
+	admin    string               // address
+	ready    string               // URL that answers 200 while the process is ready
+	settings string               // path of the settings file; empty for serve
+	store    *testplatform.Client // of the store of `cyclamenyard platform`
 }
 
 // listens reports whether the process accepts connections of callers.
@@ -166,11 +167,12 @@
 func platformSettings(t *testing.T) *system {
 	store := testplatform.NewStore()
 	store.Put("op/config", []byte(configuration))
-	server := httptest.NewServer(httpstore.Handler(store.NewClient()))
+	client := store.NewClient()
+	server := httptest.NewServer(httpstore.Handler(client))
 	t.Cleanup(server.Close)
 	first, err := testports.Adjacent(4)
 	require.NoError(t, err)
-	s := &system{callers: testports.Address(first), ready: "http://" + testports.Address(first+1) + "/api/ready", settings: filepath.Join(t.TempDir(), "settings.yaml")}
+	s := &system{callers: testports.Address(first), admin: testports.Address(first + 3), ready: "http://" + testports.Address(first+1) + "/api/ready", settings: filepath.Join(t.TempDir(), "settings.yaml"), store: client}
 	text := fmt.Sprintf("Node: front-1\nIp: 127.0.0.1\nZone: zone-1\nListen:\n  Front: %q\n  Ready: %q\nPortRange: [%d, %d]\n"+
 		"Limits: {CpuShare: 1, MemoryMb: 284, MaxFds: 4100}\nBounds: {GraceS: %d}\nOrders: call\nDiscovery: platform\nplatform: {Address: %q, form: kv}\n",
 		s.callers, testports.Address(first+1), first+2, first+3, graceSeconds, server.Listener.Addr())
--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +20,7 @@
 
 	"github.com/cyclamenyard/cyclamenyard/events"
 	"github.com/cyclamenyard/cyclamenyard/examples"
+	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/internal/testports"
 )
 
@@ -235,3 +238,58 @@
 	answers.Wait()
 	s.requireGracefulEnd(t)
 }
+
+// Guards against requests that wait for an owner until their instance has used up its grace period, and then get no answer.
+func TestAnswersBeforeTheGracePeriodEnds(t *testing.T) {
+	t.Parallel()
+	s := startPlatform(t, nil)
+	s.store.SetFault(func(string) testplatform.Fault { return testplatform.Silent })
+	var early, late *http.Response
+	var earlyErr, lateErr error
+	var answers sync.WaitGroup
+	answers.Go(func() { early, earlyErr = s.query() })
+	await(t, "a connection", func() bool { return s.openConnections() > 0 })
+	s.signal(syscall.SIGTERM)
+	s.awaitEvent(t, events.ProcessStopping)
+	answers.Go(func() { late, lateErr = s.query() })
+	answers.Wait()
+	s.requireGracefulEnd(t)
+	require.NoError(t, earlyErr)
+	require.NoError(t, lateErr)
+	assert.Equal(t, http.StatusServiceUnavailable, early.StatusCode)
+	assert.Equal(t, http.StatusServiceUnavailable, late.StatusCode)
+}
+
+// query asks for the length of a queue on a connection of its own.
+func (s *system) query() (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+s.callers+"/urgent/", nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Host = testHost
+	request.Header.Set("X-Api-Key", "key")
+	request.Header.Set("X-Cyclamenyard-Deadline-Ms", "30000")
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	return response, response.Body.Close()
+}
+
+var connectionsGauge = regexp.MustCompile(`gauge ingress.callers.connections\s+value:\s+([0-9]+)`)
+
+// openConnections returns the number of callers' connections that the process has open, or 0 if that is not known.
+func (s *system) openConnections() int {
+	response, err := http.Get("http://" + s.admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	match := connectionsGauge.FindSubmatch(raw)
+	if err != nil || match == nil {
+		return 0
+	}
+	n, _ := strconv.Atoi(string(match[1])) // the expression matches digits only
+	return n
+}
--- a/internal/ingress/calls.go
+++ b/internal/ingress/calls.go
@@ -98,7 +98,7 @@
 		if c := connOf(r.Context()); c != nil {
 			c.close()
 		}
-		if errors.Is(err, context.Canceled) {
+		if errors.Is(err, context.Canceled) && r.Context().Err() != nil {
 			return nil, fmt.Errorf("the caller has hung up: %w", err)
 		}
 		g.report.refused(reasonCalls)
--- a/jobfront/filters.go
+++ b/jobfront/filters.go
@@ -144,7 +144,7 @@
 	}
 }
 
-// withDeadline limits the call to the caller's deadline and the route's timeout.
+// withDeadline limits the call to the caller's deadline, the route's timeout and the end of a drain.
 func (s *Server) withDeadline(next endpoint.Endpoint) endpoint.Endpoint {
 	return func(ctx context.Context, request any) (any, error) {
 		c := request.(*call)
@@ -155,8 +155,13 @@
 		if c.route.Timeout > 0 {
 			limit = min(limit, c.route.Timeout)
 		}
-		ctx, cancel := context.WithDeadline(ctx, c.arrived.Add(limit))
+		deadline := c.arrived.Add(limit)
+		if end := s.drainEnd.Load(); end != nil && end.Before(deadline) {
+			deadline = *end
+		}
+		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
+		defer context.AfterFunc(s.ending, cancel)() // for a drain that begins during the call
 		return next(ctx, request)
 	}
 }
--- a/jobfront/jobfront.go
+++ b/jobfront/jobfront.go
@@ -72,7 +72,10 @@
 	opts     Options
 	ingress  *ingress.Gate
 	handlers map[string]http.Handler // by method
-	draining atomic.Bool
+	// drainEnd is the time at which open calls end; nil before Drain is called.
+	drainEnd atomic.Pointer[time.Time]
+	ending   context.Context // ends at drainEnd
+	endCalls context.CancelFunc
 	latency  map[string]metrics.Histogram
 	refused  metrics.Counter
 	limited  limitedRefusals
@@ -88,6 +91,7 @@
 	}
 	s := &Server{opts: o, ingress: o.Ingress, limited: limitedRefusals{registry: o.Metrics}, handlers: map[string]http.Handler{}, latency: map[string]metrics.Histogram{},
 		refused: metrics.GetOrRegisterCounter("front.refused", o.Metrics), answered: metrics.GetOrRegisterCounter("front.answered", o.Metrics)}
+	s.ending, s.endCalls = context.WithCancel(context.Background())
 	for method, final := range map[string]endpoint.Endpoint{
 		http.MethodPost: s.submit, http.MethodGet: s.query, http.MethodDelete: s.cancel,
 	} {
@@ -99,12 +103,15 @@
 }
 
 // Drain makes the server close connections after each response, so that callers reconnect to other
-// instances.
-func (s *Server) Drain() { s.draining.Store(true) }
+// instances. Calls that are still open at the time end are then answered as at their deadline.
+func (s *Server) Drain(end time.Time) {
+	s.drainEnd.Store(&end)
+	time.AfterFunc(time.Until(end), s.endCalls)
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
+	if s.drainEnd.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	handler := s.handlers[r.Method]
--- a/node/serve.go
+++ b/node/serve.go
@@ -32,6 +32,8 @@
 	balancerLag = 3200 * time.Millisecond
 	// exitMargin is the rest of the grace period that remains when open requests are aborted.
 	exitMargin = 700 * time.Millisecond
+	// answerMargin is the time before that in which calls that still wait are answered.
+	answerMargin = 300 * time.Millisecond
 )
 
 // serve runs the HTTP servers until ctx ends, and then drains the callers' server, or until one fails.
@@ -70,14 +72,15 @@
 }
 
 // drain reports the instance as not ready, accepts requests until the load balancer has reacted, and
-// then waits for the open ones to finish.
+// then waits for the open ones to finish. Those that would last longer than the grace period are answered before its end.
 func (n *Node) drain(callers *http.Server) {
+	end := time.Now().Add(n.opts.GracePeriod - exitMargin)
 	n.draining.Store(true)
-	n.front.Drain()
+	n.front.Drain(end.Add(-answerMargin))
 	events.Info(n.log, events.ProcessStopping, zap.Duration("grace", n.opts.GracePeriod))
 	lag := min(balancerLag, n.opts.GracePeriod/2)
 	time.Sleep(lag)
-	ctx, cancel := context.WithTimeout(context.Background(), n.opts.GracePeriod-lag-exitMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("open requests aborted at the end of the grace period", zap.Error(err))
