--- a/jobowner/throttle.go
+++ b/jobowner/throttle.go
@@ -61,13 +61,17 @@
 	}
 }
 
-// nextSpeed returns the speed to order for a filler, in percent.
+// nextSpeed returns the speed to order for a filler, in percent. One that a former owner may have slowed down starts at the
+// lowest step, since its full speed may be too much for a serving task.
 func nextSpeed(r *jobstate.Run, serving bool, tailRatio float64) int {
 	speed := r.SpeedPercent
+	if serving && r.Throttle.Inherited {
+		speed = min(speed, speedUpPercent)
+	}
 	switch {
 	case serving && tailRatio > slowDownRatio:
 		return speed / 2
-	case r.Throttle.Unconfirmed || serving && tailRatio >= speedUpRatio:
+	case r.Throttle.Unconfirmed || r.Throttle.Inherited || serving && tailRatio >= speedUpRatio:
 		return speed
 	}
 	return min(100, speed+speedUpPercent)
@@ -93,6 +97,6 @@
 			t.opts.Log.Warn("throttle order not confirmed by the worker", zap.String("task", order.Task), zap.Error(err))
 			return
 		}
-		r.Throttle.Unconfirmed, r.Throttle.ConfirmedAt = false, now
+		r.Throttle.Unconfirmed, r.Throttle.Inherited, r.Throttle.ConfirmedAt = false, false, now
 	})
 }
--- a/jobowner/throttle_test.go
+++ b/jobowner/throttle_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -80,6 +83,22 @@
 	return c.Client.Throttle(ctx, t, o)
 }
 
+// Guards against a filler that stands for good because the next owner takes it to work at full speed, and against one that the
+// next owner sets to full speed at once beside a serving task.
+func TestNextOwnerSpeedsFillersUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newThrottled(t, nil)
+		defer s.stop()
+		s.tail.Store((relaxedTail + strainedTail) / 3) // neither strained nor relaxed
+		s.start("b")
+		s.kill("a")
+		time.Sleep(10 * time.Second)
+		assert.LessOrEqual(t, s.speed(), 10)
+		s.tail.Store(relaxedTail)
+		s.awaitSpeed(t, 100, 15*time.Second)
+	})
+}
+
 // Guards against a filler that stands for good because the one order that speeds it up got no answer.
 func TestUnansweredSpeedUpIsRepeated(t *testing.T) {
 	for name, fault := range map[string]testplatform.Fault{"not executed": testplatform.Silent, "executed": testplatform.AnswerLost, "refused": testplatform.Refused} {
@@ -125,3 +144,62 @@
 		assert.Equal(t, 100, s.speed())
 	})
 }
+
+// Guards against fillers that stay slow, or work beside a strained serving task, after any series of lost and late orders, of
+// changes of the load and of owners. JOBOWNER_FUZZ_CHECKS sets the number of series; JOBOWNER_FUZZ_SEED runs a single seed.
+func TestFuzzThrottle(t *testing.T) {
+	first, checks := uint64(0), 40
+	if n, err := strconv.Atoi(os.Getenv("JOBOWNER_FUZZ_CHECKS")); err == nil {
+		checks = n
+	}
+	if n, err := strconv.ParseUint(os.Getenv("JOBOWNER_FUZZ_SEED"), 10, 64); err == nil {
+		first, checks = n, 1
+	}
+	for n := range checks {
+		seed := first + uint64(n)
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { fuzzThrottle(t, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+}
+
+func fuzzThrottle(t *testing.T, random *rand.Rand) {
+	var faulty atomic.Bool
+	faultsOf := rand.New(rand.NewPCG(random.Uint64(), 2))
+	s := newThrottled(t, func(int) testplatform.Fault {
+		if !faulty.Load() {
+			return testplatform.None
+		}
+		return []testplatform.Fault{testplatform.None, testplatform.Refused, testplatform.AnswerLost, testplatform.Late, testplatform.Silent}[faultsOf.IntN(5)]
+	})
+	defer s.stop()
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	for range 12 {
+		switch random.IntN(4) {
+		case 0:
+			s.tail.Store([]int64{relaxedTail, tailTarget * 2 / 3, strainedTail}[random.IntN(3)])
+		case 1:
+			faulty.Store(random.IntN(2) == 0)
+		case 2:
+			if len(names) > 1 {
+				s.start(names[1])
+				s.kill(names[0])
+				names = names[1:]
+			}
+		}
+		time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+	}
+	faulty.Store(false)
+	s.tail.Store([]int64{relaxedTail, strainedTail}[random.IntN(2)])
+	want := 100
+	if s.tail.Load() == strainedTail {
+		want = 0
+	}
+	for until := time.Now().Add(40 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		s.fleet.CheckStanding()
+	}
+	assert.Equal(t, want, s.speed())
+	for _, v := range s.fleet.Violations() {
+		assert.NotContains(t, v, "LOST")
+	}
+}
--- a/jobstate/jobstate.go
+++ b/jobstate/jobstate.go
@@ -77,6 +77,7 @@
 // Throttle is what is known of the orders on the speed of a run.
 type Throttle struct {
 	Unconfirmed bool      // the worker has not confirmed the last order
+	Inherited   bool      // a former owner may have given an order, and this one has not confirmed one yet
 	InProgress  bool      // an order is being sent
 	ConfirmedAt time.Time // when the last confirmed order was sent
 	LateUntil   time.Time // until then, an order without an answer may be executed
@@ -84,7 +85,7 @@
 
 // Uncertain reports whether the worker may let the run work at another speed than was ordered last.
 func (t Throttle) Uncertain() bool {
-	return t.Unconfirmed || t.ConfirmedAt.Before(t.LateUntil)
+	return t.Unconfirmed || t.Inherited || t.ConfirmedAt.Before(t.LateUntil)
 }
 
 // FullSpeed reports whether the run is known to work at full speed.
--- a/jobstate/record.go
+++ b/jobstate/record.go
@@ -156,5 +156,6 @@
 		}
 		run := c.Place(t, w, tr.LastRun, now)
 		run.Phase = Ordered
+		run.Throttle.Inherited = t.Step.Spec.Filler
 	}
 }
