--- a/internal/testplatform/fillers.go
+++ b/internal/testplatform/fillers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenyard/cyclamenyard/workerapi"
+	"github.com/cyclamenyard/cyclamenyard/workload"
 )
 
 // Throttle implements workerapi.Client.
@@ -52,3 +53,24 @@
 	}
 	return false
 }
+
+// relaxedShare is the share of its target below which the tail latency of a serving task lets the fillers beside it work.
+const relaxedShare = 0.5
+
+// fillerStands reports whether the run is that of a filler which was ordered not to work, although no serving task beside it is
+// strained. The caller holds the lock.
+func (f *Fleet) fillerStands(w *worker, task string, r *run) bool {
+	percent, throttled := f.speedPercents[task]
+	if !f.stepOf(r).Filler || !throttled || percent > 0 {
+		return false
+	}
+	for _, other := range w.runs {
+		target := f.stepOf(other).TailTarget
+		if target > 0 && f.Load != nil && f.Load(f.speedPercents) >= relaxedShare*float64(target.Milliseconds()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) stepOf(r *run) *workload.Step { return &f.jobs[r.name.Job].Steps[r.name.Step] }
--- a/internal/testplatform/standing.go
+++ b/internal/testplatform/standing.go
@@ -72,7 +72,9 @@
 	for _, w := range f.workers {
 		capacity = capacity.Add(w.entry.Capacity)
 		for task, r := range w.runs {
-			v.jobs[r.name.Job], v.tasks[task] = true, true
+			if !f.fillerStands(w, task, r) {
+				v.jobs[r.name.Job], v.tasks[task] = true, true
+			}
 			used = used.Add(f.jobs[r.name.Job].Steps[r.name.Step].Allocation())
 		}
 		for _, e := range w.ended {
--- a/internal/testplatform/standing_test.go
+++ b/internal/testplatform/standing_test.go
@@ -147,3 +147,29 @@
 		})
 	}
 }
+
+// Guards against an oracle that takes a filler for running although it was ordered not to work.
+func TestOracleSeesStandingFillers(t *testing.T) {
+	for name, c := range map[string]struct {
+		percent int
+		tail    float64
+		stands  bool
+	}{"stopped beside a relaxed task": {0, 5, true}, "stopped beside a strained task": {0, 50, false}, "slow": {10, 5, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := &harness{t, NewFleet()}
+				o.fleet.Outcome = func(workload.TaskName, int) (time.Duration, jobstate.End) { return time.Hour, jobstate.EndDone }
+				o.fleet.Load = func(map[string]int) float64 { return c.tail }
+				o.fleet.Add("w0", "z", "r", halfWorker)
+				o.fleet.Add("w1", "z", "r", halfWorker)
+				o.submit("serving", workload.Step{Tasks: 1, LongRunning: true, TailTarget: 50 * time.Millisecond})
+				o.submit("filler", workload.Step{Tasks: 1, Filler: true})
+				o.start("w0", "serving.0.0.0", 1)
+				o.start("w0", "filler.0.0.0", 1)
+				require.NoError(t, o.fleet.Throttle(context.Background(), workerapi.Target{ID: "w0"}, workerapi.Throttle{Task: "filler.0.0.0", Run: 1, Percent: c.percent, Token: 1}))
+				o.watch(standingBounds)
+				assert.Equal(t, c.stands, len(o.fleet.Violations()) > 0, o.fleet.Violations())
+			})
+		})
+	}
+}
