--- a/cli/signals_fuzz_test.go
+++ b/cli/signals_fuzz_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"os"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -55,23 +54,12 @@
 func TestFuzzSignals(t *testing.T) {
 	fuzzFlags(t)
 	rapid.Check(t, func(r *rapid.T) {
-		s := platformSettings(t)
-		text, err := os.ReadFile(s.settings)
-		require.NoError(r, err)
-		pipe := filepath.Join(t.TempDir(), "pipe")
-		require.NoError(r, syscall.Mkfifo(pipe, 0o600))
-		s.process = startProcess(r, nil, "platform", "--settings", pipe)
+		s, pipe := startOnPipe(t, r)
 		defer s.end()
-		writer, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns when the command has opened the file
-		require.NoError(r, err)
 		for range rapid.IntRange(0, 6).Draw(r, "before the start") {
 			s.signal(rapid.SampledFrom([]os.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}).Draw(r, "signal"))
 		}
-		_, err = writer.Write(text)
-		require.NoError(r, err)
-		require.NoError(r, writer.Close())
-		require.NoError(r, os.Rename(s.settings, pipe))
-		s.settings = pipe // read again at each SIGHUP
+		s.sendSettings(r, pipe)
 		s.awaitEvent(r, events.ProcessStarted)
 		var requests []*openRequest
 		if !s.logged(events.ProcessStopping) {
--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -96,25 +96,39 @@
 // Guards against signals that end a process by their default effect before its listeners are open. The settings file is a pipe,
 // so that the command waits for its content.
 func TestSignalsBeforeTheListenersAreOpen(t *testing.T) {
-	s := platformSettings(t)
-	text, err := os.ReadFile(s.settings)
-	require.NoError(t, err)
-	pipe := filepath.Join(t.TempDir(), "pipe")
-	require.NoError(t, syscall.Mkfifo(pipe, 0o600))
-	s.process = startProcess(t, nil, "platform", "--settings", pipe)
+	s, pipe := startOnPipe(t, t)
 	t.Cleanup(s.end)
-	writer, err := os.OpenFile(pipe, os.O_WRONLY, 0) // returns when the command has opened the file
-	require.NoError(t, err)
 	for _, sig := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
 		s.signal(sig)
 	}
-	_, err = writer.Write(text)
-	require.NoError(t, err)
-	require.NoError(t, writer.Close())
+	s.sendSettings(t, pipe)
 	s.requireGracefulEnd(t)
 	assert.True(t, s.logged(events.ProcessStopping))
 }
 
+// startOnPipe starts `cyclamenyard platform` with a pipe in place of its settings file, and returns when the command has opened it.
+// It waits for the content, which sendSettings writes.
+func startOnPipe(t *testing.T, r require.TestingT) (s *system, pipe *os.File) {
+	s = platformSettings(t)
+	path := filepath.Join(t.TempDir(), "pipe")
+	require.NoError(r, syscall.Mkfifo(path, 0o600))
+	s.process = startProcess(r, nil, "platform", "--settings", path)
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+	require.NoError(r, err)
+	return s, pipe
+}
+
+// sendSettings writes the settings to the pipe and replaces it by the settings file, which is read again at each SIGHUP.
+func (s *system) sendSettings(r require.TestingT, pipe *os.File) {
+	text, err := os.ReadFile(s.settings)
+	require.NoError(r, err)
+	_, err = pipe.Write(text)
+	require.NoError(r, err)
+	require.NoError(r, pipe.Close())
+	require.NoError(r, os.Rename(s.settings, pipe.Name()))
+	s.settings = pipe.Name()
+}
+
 // Guards against signals that end a process by their default effect after its drain, before its last log lines are written, and
 // against a drain that waits for a reader of the log. The output is a pipe that is full until the drain is over.
 func TestSignalsAfterTheDrain(t *testing.T) {
