--- a/cli/process_test.go
+++ b/cli/process_test.go
@@ -22,6 +22,7 @@
 	"github.com/cyclamenyard/cyclamenyard/examples"
 	"github.com/cyclamenyard/cyclamenyard/internal/testplatform"
 	"github.com/cyclamenyard/cyclamenyard/internal/testports"
+	"github.com/cyclamenyard/cyclamenyard/platform"
 	"github.com/cyclamenyard/cyclamenyard/platform/httpstore"
 	"github.com/cyclamenyard/cyclamenyard/standin"
 	"github.com/cyclamenyard/cyclamenyard/structs"
@@ -166,7 +167,7 @@
 // platformSettings writes a settings file for `cyclamenyard platform`, with free ports and a store that holds a configuration.
 func platformSettings(t *testing.T) *system {
 	store := testplatform.NewStore()
-	store.Put("op/config", []byte(configuration))
+	store.Put(platform.OperatorPrefix+"config", []byte(configuration))
 	client := store.NewClient()
 	server := httptest.NewServer(httpstore.Handler(client))
 	t.Cleanup(server.Close)
@@ -207,16 +208,16 @@
 // launchServe starts `cyclamenyard serve` beside stand-ins and waits until it listens.
 func launchServe(t *testing.T, logs *os.File) *system {
 	list := standin.NewList(100 * time.Millisecond)
-	platform, err := standin.Serve(testports.Address(0), standin.PlatformHandler(standin.NewStore(), list))
+	stub, err := standin.Serve(testports.Address(0), standin.PlatformHandler(standin.NewStore(), list))
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = platform.Close() }) // the test is over
+	t.Cleanup(func() { _ = stub.Close() }) // the test is over
 	for range startAttempts {
 		first, err := testports.Adjacent(3)
 		require.NoError(t, err)
 		info := structs.Instance{ID: "entry-1", DataCentre: "augsburg", CallerAddr: testports.Address(first), PeerAddr: testports.Address(first + 1), AdminAddr: testports.Address(first + 2)}
 		list.SetInstances([]structs.Instance{info})
 		s := &system{callers: info.CallerAddr, admin: info.AdminAddr, ready: "http://" + info.AdminAddr + "/readyz"}
-		s.process = startProcess(t, logs, "serve", "--id", info.ID, "--data-centre", info.DataCentre, "--platform", platform.Address,
+		s.process = startProcess(t, logs, "serve", "--id", info.ID, "--data-centre", info.DataCentre, "--platform", stub.Address,
 			"--listen", info.CallerAddr, "--peer-listen", info.PeerAddr, "--admin-listen", info.AdminAddr, "--list-lag", "500ms", "--drain-timeout", "20s")
 		t.Cleanup(s.end)
 		await(t, "a listener", func() bool { return s.hasExited() || s.listens() })
@@ -251,7 +252,7 @@
 func (s *system) openRequest(t require.TestingT, path string) *openRequest {
 	conn, err := net.Dial("tcp", s.callers)
 	require.NoError(t, err)
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Api-Key: key\r\nX-Cyclamenyard-Deadline-Ms: 30000\r\nContent-Type: application/json\r\n"+
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Api-Key: key\r\nContent-Type: application/json\r\n"+
 		"Expect: 100-continue\r\nContent-Length: %d\r\n\r\n", path, testHost, len(openBody))
 	require.NoError(t, err)
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(observeTimeout)))
--- a/cli/signals_test.go
+++ b/cli/signals_test.go
@@ -282,7 +282,6 @@
 	}
 	request.Host = testHost
 	request.Header.Set("X-Api-Key", "key")
-	request.Header.Set("X-Cyclamenyard-Deadline-Ms", "30000")
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
 	if err != nil {
 		return nil, err
