--- a/cli/process_test.go
+++ b/cli/process_test.go
@@ -208,16 +208,16 @@
 // launchServe starts `cyclamenyard serve` beside stand-ins and waits until it listens.
 func launchServe(t *testing.T, logs *os.File) *system {
 	list := standin.NewList(100 * time.Millisecond)
-	stub, err := standin.Serve(testports.Address(0), standin.PlatformHandler(standin.NewStore(), list))
+	fake, err := standin.Serve(testports.Address(0), standin.PlatformHandler(standin.NewStore(), list))
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = stub.Close() }) // the test is over
+	t.Cleanup(func() { _ = fake.Close() }) // the test is over
 	for range startAttempts {
 		first, err := testports.Adjacent(3)
 		require.NoError(t, err)
 		info := structs.Instance{ID: "entry-1", DataCentre: "augsburg", CallerAddr: testports.Address(first), PeerAddr: testports.Address(first + 1), AdminAddr: testports.Address(first + 2)}
 		list.SetInstances([]structs.Instance{info})
 		s := &system{callers: info.CallerAddr, admin: info.AdminAddr, ready: "http://" + info.AdminAddr + "/readyz"}
-		s.process = startProcess(t, logs, "serve", "--id", info.ID, "--data-centre", info.DataCentre, "--platform", stub.Address,
+		s.process = startProcess(t, logs, "serve", "--id", info.ID, "--data-centre", info.DataCentre, "--platform", fake.Address,
 			"--listen", info.CallerAddr, "--peer-listen", info.PeerAddr, "--admin-listen", info.AdminAddr, "--list-lag", "500ms", "--drain-timeout", "20s")
 		t.Cleanup(s.end)
 		await(t, "a listener", func() bool { return s.hasExited() || s.listens() })
